--- /dev/null
+++ b/cypresspulley/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a quota-keeping gateway for a shared API."""
--- /dev/null
+++ b/cypresspulley/decide.py
@@ -0,0 +1,433 @@
+"""Every decision of the quota gateway; its settings, events and actions are in interface.py."""
+
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Callable
+from hashlib import blake2b
+from random import Random
+from typing import Any
+
+from cypresspulley import interface as api
+from cypresspulley.interface import Action, Effect, Status
+
+REFERENCE, GAIN, RESET, INTERVAL, STALL = 0.8, 20.0, 2.8, 1.0, 2.5  # the design's loop; intervals of a stall
+AIM_SHARE, PLAIN_ROOM = 0.5, 0.5  # latency / aim that reads as the reference; load / reference of plain room
+SPLIT, FEW = 0.7, 8  # share of the aim until a second attempt; servers that a thin gate keeps to
+DEPTH, RESERVE = 1.0, 0.6  # seconds of u that the gate holds; share kept from the least worthy work
+THIN, TRICKLE = 3.0, 0.1  # requests that a thin gate holds; share of the arrivals let in for readings
+FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
+COLD, CALLS = 0.45, 300.0  # of a load that fells a cold server; calls a second, thought possible at first
+NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.NOT_SENT)
+
+
+class _Server:
+    def __init__(self, entry: api.ServerEntry) -> None:
+        self.entry, self.up, self.place = entry, True, blake2b(entry.name.encode(), digest_size=8).digest()
+        self.open = self.done = self.rate = 0.0  # own work: out, since the last tick, a second
+        self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
+        self.out_until = self.out_for = self.budget = self.budget_at = 0.0
+        self.trial = self.lost = False
+        self.quiet: float | None = None  # since when it owes answers and gives none
+        self.cold_at: float | None = None
+
+
+class _Account:
+    def __init__(self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float) -> None:
+        self.plan, self.at, self.asked, self.synced = plan, now, now, born
+        self.share = share = max(1, ev.gateways)
+        label = f"{ev.plan} {ev.account}".encode()
+        self.name = int.from_bytes(blake2b(label, digest_size=8).digest(), "big") >> 1
+        self.level = plan.burst + plan.rate * (now - born)  # of the whole store; a reading cuts it
+        self.thin = plan.burst < 2 * share  # the even share holds next to nothing
+        self.floor = self.floor_cap = max(plan.burst / share, min(most, plan.burst) * self.thin)
+        # A restart finds the ceiling's store used, so the share fills from this instance's birth.
+        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born)) / share
+        self.total: float | None = None
+        self.others = plan.rate * (share - 1) / share * 0.3  # their use a second
+        self.pending, self.open = 0.0, 0  # own use that the counter has not been told; attempts out
+        self.calls = deque[tuple[float, int | None, float]]()
+
+    def refill(self, now: float) -> None:
+        plan, dt, self.at = self.plan, max(0.0, now - self.at), now
+        self.level = min(plan.burst + plan.rate * (now - self.synced), self.level + plan.rate * dt)
+        self.floor = min(self.floor_cap, self.floor + plan.rate / self.share * dt)
+        whole = self.ceiling * self.share + plan.ceiling_rate * dt
+        self.ceiling = min(plan.ceiling_burst, whole) / self.share
+
+
+class _Request:
+    def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: _Account) -> None:
+        self.id, self.cls, self.account, self.units = ev.id, cls, acct, ev.units
+        self.deadline, self.born, self.repeat = now + ev.ttl, now, ev.repeat
+        # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
+        self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
+        self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
+        self.tries, self.out = list[tuple[_Server, float]](), dict[int, _Server]()
+        self.ran: tuple[_Server, float] | None = None  # first attempt that may have run
+
+
+class Gateway:
+    def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
+        self._check(settings)
+        self._set, self._rng, self._born = settings, Random(seed), now
+        self._classes = {c.name: c for c in settings.classes}
+        self._plans = {p.name: p for p in settings.plans}
+        self._servers, self._requests = dict[str, _Server](), dict[int, _Request]()
+        self._ring, self._mine, self._out = list[_Server](), list[_Server](), list[Action]()
+        self._accounts, self._names = dict[tuple[str, str], _Account](), dict[int, _Account]()
+        self._base, self._why = dict[str, float](), dict[str, int]()  # idle latency of a class; causes to log
+        self._sum: float | None = None  # the controller's sum; None: fresh, admits freely
+        self._u = self._tokens = self._reading = self._tries = self._admitted = self._done_rate = 0.0
+        self._arrivals, self._held, self._timer = 0.0, 0, 0  # first tries a second; age of the readings
+        self._mean = self._silent_until = 0.0  # mean work of a request; end of the counter's silence
+        self._filled = self._ticked = self._call_at = now
+        self._retries, self._call_rate, self._misses = 10.0, CALLS / settings.gateways, 0
+        self._calls = 0.2 * self._call_rate + self._rng.random()  # in random debt: fresh fleets call in turn
+        self._seen, self._ranks, self._load = deque[float](maxlen=300), list[float](), list[float]()
+        self._handlers: dict[type, Callable[[float, Any], None]] = {
+            api.Request: self._arrive, api.Outcome: self._outcome, api.Counted: self._counted,
+            api.ServerList: self._listed, api.Probed: self._probed, api.TimerFired: lambda _now, _ev: None,
+            api.Departed: lambda _now, ev: self._forget(ev.id),
+        }  # fmt: skip
+        self._patience = AIM_SHARE * min((c.aim for c in settings.classes), default=1.0)
+
+    def _check(self, s: api.Settings) -> None:
+        one, above = ("gateways", "max_attempts"), ("cold_share", "fall_window")
+        for key in (*one, *above, "warm_after", "counter_timeout"):
+            if getattr(s, key) < (1 if key in one else 1e-9 if key in above else 0):
+                raise ValueError(f"impossible setting: {key}")
+
+    def handle(self, now: float, event: api.Event) -> list[Action]:
+        self._out, ticked = [], event == api.TimerFired(self._timer)
+        self._handlers[type(event)](now, event)
+        if ticked:
+            self._tick(now)
+        if ticked or not self._timer:
+            self._timer += 1
+            self._out.append(api.SetTimer(INTERVAL, self._timer))
+        return self._out
+
+    def _tick(self, now: float) -> None:
+        dt, self._ticked = max(1e-3, now - self._ticked), now
+        for r in list(self._requests.values()):
+            if now >= r.deadline and not r.out:
+                self._end(now, r)
+            elif r.out and now - r.born > r.cls.aim * AIM_SHARE / REFERENCE:
+                self._load.append(1.0)  # an answer overdue is a reading before it comes
+        arrivals, admitted = self._tries / dt, self._admitted / dt
+        self._arrivals += (0.3 if self._arrivals else 1.0) * (arrivals - self._arrivals)
+        arrivals, self._held = max(arrivals, self._arrivals), self._held + 1
+        # Where a gate sees one request a second its few readings wait for each other, or it would never move.
+        enough = len(self._load) >= 3 or (self._held >= 4 and self._load)
+        load = sum(self._load) / len(self._load) if enough else None
+        # K is made for a stream of its size: at hundreds of thin gates whole ones add up to on and off.
+        gain, self._tries, self._admitted = min(GAIN, self._arrivals), 0.0, 0.0
+        if dt > STALL * INTERVAL:
+            self._sum = None  # a stall: the sum belongs to a load that is gone
+        elif load is not None:
+            error, self._reading = REFERENCE - load, load
+            self._u = gain * error + (admitted if self._sum is None else self._sum)
+            self._sum = self._u - gain * error
+            if load < PLAIN_ROOM * REFERENCE and self._u < arrivals:
+                self._sum, self._u = arrivals - gain * error, arrivals
+            if error < 0 or self._u <= arrivals:
+                self._sum = max(0.0, self._sum + gain / RESET * error)
+        if load is not None or dt > STALL * INTERVAL:
+            self._load, self._held = [], 0
+        if self._timer % 10 == 0 and self._why:
+            text = ", ".join(f"{k} {n}" for k, n in sorted(self._why.items())) + f"; load {self._reading:.2f}"
+            text += f", u {self._u:.0f}/s{', counter silent' * (now < self._silent_until)}"
+            self._out, self._why = [*self._out, api.Log(f"turned away: {text}")], {}
+        # By what was finished: by what was sent, overdriven servers would pass for able ones.
+        done = sum(s.done for s in self._servers.values()) / dt / max(1, len(self._mine)) - self._done_rate
+        self._done_rate += 0.3 * done
+        for s in self._servers.values():
+            s.rate, s.done = s.rate + 0.3 * (s.done / dt - s.rate), 0.0
+            if s.up and s.lost and s.trial and self._set.may_probe:
+                self._out.append(api.Probe(s.entry.name))  # a probe is a cheaper trial than a request
+                s.out_until = max(s.out_until, now + 1.5 * INTERVAL)
+        self._choose(now)
+        self._ranks = sorted(self._seen)
+        for key, a in list(self._accounts.items()):
+            # A ceiling is full before it is forgotten: a new account would start with more than was left.
+            full = a.ceiling * a.share + a.plan.ceiling_rate * (now - a.at) >= a.plan.ceiling_burst
+            if now - a.at > FORGET and not a.open and full:
+                del self._names[a.name], self._accounts[key]
+            elif abs(a.pending) > 1e-9 and now - a.asked > 1.0 and a.level < 0.7 * a.plan.burst:
+                self._count(now, a)
+
+    def _gate(self, now: float, r: _Request, reserve: float) -> bool:
+        # A shut gate reads nothing and would stay shut; a full bucket lets any one request pass, into debt.
+        rate, dt, self._filled = max(TRICKLE * self._arrivals, self._u), now - self._filled, now
+        depth = max(THIN, rate * DEPTH)
+        self._tokens = min(depth, self._tokens + rate * dt)
+        need = r.work / self._mean + reserve * max(0, depth - 2)
+        return self._sum is None or self._tokens >= min(depth, need)
+
+    def _arrive(self, now: float, ev: api.Request) -> None:
+        unknown = api.RequestClass(ev.request_class, max(ev.ttl, 0.01), 1.0, Effect.UNSAFE)
+        cls, key = self._classes.get(ev.request_class, unknown), (ev.plan, ev.account)
+        if (a := self._accounts.get(key)) is None:
+            plan = self._plans.get(ev.plan, api.Plan(ev.plan))
+            a = self._accounts[key] = _Account(now, ev, plan, self._born, self._set.max_units)
+            self._names[a.name] = a
+        a.refill(now)
+        self._tries += not ev.repeat
+        r = self._requests[ev.id] = _Request(now, ev, cls, a)
+        r.work = self._base.setdefault(cls.name, cls.aim * 0.1)
+        self._mean += (r.work - self._mean) * (0.02 if self._mean else 1)
+        value = cls.worth * a.plan.price * r.units / r.work
+        self._seen.append(value)
+        r.rank = bisect_left(self._ranks, value) / len(self._ranks) if self._ranks else 1.0
+        if a.plan.ceiling_rate > 0 and a.ceiling < r.units:
+            self._end(now, r, "ceiling")
+        elif self._gate(now, r, RESERVE * (1 - r.rank)):
+            self._quota(now, r)
+        else:
+            self._end(now, r, "gate")
+
+    def _quota(self, now: float, r: _Request) -> None:
+        a, plan = r.account, r.account.plan
+        expected = min(plan.burst, a.level - a.others * (now - a.synced))
+        worst = min(0.9 * plan.burst * (1 - 1 / a.share), max(a.others, plan.rate) * (now - a.synced))
+        plain = expected - worst - 0.1 * plan.burst >= r.units or a.share <= 1
+        many = plan.open_limit > 0 and a.open >= -(-plan.open_limit // a.share)  # past the even share
+        # The fleet shares the counter: with few calls left one request in so many asks, and counts for all.
+        chance = min(1.0, self._call_room(now) / 2)
+        calm = a.thin and expected - 0.3 * plan.rate * (now - a.synced) > 0.6 * plan.burst  # not long ago
+        chance *= 0.3 if calm else 1.0
+        if many or plan.rate <= 0:
+            inside = not many
+        elif not self._set.has_counter or now < self._silent_until:
+            inside = expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()  # even share
+        elif a.level < r.units or (plain and not a.thin):
+            inside = a.level >= r.units
+        elif r.deadline - now < 3 * self._set.counter_timeout or chance < max(0.05, self._rng.random()):
+            # Unasked, what comes again or often to this one gateway is most likely beyond its quota.
+            likely = expected >= r.units and (calm or not (a.thin and (r.repeat or a.floor < r.units)))
+            return self._launch(now, r, likely, counted=0.0 if a.thin else None)
+        else:  # near the quota the counter is asked first, with the units where they will likely be granted
+            step = 0.0 if r.repeat and a.thin else r.units / (max(0.4, chance) if a.thin else 1.0)
+            return self._count(now, a, r.id, step)
+        self._launch(now, r, inside)
+
+    def _launch(self, now: float, r: _Request, inside: bool, counted: float | None = None) -> None:
+        a, plan = r.account, r.account.plan
+        if not (inside or (plan.over_worth > plan.over_cost and 0 < self._reading < 0.6 * REFERENCE)):
+            return self._end(now, r, "quota")
+        # Requests held for the counter must not draw on the ceiling together.
+        if (plan.ceiling_rate > 0 and a.ceiling < r.units) or not self._send(now, r):
+            if counted:
+                self._count(now, a, own=-counted)
+            return self._end(now, r, "no server")
+        self._tokens -= r.work / self._mean if self._sum is not None else float("-inf")  # full when fresh
+        self._admitted, self._retries = self._admitted + 1, min(10.0, self._retries + 0.1)
+        a.ceiling -= r.units if plan.ceiling_rate > 0 else 0.0
+        if inside:
+            a.floor = max(-r.units, a.floor - r.units)
+            a.level = max(0.0, a.level - (0.0 if counted else r.units))
+            a.pending += r.units * (counted is None)
+            if counted is None and a.pending >= 0.3 * min(a.level, plan.burst) / a.share and a.share > 1:
+                self._count(now, a)
+
+    def _call_room(self, now: float) -> float:
+        self._calls = min(2 + 0.2 * self._call_rate, self._calls + self._call_rate * (now - self._call_at))
+        self._call_at = now
+        return self._calls if now >= self._silent_until else 0.0
+
+    def _count(self, now: float, a: _Account, held: int | None = None, own: float = 0) -> None:
+        a.pending, a.level = a.pending + own, a.level - own
+        room = held is not None or own != 0 or self._call_room(now) >= 1  # what is owed cannot wait
+        if room and self._set.has_counter and a.plan.rate > 0:
+            a.calls.append((a.pending, held, own if held is not None else 0.0))
+            self._out.append(api.Count(a.name, LIFETIME, a.pending))
+            self._calls, a.pending, a.asked = self._calls - 1, 0.0, now
+
+    def _counted(self, now: float, ev: api.Counted) -> None:
+        a = self._names.get(ev.name)
+        if a is None or not a.calls:
+            return
+        step, held, units = a.calls.popleft()
+        a.refill(now)
+        if ev.status is Status.OK:
+            self._misses = 0
+            self._call_rate = min(300.0, self._call_rate * 1.01)
+            # A total that fell has expired, was flushed or restarted empty: what it holds came since.
+            fallen = ev.total < (a.total or 0.0) * 0.5
+            others = max(0.0, ev.total - step) if fallen else ev.total - step - (a.total or 0.0)
+            age = max(0.05, now - a.synced)
+            a.others += min(1.0, age / 3) * (max(0.0, others) / age - a.others)
+            a.level -= others
+            if a.total is None and a.level < -a.plan.burst:
+                a.level = a.plan.burst / 2  # a count older than this instance tells nothing yet
+            a.total, a.synced = ev.total, now
+            # What a full store could not hold is counted as used: the count alone then tells the store.
+            lost = max(0.0, a.level + units - a.plan.burst)
+            a.level -= lost
+            a.pending += lost * (not a.thin or lost > 0.5 * a.plan.burst)  # another may tell a thin gate's
+        else:
+            a.pending += step if ev.status is not Status.TIMEOUT else 0.0  # after a time-out it may be there
+            self._misses += ev.status is not Status.FULL
+            self._call_rate = max(2 * CALLS / self._set.gateways / 100, self._call_rate * 0.9)
+            if ev.status is not Status.FULL and self._misses > 1:  # one time-out alone is a queue
+                self._silent_until = now + 1.0
+        r = self._requests.get(-1 if held is None else held)
+        own = r.units if r else 0.0
+        left = a.level + units - own - (0 if ev.status is Status.OK else a.others * (now - a.synced))
+        if held is not None:
+            # Where the guess in the step was wrong the count gets the units back, or gets them at all.
+            used = own if left >= -1e-6 else 0.0
+            right = used if units == 0 else -units * (used == 0)
+            if right:
+                self._count(now, a, own=right)
+            if r is not None:
+                self._launch(now, r, used > 0, counted=(units or right) if used else 0.0)
+        if a.pending > 0.25 * a.plan.burst and ev.status is Status.OK:
+            self._count(now, a)
+        a.level = max(a.level, 0.0)
+
+    def _probed(self, now: float, ev: api.Probed) -> None:
+        if ev.status is Status.OK and (s := self._servers.get(ev.server)) and s.lost:
+            s.out_until, s.quiet, s.lost, s.cold_at, s.budget_at = now, None, False, now, now
+
+    def _listed(self, now: float, ev: api.ServerList) -> None:
+        for old in self._servers.values():
+            old.up = old.up and not ev.complete
+        for e in ev.entries:
+            s = self._servers.setdefault(e.name, _Server(e))
+            restarted = e.born > (s.entry.born + 1e-6 if s.entry is not e else 0.0)
+            s.entry, s.up = e, e.health is api.Health.UP
+            if s.up and restarted and now - e.born < self._set.warm_after:
+                s.cold_at, s.budget, s.budget_at, s.slow = e.born, 0.0, now, 0.0
+                s.out_until = min(s.out_until, now)
+        # All gateways see one ring of servers, each from a place of its own: parts of it add up evenly.
+        ring = sorted((s for s in self._servers.values() if s.up), key=lambda s: s.place)
+        start = self._set.index * len(ring) // self._set.gateways
+        self._ring = ring[start:] + ring[:start]
+        self._choose(now)
+
+    def _choose(self, now: float) -> None:
+        """A thin gate keeps to few: of hundreds it meets each once a minute and learns each failure anew."""
+        want, self._mine = max(FEW, -(-5 * len(self._ring) // self._set.gateways)), list[_Server]()
+        for s in self._ring:
+            want -= s.out_until <= now and (s.quiet is None or now - s.quiet <= self._patience)
+            self._mine.append(s)
+            if want <= 0:
+                break
+
+    def _pick(self, now: float, r: _Request) -> _Server | None:
+        # By Little's law: work out is the finished work a second times the stay that is wanted; four a server
+        # over all gates at least. Quick answers give a thin gate three more, a load the chance of one.
+        up, stay, part = self._mine, r.cls.aim * AIM_SHARE, 1 - RESERVE * 0.5 * (1 - r.rank)
+        total, least = stay * sum(s.rate for s in up), 4.0 * len(self._ring) / self._set.gateways
+        slack = max(self._rng.random(), 3.0 - 2.5 * self._reading / REFERENCE) * (least < 3)
+        fleet = max(total, self._mean * least) + self._mean * slack
+        # Where answers are owed for long nothing new goes: a cut, hung or lost server. All alike is slowness.
+        quiet = [s for s in up if s.quiet is not None and now - s.quiet > self._patience]
+        quiet = quiet if len(quiet) <= len(up) / 2 else []
+        if sum(s.open for s in up if s not in quiet and s.out_until <= now) + 0.5 * r.work > fleet * part:
+            return None
+        least = max(0.5 * total / max(1, len(up)), 3.5 * self._mean)
+        group, first = up, r.ran[0].entry if r.ran else None
+        if first and r.cls.effect is Effect.KEYED and r.cls.scope is not api.Scope.ALL:  # it may have run
+            group = [s for s in self._ring if s.entry.zone == first.zone]
+            group = [s for s in group if r.cls.scope is not api.Scope.CELL or s.entry.cell == first.cell]
+        pool = [s for s in group if s not in [x for x, _ in r.tries]] or group
+        well = [s for s in pool if s.out_until <= now and not (s.trial and s.open > 0) and s not in quiet]
+        well = pool if all(s.out_until > now for s in up) else well  # every server is out: any beats none
+        fit = [s for s in well if s.open + r.work * 0.5 <= max(stay * s.rate, least) * part]
+        fit = [s for s in fit if s.cold_at is None or self._cold_room(now, s, r)]
+        fit = self._rng.sample(fit, 2) if len(fit) > 2 else fit
+        costs = {s.place: max(1.0, s.slow) * (s.open + r.work) / max(0.05, 1 - s.fails) ** 2 for s in fit}
+        return min(fit, key=lambda s: costs[s.place], default=None)
+
+    def _cold_room(self, now: float, s: _Server, r: _Request) -> bool:
+        low, age = self._set.cold_share, max(0.0, now - (s.cold_at or 0.0))
+        warmth = low + (1 - low) * age / max(1e-9, self._set.warm_after)
+        s.cold_at = s.cold_at if warmth < 1 else None
+        fill = COLD * self._set.fall_multiple * min(1.0, warmth) * self._done_rate
+        s.budget += fill * (now - s.budget_at)
+        s.budget, s.budget_at = min(fill * self._set.fall_window * 0.5, s.budget), now
+        # One request at each of hundreds of gates pushes it over: it passes as often as its part is there.
+        return s.budget > r.work * self._rng.random()
+
+    def _send(self, now: float, r: _Request) -> bool:
+        wait = r.due - now
+        s = self._pick(now, r) if wait > 0 else None
+        if s is None:
+            return False
+        if r.cls.effect is not Effect.UNSAFE and len(r.tries) + 1 < self._set.max_attempts:
+            wait = min(wait, max(SPLIT * r.cls.aim, 4 * max(1.0, s.slow) * r.work))
+        r.out[len(r.tries)] = s
+        r.tries.append((s, now))
+        r.account.open += 1
+        s.open, s.quiet = s.open + r.work, now if s.quiet is None else s.quiet
+        s.budget -= r.work if s.cold_at is not None else 0.0  # warm, it owes nothing when unsure again
+        self._out.append(api.Send(r.id, s.entry.name, wait))
+        return True
+
+    def _outcome(self, now: float, ev: api.Outcome) -> None:
+        r, s = self._requests.get(ev.id), self._servers.get(ev.server)
+        if s is None or r is None:
+            return
+        if r.out.pop(ev.attempt, None) is not None:
+            s.open = max(0.0, s.open - r.work)
+            r.account.open -= 1
+            if ev.status not in (Status.TIMEOUT, Status.CANCELLED, Status.UNREACHABLE):
+                s.quiet = now if s.open > 1e-9 else None
+            self._learn(now, r, s, ev)
+        if ev.status not in NEVER_RAN and r.ran is None and ev.attempt < len(r.tries):
+            r.ran = r.tries[ev.attempt]
+        if ev.finished:
+            self._forget(ev.id)
+        elif not r.out:
+            self._again(now, r, ev.status)
+
+    def _learn(self, now: float, r: _Request, s: _Server, ev: api.Outcome) -> None:
+        if ev.status is Status.OK:
+            s.done += r.work
+            base = self._base[r.cls.name]
+            self._base[r.cls.name] = base + (ev.elapsed - base) * (0.01 if ev.elapsed > base else 0.02)
+            s.slow += (0.1 if s.slow else 1.0) * (ev.elapsed / base - s.slow)
+            self._load.append(min(1.0, ev.elapsed / r.cls.aim * REFERENCE / AIM_SHARE))
+        elif ev.status in (Status.FULL, Status.TIMEOUT):
+            self._load.append(1.0)
+        mute = ev.status is Status.TIMEOUT and s.quiet is not None and now - s.quiet >= ev.elapsed - 1e-6
+        dead = ev.status in (Status.UNREACHABLE, Status.BROKEN) or mute
+        bad = dead or ev.status is Status.ERROR
+        if ev.status not in (Status.CANCELLED, Status.NOT_SENT, Status.FULL):
+            s.fails += (0.4 if dead else 0.2) * (bad - s.fails)
+        if ev.status is Status.OK:
+            s.cold_at = now if s.lost and s.cold_at is None else s.cold_at  # it may have restarted unseen
+            s.lost, s.trial, s.out_for = False, False, s.out_for * (s.fails >= 0.05)
+        up = self._mine or [s]
+        usual, outs = sorted(x.fails for x in up)[len(up) // 2], sum(x.out_until > now for x in up)
+        s.lost = s.lost or dead
+        if bad and s.out_until <= now and s.fails > usual + 0.25 and (dead or outs < len(up) / 2):
+            s.out_for = min(10.0, max(1.5, s.out_for * 2))
+            s.out_until, s.trial, s.fails = now + s.out_for, True, 0.2
+            self._choose(now)
+
+    def _again(self, now: float, r: _Request, status: Status) -> None:
+        allowed = len(r.tries) < self._set.max_attempts and r.due - now > r.work and self._retries >= 1
+        if r.ran is not None and r.cls.effect is not Effect.SAFE:
+            allowed = allowed and r.cls.effect is Effect.KEYED and now - r.ran[1] < 0.95 * r.cls.window
+        if not allowed or not self._send(now, r):
+            return self._end(now, r)
+        self._retries -= status is not Status.UNREACHABLE
+
+    def _end(self, now: float, r: _Request, why: str = "attempts") -> None:
+        self._why[why] = self._why.get(why, 0) + 1
+        a, effect = r.account, r.cls.effect
+        if r.ran is None or effect is Effect.SAFE or (effect, r.cls.scope) == (Effect.KEYED, api.Scope.ALL):
+            short = max(0.1, (r.units - a.level) / a.plan.rate if a.plan.rate else 0.0)
+            self._out.append(api.Refuse(r.id, min(self._set.max_retry_after, short)))
+        else:
+            self._out.append(api.Fail(r.id))
+        self._forget(r.id)
+
+    def _forget(self, request: int) -> None:
+        if r := self._requests.pop(request, None):
+            for s in r.out.values():
+                s.open = max(0.0, s.open - r.work)
+                r.account.open -= 1
--- /dev/null
+++ b/cypresspulley/interface.py
@@ -0,0 +1,217 @@
+"""Settings, events and actions of the gateway: plain typed records, no logic.
+
+Times are seconds, rates are per second.  ``decide.Gateway`` takes ``Settings``
+and one event at a time and answers with a list of actions.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Effect(Enum):
+    """What a second execution of a request would do."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Scope(Enum):
+    """The group of servers that drops repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Status(Enum):
+    """How an attempt, a probe or a counter call ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not sent"
+
+
+class Health(Enum):
+    """A server's state in the server list."""
+
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim: float
+    worth: float
+    effect: Effect
+    late_worth: float = 0.0
+    scope: Scope = Scope.ALL
+    window: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    name: str
+    price: float = 1.0
+    rate: float = 0.0
+    burst: float = 0.0
+    open_limit: int = 0
+    over_worth: float = 0.0
+    over_cost: float = 0.0
+    ceiling_rate: float = 0.0
+    ceiling_burst: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    index: int
+    gateways: int
+    zone: str
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    max_attempts: int = 1
+    may_duplicate: bool = False
+    may_cancel: bool = False
+    may_probe: bool = False
+    load_on_probe: bool = False
+    has_counter: bool = False
+    counter_timeout: float = 0.0
+    max_units: float = 1.0
+    max_retry_after: float = 0.0
+    cold_share: float = 1.0
+    warm_after: float = 0.0
+    fall_multiple: float = 1.0
+    fall_window: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    name: str
+    health: Health
+    zone: str
+    cell: int = 0
+    size: float = 1.0
+    born: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    """The server list or a part of it; ``complete`` removes what it leaves out."""
+
+    entries: tuple[ServerEntry, ...]
+    complete: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A client's try; ``gateways`` of them serve its account."""
+
+    id: int
+    request_class: str
+    plan: str
+    ttl: float
+    account: str
+    units: float = 1.0
+    gateways: int = 1
+    repeat: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    id: int
+    attempt: int
+    server: str
+    status: Status
+    elapsed: float
+    finished: bool
+    report: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Departed:
+    """The client left: nothing is owed any more."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Counted:
+    name: int
+    status: Status
+    total: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Probed:
+    server: str
+    status: Status
+    elapsed: float
+    report: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    id: int
+    server: str
+    timeout: float
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    id: int
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    id: int
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add ``amount`` to a shared number that is forgotten after ``lifetime``."""
+
+    name: int
+    lifetime: float
+    amount: float
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    server: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    delay: float
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    text: str
+
+
+Event = ServerList | Request | Outcome | Departed | Counted | Probed | TimerFired
+Action = Send | Refuse | Fail | Cancel | Count | Probe | SetTimer | Log
--- /dev/null
+++ b/tests/test_symptoms.py
@@ -0,0 +1,270 @@
+"""One small test for each failure found."""
+
+from __future__ import annotations
+
+import pytest
+
+from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
+from tests import world as w
+
+
+def run(
+    world: w.World, seconds: float, rate: float, first: int, elapsed: float = 0.1, kind: str = "read"
+) -> int:
+    """Requests at a steady rate, each answered in the next step; returns the next id."""
+    for id in range(first, first + int(seconds * rate)):
+        world.advance(world.now + 1 / rate)
+        world.feed(w.request(id, kind))
+        world.serve(elapsed=elapsed)
+    return first + int(seconds * rate)
+
+
+def test_a_fresh_gateway_admits_freely_then_overload_closes_the_gate() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    next_id = run(world, 0.9, 50, 0)
+    assert not any(v == "refused" for v in world.answered.values())
+    next_id = run(world, 1.0, 50, next_id)  # what was free is no debt at the gate after the first reading
+    assert not any(v == "refused" for v in world.answered.values())
+    run(world, 60, 50, next_id, elapsed=0.99)
+    late = [world.answered[i] for i in list(world.requests)[-200:]]
+    assert late.count("refused") > 20
+
+
+def test_servers_silent_past_half_the_aim_get_nothing_new() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    next_id = run(world, 5, 40, 0)
+    for id in range(next_id, next_id + 120):
+        world.advance(world.now + 0.025)
+        world.feed(w.request(id))
+        for (rid, attempt), (server, _) in list(world.out.items()):
+            if server != "s0":
+                world.feed(w.outcome(rid, attempt, server, api.Status.OK))
+    late = [server for at, server, _ in world.sends if at > world.now - 1.5]
+    assert late.count("s0") <= 1
+
+
+def test_fast_failures_do_not_attract() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2", "s3"))
+    for id in range(200):
+        world.advance(world.now + 0.02)
+        world.feed(w.request(id, "post"))
+        for (rid, attempt), (server, _) in list(world.out.items()):
+            bad = server == "s0"
+            world.feed(
+                w.outcome(
+                    rid, attempt, server, api.Status.ERROR if bad else api.Status.OK, 0.005 if bad else 0.1
+                )
+            )
+    assert [server for _, server, _ in world.sends].count("s0") < 20
+
+
+def test_all_servers_failing_alike_stay_in_use() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2", "s3"))
+    for id in range(300):
+        world.advance(world.now + 0.02)
+        world.feed(w.request(id, "post"))
+        world.serve(api.Status.OK if id % 2 else api.Status.ERROR)
+    assert len({server for at, server, _ in world.sends if at > world.now - 2}) >= 2
+
+
+def test_a_lost_server_is_tried_by_probe_and_comes_back_by_it() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    run(world, 20, 40, 0)  # work done while warm is no debt when it returns unsure
+    for id in range(5000, 5012):
+        world.feed(w.request(id))
+        for (rid, attempt), (server, _) in list(world.out.items()):
+            status = api.Status.UNREACHABLE if server == "s0" else api.Status.OK
+            world.feed(w.outcome(rid, attempt, server, status))
+    assert world.gateway._servers["s0"].out_until > world.now
+    probes: list[api.Action] = []
+    for _ in range(3):
+        at, token = world.timers.pop(0)
+        world.now = at
+        probes += [a for a in world.feed(api.TimerFired(token)) if isinstance(a, api.Probe)]
+        run(world, 0.5, 20, 100 + len(world.requests))
+        assert world.sends[-1][1] != "s0"
+    assert probes
+    world.feed(api.Probed("s0", api.Status.OK, 0.001, {}))
+    before = len(world.sends)
+    for id in range(1000, 1060):  # one is always out, so that the others are not idle
+        world.advance(world.now + 0.05)
+        for rid, attempt in list(world.out)[:-1]:
+            world.feed(w.outcome(rid, attempt, world.out[(rid, attempt)][0], api.Status.OK))
+        world.feed(w.request(id))
+    assert "s0" in {server for _, server, _ in world.sends[before:]}
+
+
+def drain(
+    world: w.World, first: int, count: int, gap: float, answer: api.Status | None = api.Status.OK
+) -> int:
+    """Requests of one account on the small plan; returns how many were sent on."""
+    before = len(world.sends)
+    for id in range(first, first + count):
+        world.advance(world.now + gap)
+        world.feed(w.request(id, "read", "small", "acct"))
+        if answer is not None:
+            world.answer_counts(answer)
+        world.serve()
+    return len(world.sends) - before
+
+
+def test_one_gateway_may_use_the_whole_store_while_the_counter_shows_nobody_else() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    assert drain(world, 0, 40, 0.001) == 8
+
+
+def test_others_use_on_the_counter_is_taken_off_the_store() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    assert drain(world, 0, 1, 0.001) == 1
+    (name,) = world.totals
+    world.totals[name] += 5.0  # the other gateways use five of the eight units
+    assert drain(world, 2000, 40, 0.001) in (2, 3)
+
+
+def test_a_silent_counter_leaves_the_even_share() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    sent = drain(world, 0, 40, 0.001, api.Status.UNREACHABLE)
+    assert 8 / 3 <= sent <= 6
+
+
+def test_an_emptied_counter_does_not_refill_or_empty_the_store() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    drain(world, 0, 40, 0.001)
+    world.totals.clear()
+    sent = drain(world, 100, 40, 0.05)
+    assert 2 <= sent <= 6  # the refill of two seconds at two a second
+
+
+def test_calls_slow_down_when_the_counter_turns_them_away() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    calls = 0
+    per_second = []
+    for id in range(2000):
+        if id % 200 == 0:
+            per_second.append(calls)
+            calls = 0
+        world.advance(world.now + 0.005)
+        world.feed(w.request(id, "read", "small", f"a{id % 40}"))
+        calls += len(world.counts)
+        world.answer_counts(api.Status.FULL)
+        world.serve()
+    assert per_second[-1] < 10
+
+
+def test_one_off_accounts_are_dropped_after_an_idle_minute() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    for id in range(500):
+        world.advance(world.now + 0.01)
+        world.feed(w.request(id, "read", "small" if id % 2 else "free", f"once{id}"))
+        world.answer_counts()
+        world.serve()
+    assert len(world.gateway._accounts) == 500
+    world.advance(world.now + 70)
+    assert not world.gateway._accounts and not world.gateway._names
+
+
+def test_a_stall_starts_the_loop_afresh() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    run(world, 4, 40, 0)
+    assert world.gateway._sum is not None
+    world.now += 30
+    world.feed(api.TimerFired(world.timers.pop(0)[1]))
+    assert world.gateway._sum is None
+
+
+def test_attempts_end_at_the_aim_where_a_late_answer_earns_nothing() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0"))
+    sent = [a for a in world.feed(w.request(1, "post", ttl=9.0)) if isinstance(a, api.Send)]
+    assert sent[0].timeout == pytest.approx(2.0)
+
+
+def test_beyond_the_quota_goes_on_only_where_it_earns() -> None:
+    earning = api.Plan("small", rate=2.0, burst=8.0, over_worth=0.5)
+    for plan, more in ((earning, True), (api.Plan("small", rate=2.0, burst=8.0, over_cost=0.5), False)):
+        world = w.World(w.settings(plans=(api.Plan("free"), plan)))
+        world.feed(w.servers("s0", "s1", "s2"))
+        run(world, 5, 40, 0)
+        assert (drain(world, 5000, 60, 0.02) > 12) is more
+
+
+def test_odd_but_legal_input() -> None:
+    world = w.World(w.settings())
+    gateway = world.gateway
+    refused = world.feed(w.request(1))  # no server known yet
+    assert any(isinstance(a, api.Refuse) for a in refused)
+    world.feed(api.ServerList((), True))
+    world.feed(w.request(2, "unknown class", "unknown plan", ttl=0.0))
+    assert world.answered[2] == "refused"
+    assert gateway.handle(world.now, api.Counted(123, api.Status.OK, 5.0)) == []
+    assert gateway.handle(world.now, api.Departed(77)) == []
+    assert gateway.handle(world.now, api.TimerFired(10**9)) == []
+    assert gateway.handle(world.now, api.Probed("nobody", api.Status.OK, 0.1, {})) == []
+    assert gateway.handle(world.now, api.Outcome(5, 3, "nobody", api.Status.OK, 0.1, True, {})) == []
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [("gateways", 0), ("max_attempts", 0), ("cold_share", 0.0), ("fall_window", 0.0), ("warm_after", -1.0)],
+)
+def test_impossible_settings_name_the_key(field: str, value: float) -> None:
+    with pytest.raises(ValueError, match=field):
+        Gateway(w.settings(**{field: value}), 1, 0.0)
+
+
+def test_a_gate_shut_on_one_request_a_second_opens_again_when_answers_are_quick() -> None:
+    """A shut gate reads nothing: with its last reading held it would stay shut for good."""
+    world = w.World(w.settings(gateways=300))
+    world.feed(w.servers("s0", "s1", "s2"))
+    next_id = run(world, 60, 1, 0, elapsed=0.99)
+    assert world.gateway._u < 0.5
+    next_id = run(world, 60, 1, next_id, elapsed=0.02)
+    late = [world.answered[i] for i in range(next_id - 20, next_id)]
+    assert late.count("served") > 15
+
+
+def test_a_thin_gate_keeps_to_few_servers_and_goes_on_to_others_when_they_are_lost() -> None:
+    world = w.World(w.settings(gateways=300, index=7))
+    names = [f"s{i}" for i in range(80)]
+    world.feed(w.servers(*names))
+    next_id = run(world, 40, 2, 0)
+    first = {server for _, server, _ in world.sends}
+    assert len(first) <= 8
+    for id in range(next_id, next_id + 60):
+        world.advance(world.now + 0.5)
+        world.feed(w.request(id))
+        for _ in range(3):
+            for (rid, attempt), (server, _) in list(world.out.items()):
+                gone = server in first
+                world.feed(
+                    w.outcome(rid, attempt, server, api.Status.UNREACHABLE if gone else api.Status.OK, 0.05)
+                )
+    late = [server for at, server, _ in world.sends if at > world.now - 10]
+    assert late and sum(server in first for server in late) < 0.2 * len(late)
+
+
+def test_hundreds_of_gateways_do_not_drown_the_counter() -> None:
+    calls = 0
+    for index in range(100):
+        world = w.World(w.settings(gateways=300, index=index), index)
+        world.feed(w.servers("s0", "s1", "s2"))
+        for id in range(20):
+            world.advance(world.now + 0.25)
+            world.feed(api.Request(id, "read", "small", 3.0, f"a{id}", 1.0, 150))
+            calls += len(world.counts)
+            world.answer_counts(api.Status.FULL)
+            world.serve()
+    assert calls < 100 * 5 * 1.7  # for 300 gateways 510 calls a second
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,194 @@
+"""Helpers for the tests: settings and a legal-event driver that checks the five rules as invariants."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
+
+NEVER_RAN = {api.Status.FULL, api.Status.UNREACHABLE, api.Status.NOT_SENT}
+SAFE = api.RequestClass("read", 1.0, 1.0, api.Effect.SAFE)
+KEYED = api.RequestClass("entry", 2.0, 3.0, api.Effect.KEYED, scope=api.Scope.CELL, window=4.0)
+UNSAFE = api.RequestClass("post", 2.0, 5.0, api.Effect.UNSAFE, window=5.0)
+
+
+def settings(**changes: object) -> api.Settings:
+    base = api.Settings(
+        index=0, gateways=3, zone="a", classes=(SAFE, KEYED, UNSAFE),
+        plans=(api.Plan("free"), api.Plan("small", rate=2.0, burst=8.0, over_cost=0.5)),
+        max_attempts=3, may_cancel=True, may_probe=True, has_counter=True, counter_timeout=0.05,
+        max_units=4.0, max_retry_after=1.0,
+        cold_share=0.2, warm_after=10.0, fall_multiple=2.0, fall_window=2.0,
+    )  # fmt: skip
+    return replace(base, **changes)  # type: ignore[arg-type]
+
+
+def servers(*names: str, born: float = 0.0, health: api.Health = api.Health.UP) -> api.ServerList:
+    entries = tuple(api.ServerEntry(n, health, "ab"[i % 2], i // 2, 1.0, born) for i, n in enumerate(names))
+    return api.ServerList(entries, True)
+
+
+def request(
+    id: int, kind: str = "read", plan: str = "free", account: str = "x", ttl: float = 3.0, units: float = 1.0
+) -> api.Request:
+    return api.Request(id, kind, plan, ttl, account, units, 3)
+
+
+def outcome(id: int, attempt: int, server: str, status: api.Status, elapsed: float = 0.1) -> api.Outcome:
+    return api.Outcome(id, attempt, server, status, elapsed, status is api.Status.OK, {})
+
+
+class World:
+    """Feeds one gateway legal events and fails as soon as an answer breaks a rule."""
+
+    def __init__(self, config: api.Settings, seed: int = 1, now: float = 100.0) -> None:
+        self.config, self.now = config, now
+        self.gateway = Gateway(config, seed, now)
+        self.up: dict[str, api.ServerEntry] = {}
+        self.known: set[str] = set()
+        self.requests: dict[int, tuple[api.Request, float]] = {}
+        self.attempts: dict[int, list[tuple[str, float]]] = {}
+        self.out: dict[tuple[int, int], tuple[str, float]] = {}
+        self.ran: dict[int, tuple[str, float]] = {}
+        self.answered: dict[int, str] = {}
+        self.timers: list[tuple[float, int]] = []
+        self.counts: list[api.Count] = []
+        self.sends: list[tuple[float, str, api.Request]] = []
+        self.totals: dict[int, float] = {}
+
+    def feed(self, event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.ServerList):
+            listed = {e.name: e for e in event.entries}
+            if event.complete:
+                self.up = {}
+            self.up.update(listed)
+            self.known |= set(listed)
+        if isinstance(event, api.Request):
+            self.requests[event.id] = (event, self.now + event.ttl)
+            self.attempts[event.id] = []
+        if isinstance(event, api.Outcome):
+            server, sent = self.out.pop((event.id, event.attempt))
+            if event.status not in NEVER_RAN:
+                self.ran.setdefault(event.id, (server, sent))
+            if event.finished:
+                self.answered[event.id] = "served"
+        if isinstance(event, api.Departed):
+            self.answered.setdefault(event.id, "left")
+        actions = self.gateway.handle(self.now, event)
+        for action in actions:
+            self._check(action)
+        return actions
+
+    def _kind(self, asked: api.Request) -> api.RequestClass:
+        unknown = api.RequestClass(asked.request_class, 1.0, 1.0, api.Effect.UNSAFE)
+        return next((c for c in self.config.classes if c.name == asked.request_class), unknown)
+
+    def _check(self, action: api.Action) -> None:
+        if isinstance(action, api.SetTimer):
+            self.timers.append((self.now + action.delay, action.token))
+        elif isinstance(action, api.Count):
+            self.counts.append(action)
+        elif isinstance(action, api.Send):
+            asked, deadline = self.requests[action.id]
+            assert action.id not in self.answered, "sent after the final answer"
+            assert 0 < action.timeout <= deadline - self.now + 1e-9
+            assert self.up[action.server].health is api.Health.UP, "sent to a draining or gone server"
+            tries = self.attempts[action.id]
+            assert len(tries) < self.config.max_attempts
+            assert not any(key[0] == action.id for key in self.out), "two attempts at once"
+            kind = self._kind(asked)
+            if action.id in self.ran:
+                assert kind.effect is not api.Effect.UNSAFE, "an unsafe request may have run"
+                if kind.effect is api.Effect.KEYED:
+                    server, sent = self.ran[action.id]
+                    assert self.up[server].cell == self.up[action.server].cell, "left the group"
+                    assert self.now - sent < kind.window, "past the window"
+            self.out[(action.id, len(tries))] = (action.server, self.now)
+            tries.append((action.server, self.now))
+            self.sends.append((self.now, action.server, asked))
+        elif isinstance(action, api.Refuse | api.Fail):
+            assert action.id not in self.answered, "answered twice"
+            asked, deadline = self.requests[action.id]
+            kind = self._kind(asked)
+            if isinstance(action, api.Refuse) and action.id in self.ran:
+                everywhere = kind.effect is api.Effect.KEYED and kind.scope is api.Scope.ALL
+                assert kind.effect is api.Effect.SAFE or everywhere, "refused though it may have run"
+            assert self.now <= deadline + 1e-6, "answered late"
+            self.answered[action.id] = "refused" if isinstance(action, api.Refuse) else "failed"
+
+    def advance(self, to: float) -> None:
+        """Move the clock, firing timers and clipping attempts at their clients' deadlines."""
+        while True:
+            due = [(at, 0, token, 0) for at, token in self.timers if at <= to]
+            due += [(self.requests[i][1], 1, i, n) for i, n in self.out if self.requests[i][1] <= to]
+            if not due:
+                break
+            at, kind, first, second = min(due)
+            self.now = max(self.now, at)
+            if kind == 0:
+                self.timers.remove((at, first))
+                self.feed(api.TimerFired(first))
+            else:
+                server = self.out[(first, second)][0]
+                self.feed(outcome(first, second, server, api.Status.TIMEOUT))
+        self.now = to
+
+    def answer_counts(self, status: api.Status = api.Status.OK) -> None:
+        while self.counts:
+            call = self.counts.pop(0)
+            if status is api.Status.OK:
+                self.totals[call.name] = self.totals.get(call.name, 0.0) + call.amount
+            self.feed(api.Counted(call.name, status, self.totals.get(call.name, 0.0)))
+
+    def serve(self, status: api.Status = api.Status.OK, elapsed: float = 0.1) -> None:
+        for (id, attempt), (server, _) in list(self.out.items()):
+            self.feed(outcome(id, attempt, server, status, elapsed))
+
+
+def random_run(seed: int, steps: int, config: api.Settings | None = None) -> list[list[api.Action]]:
+    """A long arbitrary but legal run; returns all actions."""
+    rng = Random(seed)
+    world = World(config or settings(), seed)
+    names = [f"s{i}" for i in range(6)]
+    log = [world.feed(servers(*names))]
+    statuses = [s for s in api.Status if s is not api.Status.OK]
+    for step in range(steps):
+        world.advance(world.now + rng.choice((0.0, 0.01, 0.1, 0.7)))
+        move = rng.random()
+        if move < 0.5:
+            kind = rng.choice(("read", "entry", "post"))
+            asked = request(
+                step, kind, rng.choice(("free", "small", "odd")), rng.choice("abc"), rng.uniform(0.02, 4)
+            )
+            log.append(world.feed(asked))
+        elif move < 0.8 and world.out:
+            key = rng.choice(list(world.out))
+            ended = world.answered.get(key[0])
+            status = api.Status.OK if rng.random() < 0.5 else rng.choice(statuses)
+            event = api.Outcome(
+                *key, world.out[key][0], status, 0.1, ended is not None or status is api.Status.OK, {}
+            )
+            log.append(world.feed(event))
+        elif move < 0.9:
+            world.answer_counts(
+                rng.choice((api.Status.OK, api.Status.OK, api.Status.FULL, api.Status.TIMEOUT))
+            )
+        elif move < 0.95:
+            health = rng.choice(list(api.Health))
+            entry = api.ServerEntry(
+                rng.choice(names), health, "a", rng.randrange(3), 1.0, rng.choice((0.0, world.now))
+            )
+            known = world.up.get(entry.name)
+            if known is not None:
+                entry = replace(entry, zone=known.zone, cell=known.cell)
+            log.append(world.feed(api.ServerList((entry,), False)))
+        elif world.requests:
+            gone = rng.choice(list(world.requests))
+            if gone not in world.answered and not any(key[0] == gone for key in world.out):
+                log.append(world.feed(api.Departed(gone)))
+    world.answer_counts(api.Status.UNREACHABLE)
+    world.advance(world.now + 10)
+    assert set(world.requests) == set(world.answered), "a request was lost"
+    return log
