--- /dev/null
+++ b/cypresspulley/__main__.py
@@ -0,0 +1,154 @@
+"""``python -m cypresspulley``: one limiter, configured by the file that LB_CONFIG names."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+import time
+from dataclasses import dataclass
+from typing import Any
+
+import uvloop
+
+from cypresspulley import interface as api
+from cypresspulley.net.counter import CounterClient
+from cypresspulley.net.discovery import Discovery, Listing, listing_from
+from cypresspulley.net.frontend import Frontend
+from cypresspulley.net.http import split_address
+from cypresspulley.net.node import Node, unix_clock
+from cypresspulley.net.upstream import Upstream
+from cypresspulley.settings import Timing, settings_from, timing_from
+
+log = logging.getLogger("cypresspulley")
+
+SPARE_SOCKETS = 64  # descriptors kept for everything but clients and servers
+CLIENT_SHARE = 0.6  # of the others
+ACCEPT_FOR = 0.5  # seconds after SIGTERM for which clients still come
+ANSWER_WITHIN = 3.2  # and, after those, until all that was taken must have been answered
+LOGS_A_SECOND = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    counter: tuple[str, int] | None
+    seed: int
+    sockets: int
+    known: Listing | None
+    settings: api.Settings
+    timing: Timing
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be run."""
+
+
+class LogLimit(logging.Filter):
+    """Drops what exceeds so many lines a second, and tells how many."""
+
+    def __init__(self, per_second: int) -> None:
+        super().__init__()
+        self._limit, self._second, self._seen = per_second, 0, 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if (second := int(time.monotonic())) != self._second:
+            dropped, self._second, self._seen = self._seen - self._limit, second, 0
+            if dropped > 0:
+                record.msg = f"{record.msg} (and {dropped} lines dropped before)"
+        self._seen += 1
+        return self._seen <= self._limit
+
+
+def config_from(raw: Any) -> Config:
+    """The configuration object; ``ConfigError`` names what is wrong."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
+        raise ConfigError("the configuration is not an object with settings")
+    try:
+        limits = raw.get("limits") or {}
+        return Config(
+            listen=split_address(str(raw.get("listen"))),
+            discovery=split_address(str(raw.get("discovery"))),
+            counter=split_address(str(raw["counter"])) if raw.get("counter") else None,
+            seed=int(str(raw.get("seed") or "0"), 16),
+            sockets=int(limits.get("sockets") or 1024),
+            known=listing_from(raw["known"]) if raw.get("known") else None,
+            settings=settings_from(raw["settings"]),
+            timing=timing_from(raw["settings"]),
+        )
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(str(error)) from None
+
+
+def load_config(path: str | None) -> Config:
+    if not path:
+        raise ConfigError("LB_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"cannot read {path}: {error}") from None
+    return config_from(raw)
+
+
+async def serve(config: Config) -> None:
+    """Run one limiter until SIGTERM or SIGINT."""
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.set_exception_handler(
+        lambda _loop, context: log.error("%s", context.get("message"), exc_info=context.get("exception"))
+    )
+    clock = unix_clock()
+    usable = max(16, config.sockets - SPARE_SOCKETS)
+    clients = int(usable * CLIENT_SHARE)
+    timing = config.timing
+    upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, usable - clients)
+    timeout = config.settings.counter_timeout
+    counter = CounterClient(*config.counter, timeout) if config.counter and timeout else None
+    try:
+        node = Node(config.settings, config.seed, clock, upstream, counter)
+    except ValueError as error:
+        raise ConfigError(str(error)) from None
+    if config.known is not None:
+        node.listed(config.known)
+    since = config.known.version if config.known else None
+    watch = loop.create_task(Discovery(*config.discovery, since, node.listed).follow())
+    frontend = Frontend(node, config.settings, clients)
+    try:
+        await frontend.listen(*config.listen)
+    except OSError as error:
+        raise ConfigError(f"cannot listen: {error}") from None
+    gc.collect()
+    gc.freeze()  # what is here now stays: the collector need not walk it again
+    log.info("ready")
+    await stop.wait()
+    log.info("stopping")
+    frontend.drain()
+    await asyncio.sleep(ACCEPT_FOR)  # clients do not know yet: what they still open is taken and answered
+    await frontend.close(ANSWER_WITHIN)
+    watch.cancel()
+    upstream.close()
+    if counter is not None:
+        counter.close()
+
+
+def main() -> int:
+    handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(LogLimit(LOGS_A_SECOND))
+    logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s: %(message)s")
+    try:
+        uvloop.run(serve(load_config(os.environ.get("LB_CONFIG"))))
+    except ConfigError as error:
+        print(f"cypresspulley: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cypresspulley/benchlink.py
+++ b/cypresspulley/benchlink.py
@@ -10,6 +10,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.decide import Gateway
+from cypresspulley.settings import SettingsError, settings_from
 
 STATUS = {
     "OK": api.Status.OK,
@@ -21,9 +22,7 @@
     "CANCELLED": api.Status.CANCELLED,
     "TOO_LATE": api.Status.NOT_SENT,
 }
-EFFECT = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
 HEALTH = {"healthy": api.Health.UP, "cordoned": api.Health.DRAINING, "deregistered": api.Health.GONE}
-SCOPE = {scope.value: scope for scope in api.Scope}
 REPEAT_BIT = 2
 T = TypeVar("T")
 
@@ -91,85 +90,6 @@
         raise WireError(f"{what}: unknown word {word!r:.60}") from None
 
 
-def _section(owner: dict[str, Any], key: str) -> dict[str, Any]:
-    value = owner.get(key)
-    if value is None:
-        return {}
-    if not isinstance(value, dict):
-        raise WireError(f"settings: {key} is not an object")
-    return value
-
-
-def _number(owner: dict[str, Any], key: str, missing: float = 0.0) -> float:
-    value = owner.get(key)
-    if value is None:
-        return missing
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise WireError(f"settings: {key} has the wrong type: {value!r:.60}")
-    return float(value)
-
-
-def _rows(owner: dict[str, Any], key: str) -> list[dict[str, Any]]:
-    rows = owner.get(key) or []
-    if not isinstance(rows, list) or not all(
-        isinstance(row, dict) and isinstance(row.get("name"), str) for row in rows
-    ):
-        raise WireError(f"settings: {key} is not a list of named objects")
-    return rows
-
-
-def settings_from(raw: dict[str, Any]) -> api.Settings:
-    """The wire's settings object as the module's settings."""
-    limits, contract = _section(raw, "limits"), _section(raw, "contract")
-    specifics, report = _section(raw, "specifics"), _section(raw, "report")
-    classes = tuple(
-        api.RequestClass(
-            name=row["name"],
-            aim=_number(row, "aim_s"),
-            worth=_number(row, "worth", 1.0),
-            effect=_word(EFFECT, "settings: effect", row.get("effect", "at_most_once")),
-            late_worth=_number(row, "late_worth"),
-            scope=_word(SCOPE, "settings: group", row.get("group") or "all"),
-            window=_number(row, "window_s"),
-        )
-        for row in _rows(raw, "classes")
-    )
-    plans = tuple(
-        api.Plan(
-            name=row["name"],
-            price=_number(row, "price", 1.0),
-            rate=_number(row, "quota_rate"),
-            burst=_number(row, "store_size"),
-            open_limit=int(_number(row, "parallel")),
-            over_worth=_number(row, "over_worth"),
-            over_cost=_number(row, "over_cost"),
-            ceiling_rate=_number(row, "never_over_rate"),
-            ceiling_burst=_number(row, "hard_burst"),
-        )
-        for row in _rows(raw, "tariffs")
-    )
-    return api.Settings(
-        index=int(_number(raw, "me")),
-        gateways=int(_number(raw, "n_instances", 1)),
-        zone=str(raw.get("my_zone") or ""),
-        classes=classes,
-        plans=plans,
-        max_attempts=int(_number(limits, "max_attempts", 1)),
-        may_duplicate=bool(limits.get("may_duplicate")),
-        may_cancel=bool(limits.get("cancel")),
-        may_probe=bool(limits.get("probes")),
-        load_on_probe=report.get("how") == "on_probe",
-        has_counter=bool(specifics.get("has_counter")),
-        counter_timeout=_number(specifics, "count_wait_s"),
-        max_units=_number(specifics, "max_units", 1.0),
-        max_retry_after=_number(limits, "max_retry_after_s") if limits.get("retry_after") else 0.0,
-        cold_share=_number(contract, "cold_from", 1.0),
-        warm_after=_number(contract, "warm_after_s"),
-        fall_multiple=_number(contract, "fall_multiple", 1.0),
-        fall_window=_number(contract, "fall_s", 1.0),
-    )
-
-
 def _entry(row: Any) -> api.ServerEntry:
     if not isinstance(row, list):
         raise WireError("register: an entry is not an array")
@@ -273,7 +193,11 @@
         if name == "register":
             self._lists[values[0]] = tuple(_entry(row) for row in values[1])
         elif name == "begin":
-            self._gateways[instance] = Gateway(settings_from(values[1]), values[0], now)
+            try:
+                settings = settings_from(values[1])
+            except SettingsError as error:
+                raise WireError(str(error)) from None
+            self._gateways[instance] = Gateway(settings, values[0], now)
         elif name == "shutdown":
             self._gateways.pop(instance, None)
             actions.clear()
--- /dev/null
+++ b/cypresspulley/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real limiter's sockets, round the decisions of ``cypresspulley.decide``."""
--- /dev/null
+++ b/cypresspulley/net/discovery.py
@@ -0,0 +1,114 @@
+"""The list of servers: reads discovery's form and follows its watch."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import httptools
+
+from cypresspulley import interface as api
+from cypresspulley.net.http import split_address
+
+log = logging.getLogger(__name__)
+
+SILENCE = 5.0  # an empty line comes every 2 s: past this the watch is dead, whatever the socket says
+RETRY = 0.25
+MAX_LINE = 4 * 1024 * 1024
+HEALTH = {"ready": api.Health.UP, "draining": api.Health.DRAINING, "gone": api.Health.GONE}
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One message of discovery: the list, or a part of it, and where to dial."""
+
+    version: int
+    servers: api.ServerList
+    dials: dict[str, str]
+
+
+def listing_from(raw: Any) -> Listing:
+    """A message of discovery; ``ValueError`` where it cannot be read."""
+    try:
+        entries, dials = [], {}
+        for row in raw["hosts"]:
+            health = HEALTH[row["health"]]
+            dial = str(row.get("dial") or "")
+            if dial or health is not api.Health.GONE:
+                split_address(dial)
+            name, born = str(row["host"]), float(row.get("born_ms") or 0) / 1000
+            size, cell = float(row.get("share") or 1.0), int(row.get("block") or 0)
+            entries.append(api.ServerEntry(name, health, str(row.get("site") or ""), cell, size, born))
+            dials[name] = dial
+        return Listing(int(raw["seq"]), api.ServerList(tuple(entries), bool(raw.get("whole"))), dials)
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
+        raise ValueError(f"not a list of servers: {error!r:.80}") from None
+
+
+class Discovery:
+    """Follows the watch for ever; a broken or silent one is begun anew and the list kept."""
+
+    def __init__(self, host: str, port: int, since: int | None, tell: Callable[[Listing], None]) -> None:
+        self._host, self._port, self._since, self._tell = host, port, since, tell
+        self._buffer = b""
+
+    async def follow(self) -> None:
+        while True:
+            try:
+                await self._watch()
+            except (OSError, TimeoutError, httptools.HttpParserError) as error:
+                log.warning("the watch on discovery ended: %r", error)
+            except Exception:
+                log.exception("the watch on discovery failed")
+            await asyncio.sleep(RETRY)
+
+    async def _watch(self) -> None:
+        async with asyncio.timeout(SILENCE):
+            reader, writer = await asyncio.open_connection(self._host, self._port)
+        try:
+            since = "" if self._since is None else f"&since={self._since}"
+            request = f"GET /v1/servers?follow=1{since} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n\r\n"
+            writer.write(request.encode())
+            self._buffer = b""
+            self._parser = httptools.HttpResponseParser(self)
+            while True:
+                async with asyncio.timeout(SILENCE):
+                    data = await reader.read(65536)
+                if not data:
+                    raise ConnectionError("closed by discovery")
+                self._parser.feed_data(data)
+        finally:
+            writer.transport.abort()
+
+    # The parser's callbacks.
+
+    def on_headers_complete(self) -> None:
+        if (code := self._parser.get_status_code()) != 200:
+            self._since = None  # it may be the version that is not taken
+            raise ConnectionError(f"status {code}")
+
+    def on_body(self, body: bytes) -> None:
+        # Chunks end where they like; only line ends part the messages.
+        *lines, self._buffer = (self._buffer + body).split(b"\n")
+        for line in lines:
+            self._line(line.strip())
+        if len(self._buffer) > MAX_LINE:
+            raise ConnectionError("a line without an end")
+
+    def on_message_complete(self) -> None:
+        raise ConnectionError("the watch was ended")
+
+    def _line(self, line: bytes) -> None:
+        if not line:
+            return
+        try:
+            listing = listing_from(json.loads(line))
+        except ValueError as error:
+            log.warning("dropped an unreadable line of discovery: %s", error)
+            return
+        self._since = listing.version
+        self._tell(listing)
--- /dev/null
+++ b/cypresspulley/net/node.py
@@ -0,0 +1,209 @@
+"""Events in, actions out: the only caller of the decisions, and the table of open requests.
+
+No policy lives here. Every request that comes in gets exactly one final answer: the decisions',
+or, if they are silent, a failure just before the client's time is up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import replace
+from functools import partial
+from typing import Any
+
+from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
+from cypresspulley.net.counter import CounterClient
+from cypresspulley.net.discovery import Listing
+from cypresspulley.net.frontend import ClientRequest
+from cypresspulley.net.upstream import Exchange, Upstream, load_report
+
+log = logging.getLogger(__name__)
+
+MARGIN, MARGIN_SHARE = 0.02, 0.1  # seconds kept for the way back of an answer; their share of a short time
+SILENT_SHARE = 0.5  # of the margin that the decisions have for their answer at the deadline
+PROBE_TIMEOUT = 0.25
+
+
+def unix_clock() -> Callable[[], float]:
+    """Unix time that never jumps: ``born`` of a server and ``now`` must have one base."""
+    offset = time.time() - time.monotonic()
+    return lambda: offset + time.monotonic()
+
+
+class _Open:
+    """A request that has no final answer yet."""
+
+    __slots__ = ("attempts", "deadline", "request", "timer")
+
+    def __init__(self, request: ClientRequest, deadline: float) -> None:
+        self.request, self.deadline = request, deadline
+        self.attempts = list[Exchange]()
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Node:
+    """The decisions on real sockets."""
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        clock: Callable[[], float],
+        upstream: Upstream,
+        counter: CounterClient | None,
+    ) -> None:
+        self._settings, self._clock, self._upstream, self._counter = settings, clock, upstream, counter
+        self._gateway = Gateway(settings, seed, clock())
+        self._loop = asyncio.get_running_loop()
+        self._open = dict[int, _Open]()
+        self._events = deque[api.Event]()
+        self._busy = False
+        self._actions: dict[type, Callable[[Any], None]] = {
+            api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
+            api.Count: self._count, api.Probe: self._probe, api.SetTimer: self._set_timer, api.Log: self._log,
+        }  # fmt: skip
+
+    @property
+    def open_requests(self) -> int:
+        return len(self._open)
+
+    def feed(self, event: api.Event) -> None:
+        """Hand an event to the decisions and carry out their actions; events that these cause follow on."""
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                self._step(self._events.popleft())
+        finally:
+            self._busy = False
+
+    def listed(self, listing: Listing) -> None:
+        """Discovery has told something: the sockets heed it before the decisions hear of it."""
+        if listing.servers.complete:
+            self._upstream.keep_only(set(listing.dials))
+        for entry in listing.servers.entries:
+            self._upstream.update(entry.name, listing.dials[entry.name], entry.health is api.Health.UP)
+        self.feed(listing.servers)
+
+    def arrived(self, request: ClientRequest) -> None:
+        event = request.event
+        assert event is not None
+        margin = min(MARGIN, MARGIN_SHARE * event.ttl)
+        opened = self._open[event.id] = _Open(request, self._clock() + event.ttl - margin)
+        last = event.ttl - SILENT_SHARE * margin
+        opened.timer = self._loop.call_later(last, self._abandon, event.id, 504)
+        self.feed(replace(event, ttl=event.ttl - margin))
+
+    def departed(self, request: ClientRequest) -> None:
+        if request.event is not None and self._close(request.event.id) is not None:
+            self.feed(api.Departed(request.event.id))
+
+    def _step(self, event: api.Event) -> None:
+        try:
+            actions = self._gateway.handle(self._clock(), event)
+        except Exception:
+            log.exception("the decisions failed on %s", type(event).__name__)
+            if isinstance(event, api.Request):
+                self._abandon(event.id, 500)
+            elif isinstance(event, api.TimerFired):
+                # The next timer was to come with these actions: without it they would never tick again.
+                self._loop.call_later(1.0, self.feed, event)
+            return
+        for action in actions:
+            try:
+                self._actions[type(action)](action)
+            except Exception:
+                log.exception("an action failed: %s", action)
+
+    def _close(self, id: int) -> _Open | None:
+        """Take a request off the table; attempts that are out are of no more use."""
+        opened = self._open.pop(id, None)
+        if opened is not None:
+            if opened.timer is not None:
+                opened.timer.cancel()
+            for attempt in opened.attempts:
+                self._upstream.cancel(attempt)
+        return opened
+
+    def _abandon(self, id: int, status: int) -> None:
+        """Answer for decisions that are silent or broken."""
+        if (opened := self._close(id)) is not None:
+            log.warning("a request was answered %d in place of the decisions", status)
+            opened.request.respond(status)
+            self.feed(api.Departed(id))
+
+    # Actions.
+
+    def _send(self, action: api.Send) -> None:
+        opened = self._open.get(action.id)
+        if opened is None:
+            log.error("a send for a request that has ended was dropped")
+            return
+        number = len(opened.attempts)
+        request, wait = opened.request, action.timeout or float("inf")
+        expires = min(opened.deadline, self._clock() + wait)
+        done = partial(self._attempted, action.id, number)
+        attempt = Exchange(action.server, request.head, request.body, expires, done)
+        opened.attempts.append(attempt)
+        if number < self._settings.max_attempts:
+            self._upstream.start(attempt)
+        else:
+            self._upstream.end(attempt, api.Status.NOT_SENT)
+
+    def _attempted(self, id: int, number: int, attempt: Exchange) -> None:
+        if attempt.status is api.Status.OK and (opened := self._close(id)) is not None:
+            opened.request.respond(200, attempt.answer, attempt.answer_headers)
+        finished = id not in self._open
+        self.feed(
+            api.Outcome(id, number, attempt.server, attempt.status, attempt.elapsed, finished, attempt.report)
+        )
+
+    def _refuse(self, action: api.Refuse) -> None:
+        if (opened := self._close(action.id)) is not None:
+            opened.request.respond(429, retry_after=max(0.0, action.retry_after))
+
+    def _fail(self, action: api.Fail) -> None:
+        if (opened := self._close(action.id)) is not None:
+            opened.request.respond(502)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        opened = self._open.get(action.id)
+        if opened is not None and action.attempt < len(opened.attempts):
+            self._upstream.cancel(opened.attempts[action.attempt])
+
+    def _count(self, action: api.Count) -> None:
+        name = action.name
+        if self._counter is None:
+            self.feed(api.Counted(name, api.Status.UNREACHABLE))
+        else:
+            self._counter.call(
+                name,
+                action.amount,
+                action.lifetime,
+                lambda status, total: self.feed(api.Counted(name, status, total)),
+            )
+
+    def _probe(self, action: api.Probe) -> None:
+        path = b"/load" if self._settings.load_on_probe else b"/healthz"
+        head = b"GET %b HTTP/1.1\r\nHost: %b\r\n" % (path, action.server.encode())
+        expires = self._clock() + PROBE_TIMEOUT
+        self._upstream.start(Exchange(action.server, head, b"", expires, self._probed))
+
+    def _probed(self, probe: Exchange) -> None:
+        report = probe.report
+        if self._settings.load_on_probe and probe.status is api.Status.OK and not report:
+            report = load_report(probe.answer.decode("latin-1"))
+        self.feed(api.Probed(probe.server, probe.status, probe.elapsed, report))
+
+    def _set_timer(self, action: api.SetTimer) -> None:
+        self._loop.call_later(action.delay, self.feed, api.TimerFired(action.token))
+
+    def _log(self, action: api.Log) -> None:
+        log.info("%s", action.text)
--- /dev/null
+++ b/cypresspulley/net/upstream.py
@@ -0,0 +1,348 @@
+"""Connections to servers: one exchange at a time on each, and how it ended.
+
+An exchange that has not reached its server whole proves that the request never ran; from the last
+byte on it may have. Nothing here sends anything twice: what to do next is the caller's decision.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+import httptools
+
+from cypresspulley.interface import Status
+from cypresspulley.net.http import MAX_BODY, NOT_FORWARDED, split_address
+
+log = logging.getLogger(__name__)
+
+PER_SERVER = 64  # connections to one server
+IDLE_SHARE = 0.5  # of the time after which servers close: a request must not cross that closing
+SWEEP = 1.0  # seconds between two looks for idle connections
+LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
+Clock = Callable[[], float]
+
+
+def load_report(text: str) -> dict[str, float]:
+    """``inflight=7,queue=2`` as numbers; empty where it cannot be read."""
+    report = {}
+    try:
+        for part in text.split(","):
+            name, _, value = part.partition("=")
+            number = float(value)
+            if not name.strip() or not math.isfinite(number):
+                raise ValueError("not a number")
+            report[name.strip()] = number
+    except ValueError:
+        log.warning("dropped an unreadable load report: %.80r", text)
+        return {}
+    return report
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request on its way to one server, and what came of it."""
+
+    server: str
+    head: bytes
+    body: bytes
+    expires: float
+    done: Callable[[Exchange], None]
+    started: float = 0.0
+    written: bool = False
+    ended: bool = False
+    status: Status = Status.NOT_SENT
+    elapsed: float = 0.0
+    answer_headers: bytes = b""
+    answer: bytes = b""
+    report: dict[str, float] = field(default_factory=dict)
+    connection: _Connection | None = None
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True, eq=False)
+class _Server:
+    address: tuple[str, int]
+    up: bool = True
+    open: int = 0
+    idle: list[_Connection] = field(default_factory=list)  # the freshest last
+
+
+class _Connection(asyncio.Protocol):
+    """A connection to a server; it carries one exchange at a time."""
+
+    def __init__(self, upstream: Upstream, server: _Server) -> None:
+        self._upstream, self.server, self.address = upstream, server, server.address
+        self.transport: asyncio.Transport | None = None
+        self.exchange: Exchange | None = None
+        self.idle_since = 0.0
+        self._parser = httptools.HttpResponseParser(self)
+        self._unwritten = self._keep_alive = False
+        self._clear()
+
+    def _clear(self) -> None:
+        self._headers, self._body, self._size = list[bytes](), list[bytes](), 0
+        self._load: bytes | None = None
+        self._not_processed = self._surplus = False
+        self._code: int | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
+        self.transport = transport
+        # At 0 a write goes out in the call itself, and pause_writing tells that some of it did not.
+        transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        self._unwritten = True
+
+    def resume_writing(self) -> None:
+        self._unwritten = False
+        if self.exchange is not None:
+            self.exchange.written = True
+
+    def send(self, exchange: Exchange, data: bytes) -> None:
+        assert self.transport is not None
+        self._clear()
+        self.exchange, exchange.connection = exchange, self
+        self.transport.write(data)
+        if self.transport.is_closing():  # the write itself failed: nothing has left
+            self._upstream.end(exchange, Status.UNREACHABLE)
+        else:
+            exchange.written = not self._unwritten
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        self._upstream.lost(self)
+        if (exchange := self.exchange) is not None:
+            self.exchange = None
+            self._upstream.end(exchange, Status.BROKEN if exchange.written else Status.UNREACHABLE)
+
+    def data_received(self, data: bytes) -> None:
+        if self.exchange is None:
+            self.abort()  # nobody asked: whatever it is, it must not meet the next request
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            if self._code is None:
+                log.warning("an answer of %s could not be read: %s", self.exchange.server, error)
+                return self.abort()
+            self._surplus = True
+        # Only now, with all input read, may the connection be used again.
+        if self._code is not None:
+            self._complete(self._code)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    # The parser's callbacks.
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        key = name.lower()
+        if self._surplus:
+            return
+        if key == LOAD:
+            self._load = value
+        elif key == NOT_PROCESSED:
+            self._not_processed = value == b"1"
+        elif key not in NOT_FORWARDED:
+            self._headers.append(b"%b: %b\r\n" % (name, value))
+
+    def on_body(self, body: bytes) -> None:
+        if self._surplus:
+            return
+        self._size += len(body)
+        if self._size > MAX_BODY:
+            raise ValueError("too large")
+        self._body.append(body)
+
+    def on_message_begin(self) -> None:
+        self._surplus = self._code is not None
+
+    def on_message_complete(self) -> None:
+        code = self._parser.get_status_code()
+        if self._surplus or code >= 200:
+            self._code, self._keep_alive = self._code or code, self._parser.should_keep_alive()
+        else:
+            self._clear()  # an interim answer; the real one follows
+
+    def _complete(self, code: int) -> None:
+        exchange, self.exchange = self.exchange, None
+        assert exchange is not None
+        exchange.connection = None
+        exchange.answer_headers, exchange.answer = b"".join(self._headers), b"".join(self._body)
+        if self._load is not None:
+            exchange.report = load_report(self._load.decode("latin-1"))
+        # Bytes behind the answer, or of a request not yet out whole, must not meet the next request.
+        self._upstream.release(self, self._keep_alive and not self._surplus and not self._unwritten)
+        self._upstream.end(exchange, self._outcome(code))
+
+    def _outcome(self, code: int) -> Status:
+        if code == 200:
+            return Status.OK
+        # Without the mark a 503 or 504 says nothing about whether the request ran.
+        return Status.FULL if code in (503, 504) and self._not_processed else Status.ERROR
+
+
+class Upstream:
+    """The servers by name and the connections to them."""
+
+    def __init__(self, clock: Clock, dial_timeout: float, conn_idle: float, max_connections: int) -> None:
+        self._clock, self._dial_timeout, self._max = clock, dial_timeout, max_connections
+        self._idle_for = conn_idle * IDLE_SHARE
+        self._servers = dict[str, _Server]()
+        self._open = 0
+        self._dials = set[asyncio.Task[None]]()
+        self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+
+    def update(self, name: str, dial: str, up: bool) -> None:
+        """What discovery says of a server; idle connections to what is not up or has moved go at once."""
+        address = split_address(dial) if dial else None
+        server = self._servers.get(name)
+        if server is None:
+            if address is not None:
+                self._servers[name] = _Server(address, up)
+            return
+        server.up = up
+        if (address is not None and address != server.address) or not up:
+            server.address = address or server.address
+            self._close_idle(server)
+
+    def keep_only(self, names: set[str]) -> None:
+        """A whole list: servers that it leaves out are gone."""
+        for name, server in self._servers.items():
+            if name not in names and server.up:
+                server.up = False
+                self._close_idle(server)
+
+    def start(self, exchange: Exchange) -> None:
+        """Send a request; ``exchange.done`` is called once, maybe before this returns."""
+        exchange.started = self._clock()
+        server, wait = self._servers.get(exchange.server), exchange.expires - exchange.started
+        if server is None or not server.up or wait <= 0:
+            return self.end(exchange, Status.NOT_SENT)
+        loop = asyncio.get_running_loop()
+        exchange.timer = loop.call_later(wait, self._expired, exchange)
+        if (connection := self._take_idle(server)) is not None:
+            return self._write(connection, exchange)
+        if server.open >= PER_SERVER or (self._open >= self._max and not self._make_room()):
+            return self.end(exchange, Status.FULL)
+        server.open, self._open = server.open + 1, self._open + 1
+        dial = loop.create_task(self._dial(server, exchange))
+        self._dials.add(dial)
+        dial.add_done_callback(self._dials.discard)
+
+    def cancel(self, exchange: Exchange) -> None:
+        """Stop waiting; the connection goes with it, so that no late answer meets another request."""
+        self._give_up(exchange, Status.CANCELLED)
+
+    def end(self, exchange: Exchange, status: Status) -> None:
+        """Report an exchange once."""
+        if exchange.ended:
+            return
+        exchange.ended, exchange.status = True, status
+        exchange.elapsed = self._clock() - exchange.started
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        exchange.done(exchange)
+
+    def release(self, connection: _Connection, reusable: bool) -> None:
+        """A connection whose exchange is over goes back to the idle ones, or is closed."""
+        server, transport = connection.server, connection.transport
+        if transport is None or transport.is_closing():
+            return
+        if reusable and server.up and connection.address == server.address:
+            connection.idle_since = self._clock()
+            server.idle.append(connection)
+        else:
+            transport.close()
+
+    def lost(self, connection: _Connection) -> None:
+        """A connection has ended."""
+        server = connection.server
+        server.open, self._open = server.open - 1, self._open - 1
+        if connection in server.idle:
+            server.idle.remove(connection)
+
+    def close(self) -> None:
+        self._sweep_at.cancel()
+        for dial in self._dials:
+            dial.cancel()
+        for server in self._servers.values():
+            self._close_idle(server)
+
+    async def _dial(self, server: _Server, exchange: Exchange) -> None:
+        connection = _Connection(self, server)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(self._dial_timeout):
+                await loop.create_connection(lambda: connection, *server.address)
+        except (OSError, TimeoutError):
+            connection.abort()
+            if connection.transport is None:  # no connection_lost will count it off
+                server.open, self._open = server.open - 1, self._open - 1
+            return self.end(exchange, Status.UNREACHABLE)
+        if exchange.ended:
+            self.release(connection, True)  # nothing was written on it
+        else:
+            self._write(connection, exchange)
+
+    def _write(self, connection: _Connection, exchange: Exchange) -> None:
+        # Time has passed if this waited for a dial: the server may drain, the try may be over.
+        left = exchange.expires - self._clock()
+        if left <= 0 or not connection.server.up or connection.address != connection.server.address:
+            self.release(connection, True)
+            return self.end(exchange, Status.NOT_SENT)
+        timeout = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(left * 1000))
+        connection.send(exchange, exchange.head + timeout + exchange.body)
+
+    def _expired(self, exchange: Exchange) -> None:
+        # Not yet written on a connection, it is known not to have run, and says nothing of the server.
+        self._give_up(exchange, Status.NOT_SENT if exchange.connection is None else Status.TIMEOUT)
+
+    def _give_up(self, exchange: Exchange, status: Status) -> None:
+        if exchange.ended:
+            return
+        if (connection := exchange.connection) is not None:
+            connection.exchange = exchange.connection = None
+            connection.abort()
+        self.end(exchange, status)
+
+    def _take_idle(self, server: _Server) -> _Connection | None:
+        """The freshest idle connection: the least likely to be closing at the other end."""
+        oldest = self._clock() - self._idle_for
+        while server.idle:
+            connection = server.idle.pop()
+            if connection.transport is None or connection.transport.is_closing():
+                continue
+            if connection.idle_since > oldest:
+                return connection
+            connection.transport.close()
+        return None
+
+    def _make_room(self) -> bool:
+        """Close the longest idle connection of all, for the limit on descriptors."""
+        oldest = min(
+            (s.idle[0] for s in self._servers.values() if s.idle), key=lambda c: c.idle_since, default=None
+        )
+        if oldest is None:
+            return False
+        oldest.server.idle.remove(oldest)
+        oldest.abort()
+        return True
+
+    def _close_idle(self, server: _Server, until: float = math.inf) -> None:
+        while server.idle and server.idle[0].idle_since <= until:
+            connection = server.idle.pop(0)
+            if connection.transport is not None:
+                connection.transport.close()
+
+    def _sweep(self) -> None:
+        self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+        for server in self._servers.values():
+            self._close_idle(server, self._clock() - self._idle_for)
--- /dev/null
+++ b/cypresspulley/settings.py
@@ -0,0 +1,119 @@
+"""The settings object of the wire and of the configuration, as typed records."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from cypresspulley import interface as api
+
+EFFECT = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
+SCOPE = {scope.value: scope for scope in api.Scope}
+T = TypeVar("T")
+
+
+class SettingsError(ValueError):
+    """A settings object that cannot be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """What the sockets need of the settings and the decisions do not."""
+
+    dial_timeout: float
+    conn_idle: float
+
+
+def _word(table: dict[str, T], what: str, word: object) -> T:
+    if not isinstance(word, str) or word not in table:
+        raise SettingsError(f"settings: {what}: unknown word {word!r:.60}")
+    return table[word]
+
+
+def _section(owner: dict[str, Any], key: str) -> dict[str, Any]:
+    value = owner.get(key)
+    if value is None:
+        return {}
+    if not isinstance(value, dict):
+        raise SettingsError(f"settings: {key} is not an object")
+    return value
+
+
+def _number(owner: dict[str, Any], key: str, missing: float = 0.0) -> float:
+    value = owner.get(key)
+    if value is None:
+        return missing
+    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
+        raise SettingsError(f"settings: {key} has the wrong type: {value!r:.60}")
+    return float(value)
+
+
+def _rows(owner: dict[str, Any], key: str) -> list[dict[str, Any]]:
+    rows = owner.get(key) or []
+    if not isinstance(rows, list) or not all(
+        isinstance(row, dict) and isinstance(row.get("name"), str) for row in rows
+    ):
+        raise SettingsError(f"settings: {key} is not a list of named objects")
+    return rows
+
+
+def settings_from(raw: dict[str, Any]) -> api.Settings:
+    """The settings object as the module's settings."""
+    limits, contract = _section(raw, "limits"), _section(raw, "contract")
+    specifics, report = _section(raw, "specifics"), _section(raw, "report")
+    classes = tuple(
+        api.RequestClass(
+            name=row["name"],
+            aim=_number(row, "aim_s"),
+            worth=_number(row, "worth", 1.0),
+            effect=_word(EFFECT, "effect", row.get("effect", "at_most_once")),
+            late_worth=_number(row, "late_worth"),
+            scope=_word(SCOPE, "group", row.get("group") or "all"),
+            window=_number(row, "window_s"),
+        )
+        for row in _rows(raw, "classes")
+    )
+    plans = tuple(
+        api.Plan(
+            name=row["name"],
+            price=_number(row, "price", 1.0),
+            rate=_number(row, "quota_rate"),
+            burst=_number(row, "store_size"),
+            open_limit=int(_number(row, "parallel")),
+            over_worth=_number(row, "over_worth"),
+            over_cost=_number(row, "over_cost"),
+            ceiling_rate=_number(row, "never_over_rate"),
+            ceiling_burst=_number(row, "hard_burst"),
+        )
+        for row in _rows(raw, "tariffs")
+    )
+    return api.Settings(
+        index=int(_number(raw, "me")),
+        gateways=int(_number(raw, "n_instances", 1)),
+        zone=str(raw.get("my_zone") or ""),
+        classes=classes,
+        plans=plans,
+        max_attempts=int(_number(limits, "max_attempts", 1)),
+        may_duplicate=bool(limits.get("may_duplicate")),
+        may_cancel=bool(limits.get("cancel")),
+        may_probe=bool(limits.get("probes")),
+        load_on_probe=report.get("how") == "on_probe",
+        has_counter=bool(specifics.get("has_counter")),
+        counter_timeout=_number(specifics, "count_wait_s"),
+        max_units=_number(specifics, "max_units", 1.0),
+        max_retry_after=_number(limits, "max_retry_after_s") if limits.get("retry_after") else 0.0,
+        cold_share=_number(contract, "cold_from", 1.0),
+        warm_after=_number(contract, "warm_after_s"),
+        fall_multiple=_number(contract, "fall_multiple", 1.0),
+        fall_window=_number(contract, "fall_s", 1.0),
+    )
+
+
+def timing_from(raw: dict[str, Any]) -> Timing:
+    """The connection times of the settings object."""
+    limits = _section(raw, "limits")
+    timing = Timing(_number(limits, "dial_timeout_s", 0.25), _number(limits, "conn_idle_s", 30.0))
+    if timing.dial_timeout <= 0 or timing.conn_idle <= 0:
+        raise SettingsError("settings: dial_timeout_s and conn_idle_s must be above 0")
+    return timing
