Test the sockets' sides over loopback; pass over offers to upgrade

A test found that an Upgrade header, parsed to its end, got its answer and then a 400 for the rest of the connection: httptools raises HttpParserUpgrade behind the message, and data_received took that for bad input. The offer is now passed over and a new parser takes what follows. Ruled out: the event itself, which was made and answered once. Node takes its decisions as an argument, so that tests can script them.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -16,6 +16,7 @@
 import uvloop
 
 from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
 from cypresspulley.net.counter import CounterClient
 from cypresspulley.net.discovery import Discovery, Listing, listing_from
 from cypresspulley.net.frontend import Frontend
@@ -112,9 +113,10 @@
     timeout = config.settings.counter_timeout
     counter = CounterClient(*config.counter, timeout) if config.counter and timeout else None
     try:
-        node = Node(config.settings, config.seed, clock, upstream, counter)
+        gateway = Gateway(config.settings, config.seed, clock())
     except ValueError as error:
         raise ConfigError(str(error)) from None
+    node = Node(config.settings, gateway, clock, upstream, counter)
     if config.known is not None:
         node.listed(config.known)
     since = config.known.version if config.known else None
--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -100,7 +100,7 @@
             async with asyncio.timeout(DIAL_TIMEOUT):
                 await self._loop.create_connection(lambda: self, *self._address)
         except (OSError, TimeoutError) as error:
-            log.warning("no connection to the counter: %s", error)
+            log.warning("no connection to the counter: %r", error)
         finally:
             self._dial = None
 
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -147,7 +147,11 @@
             return
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+        except httptools.HttpParserUpgrade as offer:
+            # The offer is passed over (RFC 9110, 7.8): the request has been taken, what follows is HTTP/1.1.
+            self._parser = httptools.HttpRequestParser(self)
+            return self.data_received(data[offer.args[0] :])
+        except httptools.HttpParserError as error:
             cause = error.__context__
             if isinstance(cause, BadRequestError):
                 self._reject(cause.status)
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -13,10 +13,9 @@
 from collections.abc import Callable
 from dataclasses import replace
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway
 from cypresspulley.net.counter import CounterClient
 from cypresspulley.net.discovery import Listing
 from cypresspulley.net.frontend import ClientRequest
@@ -35,6 +34,12 @@
     return lambda: offset + time.monotonic()
 
 
+class Decisions(Protocol):
+    """What answers events with actions: ``decide.Gateway``."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
+
+
 class _Open:
     """A request that has no final answer yet."""
 
@@ -52,13 +57,13 @@
     def __init__(
         self,
         settings: api.Settings,
-        seed: int,
+        gateway: Decisions,
         clock: Callable[[], float],
         upstream: Upstream,
         counter: CounterClient | None,
     ) -> None:
-        self._settings, self._clock, self._upstream, self._counter = settings, clock, upstream, counter
-        self._gateway = Gateway(settings, seed, clock())
+        self._settings, self._gateway, self._clock = settings, gateway, clock
+        self._upstream, self._counter = upstream, counter
         self._loop = asyncio.get_running_loop()
         self._open = dict[int, _Open]()
         self._events = deque[api.Event]()
--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,182 @@
+"""Helpers for the tests over loopback sockets: scripted peers and decisions, all on port 0."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import asynccontextmanager
+from typing import Any
+
+import uvloop
+
+from cypresspulley import interface as api
+from cypresspulley.net.discovery import Listing
+from cypresspulley.net.frontend import Frontend
+from cypresspulley.net.node import Node, unix_clock
+from cypresspulley.net.upstream import Upstream
+
+LIMIT = 20.0  # generous: only a hang takes this long
+Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+SETTINGS = api.Settings(
+    index=0,
+    gateways=3,
+    zone="a",
+    classes=(
+        api.RequestClass("lookup", 1.0, 1.0, api.Effect.SAFE),
+        api.RequestClass("post", 2.0, 5.0, api.Effect.UNSAFE),
+    ),
+    plans=(api.Plan("basic", rate=100.0, burst=100.0),),
+    max_attempts=2,
+    max_retry_after=1.0,
+)
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    uvloop.run(asyncio.wait_for(main, LIMIT))
+
+
+def ask(
+    path: str = "/lookup?account=00000000b4d65521", body: bytes = b"", ttl: int = 5000, **headers: str
+) -> bytes:
+    """A client's request; a header given as an empty text is left out."""
+    method = "POST" if body else "GET"
+    fields = {
+        "Host": "origin.svc", "X-Request-ID": "9b1f03aa5c7e2d41",
+        "X-Priority-Class": path[1:].partition("?")[0], "X-Plan": "basic", "X-Timeout-Ms": str(ttl),
+        "X-Quota": "units=1,spread=3,first=1",
+    }  # fmt: skip
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    if body:
+        fields["Content-Length"] = str(len(body))
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items() if value)
+    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    """One HTTP message with a Content-Length: its first line, headers and body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *lines = head.rstrip().split("\r\n")
+    headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+    return first, headers, await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+@asynccontextmanager
+async def listening(talk: Talk) -> AsyncIterator[str]:
+    """A peer that talks as told on each connection; gives its address."""
+    tasks = set[asyncio.Task[None]]()
+
+    async def guarded(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        tasks.add(task)
+        try:
+            await talk(reader, writer)
+        except (asyncio.IncompleteReadError, OSError):
+            pass
+        finally:
+            tasks.discard(task)
+            writer.transport.abort()
+
+    server = await asyncio.start_server(guarded, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    try:
+        yield f"{host}:{port}"
+    finally:
+        server.close()
+        for task in list(tasks):
+            task.cancel()
+
+
+class Origin:
+    """A server that answers each request with what ``reply`` gives, or stays silent for None."""
+
+    def __init__(self, reply: Callable[[int], bytes | None] = lambda _n: OK) -> None:
+        self.reply = reply
+        self.seen = list[tuple[str, dict[str, str], bytes]]()
+        self.connections = 0
+        self.got = asyncio.Event()
+        self.left = asyncio.Event()
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                self.seen.append(await read_message(reader))
+                self.got.set()
+                reply = self.reply(len(self.seen))
+                if reply == b"":
+                    return
+                if reply is not None:
+                    writer.write(reply)
+        finally:
+            self.left.set()
+
+
+class Script:
+    """Decisions as a test wants them; keeps the events that it was given."""
+
+    def __init__(self, answer: Callable[[api.Event], list[api.Action]]) -> None:
+        self.answer, self.events = answer, list[api.Event]()
+        self.changed = asyncio.Event()
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.events.append(event)
+        self.changed.set()
+        return self.answer(event)
+
+    async def until(self, kind: type, count: int = 1) -> list[Any]:
+        """The events of a kind, once there are so many."""
+        while len(found := [e for e in self.events if isinstance(e, kind)]) < count:
+            self.changed.clear()
+            await self.changed.wait()
+        return found
+
+
+def send_on(event: api.Event) -> list[api.Action]:
+    """Passes each request to ``s1`` and refuses what does not come back served."""
+    if isinstance(event, api.Request):
+        return [api.Send(event.id, "s1", event.ttl)]
+    if isinstance(event, api.Outcome) and not event.finished:
+        return [api.Refuse(event.id, 0.25)]
+    return []
+
+
+def entry(name: str, health: api.Health = api.Health.UP) -> api.ServerEntry:
+    return api.ServerEntry(name, health, "a")
+
+
+def listing(dials: dict[str, str], health: api.Health = api.Health.UP, whole: bool = True) -> Listing:
+    return Listing(1, api.ServerList(tuple(entry(name, health) for name in dials), whole), dials)
+
+
+class Limiter:
+    """A node with its clients' and servers' sides, in this process."""
+
+    def __init__(self, script: Script, dials: dict[str, str], conn_idle: float = 30.0) -> None:
+        clock = unix_clock()
+        self.script = script
+        self.upstream = Upstream(clock, dial_timeout=0.25, conn_idle=conn_idle, max_connections=64)
+        self.node = Node(SETTINGS, script, clock, self.upstream, None)
+        self.frontend = Frontend(self.node, SETTINGS, max_connections=64)
+        self.node.listed(listing(dials))
+        self._address = ("", 0)
+
+    async def __aenter__(self) -> Limiter:
+        self._address = await self.frontend.listen("127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.frontend.close(0.1)
+        self.upstream.close()
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        return await asyncio.open_connection(*self._address)
+
+    async def fetch(self, request: bytes) -> tuple[str, dict[str, str], bytes]:
+        reader, writer = await self.connect()
+        writer.write(request)
+        answer = await read_message(reader)
+        writer.close()
+        return answer
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,119 @@
+"""The watch on discovery over loopback sockets: chunks, versions, silence, odd lines."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from cypresspulley import interface as api
+from cypresspulley.net import discovery
+from cypresspulley.net.discovery import Discovery, Listing, listing_from
+from tests.loopback import listening, run
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def message(seq: int, health: str = "ready", **changes: Any) -> bytes:
+    host = {
+        "host": "s1", "dial": "10.1.0.18:7070", "site": "a", "class": "m2", "block": 3,
+        "health": health, "share": 1.5, "born_ms": 1_800_000_000_250,
+    } | changes  # fmt: skip
+    return json.dumps({"seq": seq, "whole": seq == 1, "hosts": [host]}).encode() + b"\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Agent:
+    """Discovery's agent: each connection gets the next of the scripts, byte groups with pauses."""
+
+    def __init__(self, *scripts: list[bytes], end: bool = True) -> None:
+        self.scripts, self.asked, self._end = list(scripts), list[str](), end
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.asked.append((await reader.readuntil(b"\r\n\r\n")).decode().split()[1])
+        for piece in self.scripts.pop(0) if self.scripts else []:
+            writer.write(piece)
+            await writer.drain()
+            await asyncio.sleep(0)
+        if not self._end or not self.scripts:
+            await asyncio.Event().wait()
+
+
+async def follow(agent: Agent, count: int, connections: int = 1) -> list[Listing]:
+    heard, enough = list[Listing](), asyncio.Event()
+
+    def tell(listing: Listing) -> None:
+        heard.append(listing)
+        if len(heard) >= count and len(agent.asked) >= connections:
+            enough.set()
+
+    async with listening(agent.talk) as address:
+        host, port = address.split(":")
+        task = asyncio.create_task(Discovery(host, int(port), 41, tell).follow())
+        await enough.wait()
+        task.cancel()
+    return heard
+
+
+def test_an_entry_is_read_in_full() -> None:
+    listing = listing_from(json.loads(message(1)))
+    born = 1_800_000_000.25
+    assert listing.servers.entries == (api.ServerEntry("s1", api.Health.UP, "a", 3, 1.5, born),)
+    assert listing.servers.complete and listing.version == 1 and listing.dials == {"s1": "10.1.0.18:7070"}
+
+
+def test_chunks_end_where_they_like() -> None:
+    async def main() -> None:
+        data = message(42) + b"\n" + message(43, "draining") + message(44, "gone", dial="")
+        pieces = [HEAD] + [chunk(data[at : at + 11]) for at in range(0, len(data), 11)]
+        heard = await follow(Agent(pieces), 3)
+        states = [listing.servers.entries[0].health for listing in heard]
+        assert states == [api.Health.UP, api.Health.DRAINING, api.Health.GONE]
+
+    run(main())
+
+
+def test_a_watch_that_ends_goes_on_from_the_last_version() -> None:
+    async def main() -> None:
+        agent = Agent([HEAD, chunk(message(57))], [HEAD, chunk(message(58))])
+        await follow(agent, 2, 2)
+        assert agent.asked == ["/v1/servers?follow=1&since=41", "/v1/servers?follow=1&since=57"]
+
+    run(main())
+
+
+def test_a_silent_watch_is_begun_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENCE", 0.2)
+
+    async def main() -> None:
+        agent = Agent([HEAD], [HEAD, chunk(message(58))], end=False)
+        await follow(agent, 1, 2)
+        assert len(agent.asked) == 2
+
+    run(main())
+
+
+def test_odd_lines_are_dropped_and_the_watch_goes_on() -> None:
+    async def main() -> None:
+        odd = [
+            b"not json\n", b"[]\n", b'{"seq":1}\n', b'{"seq":1,"whole":true,"hosts":[3]}\n', b"\xff\n",
+            message(9, "upbeat"), message(9, dial="nowhere"), message(9, born_ms="then"),
+        ]  # fmt: skip
+        heard = await follow(Agent([HEAD, chunk(b"".join(odd) + message(60))]), 1)
+        assert [listing.version for listing in heard] == [60]
+
+    run(main())
+
+
+def test_a_refused_version_is_not_asked_for_again() -> None:
+    async def main() -> None:
+        agent = Agent([b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"], [HEAD, chunk(message(1))])
+        await follow(agent, 1, 2)
+        assert agent.asked[1] == "/v1/servers?follow=1"
+
+    run(main())
--- /dev/null
+++ b/tests/test_upstream.py
@@ -0,0 +1,304 @@
+"""The servers' side over loopback sockets: what each ending proves, pooling, drains, limits."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+
+from cypresspulley.interface import Status
+from cypresspulley.net.node import unix_clock
+from cypresspulley.net.upstream import PER_SERVER, Exchange, Upstream, load_report
+from tests.loopback import OK, Origin, listening, run
+
+HEAD = b"GET /lookup HTTP/1.1\r\nHost: x\r\n"
+
+
+class Pool:
+    """An upstream with one server, ``s1``, and exchanges to wait for."""
+
+    def __init__(
+        self, dial: str, conn_idle: float = 30.0, most: int = 200, dial_timeout: float = 5.0
+    ) -> None:
+        self.clock = unix_clock()
+        self.upstream = Upstream(self.clock, dial_timeout, conn_idle, most)
+        self.upstream.update("s1", dial, True)
+
+    def start(
+        self, timeout: float = 10.0, server: str = "s1", body: bytes = b""
+    ) -> tuple[Exchange, asyncio.Future[Exchange]]:
+        future = asyncio.get_running_loop().create_future()
+        head = HEAD if not body else HEAD + b"Content-Length: %d\r\n" % len(body)
+        exchange = Exchange(server, head, body, self.clock() + timeout, future.set_result)
+        self.upstream.start(exchange)
+        return exchange, future
+
+    async def fetch(self, timeout: float = 10.0, server: str = "s1") -> Exchange:
+        return await self.start(timeout, server)[1]
+
+
+def reply(status: str, extra: str = "") -> bytes:
+    return f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n{extra}\r\n".encode()
+
+
+@pytest.mark.parametrize(
+    ("answer", "status"),
+    [
+        (OK, Status.OK),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + OK, Status.OK),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", Status.OK),
+        (reply("500 Error"), Status.ERROR),
+        (reply("404 Not Found"), Status.ERROR),
+        (reply("503 Full", "X-Not-Processed: 1\r\n"), Status.FULL),
+        (reply("504 Full", "X-Not-Processed: 1\r\n"), Status.FULL),
+        (reply("503 Full"), Status.ERROR),
+        (reply("503 Full", "X-Not-Processed: 0\r\n"), Status.ERROR),
+        (b"", Status.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhi", Status.TIMEOUT),
+        (b"what is this\r\n\r\n", Status.BROKEN),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000, Status.BROKEN),
+    ],
+)
+def test_each_ending_has_its_outcome(answer: bytes, status: Status) -> None:
+    async def main() -> None:
+        async with listening(Origin(lambda _n: answer).talk) as dial:
+            pool = Pool(dial)
+            done = await pool.fetch(0.3 if status is Status.TIMEOUT else 10.0)
+            assert done.status is status
+            assert done.answer == (b"hi" if status is Status.OK else b"")
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def main() -> None:
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))  # bound and not listening: refused
+            pool = Pool(f"127.0.0.1:{taken.getsockname()[1]}")
+            assert (await pool.fetch()).status is Status.UNREACHABLE
+            pool.upstream.close()
+
+    run(main())
+
+
+def full_backlog() -> tuple[socket.socket, list[socket.socket]]:
+    """A listener that takes no more connections: a dial to it never comes up."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    held = list[socket.socket]()
+    for _ in range(8):
+        client = socket.socket()
+        client.setblocking(False)
+        client.connect_ex(listener.getsockname())
+        held.append(client)
+    return listener, held
+
+
+@pytest.mark.parametrize(
+    ("dial_timeout", "timeout", "status"),
+    [(0.1, 10.0, Status.UNREACHABLE), (10.0, 0.1, Status.NOT_SENT)],
+)
+def test_a_dial_that_never_comes_up_never_ran(dial_timeout: float, timeout: float, status: Status) -> None:
+    async def main() -> None:
+        listener, held = full_backlog()
+        host, port = listener.getsockname()
+        pool = Pool(f"{host}:{port}", dial_timeout=dial_timeout)
+        assert (await pool.fetch(timeout)).status is status
+        pool.upstream.close()
+        for each in (listener, *held):
+            each.close()
+
+    run(main())
+
+
+def test_bytes_still_in_the_buffer_are_not_written() -> None:
+    """A break before the last byte has left proves that the request never ran; after it, nothing."""
+
+    async def main() -> None:
+        accepted, drop = asyncio.Event(), asyncio.Event()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            accepted.set()
+            await drop.wait()
+
+        async with listening(talk) as dial:
+            pool = Pool(dial)
+            huge, ended = pool.start(body=b"x" * 32_000_000)  # more than the sockets' buffers hold
+            await accepted.wait()
+            assert not huge.written
+            drop.set()
+            assert (await ended).status is Status.UNREACHABLE
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_a_time_out_closes_the_connection_and_no_late_answer_meets_the_next_request() -> None:
+    async def main() -> None:
+        origin = Origin(lambda n: None if n == 1 else OK)
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial)
+            assert (await pool.fetch(0.1)).status is Status.TIMEOUT
+            await origin.left.wait()
+            assert (await pool.fetch()).status is Status.OK
+            assert origin.connections == 2
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_bytes_behind_an_answer_do_not_meet_the_next_request() -> None:
+    async def main() -> None:
+        late = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
+        origin = Origin(lambda n: OK + late if n == 1 else OK)
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial)
+            answers, finished = list[bytes](), asyncio.Event()
+
+            def again(done: Exchange) -> None:
+                answers.append(done.answer)
+                if len(answers) == 2:
+                    finished.set()
+                else:  # in the very call that tells of the first answer
+                    pool.upstream.start(Exchange("s1", HEAD, b"", pool.clock() + 10, again))
+
+            pool.upstream.start(Exchange("s1", HEAD, b"", pool.clock() + 10, again))
+            await finished.wait()
+            assert answers == [b"hi", b"hi"] and origin.connections == 2
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_connections_are_used_again_the_freshest_first_until_they_age() -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial, conn_idle=30.0)
+            await asyncio.gather(pool.fetch(), pool.fetch())
+            await pool.fetch()
+            assert origin.connections == 2
+            pool.clock = pool.upstream._clock = lambda: 2e9 + 16.0
+            for server in pool.upstream._servers.values():
+                for at, connection in enumerate(server.idle):
+                    connection.idle_since = 2e9 + at * 1e-6  # 16 s idle: past half of conn_idle
+            await pool.fetch()
+            assert origin.connections == 3
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_a_connection_that_the_server_has_closed_is_dropped() -> None:
+    async def main() -> None:
+        closing = OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        origin = Origin(lambda n: closing)
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial)
+            assert [(await pool.fetch()).status for _ in range(2)] == [Status.OK, Status.OK]
+            assert origin.connections == 2
+            pool.upstream.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "tell",
+    [
+        lambda u: u.update("s1", "127.0.0.1:1", False),
+        lambda u: u.update("s1", "", False),
+        lambda u: u.keep_only({"s2"}),
+    ],
+)
+def test_a_drain_closes_idle_connections_and_stops_sends_at_once(tell: Callable[[Upstream], None]) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial)
+            await pool.fetch()
+            tell(pool.upstream)
+            await origin.left.wait()
+            assert (await pool.fetch()).status is Status.NOT_SENT
+            assert len(origin.seen) == 1
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_a_server_that_drains_during_a_dial_gets_nothing() -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial)
+            _, ended = pool.start()
+            pool.upstream.update("s1", dial, False)
+            assert (await ended).status is Status.NOT_SENT
+            assert not origin.seen
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_a_new_address_takes_the_next_request() -> None:
+    async def main() -> None:
+        old, new = Origin(), Origin()
+        async with listening(old.talk) as first, listening(new.talk) as second:
+            pool = Pool(first)
+            await pool.fetch()
+            pool.upstream.update("s1", second, True)
+            await pool.fetch()
+            assert (len(old.seen), len(new.seen)) == (1, 1)
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_connections_are_bounded_for_each_server_and_in_all() -> None:
+    async def main() -> None:
+        silent = Origin(lambda _n: None)
+        async with listening(silent.talk) as dial:
+            pool = Pool(dial, most=PER_SERVER + 1)
+            out = [pool.start()[0] for _ in range(PER_SERVER)]
+            assert (await pool.fetch()).status is Status.FULL
+            pool.upstream.update("s2", dial, True)
+            out.append(pool.start(server="s2")[0])
+            assert (await pool.fetch(server="s2")).status is Status.FULL
+            for exchange in out:
+                pool.upstream.cancel(exchange)
+            assert all(exchange.status is Status.CANCELLED for exchange in out)
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_at_the_limit_an_idle_connection_makes_room() -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial, most=1)
+            pool.upstream.update("s2", dial, True)
+            assert (await pool.fetch()).status is Status.OK
+            assert (await pool.fetch(server="s2")).status is Status.OK
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_load_reports_are_read_and_odd_ones_dropped() -> None:
+    assert load_report("inflight=7,queue=2,util=0.61") == {"inflight": 7.0, "queue": 2.0, "util": 0.61}
+    for odd in ("", "queue", "queue=nan", "=3", "queue=2,,"):
+        assert load_report(odd) == {}
+
+    async def main() -> None:
+        origin = Origin(lambda _n: reply("200 OK", "X-Server-Load: queue=2\r\n"))
+        async with listening(origin.talk) as dial:
+            pool = Pool(dial)
+            assert (await pool.fetch()).report == {"queue": 2.0}
+            pool.upstream.close()
+
+    run(main())
