Test the node and the whole program; listen before following the watch

The new tests found two faults. A taken address ended with two lines on stderr, since the watch began before the listener and logged its own failure first: serve() now listens, then connects. A row of refused connections to discovery logged four lines a second: only the first of a row is told now, for the counter too.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -119,13 +119,15 @@
     node = Node(config.settings, gateway, clock, upstream, counter)
     if config.known is not None:
         node.listed(config.known)
-    since = config.known.version if config.known else None
-    watch = loop.create_task(Discovery(*config.discovery, since, node.listed).follow())
     frontend = Frontend(node, config.settings, clients)
     try:
         await frontend.listen(*config.listen)
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
+    since = config.known.version if config.known else None
+    watch = loop.create_task(Discovery(*config.discovery, since, node.listed).follow())
+    if counter is not None:
+        counter.start()
     gc.collect()
     gc.freeze()  # what is here now stays: the collector need not walk it again
     log.info("ready")
--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -46,8 +46,13 @@
         self._transport: asyncio.Transport | None = None
         self._queued, self._written = deque[_Call](), deque[_Call]()
         self._buffer, self._paused, self._used = b"", False, 0.0
+        self._failing = False
         self._dial: asyncio.Task[None] | None = None
-        self._check_at = self._loop.call_soon(self._check)
+        self._check_at: asyncio.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Connect, and from then on keep a connection."""
+        self._check()
 
     def call(self, name: int, amount: float, lifetime: float, done: Done) -> None:
         """Add to a number; ``done`` gets the status and the total, later than this call returns."""
@@ -57,7 +62,8 @@
         self._put(call)
 
     def close(self) -> None:
-        self._check_at.cancel()
+        if self._check_at is not None:
+            self._check_at.cancel()
         if self._dial is not None:
             self._dial.cancel()
         if self._transport is not None:
@@ -100,7 +106,9 @@
             async with asyncio.timeout(DIAL_TIMEOUT):
                 await self._loop.create_connection(lambda: self, *self._address)
         except (OSError, TimeoutError) as error:
-            log.warning("no connection to the counter: %r", error)
+            if not self._failing:  # once for a row of failures
+                log.warning("no connection to the counter: %r", error)
+            self._failing = True
         finally:
             self._dial = None
 
@@ -110,7 +118,7 @@
         transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
         transport.set_write_buffer_limits(high=0)  # pause_writing then tells that a line is not out whole
         self._transport, self._buffer, self._paused = transport, b"", False
-        self._used = self._loop.time()
+        self._used, self._failing = self._loop.time(), False
         self._flush()
 
     def pause_writing(self) -> None:
@@ -129,8 +137,6 @@
         for call in ([partly] if partly else []) + list(self._queued):
             call.finish(Status.UNREACHABLE)
         self._queued.clear()
-        self._check_at.cancel()
-        self._check_at = self._loop.call_later(CHECK, self._check)
 
     def data_received(self, data: bytes) -> None:
         *lines, self._buffer = (self._buffer + data).split(b"\n")
--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -54,14 +54,16 @@
 
     def __init__(self, host: str, port: int, since: int | None, tell: Callable[[Listing], None]) -> None:
         self._host, self._port, self._since, self._tell = host, port, since, tell
-        self._buffer = b""
+        self._buffer, self._failing = b"", False
 
     async def follow(self) -> None:
         while True:
             try:
                 await self._watch()
             except (OSError, TimeoutError, httptools.HttpParserError) as error:
-                log.warning("the watch on discovery ended: %r", error)
+                if not self._failing:  # once for a row of failures
+                    log.warning("the watch on discovery ended: %r", error)
+                self._failing = True
             except Exception:
                 log.exception("the watch on discovery failed")
             await asyncio.sleep(RETRY)
@@ -110,5 +112,5 @@
         except ValueError as error:
             log.warning("dropped an unreadable line of discovery: %s", error)
             return
-        self._since = listing.version
+        self._since, self._failing = listing.version, False
         self._tell(listing)
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -33,6 +33,7 @@
     async with listening(tally.talk) as address:
         host, port = address.split(":")
         client = CounterClient(host, int(port), timeout)
+        client.start()
         try:
             yield tally, await tally.connections.get(), client
         finally:
@@ -99,6 +100,7 @@
 def test_without_a_connection_a_call_is_given_up_unsent() -> None:
     async def main() -> None:
         client = CounterClient("127.0.0.1", 1, 0.05)
+        client.start()
         assert await call(client, 1) == (Status.UNREACHABLE, 0.0)
         client.close()
 
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,219 @@
+"""The whole program as a process: configuration, readiness, SIGTERM, SIGKILL."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cypresspulley.__main__ import LogLimit, config_from
+from tests.loopback import Origin, ask, listening, read_message, run
+
+WIRE_SETTINGS: dict[str, Any] = {
+    "classes": [{"name": "lookup", "aim_s": 5.0, "effect": "idempotent", "worth": 1.0, "group": "all"}],
+    "tariffs": [{"name": "basic", "quota_rate": 100.0, "store_size": 100.0}],
+    "n_instances": 3, "me": 0, "my_zone": "a",
+    "limits": {"max_attempts": 2, "retry_after": True, "max_retry_after_s": 1.0, "dial_timeout_s": 1.0},
+}  # fmt: skip
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+def config(dial: str, discovery: str = "127.0.0.1:1") -> dict[str, Any]:
+    host = {"host": "s1", "dial": dial, "site": "a", "block": 0, "health": "ready", "born_ms": 0}
+    return {
+        "name": "n0", "listen": f"127.0.0.1:{free_port()}", "discovery": discovery,
+        "seed": "8c1f30d27a5be964", "limits": {"sockets": 256},
+        "known": {"seq": 41, "whole": True, "hosts": [host]}, "settings": WIRE_SETTINGS,
+    }  # fmt: skip
+
+
+class Program:
+    """A started limiter."""
+
+    def __init__(self, process: asyncio.subprocess.Process, listen: str) -> None:
+        self.process, self._listen = process, listen
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        host, port = self._listen.split(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def health(self) -> str:
+        """The first line of the answer to GET /healthz."""
+        reader, writer = await self.connect()
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        first, _, _ = await read_message(reader)
+        writer.close()
+        return first
+
+    async def ready(self) -> None:
+        while True:
+            try:
+                assert " 200 " in await self.health()
+                return
+            except ConnectionRefusedError:
+                await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def started(raw: dict[str, Any], folder: Path) -> AsyncIterator[Program]:
+    path = folder / "config.json"
+    path.write_text(json.dumps(raw))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cypresspulley", env={**os.environ, "LB_CONFIG": str(path)}
+    )
+    program = Program(process, raw["listen"])
+    try:
+        await program.ready()
+        yield program
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+def test_sigterm_answers_what_was_taken_and_takes_late_comers(tmp_path: Path) -> None:
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_message(reader)
+                taken.set()
+                await release.wait()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")
+
+        taken = asyncio.Event()
+        async with listening(talk) as dial, started(config(dial), tmp_path) as program:
+            before, writer = await program.connect()
+            writer.write(ask())
+            await taken.wait()
+            program.process.send_signal(signal.SIGTERM)
+            while " 200 " in await program.health():
+                pass
+            late, late_writer = await program.connect()
+            late_writer.write(ask())
+            release.set()
+            for reader in (before, late):
+                status, headers, body = await read_message(reader)
+                assert " 200 " in status and body == b"hi"
+                assert await reader.read() == b"" and headers["connection"] == "close"
+            assert await program.process.wait() == 0
+
+    run(main())
+
+
+def test_sigkill_and_a_restart_under_the_same_address(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with listening(Origin().talk) as dial:
+            raw = config(dial)
+            for _ in range(2):
+                async with started(raw, tmp_path) as program:
+                    reader, writer = await program.connect()
+                    writer.write(ask())
+                    assert (await read_message(reader))[2] == b"hi"
+                    program.process.kill()
+                    assert await program.process.wait() == -signal.SIGKILL
+
+    run(main())
+
+
+def test_a_list_from_discovery_replaces_the_known_one(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin, told = Origin(), asyncio.Event()
+
+        async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            known = config(dial)["known"] | {"seq": 42}
+            line = json.dumps(known).encode() + b"\n"
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + b"%x\r\n%b\r\n" % (len(line), line))
+            told.set()
+            await asyncio.Event().wait()
+
+        async with (
+            listening(origin.talk) as dial,
+            listening(agent) as discovery,
+            started(config("127.0.0.1:1", discovery), tmp_path) as program,
+        ):
+            await told.wait()
+            while not origin.seen:
+                reader, writer = await program.connect()
+                writer.write(ask())
+                await read_message(reader)
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"listen": "nowhere"}, {"listen": None}, {"discovery": 7}, {"seed": "xyz"}, {"settings": None},
+        {"settings": {"classes": 3}}, {"settings": {"n_instances": 0}}, {"known": {"seq": "x"}},
+        {"limits": {"sockets": "many"}}, {"counter": "x"},
+        {"settings": {"limits": {"dial_timeout_s": -1}}},
+    ],
+)  # fmt: skip
+def test_a_bad_configuration_is_one_plain_line_and_exit_2(change: dict[str, Any], tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config("127.0.0.1:1") | change))
+    check_refused(str(path))
+
+
+def test_a_taken_address_too(tmp_path: Path) -> None:
+    path, raw = tmp_path / "config.json", config("127.0.0.1:1")
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        raw["listen"] = f"127.0.0.1:{taken.getsockname()[1]}"
+        path.write_text(json.dumps(raw))
+        check_refused(str(path))
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "{}"])
+def test_an_unreadable_configuration_too(text: str, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(text)
+    check_refused(str(path))
+
+
+def test_a_missing_configuration_too() -> None:
+    check_refused("")
+    check_refused("/nonexistent/config.json")
+
+
+def check_refused(path: str) -> None:
+    done = subprocess.run(
+        [sys.executable, "-m", "cypresspulley"],
+        env={**os.environ, "LB_CONFIG": path}, capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+    assert done.returncode == 2 and done.stdout == ""
+    assert len(done.stderr.splitlines()) == 1 and done.stderr.startswith("cypresspulley: ")
+
+
+def test_the_configuration_is_read() -> None:
+    read = config_from(config("127.0.0.1:7070") | {"counter": "127.0.0.1:6400"})
+    assert read.counter == ("127.0.0.1", 6400) and read.seed == 0x8C1F30D27A5BE964
+    assert read.known is not None and read.known.version == 41 and read.known.servers.complete
+    assert read.timing.dial_timeout == 1.0 and read.settings.max_attempts == 2
+
+
+def test_a_flood_of_log_lines_is_cut() -> None:
+    limit = LogLimit(3)
+    record = logging.LogRecord("x", 20, "", 0, "text", (), None)
+    passed = sum(limit.filter(record) for _ in range(1000))
+    assert 3 <= passed <= 9  # three a second, however slow this machine is
