Send again to a server whose only request was left by its client

Ruled out: s.out_until and s.trial, both untouched, and the node, whose late Outcome is passed over as it should be. _forget now clears quiet when nothing is out.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -429,5 +429,5 @@
     def _forget(self, request: int) -> None:
         if r := self._requests.pop(request, None):
             for s in r.out.values():
-                s.open = max(0.0, s.open - r.work)
-                r.account.open -= 1
+                s.open, r.account.open = max(0.0, s.open - r.work), r.account.open - 1
+                s.quiet = s.quiet if s.open > 1e-9 else None  # nobody waits: it owes nothing any more
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -268,3 +268,19 @@
             world.answer_counts(api.Status.FULL)
             world.serve()
     assert calls < 100 * 5 * 1.7  # for 300 gateways 510 calls a second
+
+
+def test_a_server_is_used_again_after_the_client_of_its_only_request_has_left() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers(*"abcdef"))
+    sent = [a for a in world.feed(w.request(1)) if isinstance(a, api.Send)]
+    world.feed(api.Departed(1))
+    world.out.clear()  # the node cancels it; what a request that has ended comes to is passed over
+    again = set[str]()
+    for id in range(2, 200):
+        world.now += 0.2
+        for action in world.feed(w.request(id)):
+            if isinstance(action, api.Send):
+                again.add(action.server)
+                world.feed(w.outcome(id, 0, action.server, api.Status.OK, 0.05))
+    assert sent[0].server in again
