--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -12,11 +12,10 @@
 import httptools
 
 from cypresspulley import interface as api
-from cypresspulley.net.http import MAX_BODY, NOT_FORWARDED
+from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED
 
 log = logging.getLogger(__name__)
 
-MAX_HEAD = 16 * 1024
 MAX_PIPELINE = 16  # unanswered requests of one connection until it is no longer read
 BACKLOG = 1024
 LINGER = 1.0  # seconds that a refused sender's input is still drained, or it would not see why
@@ -162,7 +161,8 @@
             else:
                 self._reject(400)
             return
-        # A head without an end would grow inside the parser, where no callback sees it.
+        # A head without an end would grow inside the parser, where no callback sees it. What was seen of
+        # one that came in pieces counts twice: a bound on memory need not be exact.
         self._size += len(data) if self._reading and not self._head_read else 0
         if self._size > MAX_HEAD:
             self._reject(400)
@@ -176,9 +176,11 @@
 
     def on_url(self, url: bytes) -> None:
         self._target += url  # comes in pieces where the input was split
+        self._size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         key = name.lower()
+        self._size += len(name) + len(value)
         if key in READ:
             if key in self._fields:
                 raise BadRequestError(400, "a header stands twice")
@@ -189,6 +191,8 @@
             raise BadRequestError(413, "body too large")
 
     def on_headers_complete(self) -> None:
+        if self._size > MAX_HEAD:
+            raise BadRequestError(400, "head too large")
         self._head_read, self._size = True, 0
 
     def on_body(self, body: bytes) -> None:
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -16,7 +16,7 @@
 import httptools
 
 from cypresspulley.interface import Status
-from cypresspulley.net.http import MAX_BODY, NOT_FORWARDED, split_address
+from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED, split_address
 
 log = logging.getLogger(__name__)
 
@@ -85,7 +85,8 @@
         self._clear()
 
     def _clear(self) -> None:
-        self._headers, self._body, self._size = list[bytes](), list[bytes](), 0
+        self._headers, self._body = list[bytes](), list[bytes]()
+        self._head_size = self._size = 0
         self._load: bytes | None = None
         self._not_processed = self._surplus = False
         self._code: int | None = None
@@ -146,6 +147,9 @@
         key = name.lower()
         if self._surplus:
             return
+        self._head_size += len(name) + len(value)
+        if self._head_size > MAX_HEAD:
+            raise ValueError("too large")
         if key == LOAD:
             self._load = value
         elif key == NOT_PROCESSED:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -83,6 +83,8 @@
     [
         (b"nonsense\r\n\r\n", 400),
         (b"GET / HTTP/1.1\r\nX: " + b"a" * 70_000, 400),
+        (ask(X_Filler="a" * 40_000), 400),
+        (ask("/lookup?account=00000000b4d65521&x=" + "a" * 40_000), 400),
         (ask("/nowhere?account=00000000b4d65521"), 404),
         (ask("/lookup?account=12"), 400),
         (ask(X_Request_ID=""), 400),
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -58,6 +58,7 @@
         (b"", Status.BROKEN),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhi", Status.TIMEOUT),
         (b"what is this\r\n\r\n", Status.BROKEN),
+        (reply("200 OK", "X: y\r\n" * 20_000), Status.BROKEN),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000, Status.BROKEN),
     ],
 )
