Take bodies over 32 KiB that come in pieces

Found by reading and confirmed by a test: _Client.data_received compared _size with MAX_HEAD after every read, and during a body _size counts the body, so a body of 32 to 64 KiB that came in several reads got a 400. The bound on heads is now checked only until the head is whole. Ruled out: on_body, whose own bound is right. The earlier test sent its 64 KiB in what became one read, which is why it passed; the new one sends pieces and fails on the code before.

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -163,9 +163,10 @@
             return
         # A head without an end would grow inside the parser, where no callback sees it. What was seen of
         # one that came in pieces counts twice: a bound on memory need not be exact.
-        self._size += len(data) if self._reading and not self._head_read else 0
-        if self._size > MAX_HEAD:
-            self._reject(400)
+        if self._reading and not self._head_read:
+            self._size += len(data)
+            if self._size > MAX_HEAD:
+                self._reject(400)
 
     # The parser's callbacks.
 
@@ -253,7 +254,7 @@
     def _throttle(self) -> None:
         """Read on only while answers are taken off: what one client does not read would fill the memory."""
         stop = self._clogged or len(self._waiting) >= MAX_PIPELINE
-        if self._transport is None or stop is self._paused:
+        if self._transport is None or self._transport.is_closing() or stop is self._paused:
             return
         self._paused = stop
         if stop:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -31,6 +31,22 @@
     run(main())
 
 
+def test_a_large_body_may_come_in_pieces() -> None:
+    async def main() -> None:
+        origin, body = Origin(), b"x" * 60_000
+        async with listening(origin.talk) as dial, Limiter(Script(send_on), {"s1": dial}) as limiter:
+            reader, writer = await limiter.connect()
+            request = ask("/post?account=00000000b4d65521", body)
+            for at in range(0, len(request), 4096):
+                writer.write(request[at : at + 4096])
+                await writer.drain()
+                await asyncio.sleep(0.001)  # so that each piece is a read of its own
+            assert " 200 " in (await read_message(reader))[0]
+            assert origin.seen[0][2] == body
+
+    run(main())
+
+
 def test_the_event_holds_what_the_headers_say() -> None:
     async def main() -> None:
         script = Script(refuse)
