Survive SIGHUP: read the file again and move to the new discovery and counter

Cause: __main__.py handled SIGTERM and SIGINT only, so SIGHUP ended the process. Confirmed by the new program test, which fails without the change.

__main__.Reload reads the file and keeps the old values, with one line, where it is bad. discovery.Follower follows the old address until the new one has spoken and asks it for the whole list. CounterClient moves make-before-break. decide._counted matches results to calls by order per name: over two connections an answer could overtake, so the client settles a name's calls in order.

An answer of the counter that cannot be read now ends the call as BROKEN (added, total unknown), drops the connection, leaves those behind unknown and redials at once; before, parsing went on and redialling took up to 0.5 s. BROKEN is no silence of the counter in decide._counted.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -10,7 +10,7 @@
 import signal
 import sys
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import uvloop
@@ -18,7 +18,7 @@
 from cypresspulley import interface as api
 from cypresspulley.decide import Gateway
 from cypresspulley.net.counter import CounterClient
-from cypresspulley.net.discovery import Discovery, Listing, listing_from
+from cypresspulley.net.discovery import Follower, Listing, listing_from
 from cypresspulley.net.frontend import Frontend
 from cypresspulley.net.http import split_address
 from cypresspulley.net.node import Node, unix_clock
@@ -99,6 +99,26 @@
     return config_from(raw)
 
 
+class Reload:
+    """SIGHUP: the file is read again, and discovery and the counter are followed to where it says."""
+
+    def __init__(self, config: Config, follower: Follower, counter: CounterClient | None) -> None:
+        self._config, self._follower, self._counter = config, follower, counter
+
+    def __call__(self) -> None:
+        try:
+            new = load_config(os.environ.get("LB_CONFIG"))
+        except ConfigError as error:
+            # A half-written or wrong file must not end a limiter that serves.
+            log.error("the configuration was not reloaded: %s", error)
+            return
+        self._follower.follow(*new.discovery)
+        if self._counter is not None and new.counter is not None:
+            self._counter.move(*new.counter)
+        old = replace(self._config, discovery=new.discovery, counter=new.counter, known=new.known)
+        log.info("the configuration was reloaded%s", "" if new == old else ": some of it needs a restart")
+
+
 async def serve(config: Config) -> None:
     """Run one limiter until SIGTERM or SIGINT."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
@@ -127,9 +147,11 @@
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
     since = config.known.version if config.known else None
-    watch = loop.create_task(Discovery(*config.discovery, since, node.listed).follow())
+    follower = Follower(node.listed)
+    follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
+    loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter))
     gc.collect()
     gc.freeze()  # what is here now stays: the collector need not walk it again
     log.info("ready")
@@ -140,7 +162,7 @@
     await frontend.close(ANSWER_WITHIN)
     node.abandon_all()
     await frontend.close(FLUSH_WITHIN)
-    watch.cancel()
+    follower.close()
     upstream.close()
     if counter is not None:
         counter.close()
@@ -149,6 +171,7 @@
 def main() -> int:
     handler = logging.StreamHandler(sys.stderr)
     handler.addFilter(LogLimit(LOGS_A_SECOND))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it: it must never end the process
     logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s: %(message)s")
     try:
         uvloop.run(serve(load_config(os.environ.get("LB_CONFIG"))))
--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -9,6 +9,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Effect, Status
+from cypresspulley.quota import Account
 
 REFERENCE, GAIN, RESET, INTERVAL, STALL = 0.8, 20.0, 2.8, 1.0, 2.5  # the design's loop; intervals of a stall
 AIM_SHARE, PLAIN_ROOM = 0.5, 0.5  # latency / aim that reads as the reference; load / reference of plain room
@@ -31,32 +32,8 @@
         self.cold_at: float | None = None
 
 
-class _Account:
-    def __init__(self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float) -> None:
-        self.plan, self.at, self.asked, self.synced = plan, now, now, born
-        self.share = share = max(1, ev.gateways)
-        label = f"{ev.plan} {ev.account}".encode()
-        self.name = int.from_bytes(blake2b(label, digest_size=8).digest(), "big") >> 1
-        self.level = plan.burst + plan.rate * (now - born)  # of the whole store; a reading cuts it
-        self.thin = plan.burst < 2 * share  # the even share holds next to nothing
-        self.floor = self.floor_cap = max(plan.burst / share, min(most, plan.burst) * self.thin)
-        # A restart finds the ceiling's store used, so the share fills from this instance's birth.
-        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born)) / share
-        self.total: float | None = None
-        self.others = plan.rate * (share - 1) / share * 0.3  # their use a second
-        self.pending, self.open = 0.0, 0  # own use that the counter has not been told; attempts out
-        self.calls = deque[tuple[float, int | None, float]]()
-
-    def refill(self, now: float) -> None:
-        plan, dt, self.at = self.plan, max(0.0, now - self.at), now
-        self.level = min(plan.burst + plan.rate * (now - self.synced), self.level + plan.rate * dt)
-        self.floor = min(self.floor_cap, self.floor + plan.rate / self.share * dt)
-        whole = self.ceiling * self.share + plan.ceiling_rate * dt
-        self.ceiling = min(plan.ceiling_burst, whole) / self.share
-
-
 class _Request:
-    def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: _Account) -> None:
+    def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account) -> None:
         self.id, self.cls, self.account, self.units = ev.id, cls, acct, ev.units
         self.deadline, self.born, self.repeat = now + ev.ttl, now, ev.repeat
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
@@ -74,7 +51,7 @@
         self._plans = {p.name: p for p in settings.plans}
         self._servers, self._requests = dict[str, _Server](), dict[int, _Request]()
         self._ring, self._mine, self._out = list[_Server](), list[_Server](), list[Action]()
-        self._accounts, self._names = dict[tuple[str, str], _Account](), dict[int, _Account]()
+        self._accounts, self._names = dict[tuple[str, str], Account](), dict[int, Account]()
         self._base, self._why = dict[str, float](), dict[str, int]()  # idle latency of a class; causes to log
         self._sum: float | None = None  # the controller's sum; None: fresh, admits freely
         self._u = self._tokens = self._reading = self._tries = self._admitted = self._done_rate = 0.0
@@ -169,7 +146,7 @@
         cls, key = self._classes.get(ev.request_class, unknown), (ev.plan, ev.account)
         if (a := self._accounts.get(key)) is None:
             plan = self._plans.get(ev.plan, api.Plan(ev.plan))
-            a = self._accounts[key] = _Account(now, ev, plan, self._born, self._set.max_units)
+            a = self._accounts[key] = Account(now, ev, plan, self._born, self._set.max_units)
             self._names[a.name] = a
         a.refill(now)
         self._tries += not ev.repeat
@@ -235,7 +212,7 @@
         self._call_at = now
         return self._calls if now >= self._silent_until else 0.0
 
-    def _count(self, now: float, a: _Account, held: int | None = None, own: float = 0) -> None:
+    def _count(self, now: float, a: Account, held: int | None = None, own: float = 0) -> None:
         a.pending, a.level = a.pending + own, a.level - own
         room = held is not None or own != 0 or self._call_room(now) >= 1  # what is owed cannot wait
         if room and self._set.has_counter and a.plan.rate > 0:
@@ -266,10 +243,12 @@
             a.level -= lost
             a.pending += lost * (not a.thin or lost > 0.5 * a.plan.burst)  # another may tell a thin gate's
         else:
-            a.pending += step if ev.status is not Status.TIMEOUT else 0.0  # after a time-out it may be there
-            self._misses += ev.status is not Status.FULL
-            self._call_rate = max(2 * CALLS / self._set.gateways / 100, self._call_rate * 0.9)
-            if ev.status is not Status.FULL and self._misses > 1:  # one time-out alone is a queue
+            # After a time-out it may be there; broken, the answer was spoilt: it is there, and no silence.
+            a.pending += step if ev.status not in (Status.TIMEOUT, Status.BROKEN) else 0.0
+            if ev.status is not Status.BROKEN:
+                self._misses += ev.status is not Status.FULL
+                self._call_rate = max(2 * CALLS / self._set.gateways / 100, self._call_rate * 0.9)
+            if ev.status not in (Status.FULL, Status.BROKEN) and self._misses > 1:  # one alone is a queue
                 self._silent_until = now + 1.0
         r = self._requests.get(-1 if held is None else held)
         own = r.units if r else 0.0
--- a/cypresspulley/net/counter.py
+++ b/cypresspulley/net/counter.py
@@ -1,10 +1,10 @@
-"""The client of the shared counter: pipelined calls, each answered once, in order."""
+"""The client of the shared counter: pipelined calls, each answered once, in order for each name."""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import math
+import re
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -18,7 +18,12 @@
 PING = 2.0  # silent seconds until a ping keeps the connection: an idle one is closed
 DEAD = 1.5  # seconds that the oldest unanswered line may wait before the connection is given up
 DIAL_TIMEOUT = 1.0
-MAX_LINE = 4096
+REDIAL = 0.05  # seconds between two dials after breaks, so that a peer that only closes is no busy loop
+MAX_LINE = 64
+TOTAL = re.compile(rb"ok ([+-]?[0-9]{1,20}(?:\.[0-9]{0,20})?(?:[eE][+-]?[0-9]{1,2})?)")
+BEGUN = re.compile(rb"ok [-+.0-9eE]*\r?")
+PLAIN = {b"busy": Status.FULL, b"error": Status.ERROR, b"pong": Status.OK}
+Address = tuple[str, int]
 Done = Callable[[Status, float], None]
 
 
@@ -26,27 +31,111 @@
 class _Call:
     line: bytes
     sent: float
-    done: Done | None  # None once it was given up, and for a ping
+    name: int | None = None  # None for a ping
+    done: Done | None = None
     timer: asyncio.TimerHandle | None = None
+    result: tuple[Status, float] | None = None
 
-    def finish(self, status: Status, total: float = 0.0) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-        done, self.done = self.done, None
-        if done is not None:
-            done(status, total)
 
+class _Link(asyncio.Protocol):
+    """One connection to the counter."""
 
-class CounterClient(asyncio.Protocol):
-    """One connection to the counter, kept open."""
+    def __init__(self, client: CounterClient, address: Address) -> None:
+        self._client, self.address = client, address
+        self._transport: asyncio.Transport | None = None
+        self.written = deque[_Call]()
+        self._buffer, self.paused, self.used, self._leaving = b"", False, 0.0, False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
+        transport.set_write_buffer_limits(high=0)  # pause_writing then tells that a line is not out whole
+        self._transport = transport
+
+    @property
+    def usable(self) -> bool:
+        return self._transport is not None and not self._transport.is_closing()
+
+    def write(self, call: _Call, now: float) -> None:
+        assert self._transport is not None
+        self.written.append(call)
+        call.sent = self.used = now
+        self._transport.write(call.line)
+
+    def leave(self) -> None:
+        """Take no new calls, and close once those that are out have been answered."""
+        self._leaving = True
+        if not self.written:
+            self.abort()
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def pause_writing(self) -> None:
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        self.paused = False
+        self._client.flush()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._fail(Status.TIMEOUT)  # the counter may have added them
+        self._client.lost(self)
+
+    def data_received(self, data: bytes) -> None:
+        *lines, self._buffer = (self._buffer + data).split(b"\n")
+        for line in lines:
+            if not self.usable:
+                return
+            self._answered(line.rstrip(b"\r"))
+        if self._leaving and not self.written:
+            self.abort()
+        elif not _may_begin_an_answer(self._buffer):
+            self._spoilt(self._buffer)  # noise need not end its line, and the wait for that would be silence
+
+    def _answered(self, line: bytes) -> None:
+        form = TOTAL.fullmatch(line)
+        status = Status.OK if form else PLAIN.get(line)
+        if status is None or not self.written:
+            return self._spoilt(line)
+        self._client.finish(self.written.popleft(), status, float(form[1]) if form else 0.0)
+
+    def _spoilt(self, line: bytes) -> None:
+        """What cannot be read says nothing of the count, and what follows may belong to any call."""
+        log.warning("an unreadable counter line: connecting anew: %.80r", line)
+        self.abort()  # first: the results may bring new calls, and none must be written here
+        self._fail(Status.BROKEN)
+
+    def _fail(self, status: Status) -> None:
+        written, self.written = self.written, deque()
+        partly = written.pop() if self.paused and written else None
+        for call in written:
+            self._client.finish(call, status)
+        if partly is not None:
+            self._client.finish(partly, Status.UNREACHABLE)
+
+
+def _may_begin_an_answer(text: bytes) -> bool:
+    if len(text) > MAX_LINE:
+        return False
+    words = any(word.startswith(text.rstrip(b"\r")) for word in (b"ok ", *PLAIN))
+    return words or BEGUN.fullmatch(text) is not None
+
+
+class CounterClient:
+    """Keeps a connection to the counter, and moves to another one without a gap."""
 
     def __init__(self, host: str, port: int, timeout: float) -> None:
         self._address, self._timeout = (host, port), timeout
         self._loop = asyncio.get_running_loop()
-        self._transport: asyncio.Transport | None = None
-        self._queued, self._written = deque[_Call](), deque[_Call]()
-        self._buffer, self._paused, self._used = b"", False, 0.0
-        self._failing = False
+        self._link: _Link | None = None
+        self._left = set[_Link]()  # they only answer what they owe
+        self._queued = deque[_Call]()
+        # The decisions match results to calls by their order for a name: with two connections, one left
+        # and one new, an answer that overtakes another waits for it here (for the time-out at most).
+        self._order = dict[int, deque[_Call]]()
+        self._failing, self._dialed = False, 0.0
         self._dial: asyncio.Task[None] | None = None
         self._check_at: asyncio.TimerHandle | None = None
 
@@ -54,11 +143,23 @@
         """Connect, and from then on keep a connection."""
         self._check()
 
+    def move(self, host: str, port: int) -> None:
+        """Go on at another address; the connection in use serves until the new one is up."""
+        if (host, port) == self._address:
+            return
+        self._address = (host, port)
+        if self._dial is not None:
+            self._dial.cancel()
+            self._dial = None
+        self._redial()
+
     def call(self, name: int, amount: float, lifetime: float, done: Done) -> None:
         """Add to a number; ``done`` gets the status and the total, later than this call returns."""
         milliseconds = max(1, min(60_000, round(lifetime * 1000)))
-        call = _Call(b"tally %d %.6f %d\r\n" % (name, amount, milliseconds), self._loop.time(), done)
+        line = b"tally %d %.6f %d\r\n" % (name, amount, milliseconds)
+        call = _Call(line, self._loop.time(), name, done)
         call.timer = self._loop.call_later(self._timeout, self._give_up, call)
+        self._order.setdefault(name, deque()).append(call)
         self._put(call)
 
     def close(self) -> None:
@@ -66,101 +167,87 @@
             self._check_at.cancel()
         if self._dial is not None:
             self._dial.cancel()
-        if self._transport is not None:
-            self._transport.abort()
+        for link in (*self._left, self._link):
+            if link is not None:
+                link.abort()
+
+    def flush(self) -> None:
+        # One line at a time goes to the transport: what stands in the queue is known not to be written.
+        while self._queued and (link := self._link) is not None and link.usable and not link.paused:
+            link.write(self._queued.popleft(), self._loop.time())
+
+    def finish(self, call: _Call, status: Status, total: float = 0.0) -> None:
+        """Settle a call once, behind the earlier ones for its name."""
+        if call.result is not None or call.name is None:
+            return
+        call.result = status, total
+        if call.timer is not None:
+            call.timer.cancel()
+        line = self._order[call.name]
+        while line and (result := line[0].result) is not None:
+            first = line.popleft()
+            if not line:
+                del self._order[call.name]  # names come from outside: those at rest are not kept
+            assert first.done is not None
+            first.done(*result)
+
+    def lost(self, link: _Link) -> None:
+        """A connection has ended: the one in use is replaced at once, and what waits goes out on the next."""
+        self._left.discard(link)
+        if link is self._link:
+            self._link = None
+            self._loop.call_later(max(0.0, self._dialed + REDIAL - self._loop.time()), self._redial)
 
     def _put(self, call: _Call) -> None:
         self._queued.append(call)
-        self._flush()
-
-    def _flush(self) -> None:
-        # One line at a time goes to the transport: what stands in the queue is known not to be written.
-        while self._queued and self._transport is not None and not self._paused:
-            call = self._queued.popleft()
-            self._written.append(call)
-            call.sent = self._used = self._loop.time()
-            self._transport.write(call.line)
+        self.flush()
 
     def _give_up(self, call: _Call) -> None:
         if call in self._queued:
             self._queued.remove(call)
-            call.finish(Status.UNREACHABLE)
+            self.finish(call, Status.UNREACHABLE)
         else:
-            call.finish(Status.TIMEOUT)  # it keeps its place: its answer is still to come
+            self.finish(call, Status.TIMEOUT)  # it keeps its place: its answer is still to come
 
     def _check(self) -> None:
         """Redial a lost connection, ping an idle one, give up a silent one."""
         self._check_at = self._loop.call_later(CHECK, self._check)
-        now = self._loop.time()
-        if self._transport is None:
-            if self._dial is None:
-                self._dial = self._loop.create_task(self._connect())
-        elif self._written and now - self._written[0].sent > DEAD:
+        now, link = self._loop.time(), self._link
+        for left in list(self._left):
+            if left.written and now - left.written[0].sent > DEAD:
+                left.abort()
+        if link is not None and link.written and now - link.written[0].sent > DEAD:
             log.warning("the counter is silent: connecting anew")
-            self._transport.abort()
-        elif now - self._used > PING:
-            self._put(_Call(b"ping\r\n", now, None))
+            link.abort()
+        elif link is not None and now - link.used > PING:
+            self._put(_Call(b"ping\r\n", now))
+        self._redial()
+
+    def _redial(self) -> None:
+        settled = self._link is not None and self._link.address == self._address
+        if self._check_at is None or self._check_at.cancelled() or self._dial is not None or settled:
+            return
+        self._dialed = self._loop.time()
+        self._dial = self._loop.create_task(self._connect(self._address))
 
-    async def _connect(self) -> None:
+    async def _connect(self, address: Address) -> None:
+        link = _Link(self, address)
         try:
             async with asyncio.timeout(DIAL_TIMEOUT):
-                await self._loop.create_connection(lambda: self, *self._address)
+                await self._loop.create_connection(lambda: link, *address)
         except (OSError, TimeoutError) as error:
             if not self._failing:  # once for a row of failures
                 log.warning("no connection to the counter: %r", error)
-            self._failing = True
-        finally:
-            self._dial = None
-
-    # The connection.
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
-        transport.set_write_buffer_limits(high=0)  # pause_writing then tells that a line is not out whole
-        self._transport, self._buffer, self._paused = transport, b"", False
-        self._used, self._failing = self._loop.time(), False
-        self._flush()
-
-    def pause_writing(self) -> None:
-        self._paused = True
-
-    def resume_writing(self) -> None:
-        self._paused = False
-        self._flush()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
-        written, self._written = self._written, deque()
-        partly = written.pop() if self._paused and written else None
-        for call in written:
-            call.finish(Status.TIMEOUT)  # the counter may have added it
-        for call in ([partly] if partly else []) + list(self._queued):
-            call.finish(Status.UNREACHABLE)
-        self._queued.clear()
-
-    def data_received(self, data: bytes) -> None:
-        *lines, self._buffer = (self._buffer + data).split(b"\n")
-        for line in lines:
-            self._answered(line.rstrip(b"\r"))
-        if len(self._buffer) > MAX_LINE and self._transport is not None:
-            log.warning("the counter sent a line without an end")
-            self._transport.abort()
-
-    def _answered(self, line: bytes) -> None:
-        if not self._written:
-            log.warning("dropped a counter line that nothing asked for: %.80r", line)
-            return
-        call = self._written.popleft()
-        word, _, rest = line.partition(b" ")
-        if word == b"ok":
-            try:
-                total = float(rest)
-            except ValueError:
-                total = math.nan
-            if math.isfinite(total):
-                return call.finish(Status.OK, total)
-        if word in (b"busy", b"error"):
-            return call.finish(Status.FULL if word == b"busy" else Status.ERROR)
-        if word != b"pong":
-            log.warning("dropped an unreadable counter line: %.80r", line)
-        call.finish(Status.TIMEOUT)  # unknown, but the place in line is used up
+            self._failing, self._dial = True, None
+            return link.abort()
+        except asyncio.CancelledError:
+            return link.abort()  # whoever cancelled it has forgotten it
+        self._dial, self._failing, link.used = None, False, self._loop.time()
+        old, self._link = self._link, link
+        if old is not None:
+            self._left.add(old)
+            old.leave()
+        if link.usable:
+            self.flush()
+        else:
+            self.lost(link)  # it broke before it was known here
--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -114,3 +114,36 @@
             return
         self._since, self._failing = listing.version, False
         self._tell(listing)
+
+
+class Follower:
+    """Follows discovery at the newest address; the one before is followed until the newest has spoken."""
+
+    def __init__(self, tell: Callable[[Listing], None]) -> None:
+        self._tell = tell
+        self._heard: asyncio.Task[None] | None = None  # the watch that has spoken last
+        self._coming: asyncio.Task[None] | None = None
+        self._address: tuple[str, int] | None = None
+
+    def follow(self, host: str, port: int, since: int | None = None) -> None:
+        if (host, port) == self._address:
+            return
+        self._address = (host, port)
+        if self._coming is not None:
+            self._coming.cancel()  # told to move again before it said anything
+        # Without a version another discovery tells the whole list: its numbers need not be the old one's.
+        watch = Discovery(host, port, since, lambda listing: self._said(task, listing))
+        task = self._coming = asyncio.get_running_loop().create_task(watch.follow())
+
+    def close(self) -> None:
+        for task in (self._heard, self._coming):
+            if task is not None:
+                task.cancel()
+
+    def _said(self, task: asyncio.Task[None], listing: Listing) -> None:
+        if task is self._coming:
+            old, self._heard, self._coming = self._heard, task, None
+            if old is not None:
+                old.cancel()
+        if task is self._heard:  # else it was cancelled and has not noticed yet
+            self._tell(listing)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.net import discovery
-from cypresspulley.net.discovery import Discovery, Listing, listing_from
+from cypresspulley.net.discovery import Discovery, Follower, Listing, listing_from
 from tests.loopback import listening, run
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -117,3 +117,41 @@
         assert agent.asked[1] == "/v1/servers?follow=1"
 
     run(main())
+
+
+def test_a_move_follows_the_old_until_the_new_has_spoken() -> None:
+    async def main() -> None:
+        speak, versions, heard = asyncio.Event(), list[int](), asyncio.Event()
+        old = Agent([HEAD, chunk(message(57))], end=False)
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append((await reader.readuntil(b"\r\n\r\n")).decode().split()[1])
+            came.set()
+            await speak.wait()
+            writer.write(HEAD + chunk(message(3)))
+            await asyncio.Event().wait()
+
+        def tell(listing: Listing) -> None:
+            versions.append(listing.version)
+            heard.set()
+
+        asked, came = list[str](), asyncio.Event()
+        async with listening(old.talk) as first, listening(talk) as second:
+            follower = Follower(tell)
+            for address in (first, "127.0.0.1:1", second, second):  # the third overtakes the second
+                host, port = address.split(":")
+                follower.follow(host, int(port), 41 if address == first else None)
+                if address == first:
+                    await heard.wait()
+            await came.wait()
+            assert follower._heard is not None and not follower._heard.cancelled()
+            task = follower._heard
+            heard.clear()
+            speak.set()
+            await heard.wait()
+            assert versions == [57, 3] and asked == ["/v1/servers?follow=1"]
+            await asyncio.wait([task])
+            assert task.cancelled()
+            follower.close()
+
+    run(main())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -119,6 +119,43 @@
     run(main())
 
 
+def test_sighup_moves_to_the_new_addresses_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            calls.put_nowait("agent")
+            line = json.dumps(config(dial)["known"] | {"seq": 1}).encode() + b"\n"
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(head + b"%x\r\n%b\r\n" % (len(line), line))
+            await asyncio.Event().wait()
+
+        async def tally(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+            calls.put_nowait("counter")
+            await reader.read()
+
+        calls, origin, path = asyncio.Queue[str](), Origin(), tmp_path / "config.json"
+        async with listening(origin.talk) as dial, listening(agent) as there, listening(tally) as count:
+            raw = config("127.0.0.1:1") | {"counter": "127.0.0.1:1"}
+            raw["settings"] = WIRE_SETTINGS | {"specifics": {"has_counter": True, "count_wait_s": 0.05}}
+            async with started(raw, tmp_path) as program:
+                for text in ("{", "[]", json.dumps(raw | {"counter": 5})):
+                    path.write_text(text)
+                    program.process.send_signal(signal.SIGHUP)
+                    assert " 200 " in await program.health()
+                path.write_text(json.dumps(raw | {"discovery": there, "counter": count}))
+                program.process.send_signal(signal.SIGHUP)
+                assert {await calls.get(), await calls.get()} == {"agent", "counter"}
+                while not origin.seen:  # the new list names the server's true address
+                    reader, writer = await program.connect()
+                    writer.write(ask())
+                    await read_message(reader)
+                program.process.send_signal(signal.SIGTERM)
+                program.process.send_signal(signal.SIGHUP)
+                assert await program.process.wait() == 0
+
+    run(main())
+
+
 def test_sigkill_and_a_restart_under_the_same_address(tmp_path: Path) -> None:
     async def main() -> None:
         async with listening(Origin().talk) as dial:
