Take a spoilt answer for an error of a live server; strict parsing; rest before reuse

Cause: upstream.data_received aborted on an unreadable answer, which became BROKEN; decide._learn takes that for a death (lost) and the next good answer for a restart (cold for 15 s).

An answer that cannot be read now ends as ERROR (may have run, alive), closing the connection. Bounded on all its bytes and judged from the head: lengths twice, odd, huge or beside chunks, no framing, 1xx without end. 4xx blames the client (new status REJECTED: failed, no other attempt, no mark). An answer before the request is whole is none.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -357,7 +357,10 @@
             self._learn(now, r, s, ev)
         if ev.status not in NEVER_RAN and r.ran is None and ev.attempt < len(r.tries):
             r.ran = r.tries[ev.attempt]
-        if ev.finished:
+        if ev.status is Status.REJECTED and not ev.finished:
+            self._out.append(api.Fail(r.id))  # no other server would take it either
+            self._forget(r.id)
+        elif ev.finished:
             self._forget(ev.id)
         elif not r.out:
             self._again(now, r, ev.status)
@@ -374,7 +377,7 @@
         mute = ev.status is Status.TIMEOUT and s.quiet is not None and now - s.quiet >= ev.elapsed - 1e-6
         dead = ev.status in (Status.UNREACHABLE, Status.BROKEN) or mute
         bad = dead or ev.status is Status.ERROR
-        if ev.status not in (Status.CANCELLED, Status.NOT_SENT, Status.FULL):
+        if ev.status not in (Status.CANCELLED, Status.NOT_SENT, Status.FULL, Status.REJECTED):
             s.fails += (0.4 if dead else 0.2) * (bad - s.fails)
         if ev.status is Status.OK:
             s.cold_at = now if s.lost and s.cold_at is None else s.cold_at  # it may have restarted unseen
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -38,6 +38,7 @@
     BROKEN = "broken"
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
+    REJECTED = "rejected"  # the server has no use for the request: the client is to blame
 
 
 class Health(Enum):
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -7,8 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import logging
 import math
+import re
+import struct
+import termios
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import cast
@@ -23,6 +27,11 @@
 PER_SERVER = 64  # connections to one server
 IDLE_SHARE = 0.5  # of the time after which servers close: a request must not cross that closing
 SWEEP = 1.0  # seconds between two looks for idle connections
+# Seconds that a connection rests before its next request: what a server sends behind an answer (a second
+# copy, noise) comes when nothing waits there, and closes it. On a fresh one it would answer the next request.
+REST = 0.03
+MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # all bytes of an answer: interim ones, chunk sizes and trailers too
+LENGTH = re.compile(rb"[0-9]{1,9}")
 LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
 Clock = Callable[[], float]
 
@@ -86,8 +95,10 @@
 
     def _clear(self) -> None:
         self._headers, self._body = list[bytes](), list[bytes]()
-        self._head_size = self._size = 0
+        self._head_size = self._size = self._received = 0
         self._load: bytes | None = None
+        self._length: int | None = None
+        self._chunked = False
         self._not_processed = self._surplus = False
         self._code: int | None = None
 
@@ -126,16 +137,37 @@
         if self.exchange is None:
             self.abort()  # nobody asked: whatever it is, it must not meet the next request
             return
+        if not self.exchange.written:
+            return self.abort()  # an answer before its request is whole is none, and the request never ran
+        self._received += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if self._code is None:
-                log.warning("an answer of %s could not be read: %s", self.exchange.server, error)
-                return self.abort()
+                return self._spoilt(error.__context__ or error)
             self._surplus = True
         # Only now, with all input read, may the connection be used again.
         if self._code is not None:
             self._complete(self._code)
+        elif self._received > MAX_ANSWER:
+            self._spoilt(ValueError("an answer without an end"))  # its head would grow inside the parser
+
+    def _spoilt(self, error: BaseException) -> None:
+        """An answer that cannot be read: the request may have run, and the server lives. All of them may
+        answer like that on a bad day, so it must not count as a break, which speaks of a dead server."""
+        exchange, self.exchange = self.exchange, None
+        assert exchange is not None
+        log.warning("an answer of %s could not be read: %s", exchange.server, error)
+        exchange.connection = None
+        self.abort()
+        self._upstream.end(exchange, Status.ERROR)
+
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have come that the loop has not read yet."""
+        assert self.transport is not None
+        size = fcntl.ioctl(self.transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
+        return bool(struct.unpack("i", size)[0])
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -150,13 +182,28 @@
         self._head_size += len(name) + len(value)
         if self._head_size > MAX_HEAD:
             raise ValueError("too large")
-        if key == LOAD:
+        if key == b"content-length":
+            # The first length that does not fit is enough: nothing of 3 GB need come before it is known.
+            if self._length is not None or not LENGTH.fullmatch(value) or int(value) > MAX_BODY:
+                raise ValueError("a length that is wrong, stands twice or is too large")
+            self._length = int(value)
+        elif key == b"transfer-encoding":
+            if self._chunked or value.lower() != b"chunked":
+                raise ValueError("an unknown transfer coding")
+            self._chunked = True
+        elif key == LOAD:
             self._load = value
         elif key == NOT_PROCESSED:
             self._not_processed = value == b"1"
         elif key not in NOT_FORWARDED:
             self._headers.append(b"%b: %b\r\n" % (name, value))
 
+    def on_headers_complete(self) -> None:
+        # With neither, the end of the connection would be the answer's, and it stays open.
+        final = not self._surplus and self._parser.get_status_code() >= 200
+        if final and self._chunked == (self._length is not None):
+            raise ValueError("an answer needs a length or chunks, and not both")
+
     def on_body(self, body: bytes) -> None:
         if self._surplus:
             return
@@ -173,7 +220,9 @@
         if self._surplus or code >= 200:
             self._code, self._keep_alive = self._code or code, self._parser.should_keep_alive()
         else:
-            self._clear()  # an interim answer; the real one follows
+            received = self._received
+            self._clear()  # an interim answer; the real one follows, and the bound is on all of them
+            self._received = received
 
     def _complete(self, code: int) -> None:
         exchange, self.exchange = self.exchange, None
@@ -189,6 +238,8 @@
     def _outcome(self, code: int) -> Status:
         if code == 200:
             return Status.OK
+        if 400 <= code < 500:
+            return Status.REJECTED
         # Without the mark a 503 or 504 says nothing about whether the request ran.
         return Status.FULL if code in (503, 504) and self._not_processed else Status.ERROR
 
@@ -318,13 +369,17 @@
         self.end(exchange, status)
 
     def _take_idle(self, server: _Server) -> _Connection | None:
-        """The freshest idle connection: the least likely to be closing at the other end."""
-        oldest = self._clock() - self._idle_for
-        while server.idle:
-            connection = server.idle.pop()
+        """The freshest connection that has rested: the least likely to be closing at the other end."""
+        now = self._clock()
+        for at in range(len(server.idle) - 1, -1, -1):
+            connection = server.idle[at]
+            if connection.idle_since > now - REST:
+                continue
+            del server.idle[at]
             if connection.transport is None or connection.transport.is_closing():
                 continue
-            if connection.idle_since > oldest:
+            # After a stall of this process a rest is over at once, with what came in it still unread.
+            if connection.idle_since > now - self._idle_for and not connection.unread:
                 return connection
             connection.transport.close()
         return None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 import pytest
 
 from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
 from cypresspulley.net.node import unix_clock
 from tests.loopback import (
     OK,
+    SETTINGS,
     Limiter,
     Origin,
     Script,
@@ -239,3 +242,41 @@
             await limiter.frontend.close(10)
 
     run(main())
+
+
+def real_decisions() -> Script:
+    """The module itself, with servers that start cold and fall over easily."""
+    clock, settings = unix_clock(), replace(SETTINGS, cold_share=0.15, warm_after=15.0, fall_multiple=2.5)
+    gateway = Gateway(settings, 1, clock())
+    return Script(lambda event: gateway.handle(clock(), event))
+
+
+def test_spoilt_answers_of_all_servers_put_none_of_them_out() -> None:
+    """Counted as breaks they made each server lost, and cold for 15 s when it answered again."""
+
+    async def main() -> None:
+        spoilt = b"HTTP/1.1 200 OK\r\nContent-Length: 1x\r\n\r\nhi"
+        origin = Origin(lambda n: spoilt if n % 6 == 0 else OK)
+        async with (
+            listening(origin.talk) as dial,
+            Limiter(real_decisions(), {"s1": dial, "s2": dial, "s3": dial}) as limiter,
+        ):
+            answers = [(await limiter.fetch(ask()))[0] for _ in range(60)]
+            assert all(" 200 " in answer for answer in answers)  # a lookup may be asked again elsewhere
+
+    run(main())
+
+
+def test_what_a_server_rejects_fails_without_another_attempt_or_a_mark_against_it() -> None:
+    async def main() -> None:
+        rejected = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
+        origin = Origin(lambda n: rejected if n <= 8 else OK)
+        async with (
+            listening(origin.talk) as dial,
+            Limiter(real_decisions(), {"s1": dial, "s2": dial}) as limiter,
+        ):
+            for attempts in range(1, 9):
+                assert " 502 " in (await limiter.fetch(ask()))[0] and len(origin.seen) == attempts
+            assert " 200 " in (await limiter.fetch(ask()))[0]
+
+    run(main())
