Check what clients send before it counts; end silent and slow connections

Causes, by reading, each with a test that fails without the change: RequestReader.read checked class, plan, units and spread only; _Client had no time-outs, took every pipelined request of a read, answered errors with the connection kept, and drained a refused body for as long as it came; Frontend.connected closed the first idle in order of coming.

Now checked: form of the id, one open request an id (409, the first is left alone), account below 2^33 and once, first in range, deadline of 60 s at most, lengths, two framings in either order, method by class, no body on a GET, version and target. Room is made of those closing, silent, half-read, longest idle, in this order. Half of the usable descriptors for clients, half for servers (104 each at 256).

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -27,8 +27,7 @@
 
 log = logging.getLogger("cypresspulley")
 
-SPARE_SOCKETS = 64  # descriptors kept for everything but clients and servers
-CLIENT_SHARE = 0.6  # of the others
+SPARE_SOCKETS = 48  # descriptors kept for everything but clients and servers, and for those being closed
 ACCEPT_FOR = 0.5  # seconds after SIGTERM for which clients still come
 # And, after those, for what was taken. SIGKILL may come 3.7 s after SIGTERM, and what it finds is lost.
 ANSWER_WITHIN = 2.8
@@ -128,10 +127,10 @@
         lambda _loop, context: log.error("%s", context.get("message"), exc_info=context.get("exception"))
     )
     clock = unix_clock()
-    usable = max(16, config.sockets - SPARE_SOCKETS)
-    clients = int(usable * CLIENT_SHARE)
+    # Usual clients hold a third of all at most; what silent ones hold beyond gives way to them.
+    clients = servers = max(8, (config.sockets - SPARE_SOCKETS) // 2)
     timing = config.timing
-    upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, usable - clients)
+    upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, servers)
     timeout = config.settings.counter_timeout
     counter = CounterClient(*config.counter, timeout) if config.counter and timeout else None
     try:
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -16,21 +16,30 @@
 
 log = logging.getLogger(__name__)
 
-MAX_PIPELINE = 16  # unanswered requests of one connection until it is no longer read
+MAX_PIPELINE = 8  # unanswered requests of one connection: clients send one at a time
 BACKLOG = 1024
-LINGER = 1.0  # seconds that a refused sender's input is still drained, or it would not see why
+SWEEP = 0.2  # seconds between two looks for silent and slow clients: one timer for all of them
+IDLE = 2.05  # seconds without an open request: a keep-alive may be closed after 2, a bad client must be by 3
+SLOW = 2.05  # seconds that a request may take to come, unless its body keeps flowing
+FLOW, LONGEST = 8192, 5.0  # bytes a second that count as flowing; and even then no longer than this
+LINGER = 0.5  # seconds that a refused sender's input is still drained, or it would not see why
+LINGER_BYTES = 128 * 1024  # and how much of it: draining 60 MB would be the sender's to command
+MAX_TIMEOUT_MS = 60_000
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed",
-    413: b"Content Too Large", 429: b"Too Many Requests", 500: b"Internal Server Error",
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
+    409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests", 500: b"Internal Server Error",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 STATUS_LINES = {code: b"HTTP/1.1 %d %b\r\n" % (code, reason) for code, reason in REASONS.items()}
 REQUEST_ID, CLASS, PLAN = b"x-request-id", b"x-priority-class", b"x-plan"
 TIMEOUT, QUOTA, RETRIED = b"x-timeout-ms", b"x-quota", b"x-retried"
 READ = frozenset((REQUEST_ID, CLASS, PLAN, TIMEOUT, QUOTA, RETRIED))
-ACCOUNT = re.compile(r"(?:.*&)?account=([0-9a-fA-F]{16})(?:&.*)?")
+ID = re.compile(rb"[0-9a-fA-F]{16}")
+ACCOUNT = re.compile(r"account=([0-9a-fA-F]{16})")
+ACCOUNTS = 2**33
+TARGET = re.compile(rb"[!-~]+")
 WHOLE = re.compile(rb"[0-9]{1,9}")
-QUOTA_FORM = re.compile(rb"units=([0-9]{1,9}(?:\.[0-9]{1,9})?),spread=([0-9]{1,9}),first=[0-9]{1,9}")
+QUOTA_FORM = re.compile(rb"units=([0-9]{1,9}(?:\.[0-9]{1,9})?),spread=([0-9]{1,9}),first=([0-9]{1,9})")
 
 
 class BadRequestError(Exception):
@@ -44,12 +53,12 @@
 class ClientRequest:
     """One try of a client, and the place in its connection where the answer goes."""
 
-    __slots__ = ("_client", "answer", "body", "event", "head", "keep_alive")
+    __slots__ = ("_client", "answer", "body", "event", "head", "id", "keep_alive")
 
     def __init__(self, client: _Client, keep_alive: bool) -> None:
         self._client, self.keep_alive = client, keep_alive
         self.event: api.Request | None = None
-        self.head = self.body = b""
+        self.id = self.head = self.body = b""
         self.answer: tuple[bytes, bytes] | None = None
 
     def respond(
@@ -58,6 +67,7 @@
         """Give the one final answer; the connection writes it when its turn has come."""
         if self.answer is not None:
             raise RuntimeError("a request was answered twice")
+        self._client.frontend.open_ids.discard(self.id)
         retry = b"" if retry_after is None else b"Retry-After: %.3f\r\n" % retry_after
         length = b"Content-Length: %d\r\n\r\n" % len(body)
         self.answer = b"".join((STATUS_LINES[status], headers, retry)), length + body
@@ -76,12 +86,12 @@
     """Turns a request's headers and target into the event that the decisions want."""
 
     def __init__(self, settings: api.Settings) -> None:
-        self._classes = {c.name for c in settings.classes}
+        self._classes = {c.name: c.effect for c in settings.classes}
         self._plans = {p.name for p in settings.plans}
         self._gateways, self._max_units = settings.gateways, max(1.0, settings.max_units)
         self._last_id = 0
 
-    def read(self, target: str, fields: dict[bytes, bytes]) -> api.Request:
+    def read(self, method: bytes, target: str, fields: dict[bytes, bytes]) -> api.Request:
         path, _, query = target.partition("?")
         name = path[1:].partition("/")[0]
         if name not in self._classes:
@@ -89,13 +99,20 @@
         for header in (REQUEST_ID, CLASS, PLAN, TIMEOUT, QUOTA):
             if not fields.get(header):
                 raise BadRequestError(400, f"{header.decode()} is missing")
+        # The method follows from the class, and a GET with a body could hide another request in it.
+        if (method == b"GET") is not (self._classes[name] is api.Effect.SAFE):
+            raise BadRequestError(405, "method")
+        if not ID.fullmatch(fields[REQUEST_ID]):
+            raise BadRequestError(400, "x-request-id is wrong")
         plan = fields[PLAN].decode("latin-1")
         if fields[CLASS].decode("latin-1") != name or plan not in self._plans:
             raise BadRequestError(400, "unknown class or plan")
-        account = ACCOUNT.fullmatch(query)
-        if account is None:
+        # Given twice, this side and the server might each take another one for the customer.
+        accounts = [part for part in query.split("&") if part.partition("=")[0].lower() == "account"]
+        account = ACCOUNT.fullmatch(accounts[0]) if len(accounts) == 1 else None
+        if account is None or int(account[1], 16) >= ACCOUNTS:
             raise BadRequestError(400, "account is missing or wrong")
-        if not WHOLE.fullmatch(fields[TIMEOUT]) or int(fields[TIMEOUT]) == 0:
+        if not WHOLE.fullmatch(fields[TIMEOUT]) or not 0 < int(fields[TIMEOUT]) <= MAX_TIMEOUT_MS:
             raise BadRequestError(400, "x-timeout-ms is wrong")
         units, spread = self._quota(fields[QUOTA])
         self._last_id += 1
@@ -107,7 +124,8 @@
         if form is None:
             raise BadRequestError(400, "x-quota is wrong")
         units, spread = float(form[1]), int(form[2])
-        if not 0 < units <= self._max_units or not 1 <= spread <= self._gateways:
+        inside = 1 <= spread <= self._gateways and int(form[3]) < self._gateways
+        if not 0 < units <= self._max_units or not inside:
             raise BadRequestError(400, "x-quota is wrong")
         return units, spread
 
@@ -118,33 +136,57 @@
     def __init__(self, frontend: Frontend) -> None:
         self.frontend = frontend
         self._transport: asyncio.Transport | None = None
+        self._lingering: asyncio.Transport | None = None  # it is being closed
         self._parser = httptools.HttpRequestParser(self)
         self._waiting = deque[ClientRequest]()
         self._target, self._fields = b"", dict[bytes, bytes]()
         self._head, self._body = list[bytes](), list[bytes]()
         self._size, self._head_read, self._reading = 0, False, False
+        self._length: int | None = None
+        self._chunked = False
         self._rejected = self._clogged = self._paused = False
+        self.spoke = False
+        self.since = frontend.clock()  # of the last thing that counts: coming, a request's begin, an answer
+        self._drained = 0
 
     @property
     def idle(self) -> bool:
         return not self._waiting and not self._reading
 
+    @property
+    def rank(self) -> tuple[int, float] | None:
+        """Who makes room first at the limit: those that linger, never spoke, are half read, idle longest."""
+        if self._transport is None:
+            closing = self._lingering is None or self._lingering.is_closing()
+            return None if closing else (0, self.since)
+        if self._waiting:
+            return None
+        return (1 if not self.spoke else 2 if self._reading else 3), self.since
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's are no subclass of it
         self._transport = transport
         self.frontend.connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
+        self._transport = self._lingering = None
         self.frontend.disconnected(self)
+        self._depart()
+
+    def _depart(self) -> None:
         waiting, self._waiting = self._waiting, deque()
         for request in waiting:
             if request.answer is None:
+                self.frontend.open_ids.discard(request.id)
                 self.frontend.handler.departed(request)
 
     def data_received(self, data: bytes) -> None:
         if self._rejected:
+            self._drained += len(data)
+            if self._drained > LINGER_BYTES:
+                self.abort()
             return
+        self.spoke = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as offer:
@@ -153,7 +195,9 @@
             return self.data_received(data[offer.args[0] :])
         except httptools.HttpParserError as error:
             cause = error.__context__
-            if isinstance(cause, BadRequestError):
+            if self._rejected:
+                pass  # answered already
+            elif isinstance(cause, BadRequestError):
                 self._reject(cause.status)
             elif isinstance(error, httptools.HttpParserCallbackError):
                 log.error("a request could not be handled", exc_info=cause)
@@ -174,6 +218,12 @@
         self._target, self._fields = b"", {}
         self._head, self._body, self._size = [], [], 0
         self._head_read, self._reading = False, True
+        self._length, self._chunked = None, False
+        if not self._waiting:
+            self.since = self.frontend.clock()
+        elif len(self._waiting) >= MAX_PIPELINE:
+            # Reading stops at this many, but one read may bring hundreds.
+            raise BadRequestError(400, "too many requests at once")
 
     def on_url(self, url: bytes) -> None:
         self._target += url  # comes in pieces where the input was split
@@ -188,12 +238,22 @@
             self._fields[key] = value
         if key not in NOT_FORWARDED and key != TIMEOUT:
             self._head.append(b"%b: %b\r\n" % (name, value))
-        if key == b"content-length" and WHOLE.fullmatch(value) and int(value) > MAX_BODY:
-            raise BadRequestError(413, "body too large")
+        elif key == b"content-length":
+            if self._length is not None or not WHOLE.fullmatch(value):
+                raise BadRequestError(400, "content-length is wrong")
+            self._length = int(value)
+            if self._length > MAX_BODY:
+                raise BadRequestError(413, "body too large")
+        elif key == b"transfer-encoding":
+            if self._chunked or value.lower() != b"chunked":
+                raise BadRequestError(400, "transfer-encoding is wrong")
+            self._chunked = True
 
     def on_headers_complete(self) -> None:
         if self._size > MAX_HEAD:
             raise BadRequestError(400, "head too large")
+        if self._chunked and self._length is not None:
+            raise BadRequestError(400, "two framings: one of them may hide a request")
         self._head_read, self._size = True, 0
 
     def on_body(self, body: bytes) -> None:
@@ -211,20 +271,32 @@
         try:
             self._dispatch(request)
         except BadRequestError as error:
+            # Whoever sends this sends more of it: the connection goes with the answer.
+            self._rejected, request.keep_alive = True, False
             request.respond(error.status)
+            raise  # and nothing behind it is parsed
         self._throttle()
 
     def _dispatch(self, request: ClientRequest) -> None:
         method = self._parser.get_method()
         if method not in (b"GET", b"POST"):
             raise BadRequestError(405, "method")
+        if not TARGET.fullmatch(self._target) or self._parser.get_http_version() not in ("1.0", "1.1"):
+            raise BadRequestError(400, "target or version")
         target = self._target.decode("latin-1")
         if target.partition("?")[0] == "/healthz":
             return request.respond(503 if self.frontend.draining else 200)
         request.body = b"".join(self._body)
-        if request.body or method == b"POST":
+        if method == b"POST":
             self._head.append(b"Content-Length: %d\r\n" % len(request.body))
-        request.event = self.frontend.reader.read(target, self._fields)
+        elif request.body:
+            raise BadRequestError(400, "a body where none belongs")
+        event = self.frontend.reader.read(method, target, self._fields)
+        # One that is open here belongs to another: answers and outcomes must not meet the wrong one.
+        if (id := self._fields[REQUEST_ID].lower()) in self.frontend.open_ids:
+            raise BadRequestError(409, "the request id is in use")
+        self.frontend.open_ids.add(id)
+        request.id, request.event = id, event
         request.head = b"%b %b HTTP/1.1\r\n%b" % (method, self._target, b"".join(self._head))
         self.frontend.handler.arrived(request)
 
@@ -234,6 +306,7 @@
         """Write the answers whose turn has come."""
         while self._waiting and self._waiting[0].answer is not None and self._transport is not None:
             request = self._waiting.popleft()
+            self.since = self.frontend.clock()
             assert request.answer is not None
             start, rest = request.answer
             # While draining only the last answer closes: what is pipelined behind has been taken too.
@@ -253,7 +326,7 @@
 
     def _throttle(self) -> None:
         """Read on only while answers are taken off: what one client does not read would fill the memory."""
-        stop = self._clogged or len(self._waiting) >= MAX_PIPELINE
+        stop = self._clogged or len(self._waiting) >= MAX_PIPELINE or (self._rejected and bool(self._waiting))
         if self._transport is None or self._transport.is_closing() or stop is self._paused:
             return
         self._paused = stop
@@ -273,11 +346,11 @@
         transport, self._transport = self._transport, None
         if transport is None:
             return
-        for request in self._waiting:
-            if request.answer is None:
-                self.frontend.handler.departed(request)
-        self._waiting.clear()
+        self._lingering = transport
+        self._depart()
         if self._rejected and transport.can_write_eof() and not transport.is_closing():
+            if self._paused:
+                transport.resume_reading()
             transport.write_eof()
             asyncio.get_running_loop().call_later(LINGER, transport.close)
         else:
@@ -291,9 +364,21 @@
             return True
         return False
 
+    def check(self, now: float) -> None:
+        """Close what is silent, and answer what comes too slowly: both hold a descriptor and memory."""
+        age = now - self.since
+        if self._transport is None or self._waiting:
+            return
+        if not self._reading:
+            if age > IDLE:
+                self._close()
+        elif age > SLOW and (not self._head_read or age > LONGEST or self._size < FLOW * age):
+            self._reject(408)
+
     def abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
+        self._lingering, self._transport = self._transport or self._lingering, None
+        if self._lingering is not None:
+            self._lingering.abort()
 
 
 class Frontend:
@@ -302,7 +387,10 @@
     def __init__(self, handler: Handler, settings: api.Settings, max_connections: int) -> None:
         self.handler, self.reader = handler, RequestReader(settings)
         self.draining = False
+        self.clock = asyncio.get_running_loop().time
+        self.open_ids = set[bytes]()
         self._max = max_connections
+        self._sweep_at: asyncio.TimerHandle | None = None
         self._clients = dict[_Client, None]()  # in the order of their coming
         self._server: asyncio.Server | None = None
         self._empty = asyncio.Event()
@@ -310,16 +398,25 @@
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(lambda: _Client(self), host, port, backlog=BACKLOG)
+        self._sweep_at = loop.call_later(SWEEP, self._sweep)
         address = self._server.sockets[0].getsockname()
         return address[0], address[1]
 
     def connected(self, client: _Client) -> None:
-        """Count a connection; at the limit an idle one makes room, and with none idle the new one goes."""
-        if len(self._clients) >= self._max and not any(c.close_if_idle() for c in list(self._clients)):
-            log.warning("out of client connections")
-            client.abort()
+        """Count a connection; at the limit another one makes room, and with all busy the new one goes."""
+        if len(self._clients) >= self._max:
+            ranked = [(rank, c) for c in self._clients if (rank := c.rank) is not None]
+            (min(ranked, key=lambda each: each[0])[1] if ranked else client).abort()
+            if not ranked:
+                log.warning("out of client connections")
         self._clients[client] = None
 
+    def _sweep(self) -> None:
+        self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+        now = self.clock()
+        for client in list(self._clients):
+            client.check(now)
+
     def disconnected(self, client: _Client) -> None:
         self._clients.pop(client, None)
         if not self._clients:
@@ -333,6 +430,8 @@
         """Stop listening, close what is idle, and wait for the rest to be answered and closed."""
         if self._server is not None:
             self._server.close()
+        if self._sweep_at is not None:
+            self._sweep_at.cancel()
         for client in list(self._clients):
             client.close_if_idle()
         self._empty.clear()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
+from itertools import count
 from typing import Any
 
 import uvloop
@@ -17,6 +18,7 @@
 
 LIMIT = 20.0  # generous: only a hang takes this long
 Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+IDS = count(0x9B1F03AA5C7E2D41)  # new with every request
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
 
 SETTINGS = api.Settings(
@@ -43,7 +45,7 @@
     """A client's request; a header given as an empty text is left out."""
     method = "POST" if body else "GET"
     fields = {
-        "Host": "origin.svc", "X-Request-ID": "9b1f03aa5c7e2d41",
+        "Host": "origin.svc", "X-Request-ID": f"{next(IDS):016x}",
         "X-Priority-Class": path[1:].partition("?")[0], "X-Plan": "basic", "X-Timeout-Ms": str(ttl),
         "X-Quota": "units=1,spread=3,first=1",
     }  # fmt: skip
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -7,9 +7,11 @@
 import pytest
 
 from cypresspulley import interface as api
-from cypresspulley.net import upstream
+from cypresspulley.net import frontend, upstream
 from tests.loopback import Limiter, Origin, Script, ask, listening, read_message, run, send_on
 
+POST = ask("/post?account=00000000b4d65521", b"xy")
+
 
 def refuse(event: api.Event) -> list[api.Action]:
     return [api.Refuse(event.id, 0.25)] if isinstance(event, api.Request) else []
@@ -22,7 +24,9 @@
         origin = Origin(lambda _n: reply)
         async with listening(origin.talk) as dial, Limiter(Script(send_on), {"s1": dial}) as limiter:
             path = "/post?x=%20y&account=00000000b4d65521"
-            status, headers, answer = await limiter.fetch(ask(path, body, X_Priority_Class="post"))
+            status, headers, answer = await limiter.fetch(
+                ask(path, body, X_Priority_Class="post", X_Request_ID="9b1f03aa5c7e2d41")
+            )
             assert status == "HTTP/1.1 200 OK" and answer == body and headers["content-type"] == "a/b"
             first, sent, received = origin.seen[0]
             assert first == f"POST {path} HTTP/1.1" and received == body
@@ -109,6 +113,27 @@
         (ask(X_Plan="platinum"), 400),
         (ask(X_Timeout_Ms="soon"), 400),
         (ask(X_Timeout_Ms="0"), 400),
+        (ask(X_Timeout_Ms="999999999"), 400),
+        (ask(X_Timeout_Ms="-5"), 400),
+        (ask(X_Request_ID="no id"), 400),
+        (ask(X_Request_ID="9b1f03aa5c7e2d419b1f03aa5c7e2d41"), 400),
+        (ask("/lookup?account=0000000200000000"), 400),
+        (ask("/lookup?account=00000000b4d65521&account=00000000b4d65522"), 400),
+        (ask(X_Quota="units=1,spread=3,first=3"), 400),
+        (ask(X_Quota="units=nan,spread=3,first=1"), 400),
+        (ask(X_Quota="units=-1,spread=3,first=1"), 400),
+        (ask(X_Quota="units=0,spread=3,first=1"), 400),
+        (ask(Content_Length="-1"), 400),
+        (ask(Content_Length="12345678901"), 400),
+        (ask(Content_Length="60000000"), 413),
+        (ask(Content_Length="1") + b"x", 400),
+        (ask("/post?account=00000000b4d65521"), 405),
+        (ask("/lookup?account=00000000b4d65521", b"x"), 405),
+        (ask().replace(b"HTTP/1.1", b"HTTP/2.0"), 400),
+        (ask("/post?account=00000000b4d65521", b"xy", Transfer_Encoding="chunked"), 400),
+        (POST.replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n"), 400),
+        (POST.replace(b"Content-Length: 2", b"Transfer-Encoding: gzip"), 400),
+        (POST.replace(b"\r\n\r\n", b"\r\nContent-Length: 2\r\n\r\n"), 400),
         (ask(X_Quota="units=9,spread=3,first=1"), 400),
         (ask(X_Quota="units=1,spread=0,first=1"), 400),
         (ask("/post?account=00000000b4d65521", b"x" * 65_537), 413),
@@ -120,8 +145,11 @@
         script = Script(refuse)
         async with Limiter(script, {}) as limiter:
             other_reader, other = await limiter.connect()
-            first, _, _ = await limiter.fetch(request_bytes)
-            assert int(first.split()[1]) == status
+            reader, writer = await limiter.connect()
+            writer.write(request_bytes + ask())  # nothing behind it is taken for a request
+            first, headers, _ = await read_message(reader)
+            assert int(first.split()[1]) == status and headers["connection"] == "close"
+            assert await reader.read() == b""
             assert not [e for e in script.events if isinstance(e, api.Request)]
             other.write(ask())
             assert "429" in (await read_message(other_reader))[0]
@@ -225,7 +253,7 @@
                 writer.write(ask())
                 sent += 1
                 await script.until(api.Outcome, sent)
-            writer.write(ask() * 3)
+            writer.write(ask() + ask() + ask())
             for _ in range(50):
                 await asyncio.sleep(0)
             assert len(await script.until(api.Request)) == sent
@@ -241,9 +269,147 @@
         async with Limiter(Script(refuse), {}) as limiter:
             first, _ = await limiter.connect()
             others = [await limiter.connect() for _ in range(64)]
-            assert await first.read() == b""
+            assert await ended(first)
             reader, writer = others[-1]
             writer.write(ask())
             assert "429" in (await read_message(reader))[0]
 
     run(main())
+
+
+@pytest.fixture
+def hasty(monkeypatch: pytest.MonkeyPatch) -> None:
+    for name, value in (("SWEEP", 0.01), ("IDLE", 0.1), ("SLOW", 0.1), ("LONGEST", 0.3)):
+        monkeypatch.setattr(frontend, name, value)
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"),
+    [(b"", ""), (b"GET /loo", " 408 "), (POST[:-1], " 408 "), (b"\r\n\r\n", "")],
+)
+@pytest.mark.usefixtures("hasty")
+def test_who_says_nothing_or_half_of_it_is_turned_out(sent: bytes, status: str) -> None:
+    async def main() -> None:
+        script = Script(lambda _event: [])
+        async with Limiter(script, {}) as limiter:
+            patient, writer = await limiter.connect()
+            writer.write(ask())
+            (request,) = await script.until(api.Request)
+            silent, other = await limiter.connect()
+            other.write(sent)
+            answer = (await silent.read()).decode()
+            assert (status in answer.splitlines()[0]) if status else answer == ""
+            script.answer = lambda _event: [api.Refuse(request.id, 0.1)]
+            limiter.node.feed(api.TimerFired(1))  # an open request keeps its connection however long it takes
+            assert " 429 " in (await read_message(patient))[0]
+            assert await patient.read() == b""  # and an idle one goes after a while
+
+    run(main())
+
+
+@pytest.mark.usefixtures("hasty")
+def test_a_body_in_steady_flow_may_take_longer_but_not_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontend, "FLOW", 10)
+
+    async def main() -> None:
+        async with Limiter(Script(refuse), {}) as limiter:
+            for pieces, status in ((20, " 429 "), (100, " 408 ")):
+                reader, writer = await limiter.connect()
+                request = ask("/post?account=00000000b4d65521", b"x" * pieces)
+                writer.write(request[:-pieces])
+                answer = asyncio.create_task(read_message(reader))
+                for _ in range(pieces):
+                    if answer.done():
+                        break
+                    writer.write(b"x")
+                    await asyncio.sleep(0.01)
+                assert status in (await answer)[0]
+
+    run(main())
+
+
+def test_the_id_of_an_open_request_is_refused_and_the_first_one_left_alone() -> None:
+    async def main() -> None:
+        script = Script(lambda _event: [])
+        async with Limiter(script, {}) as limiter:
+            reader, writer = await limiter.connect()
+            writer.write(ask(X_Request_ID="00000000000000ab"))
+            (request,) = await script.until(api.Request)
+            assert " 409 " in (await limiter.fetch(ask(X_Request_ID="00000000000000AB")))[0]
+            script.answer = lambda event: refuse(event) or [api.Fail(request.id)]
+            limiter.node.feed(api.TimerFired(1))
+            assert " 502 " in (await read_message(reader))[0]
+            assert " 429 " in (await limiter.fetch(ask(X_Request_ID="00000000000000ab")))[0]  # free again
+            assert not limiter.frontend.open_ids
+
+    run(main())
+
+
+def test_hundreds_of_requests_in_one_read_are_cut_short() -> None:
+    async def main() -> None:
+        script = Script(lambda _event: [])
+        async with Limiter(script, {}) as limiter:
+            _, writer = await limiter.connect()
+            writer.write(b"".join(ask() for _ in range(200)))
+            await script.until(api.Request, frontend.MAX_PIPELINE)
+            reader, other = await limiter.connect()
+            script.answer = refuse
+            other.write(ask())
+            assert " 429 " in (await read_message(reader))[0]
+            assert len(await script.until(api.Request)) == frontend.MAX_PIPELINE + 1
+
+    run(main())
+
+
+def test_of_a_huge_body_little_is_drained() -> None:
+    async def main() -> None:
+        async with Limiter(Script(refuse), {}) as limiter:
+            _, writer = await limiter.connect()
+            writer.write(
+                ask("/post?account=00000000b4d65521", b"x").replace(b"Length: 1", b"Length: 60000000")
+            )
+            sent = 0
+            with pytest.raises(OSError):
+                while sent < 60_000_000:
+                    writer.write(b"x" * 65536)
+                    await writer.drain()
+                    sent += 65536
+            assert sent < 20_000_000  # what the sockets' buffers took
+
+    run(main())
+
+
+def test_at_the_limit_those_that_never_spoke_go_first_and_busy_ones_stay() -> None:
+    async def main() -> None:
+        script = Script(lambda _event: [])
+        async with Limiter(script, {}) as limiter:
+            busy, writer = await limiter.connect()
+            writer.write(ask())
+            (request,) = await script.until(api.Request)
+            script.answer = refuse
+            usual, usual_writer = await limiter.connect()
+            usual_writer.write(ask())
+            await read_message(usual)
+            _, half_writer = await limiter.connect()
+            half_writer.write(b"GET /lo")
+            await limiter.fetch(b"GET /healthz HTTP/1.1\r\n\r\n")
+            silent = [await limiter.connect() for _ in range(61)]
+            more = [await limiter.connect() for _ in range(63)]  # all silent ones and the half read one go
+            for reader, _ in silent:
+                assert await ended(reader)
+            for _, each in more:  # now these speak, and only the usual one is left idle for longer
+                each.write(b"GET /lo")
+            usual_writer.write(ask())
+            assert " 429 " in (await read_message(usual))[0]
+            script.answer = lambda _event: [api.Fail(request.id)]
+            limiter.node.feed(api.TimerFired(1))
+            assert " 502 " in (await read_message(busy))[0]
+
+    run(main())
+
+
+async def ended(reader: asyncio.StreamReader) -> bool:
+    try:
+        return await reader.read() == b""
+    except ConnectionResetError:
+        return True
