End an answer that begins and does not end after 0.5 s, as spoilt

Cause: an answer whose length promises more than comes ended as TIMEOUT, and decide._learn takes a server with no other answer meanwhile for mute, so dead, then cold. upstream.data_received now starts a clock at the first byte of a final answer; interim ones do not count.

Ruled out on the way: half a counter line as cause of "counter silent" (buffers were empty at each give-up); there it is queues at the counter.

--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -30,6 +30,9 @@
 # Seconds that a connection rests before its next request: what a server sends behind an answer (a second
 # copy, noise) comes when nothing waits there, and closes it. On a fresh one it would answer the next request.
 REST = 0.03
+# Seconds from an answer's first byte to its last. A length that promises more than comes would else end as a
+# time-out, much later, and that speaks of a server that gives no sign of life.
+BEGUN = 0.5
 MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # all bytes of an answer: interim ones, chunk sizes and trailers too
 LENGTH = re.compile(rb"[0-9]{1,9}")
 LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
@@ -90,7 +93,8 @@
         self.exchange: Exchange | None = None
         self.idle_since = 0.0
         self._parser = httptools.HttpResponseParser(self)
-        self._unwritten = self._keep_alive = False
+        self._unwritten = self._keep_alive = self._begun = False
+        self._late: asyncio.TimerHandle | None = None
         self._clear()
 
     def _clear(self) -> None:
@@ -129,6 +133,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         self._upstream.lost(self)
+        self._calm()
         if (exchange := self.exchange) is not None:
             self.exchange = None
             self._upstream.end(exchange, Status.BROKEN if exchange.written else Status.UNREACHABLE)
@@ -151,6 +156,17 @@
             self._complete(self._code)
         elif self._received > MAX_ANSWER:
             self._spoilt(ValueError("an answer without an end"))  # its head would grow inside the parser
+        elif self._begun and self._late is None:
+            self._late = asyncio.get_running_loop().call_later(BEGUN, self._never_whole, self.exchange)
+
+    def _never_whole(self, exchange: Exchange) -> None:
+        if self.exchange is exchange:
+            self._spoilt(TimeoutError("it began and was not finished"))
+
+    def _calm(self) -> None:
+        if self._late is not None:
+            self._late.cancel()
+            self._late = None
 
     def _spoilt(self, error: BaseException) -> None:
         """An answer that cannot be read: the request may have run, and the server lives. All of them may
@@ -213,10 +229,10 @@
         self._body.append(body)
 
     def on_message_begin(self) -> None:
-        self._surplus = self._code is not None
+        self._surplus, self._begun = self._code is not None, True
 
     def on_message_complete(self) -> None:
-        code = self._parser.get_status_code()
+        self._begun, code = False, self._parser.get_status_code()
         if self._surplus or code >= 200:
             self._code, self._keep_alive = self._code or code, self._parser.should_keep_alive()
         else:
@@ -227,6 +243,7 @@
     def _complete(self, code: int) -> None:
         exchange, self.exchange = self.exchange, None
         assert exchange is not None
+        self._calm()
         exchange.connection = None
         exchange.answer_headers, exchange.answer = b"".join(self._headers), b"".join(self._body)
         if self._load is not None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -194,6 +194,47 @@
     run(main())
 
 
+@pytest.mark.parametrize(
+    "begun",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi",
+        b"HTTP/1.1 200 OK\r\nX:",
+        b"HTTP/1.1 100 Go on\r\n\r\nHTT",
+    ],
+)
+def test_an_answer_that_begins_and_does_not_end_is_spoilt_and_no_silence(
+    begun: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(upstream, "BEGUN", 0.05)
+
+    async def main() -> None:
+        async with listening(Origin(lambda _n: begun).talk) as dial:
+            pool = Pool(dial)
+            assert (await pool.fetch()).status is Status.ERROR  # well before its time is up
+            pool.upstream.close()
+
+    run(main())
+
+
+def test_an_interim_answer_is_no_beginning(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream, "BEGUN", 0.02)
+
+    async def main() -> None:
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            writer.write(b"HTTP/1.1 103 Early Hints\r\n\r\n")
+            await asyncio.sleep(0.1)
+            writer.write(OK)
+            await reader.read()
+
+        async with listening(talk) as dial:
+            pool = Pool(dial)
+            assert (await pool.fetch()).status is Status.OK
+            pool.upstream.close()
+
+    run(main())
+
+
 def test_a_copy_that_comes_later_does_not_answer_the_next_request() -> None:
     async def main() -> None:
         release = asyncio.Event()
