Forget servers that are gone, and keep accounts small

By reading: _servers in upstream.py and decide.py never dropped an id, and under churn ids are ever new; so the tables, the tick and each list grew for ever. Dropped now when gone and nothing is out or open there; a late outcome still finds its server, a return starts anew. Tests fail without it. Account and _Request got __slots__, an account's calls a plain list: once-only customers are kept for a minute. The reading of a total moved from decide._counted to Account.told, for room; unchanged.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -27,12 +27,17 @@
         self.open = self.done = self.rate = 0.0  # own work: out, since the last tick, a second
         self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
         self.out_until = self.out_for = self.budget = self.budget_at = 0.0
-        self.trial = self.lost = False
+        self.trial = self.lost = self.gone = False
         self.quiet: float | None = None  # since when it owes answers and gives none
         self.cold_at: float | None = None
 
 
 class _Request:
+    __slots__ = (
+        "account", "born", "cls", "deadline", "due", "id", "out", "ran", "rank", "repeat", "tries", "units",
+        "work",
+    )  # fmt: skip
+
     def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account) -> None:
         self.id, self.cls, self.account, self.units = ev.id, cls, acct, ev.units
         self.deadline, self.born, self.repeat = now + ev.ttl, now, ev.repeat
@@ -123,6 +128,10 @@
             if s.up and s.lost and s.trial and self._set.may_probe:
                 self._out.append(api.Probe(s.entry.name))  # a probe is a cheaper trial than a request
                 s.out_until = max(s.out_until, now + 1.5 * INTERVAL)
+        if any(s.gone for s in self._servers.values()):
+            # Ids are ever new: one that is gone is forgotten once nothing is out there.
+            busy = {s.place for r in self._requests.values() for s in r.out.values()}
+            self._servers = {n: s for n, s in self._servers.items() if not s.gone or s.place in busy}
         self._choose(now)
         self._ranks = sorted(self._seen)
         for key, a in list(self._accounts.items()):
@@ -224,24 +233,12 @@
         a = self._names.get(ev.name)
         if a is None or not a.calls:
             return
-        step, held, units = a.calls.popleft()
+        step, held, units = a.calls.pop(0)
         a.refill(now)
         if ev.status is Status.OK:
             self._misses = 0
             self._call_rate = min(300.0, self._call_rate * 1.01)
-            # A total that fell has expired, was flushed or restarted empty: what it holds came since.
-            fallen = ev.total < (a.total or 0.0) * 0.5
-            others = max(0.0, ev.total - step) if fallen else ev.total - step - (a.total or 0.0)
-            age = max(0.05, now - a.synced)
-            a.others += min(1.0, age / 3) * (max(0.0, others) / age - a.others)
-            a.level -= others
-            if a.total is None and a.level < -a.plan.burst:
-                a.level = a.plan.burst / 2  # a count older than this instance tells nothing yet
-            a.total, a.synced = ev.total, now
-            # What a full store could not hold is counted as used: the count alone then tells the store.
-            lost = max(0.0, a.level + units - a.plan.burst)
-            a.level -= lost
-            a.pending += lost * (not a.thin or lost > 0.5 * a.plan.burst)  # another may tell a thin gate's
+            a.told(now, ev.total, step, units)
         else:
             # After a time-out it may be there; broken, the answer was spoilt: it is there, and no silence.
             a.pending += step if ev.status not in (Status.TIMEOUT, Status.BROKEN) else 0.0
@@ -271,11 +268,11 @@
 
     def _listed(self, now: float, ev: api.ServerList) -> None:
         for old in self._servers.values():
-            old.up = old.up and not ev.complete
+            old.up, old.gone = old.up and not ev.complete, old.gone or ev.complete
         for e in ev.entries:
             s = self._servers.setdefault(e.name, _Server(e))
             restarted = e.born > (s.entry.born + 1e-6 if s.entry is not e else 0.0)
-            s.entry, s.up = e, e.health is api.Health.UP
+            s.entry, s.up, s.gone = e, e.health is api.Health.UP, e.health is api.Health.GONE
             if s.up and restarted and now - e.born < self._set.warm_after:
                 s.cold_at, s.budget, s.budget_at, s.slow = e.born, 0.0, now, 0.0
                 s.out_until = min(s.out_until, now)
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -78,6 +78,7 @@
 
 @dataclass(slots=True, eq=False)
 class _Server:
+    name: str
     address: tuple[str, int]
     up: bool = True
     open: int = 0
@@ -278,19 +279,30 @@
         server = self._servers.get(name)
         if server is None:
             if address is not None:
-                self._servers[name] = _Server(address, up)
+                self._servers[name] = _Server(name, address, up)
             return
         server.up = up
         if (address is not None and address != server.address) or not up:
             server.address = address or server.address
             self._close_idle(server)
+        self._drop(server)
 
     def keep_only(self, names: set[str]) -> None:
         """A whole list: servers that it leaves out are gone."""
-        for name, server in self._servers.items():
-            if name not in names and server.up:
+        for name, server in list(self._servers.items()):
+            if name not in names:
                 server.up = False
                 self._close_idle(server)
+                self._drop(server)
+
+    def _drop(self, server: _Server) -> None:
+        """Forget what is not up once nothing is open there: ids are ever new, the table would grow."""
+        if not server.up and server.open == 0 and self._servers.get(server.name) is server:
+            del self._servers[server.name]
+
+    def _closed(self, server: _Server) -> None:
+        server.open, self._open = server.open - 1, self._open - 1
+        self._drop(server)
 
     def start(self, exchange: Exchange) -> None:
         """Send a request; ``exchange.done`` is called once, maybe before this returns."""
@@ -336,10 +348,9 @@
 
     def lost(self, connection: _Connection) -> None:
         """A connection has ended."""
-        server = connection.server
-        server.open, self._open = server.open - 1, self._open - 1
-        if connection in server.idle:
-            server.idle.remove(connection)
+        if connection in connection.server.idle:
+            connection.server.idle.remove(connection)
+        self._closed(connection.server)
 
     def close(self) -> None:
         self._sweep_at.cancel()
@@ -357,7 +368,7 @@
         except (OSError, TimeoutError):
             connection.abort()
             if connection.transport is None:  # no connection_lost will count it off
-                server.open, self._open = server.open - 1, self._open - 1
+                self._closed(server)
             return self.end(exchange, Status.UNREACHABLE)
         if exchange.ended:
             self.release(connection, True)  # nothing was written on it
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -1,13 +1,17 @@
 """One customer's quota at one gateway: its store, its even floor and its share of a ceiling."""
 
-from collections import deque
 from hashlib import blake2b
 
 from cypresspulley import interface as api
 
 
 class Account:
-    """A customer's quota as this gateway knows it."""
+    """A customer's quota as this gateway knows it; many come once only, so it is kept small."""
+
+    __slots__ = (
+        "asked", "at", "calls", "ceiling", "floor", "floor_cap", "level", "name", "open", "others", "pending",
+        "plan", "share", "synced", "thin", "total",
+    )  # fmt: skip
 
     def __init__(self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float) -> None:
         self.plan, self.at, self.asked, self.synced = plan, now, now, born
@@ -22,7 +26,7 @@
         self.total: float | None = None
         self.others = plan.rate * (share - 1) / share * 0.3  # their use a second
         self.pending, self.open = 0.0, 0  # own use that the counter has not been told; attempts out
-        self.calls = deque[tuple[float, int | None, float]]()
+        self.calls = list[tuple[float, int | None, float]]()
 
     def refill(self, now: float) -> None:
         plan, dt, self.at = self.plan, max(0.0, now - self.at), now
@@ -30,3 +34,21 @@
         self.floor = min(self.floor_cap, self.floor + plan.rate / self.share * dt)
         whole = self.ceiling * self.share + plan.ceiling_rate * dt
         self.ceiling = min(plan.ceiling_burst, whole) / self.share
+
+    def told(self, now: float, total: float, step: float, units: float) -> None:
+        """The count answers: what the others used since the last total, and so what the store holds."""
+        # A total that fell has expired, was flushed or restarted empty: what it holds came since.
+        fallen = total < (self.total or 0.0) * 0.5
+        others = max(0.0, total - step) if fallen else total - step - (self.total or 0.0)
+        age = max(0.05, now - self.synced)
+        self.others += min(1.0, age / 3) * (max(0.0, others) / age - self.others)
+        self.level -= others
+        if self.total is None and self.level < -self.plan.burst:
+            self.level = self.plan.burst / 2  # a count older than this instance tells nothing yet
+        self.total, self.synced = total, now
+        # What a full store could not hold is counted as used: the count alone then tells the store.
+        lost = max(0.0, self.level + units - self.plan.burst)
+        self.level -= lost
+        self.pending += lost * (
+            not self.thin or lost > 0.5 * self.plan.burst
+        )  # another may tell a thin gate's
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -284,3 +284,20 @@
                 again.add(action.server)
                 world.feed(w.outcome(id, 0, action.server, api.Status.OK, 0.05))
     assert sent[0].server in again
+
+
+def test_servers_that_are_gone_are_forgotten_once_nothing_is_out_there() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0"))
+    world.feed(w.request(0))  # out at s0
+    for round in range(1, 50):
+        world.advance(world.now + 0.02)
+        world.feed(w.servers(f"s{round}"))
+    world.advance(world.now + 1.1)
+    assert set(world.gateway._servers) == {"s0", "s49"}
+    world.serve()
+    world.advance(world.now + 1.1)
+    assert set(world.gateway._servers) == {"s49"}
+    world.feed(w.servers("s0", "s49"))  # it may come back, as a new one
+    run(world, 3, 20, 100)
+    assert {server for _, server, _ in world.sends[-30:]} == {"s0", "s49"}
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -424,3 +424,35 @@
             pool.upstream.close()
 
     run(main())
+
+
+def test_a_server_that_is_gone_is_forgotten_once_its_last_connection_is() -> None:
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            await release.wait()
+            writer.write(OK)
+            await reader.read()
+
+        async with listening(talk) as dial:
+            pool = Pool(dial)
+            busy, answered = pool.start()
+            while not busy.written:
+                await asyncio.sleep(0.001)
+            for at in range(100):
+                pool.upstream.update(f"t{at}", dial, True)
+                pool.upstream.keep_only({f"t{at}"})
+            assert set(pool.upstream._servers) == {"s1", "t99"}
+            release.set()
+            assert (await answered).status is Status.OK  # what is out there may end
+            while "s1" in pool.upstream._servers:
+                await asyncio.sleep(0.001)
+            assert (await pool.fetch()).status is Status.NOT_SENT
+            pool.upstream.update("s1", dial, True)  # a return, at an old address: it starts with nothing
+            assert pool.upstream._servers["s1"].open == 0
+            assert (await pool.fetch()).status is Status.OK
+            pool.upstream.close()
+
+    run(main())
