Take a server for dead only when two breaks follow one another

Cause: decide._learn set dead and lost on any BROKEN or UNREACHABLE. It now takes a second one with no answer between, or a server that is mute.

The loopback test fails before.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -18,6 +18,7 @@
 THIN, TRICKLE = 3.0, 0.1  # requests that a thin gate holds; share of the arrivals let in for readings
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
 COLD, CALLS = 0.45, 300.0  # of a load that fells a cold server; calls a second, thought possible at first
+ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.NOT_SENT)
 
 
@@ -27,7 +28,7 @@
         self.open = self.done = self.rate = 0.0  # own work: out, since the last tick, a second
         self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
         self.out_until = self.out_for = self.budget = self.budget_at = 0.0
-        self.trial = self.lost = self.gone = False
+        self.trial = self.lost = self.gone = self.broke = False
         self.quiet: float | None = None  # since when it owes answers and gives none
         self.cold_at: float | None = None
 
@@ -372,8 +373,11 @@
         elif ev.status in (Status.FULL, Status.TIMEOUT):
             self._load.append(1.0)
         mute = ev.status is Status.TIMEOUT and s.quiet is not None and now - s.quiet >= ev.elapsed - 1e-6
-        dead = ev.status in (Status.UNREACHABLE, Status.BROKEN) or mute
-        bad = dead or ev.status is Status.ERROR
+        # One connection that breaks is no dead server: one more must, with no answer in between. Else each
+        # reset would be a death, and the answer after it a restart, with a cold server's budget for long.
+        snapped = ev.status in (Status.UNREACHABLE, Status.BROKEN)
+        dead, s.broke = mute or (snapped and s.broke), snapped or (s.broke and ev.status not in ANSWERED)
+        bad = dead or snapped or ev.status is Status.ERROR
         if ev.status not in (Status.CANCELLED, Status.NOT_SENT, Status.FULL, Status.REJECTED):
             s.fails += (0.4 if dead else 0.2) * (bad - s.fails)
         if ev.status is Status.OK:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -267,6 +267,21 @@
     run(main())
 
 
+def test_single_broken_connections_make_no_server_dead() -> None:
+    """Each was a death, and the next answer a restart: cold for 15 s, and so all of them before long."""
+
+    async def main() -> None:
+        origin = Origin(lambda n: b"" if n % 6 == 0 else OK)
+        async with (
+            listening(origin.talk) as dial,
+            Limiter(real_decisions(), {"s1": dial, "s2": dial, "s3": dial}) as limiter,
+        ):
+            answers = [(await limiter.fetch(ask()))[0] for _ in range(30)]
+            assert all(" 200 " in answer for answer in answers)
+
+    run(main())
+
+
 def test_what_a_server_rejects_fails_without_another_attempt_or_a_mark_against_it() -> None:
     async def main() -> None:
         rejected = b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n"
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -76,7 +76,7 @@
     world = w.World(w.settings())
     world.feed(w.servers("s0", "s1", "s2"))
     run(world, 20, 40, 0)  # work done while warm is no debt when it returns unsure
-    for id in range(5000, 5012):
+    for id in range(5000, 5040):
         world.feed(w.request(id))
         for (rid, attempt), (server, _) in list(world.out.items()):
             status = api.Status.UNREACHABLE if server == "s0" else api.Status.OK
