--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -299,6 +299,8 @@
         total, least = stay * sum(s.rate for s in up), 4.0 * len(self._ring) / self._set.gateways
         slack = max(self._rng.random(), 3.0 - 2.5 * self._reading / REFERENCE) * (least < 3)
         fleet = max(total, self._mean * least) + self._mean * slack
+        # Rates are a mean of seconds and lag; where answers are quick a burst may have twice the work out.
+        fleet *= 1 + max(0.0, 1 - self._reading / (PLAIN_ROOM * REFERENCE)) * (self._sum is not None)
         # Where answers are owed for long nothing new goes: a cut, hung or lost server. All alike is slowness.
         quiet = [s for s in up if s.quiet is not None and now - s.quiet > self._patience]
         quiet = quiet if len(quiet) <= len(up) / 2 else []
