Keep a fleet of suspects in service: cold budgets, breaks, silence with nothing out

Probes (journalled, not kept) name three causes in decide.py, each a wrong view of its own: 1. _tick fed _done_rate, from which cold budgets come, by what cold servers were let do: each cold server cut the budget of all, down to nothing. Test: old code sends 0 in 10 s. 2. _learn: kept connections that break in a row made a server lost, then cold. A failed dial or silence must be among them now. 3. _outcome left quiet set after a failed dial or a time-out with nothing out there, so that no answer could ever clear it and _pick passed the server over for good.

--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -123,7 +123,10 @@
             self._out, self._why = [*self._out, api.Log(f"turned away: {text}")], {}
         # By what was finished: by what was sent, overdriven servers would pass for able ones.
         done = sum(s.done for s in self._servers.values()) / dt / max(1, len(self._mine)) - self._done_rate
-        self._done_rate += 0.3 * done
+        # What cold ones are let do says nothing of what a warm one bears. Where it counted, each cold server
+        # cut the budget of the others, and a fleet that looked cold stood still for good.
+        if done > 0 or sum(s.cold_at is None for s in self._mine) > len(self._mine) / 2:
+            self._done_rate += 0.3 * done
         for s in self._servers.values():
             s.rate, s.done = s.rate + 0.3 * (s.done / dt - s.rate), 0.0
             if s.up and s.lost and s.trial and self._set.may_probe:
@@ -355,6 +358,8 @@
             if ev.status not in (Status.TIMEOUT, Status.CANCELLED, Status.UNREACHABLE):
                 s.quiet = now if s.open > 1e-9 else None
             self._learn(now, r, s, ev)
+            if s.open <= 1e-9:
+                s.quiet = None  # with nothing out it owes no answer, and none could ever end its silence
         if ev.status not in NEVER_RAN and r.ran is None and ev.attempt < len(r.tries):
             r.ran = r.tries[ev.attempt]
         if ev.status is Status.REJECTED and not ev.finished:
@@ -387,7 +392,9 @@
             s.lost, s.trial, s.out_for = False, False, s.out_for * (s.fails >= 0.05)
         up = self._mine or [s]
         usual, outs = sorted(x.fails for x in up)[len(up) // 2], sum(x.out_until > now for x in up)
-        s.lost = s.lost or dead
+        # Lost, it may come back restarted and cold: that takes a dial in vain or silence. Where only kept
+        # connections break, it never was away.
+        s.lost = s.lost or (dead and ev.status is not Status.BROKEN)
         if bad and s.out_until <= now and s.fails > usual + 0.25 and (dead or outs < len(up) / 2):
             s.out_for = min(10.0, max(1.5, s.out_for * 2))
             s.out_until, s.trial, s.fails = now + s.out_for, True, 0.2
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -312,3 +312,38 @@
     for id in range(next_id, next_id + 200):
         world.feed(w.request(id))
     assert len(world.sends) - before > 20  # 14 is what the rate of the last seconds alone would grant
+
+
+def test_a_fleet_that_looks_cold_does_not_stand_still() -> None:
+    world = w.World(w.settings(warm_after=60.0))
+    names = [f"s{n}" for n in range(6)]
+    world.feed(w.servers(*names))
+    next_id = run(world, 10, 40, 0)
+    world.feed(w.servers(*names, born=world.now))  # all of them begin anew
+    next_id = run(world, 20, 40, next_id)
+    before = len(world.sends)
+    run(world, 10, 40, next_id)
+    assert len(world.sends) - before > 150  # with a budget by what the cold ones do it was next to none
+
+
+def test_kept_connections_that_break_do_not_make_a_server_cold() -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    for id in range(400):
+        world.advance(world.now + 0.05)
+        world.feed(w.request(id))
+        world.serve(api.Status.BROKEN if id % 10 < 3 else api.Status.OK)
+    assert not any(server.cold_at or server.lost for server in world.gateway._servers.values())
+
+
+@pytest.mark.parametrize("status", [api.Status.UNREACHABLE, api.Status.TIMEOUT])
+def test_a_server_with_nothing_out_is_not_waited_for(status: api.Status) -> None:
+    world = w.World(w.settings())
+    world.feed(w.servers("s0", "s1", "s2"))
+    world.feed(w.request(0))
+    ((_, _), (server, _)) = next(iter(world.out.items()))
+    world.advance(world.now + 0.1)
+    world.feed(w.outcome(0, 0, server, status, 0.05))
+    world.serve()
+    run(world, 30, 20, 1)
+    assert all(s.quiet is None for s in world.gateway._servers.values())
