Keep no connection where kept ones break at the next request

Cause: upstream._take_idle trusted half of conn_idle, whatever the server did. Such a break now halves the idle time trusted at that server, for 10 s. The request may still have run, so the outcome stays a break. Ruled out: connections that the server closed openly (328 in a quarter of a minute), those are dropped as they close.

--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -33,6 +33,9 @@
 # Seconds from an answer's first byte to its last. A length that promises more than comes would else end as a
 # time-out, much later, and that speaks of a server that gives no sign of life.
 BEGUN = 0.5
+# Where kept connections break at their next request, before any byte of an answer, they were closed in
+# silence: for so many seconds none is kept that has been idle for so long.
+DISTRUST = 10.0
 MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # all bytes of an answer: interim ones, chunk sizes and trailers too
 LENGTH = re.compile(rb"[0-9]{1,9}")
 LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
@@ -82,6 +85,8 @@
     address: tuple[str, int]
     up: bool = True
     open: int = 0
+    stale_after: float = math.inf  # idle seconds that a kept connection here has not outlived
+    stale_until: float = 0.0
     idle: list[_Connection] = field(default_factory=list)  # the freshest last
 
 
@@ -92,7 +97,8 @@
         self._upstream, self.server, self.address = upstream, server, server.address
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
-        self.idle_since = 0.0
+        self.idle_since: float | None = None  # None: it carries its first request
+        self.rested = 0.0
         self._parser = httptools.HttpResponseParser(self)
         self._unwritten = self._keep_alive = self._begun = False
         self._late: asyncio.TimerHandle | None = None
@@ -133,6 +139,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        if self.exchange is not None and self.idle_since is not None and self._received == 0:
+            self._upstream.was_stale(self)
         self._upstream.lost(self)
         self._calm()
         if (exchange := self.exchange) is not None:
@@ -346,6 +354,12 @@
         else:
             transport.close()
 
+    def was_stale(self, connection: _Connection) -> None:
+        """A kept connection broke under its next request."""
+        server, now = connection.server, self._clock()
+        known = server.stale_after if now < server.stale_until else math.inf
+        server.stale_after, server.stale_until = min(known, 0.5 * connection.rested), now + DISTRUST
+
     def lost(self, connection: _Connection) -> None:
         """A connection has ended."""
         if connection in connection.server.idle:
@@ -399,15 +413,17 @@
     def _take_idle(self, server: _Server) -> _Connection | None:
         """The freshest connection that has rested: the least likely to be closing at the other end."""
         now = self._clock()
+        longest = min(self._idle_for, server.stale_after) if now < server.stale_until else self._idle_for
         for at in range(len(server.idle) - 1, -1, -1):
             connection = server.idle[at]
-            if connection.idle_since > now - REST:
+            connection.rested = now - (connection.idle_since or 0.0)
+            if connection.rested < REST:
                 continue
             del server.idle[at]
             if connection.transport is None or connection.transport.is_closing():
                 continue
             # After a stall of this process a rest is over at once, with what came in it still unread.
-            if connection.idle_since > now - self._idle_for and not connection.unread:
+            if connection.rested < longest and not connection.unread:
                 return connection
             connection.transport.close()
         return None
@@ -415,7 +431,9 @@
     def _make_room(self) -> bool:
         """Close the longest idle connection of all, for the limit on descriptors."""
         oldest = min(
-            (s.idle[0] for s in self._servers.values() if s.idle), key=lambda c: c.idle_since, default=None
+            (s.idle[0] for s in self._servers.values() if s.idle),
+            key=lambda c: c.idle_since or 0.0,
+            default=None,
         )
         if oldest is None:
             return False
@@ -424,7 +442,7 @@
         return True
 
     def _close_idle(self, server: _Server, until: float = math.inf) -> None:
-        while server.idle and server.idle[0].idle_since <= until:
+        while server.idle and (server.idle[0].idle_since or 0.0) <= until:
             connection = server.idle.pop(0)
             if connection.transport is not None:
                 connection.transport.close()
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -456,3 +456,23 @@
             pool.upstream.close()
 
     run(main())
+
+
+def test_where_kept_connections_break_at_the_next_request_none_is_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upstream, "REST", 0.0)
+
+    async def main() -> None:
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_message(reader)
+            writer.write(OK)
+            await read_message(reader)  # and at the second request it breaks
+
+        async with listening(talk) as dial:
+            pool = Pool(dial)
+            results = [(await pool.fetch()).status for _ in range(6)]
+            assert results == [Status.OK, Status.BROKEN, *[Status.OK] * 4]
+            pool.upstream.close()
+
+    run(main())
