--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -19,7 +19,7 @@
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
 COLD, CALLS = 0.45, 300.0  # of a load that fells a cold server; calls a second, thought possible at first
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
-NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.NOT_SENT)
+NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.DROPPED, Status.NOT_SENT)
 
 
 class _Server:
@@ -32,6 +32,10 @@
         self.quiet: float | None = None  # since when it owes answers and gives none
         self.cold_at: float | None = None
 
+    def ended(self, work: float) -> None:
+        # Floating sums leave a remainder, and a server on trial that seems to have work out is asked no more.
+        self.open = left if (left := self.open - work) > 1e-9 else 0.0
+
 
 class _Request:
     __slots__ = (
@@ -353,7 +357,7 @@
         if s is None or r is None:
             return
         if r.out.pop(ev.attempt, None) is not None:
-            s.open = max(0.0, s.open - r.work)
+            s.ended(r.work)
             r.account.open -= 1
             if ev.status not in (Status.TIMEOUT, Status.CANCELLED, Status.UNREACHABLE):
                 s.quiet = now if s.open > 1e-9 else None
@@ -382,7 +386,7 @@
         mute = ev.status is Status.TIMEOUT and s.quiet is not None and now - s.quiet >= ev.elapsed - 1e-6
         # One connection that breaks is no dead server: one more must, with no answer in between. Else each
         # reset would be a death, and the answer after it a restart, with a cold server's budget for long.
-        snapped = ev.status in (Status.UNREACHABLE, Status.BROKEN)
+        snapped = ev.status in (Status.UNREACHABLE, Status.DROPPED, Status.BROKEN)
         dead, s.broke = mute or (snapped and s.broke), snapped or (s.broke and ev.status not in ANSWERED)
         bad = dead or snapped or ev.status is Status.ERROR
         if ev.status not in (Status.CANCELLED, Status.NOT_SENT, Status.FULL, Status.REJECTED):
@@ -392,9 +396,10 @@
             s.lost, s.trial, s.out_for = False, False, s.out_for * (s.fails >= 0.05)
         up = self._mine or [s]
         usual, outs = sorted(x.fails for x in up)[len(up) // 2], sum(x.out_until > now for x in up)
-        # Lost, it may come back restarted and cold: that takes a dial in vain or silence. Where only kept
-        # connections break, it never was away.
-        s.lost = s.lost or (dead and ev.status is not Status.BROKEN)
+        # Lost, it may come back restarted and cold: that takes a dial in vain or silence. Who takes one
+        # and breaks it is there: a full table, a middlebox, a rough network. A restart between two requests
+        # is not seen so; such a server is cold only once the list tells its birth.
+        s.lost = s.lost or (dead and ev.status in (Status.UNREACHABLE, Status.TIMEOUT))
         if bad and s.out_until <= now and s.fails > usual + 0.25 and (dead or outs < len(up) / 2):
             s.out_for = min(10.0, max(1.5, s.out_for * 2))
             s.out_until, s.trial, s.fails = now + s.out_for, True, 0.2
@@ -406,7 +411,7 @@
             allowed = allowed and r.cls.effect is Effect.KEYED and now - r.ran[1] < 0.95 * r.cls.window
         if not allowed or not self._send(now, r):
             return self._end(now, r)
-        self._retries -= status is not Status.UNREACHABLE
+        self._retries -= status not in (Status.UNREACHABLE, Status.DROPPED)
 
     def _end(self, now: float, r: _Request, why: str = "attempts") -> None:
         self._why[why] = self._why.get(why, 0) + 1
@@ -421,5 +426,6 @@
     def _forget(self, request: int) -> None:
         if r := self._requests.pop(request, None):
             for s in r.out.values():
-                s.open, r.account.open = max(0.0, s.open - r.work), r.account.open - 1
+                s.ended(r.work)
+                r.account.open -= 1
                 s.quiet = s.quiet if s.open > 1e-9 else None  # nobody waits: it owes nothing any more
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -34,7 +34,8 @@
     ERROR = "error"
     FULL = "full"
     TIMEOUT = "timeout"
-    UNREACHABLE = "unreachable"
+    UNREACHABLE = "unreachable"  # no connection: refused, or it never came up
+    DROPPED = "dropped"  # a connection that came up and broke before the request was whole: it never ran
     BROKEN = "broken"
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -133,7 +133,7 @@
         self.exchange, exchange.connection = exchange, self
         self.transport.write(data)
         if self.transport.is_closing():  # the write itself failed: nothing has left
-            self._upstream.end(exchange, Status.UNREACHABLE)
+            self._upstream.end(exchange, Status.DROPPED)
         else:
             exchange.written = not self._unwritten
 
@@ -145,7 +145,7 @@
         self._calm()
         if (exchange := self.exchange) is not None:
             self.exchange = None
-            self._upstream.end(exchange, Status.BROKEN if exchange.written else Status.UNREACHABLE)
+            self._upstream.end(exchange, Status.BROKEN if exchange.written else Status.DROPPED)
 
     def data_received(self, data: bytes) -> None:
         if self.exchange is None:
@@ -379,11 +379,13 @@
         try:
             async with asyncio.timeout(self._dial_timeout):
                 await loop.create_connection(lambda: connection, *server.address)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
             connection.abort()
             if connection.transport is None:  # no connection_lost will count it off
                 self._closed(server)
-            return self.end(exchange, Status.UNREACHABLE)
+            # Only who has taken a connection can reset it; a port where nobody listens refuses.
+            reset = isinstance(error, ConnectionResetError)
+            return self.end(exchange, Status.DROPPED if reset else Status.UNREACHABLE)
         if exchange.ended:
             self.release(connection, True)  # nothing was written on it
         else:
--- /dev/null
+++ b/tests/test_rough.py
@@ -0,0 +1,104 @@
+"""The decisions on real sockets against rough peers: what the limiter believes of them must stay true."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import replace
+
+from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
+from tests.loopback import OK, SETTINGS, Limiter, Origin, Script, ask, listening, listing, run
+
+
+class Deciding(Script):
+    """The decisions themselves, on a clock that a test may put forward."""
+
+    def __init__(self, settings: api.Settings = SETTINGS) -> None:
+        self.now = 1000.0
+        self.gateway = Gateway(settings, 1, self.now)
+        super().__init__(lambda event: self.gateway.handle(self.now, event))
+
+
+class Door:
+    """Takes connections and, while it is shut, resets each before a byte has passed."""
+
+    def __init__(self, listener: socket.socket) -> None:
+        self._listener, self.resets = listener, 0
+        asyncio.get_running_loop().add_reader(listener, self._reset)
+
+    def _reset(self) -> None:
+        taken, _ = self._listener.accept()
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        taken.close()
+        self.resets += 1
+
+
+@contextmanager
+def shut_door() -> Iterator[tuple[Door, str]]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.setblocking(False)
+        host, port = listener.getsockname()
+        door = Door(listener)
+        try:
+            yield door, f"{host}:{port}"
+        finally:
+            asyncio.get_running_loop().remove_reader(listener)
+
+
+def test_a_server_that_resets_new_connections_is_there_and_not_lost() -> None:
+    async def main() -> None:
+        script = Deciding(replace(SETTINGS, warm_after=60.0))
+        with shut_door() as (door, address):
+            async with Limiter(script, {"s1": address}) as limiter:
+                for _ in range(60):
+                    script.now += 0.1
+                    await limiter.fetch(ask())
+                assert door.resets >= 20
+        assert {event.status for event in script.events if isinstance(event, api.Outcome)} <= {
+            api.Status.DROPPED, api.Status.BROKEN,
+        }  # fmt: skip
+        assert not script.gateway._servers["s1"].lost  # its next answer would make it cold for 60 s
+
+    run(main())
+
+
+def test_a_server_that_had_work_of_two_classes_out_comes_back_from_its_trial() -> None:
+    async def main() -> None:
+        held = Origin(lambda _n: None)
+        failing = [True]
+        shaky, firm = Origin(lambda _n: b"" if failing[0] else OK), Origin()
+        writers = list[asyncio.StreamWriter]()
+
+        async def first(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            await (held if len(writers) < 3 else shaky).talk(reader, writer)
+
+        async with listening(first) as one, listening(firm.talk) as two, listening(firm.talk) as three:
+            script = Deciding(replace(SETTINGS, max_attempts=1))
+            async with Limiter(script, {"s1": one}) as limiter:
+                lookup = asyncio.create_task(limiter.fetch(ask()))
+                while len(held.seen) < 1:
+                    await asyncio.sleep(0)
+                post = asyncio.create_task(limiter.fetch(ask("/post?account=00000000b4d65521", b"x")))
+                while len(held.seen) < 2:
+                    await asyncio.sleep(0)
+                for writer, task in zip(writers, (lookup, post), strict=True):
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+                    await task
+                limiter.node.listed(listing({"s1": one, "s2": two, "s3": three}))
+                server = script.gateway._servers["s1"]
+                while not server.trial:
+                    script.now += 0.1
+                    await limiter.fetch(ask())
+                failing[0], before = False, len(shaky.seen)
+                script.now += 20.0
+                for _ in range(40):
+                    script.now += 0.1
+                    await limiter.fetch(ask())
+                assert len(shaky.seen) > before
+
+    run(main())
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,6 +112,8 @@
     for status, resent in (
         (api.Status.FULL, True),
         (api.Status.UNREACHABLE, True),
+        (api.Status.DROPPED, True),
+        (api.Status.BROKEN, False),
         (api.Status.ERROR, False),
     ):
         world = w.World(w.settings())
