--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -24,6 +24,12 @@
 FLOW, LONGEST = 8192, 5.0  # bytes a second that count as flowing; and even then no longer than this
 LINGER = 0.5  # seconds that a refused sender's input is still drained, or it would not see why
 LINGER_BYTES = 128 * 1024  # and how much of it: draining 60 MB would be the sender's to command
+# Of the most connections; where more have asked something, every answer closes its own. Clients that ask once
+# and keep their connection for good use up what their side may open here, and then ask elsewhere or nowhere:
+# so many a second come as connections end by IDLE. It guards as well against leaks in a client's pool and
+# against more clients than there are descriptors. It could do harm where that many clients ask all the time
+# and connecting is dear (TLS, long ways): each request beyond the share then pays for a connection.
+CROWDED = 0.5
 MAX_TIMEOUT_MS = 60_000
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
@@ -170,6 +176,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = self._lingering = None
+        self.frontend.spoken -= self.spoke
         self.frontend.disconnected(self)
         self._depart()
 
@@ -186,6 +193,7 @@
             if self._drained > LINGER_BYTES:
                 self.abort()
             return
+        self.frontend.spoken += not self.spoke
         self.spoke = True
         try:
             self._parser.feed_data(data)
@@ -309,8 +317,8 @@
             self.since = self.frontend.clock()
             assert request.answer is not None
             start, rest = request.answer
-            # While draining only the last answer closes: what is pipelined behind has been taken too.
-            close = not request.keep_alive or (self.frontend.draining and not self._waiting)
+            # Of what is pipelined only the last answer closes: what stands behind it has been taken too.
+            close = not request.keep_alive or (self.frontend.closing and not self._waiting)
             self._transport.write(start + (b"Connection: close\r\n" if close else b"") + rest)
             if close:
                 self._close()
@@ -390,6 +398,7 @@
         self.clock = asyncio.get_running_loop().time
         self.open_ids = set[bytes]()
         self._max = max_connections
+        self.spoken = 0  # connections that have sent something
         self._sweep_at: asyncio.TimerHandle | None = None
         self._clients = dict[_Client, None]()  # in the order of their coming
         self._server: asyncio.Server | None = None
@@ -422,6 +431,11 @@
         if not self._clients:
             self._empty.set()
 
+    @property
+    def closing(self) -> bool:
+        """Whether answers say that their connection closes."""
+        return self.draining or self.spoken > CROWDED * self._max
+
     def drain(self) -> None:
         """From now on every answer says that its connection closes."""
         self.draining = True
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -408,6 +408,31 @@
     run(main())
 
 
+def test_clients_that_ask_once_and_keep_their_connection_do_not_use_up_the_connections() -> None:
+    async def main() -> None:
+        async with Limiter(Script(refuse), {}) as limiter:
+            kept = list[asyncio.StreamWriter]()
+            closed = 0
+            for _ in range(60):  # of 64
+                reader, writer = await limiter.connect()
+                kept.append(writer)
+                writer.write(ask())
+                _, headers, _ = await read_message(reader)
+                if "connection" in headers:
+                    assert await ended(reader)
+                    closed += 1
+            assert closed == 28  # half of the connections are kept; whoever comes then is answered and let go
+            for writer in kept[:2]:
+                writer.close()
+            while limiter.frontend.spoken > 30:
+                await asyncio.sleep(0)
+            reader, writer = await limiter.connect()
+            writer.write(ask())
+            assert "connection" not in (await read_message(reader))[1]
+
+    run(main())
+
+
 async def ended(reader: asyncio.StreamReader) -> bool:
     try:
         return await reader.read() == b""
