--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -228,7 +228,7 @@
         a.pending, a.level = a.pending + own, a.level - own
         room = held is not None or own != 0 or self._calls.left(now) >= 1  # what is owed cannot wait
         if room and self._set.has_counter and a.plan.rate > 0:
-            a.calls.append((a.pending, held, own if held is not None else 0.0))
+            a.calls.append((a.pending, held, own if held is not None else 0.0, now))
             self._out.append(api.Count(a.name, LIFETIME, a.pending))
             self._calls.room, a.pending, a.asked = self._calls.room - 1, 0.0, now
 
@@ -236,14 +236,15 @@
         a = self._names.get(ev.name)
         if a is None or not a.calls:
             return
-        step, held, units = a.calls.pop(0)
+        step, held, units, made = a.calls.pop(0)
         a.refill(now)
-        self._calls.ended(now, ev.status)
+        self._calls.ended(now, ev.status, made)
         if ev.status is Status.OK:
             a.told(now, ev.total, step, units)
         else:
-            # After a time-out it may be there; broken, the answer was spoilt: it is there.
-            a.pending += step if ev.status not in (Status.TIMEOUT, Status.BROKEN) else 0.0
+            # What may have been added is taken for added: told twice it would be used twice.
+            maybe = ev.status in (Status.TIMEOUT, Status.BROKEN, Status.SPOILT)
+            a.pending += 0.0 if maybe else step
         r = self._requests.get(-1 if held is None else held)
         own = r.units if r else 0.0
         left = a.level + units - own - (0 if ev.status is Status.OK else a.others * (now - a.synced))
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -36,7 +36,8 @@
     TIMEOUT = "timeout"
     UNREACHABLE = "unreachable"  # no connection: refused, or it never came up
     DROPPED = "dropped"  # a connection that came up and broke before the request was whole: it never ran
-    BROKEN = "broken"
+    BROKEN = "broken"  # the connection ended after it: it may have run, or been added
+    SPOILT = "spoilt"  # the counter answered what cannot be read: it was added, or may have been
     CANCELLED = "cancelled"
     NOT_SENT = "not sent"
     REJECTED = "rejected"  # the server has no use for the request: the client is to blame
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -14,7 +14,7 @@
     def __init__(self, now: float, gateways: int, draw: float) -> None:
         self.rate, self.least = CALLS / gateways, 2 * CALLS / gateways / 100
         self.room = 0.2 * self.rate + draw  # in random debt: fresh fleets call in turn
-        self.at, self.silent_until, self.misses = now, 0.0, 0
+        self.at, self.broke, self.silent_until, self.misses = now, now, 0.0, 0
 
     def left(self, now: float) -> float:
         """Calls that may be made now."""
@@ -22,23 +22,32 @@
         self.at = now
         return self.room if now >= self.silent_until else 0.0
 
-    def ended(self, now: float, status: Status) -> None:
+    def ended(self, now: float, status: Status, made: float) -> None:
+        """One sign of silence is a queue or a break; two with no answer between are silence, for a second.
+
+        Calls that were out together end together when their connection breaks: one event, one sign, and none
+        of what the counter bears. It serves as well behind a rough network or a balancer that drops
+        connections. It could do harm where a counter breaks each connection: every second call is then made
+        in vain, and each costs its request the time of a break.
+        """
         if status is Status.OK:
             self.misses = 0
             self.rate = min(CALLS, self.rate * 1.01)
-        elif status is not Status.BROKEN:  # broken, the answer was spoilt: no silence
+        elif status is Status.BROKEN:
+            self.misses, self.broke = self.misses + (made >= self.broke), now
+        elif status is not Status.SPOILT:
             self.misses += status is not Status.FULL
             self.rate = max(self.least, self.rate * 0.9)
-            if status is not Status.FULL and self.misses > 1:  # one alone is a queue
-                self.silent_until = now + 1.0
+        if status not in (Status.OK, Status.FULL, Status.SPOILT) and self.misses > 1:
+            self.silent_until = now + 1.0
 
 
 class Account:
     """A customer's quota as this gateway knows it; many come once only, so it is kept small."""
 
     __slots__ = (
-        "asked", "at", "calls", "ceiling", "floor", "floor_cap", "level", "name", "open", "others", "pending",
-        "plan", "share", "synced", "thin", "total",
+        "asked", "at", "calls", "ceiling", "floor", "floor_cap", "level", "name", "open", "others",
+        "pending", "plan", "share", "synced", "thin", "total",
     )  # fmt: skip
 
     def __init__(self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float) -> None:
@@ -54,7 +63,7 @@
         self.total: float | None = None
         self.others = plan.rate * (share - 1) / share * 0.3  # their use a second
         self.pending, self.open = 0.0, 0  # own use that the counter has not been told; attempts out
-        self.calls = list[tuple[float, int | None, float]]()
+        self.calls = list[tuple[float, int | None, float, float]]()  # amount, who waits, its units, when
 
     def refill(self, now: float) -> None:
         plan, dt, self.at = self.plan, max(0.0, now - self.at), now
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -11,6 +11,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.decide import Gateway
+from cypresspulley.net.counter import CounterClient
 from tests.loopback import OK, SETTINGS, Limiter, Origin, Script, ask, listening, listing, run
 
 
@@ -148,3 +149,45 @@
                 assert script.gateway._servers["s1"].fails < 0.65  # as a row of deaths it is 0.8
 
     run(main())
+
+
+def test_calls_that_end_with_one_connection_of_the_counter_are_one_sign_of_silence() -> None:
+    async def main() -> None:
+        plans = (api.Plan("basic", rate=1.0, burst=4.0),)  # so little that the counter is asked at once
+        script = Deciding(replace(SETTINGS, plans=plans, has_counter=True, counter_timeout=0.05))
+        script.now += 10.0  # what the others used since it was born may be more than is left
+        accounts, origin = iter(range(1, 9)), Origin()
+        connections, lines = asyncio.Queue[asyncio.StreamWriter](), asyncio.Queue[bytes]()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            connections.put_nowait(writer)
+            while line := await reader.readline():
+                lines.put_nowait(line)
+
+        async with listening(talk) as counter, listening(origin.talk) as server:
+            host, port = counter.split(":")
+            client = CounterClient(host, int(port), 10.0)
+            client.start()
+            async with Limiter(script, {"s1": server}, counter=client) as limiter:
+
+                async def break_under(calls: int) -> None:
+                    writer = await connections.get()
+                    asked = [
+                        asyncio.create_task(limiter.fetch(ask(f"/lookup?account={next(accounts):016x}")))
+                        for _ in range(calls)
+                    ]
+                    for _ in asked:
+                        assert (await lines.get()).startswith(b"tally")
+                    script.now += 0.1
+                    writer.transport.abort()
+                    for answer in await asyncio.gather(*asked):
+                        assert " 200 " in answer[0]
+                    script.now += 0.1
+
+                await break_under(3)
+                assert script.gateway._calls.silent_until < script.now  # the next customer is asked for
+                await break_under(1)
+                assert script.gateway._calls.silent_until > script.now  # twice, and no answer in between
+            client.close()
+
+    run(main())
