--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -391,10 +391,10 @@
         if ev.status is Status.OK:
             s.cold_at = now if s.lost and s.cold_at is None else s.cold_at  # it may have restarted unseen
             s.lost, s.trial, s.out_for = False, False, s.out_for * (s.fails >= max(0.05, usual))
-        # Lost, it may come back restarted and cold: that takes a dial in vain or silence. Who takes one
-        # and breaks it is there: a full table, a middlebox, a rough network. A restart between two requests
-        # is not seen so; such a server is cold only once the list tells its birth.
-        s.lost = s.lost or mute or (dead and vain)
+        # Lost, it may come back restarted and cold: that takes dials in vain. Who takes one and breaks it is
+        # there, and one that keeps its connections and is silent hangs or is slow. A restart between two
+        # requests is not seen so; such a server is cold only once the list tells its birth.
+        s.lost = s.lost or (dead and vain)
         if (
             bad
             and s.out_until <= now
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -191,3 +191,21 @@
             client.close()
 
     run(main())
+
+
+def test_a_server_that_is_silent_for_once_and_answers_again_is_not_cold() -> None:
+    async def main() -> None:
+        origin = Origin(lambda n: OK if n > 1 else None)
+        lookup = api.RequestClass("lookup", 0.1, 1.0, api.Effect.SAFE)
+        script = Deciding(replace(SETTINGS, classes=(lookup,), warm_after=60.0, max_attempts=1))
+        async with listening(origin.talk) as address, Limiter(script, {"s1": address}) as limiter:
+            task = asyncio.create_task(limiter.fetch(ask()))
+            await origin.got.wait()
+            script.now += 0.5  # nothing came from it for as long as the request waited
+            assert " 429 " in (await task)[0]
+            (outcome,) = await script.until(api.Outcome)
+            assert outcome.status is api.Status.TIMEOUT
+            assert " 200 " in (await limiter.fetch(ask()))[0]
+            assert script.gateway._servers["s1"].cold_at is None
+
+    run(main())
