--- /dev/null
+++ b/cypresspulley/rehearsal/judge.py
@@ -0,0 +1,115 @@
+"""The judge: records in, a verdict out; free of I/O. A kept log gives the same verdict again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass
+from typing import Any
+
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.rules import RuleVerdict, Violation, judge_rules
+from cypresspulley.rehearsal.service import Service, measure
+from cypresspulley.rehearsal.timeline import Timeline
+
+# A kit that runs later than this shows its own lateness and not the limiter's: the run is void.
+LATE_OFTEN, LATE_ONCE = 0.03, 0.4  # seconds: of the 99th percentile of the heartbeats; of one of them
+FEWEST_BEATS = 20  # with fewer, the percentile is one stall at the start
+MAX_GAPS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a day showed. ``void`` says why nothing may be concluded from it, ``crash`` which limiter ended by
+    itself; "" if none of that."""
+
+    day: log.Day
+    rules: tuple[RuleVerdict, ...]
+    service: Service
+    void: str
+    crash: str
+    gaps: tuple[str, ...]
+    late_p99: float
+    late_max: float
+    faults: tuple[log.Happened, ...]
+    limiters: tuple[log.Usage, ...]
+    kills: int
+
+    @property
+    def kept(self) -> bool:
+        return all(rule.kept for rule in self.rules)
+
+    @property
+    def met(self) -> bool:
+        """Whether all rules were kept and the scenario's goal was reached, in a run that counts."""
+        return not self.void and not self.crash and self.kept and self.service.service >= self.day.goal
+
+    @property
+    def lost(self) -> int:
+        return len({v.request for v in self.rules[0].violations})
+
+    def as_json(self) -> dict[str, Any]:
+        """The object that ``--json`` writes."""
+        return {
+            "scenario": self.day.scenario, "seed": self.day.seed, "plan": self.day.digest,
+            "service": round(self.service.service, 4), "goal": self.day.goal, "met": self.met,
+            "void": self.void, "crash": self.crash, "whole": round(self.service.whole, 4),
+            "service_by_class": _rounded(self.service.by_class),
+            "service_by_plan": _rounded(self.service.by_plan),
+            "worst_10s": {"service": round(self.service.worst_10s, 4), "from": self.service.worst_10s_at},
+            "prices": _rounded(self.service.prices),
+            "rules": [
+                {"rule": rule.rule, "kept": rule.kept, "checked": rule.checked,
+                 "violations": [_violation(v) for v in rule.violations]}
+                for rule in self.rules
+            ],
+            "counts": {**self.service.counts, "lost": self.lost},
+            "faults": [asdict(fault) for fault in self.faults],
+            "limiters": {u.limiter: {"cpu_seconds": round(u.cpu_seconds, 3),
+                         "memory_mb": round(u.memory_mb, 1), "restarts": u.restarts} for u in self.limiters},
+            "kit": {"late_p99_ms": round(self.late_p99 * 1000, 1),
+                    "late_max_ms": round(self.late_max * 1000, 1), "gaps": list(self.gaps)},
+        }  # fmt: skip
+
+
+def _rounded(table: dict[str, float]) -> dict[str, float]:
+    return {key: round(value, 4) for key, value in table.items()}
+
+
+def _violation(v: Violation) -> dict[str, Any]:
+    return {"time": round(v.t, 4), "limiter": v.limiter, "request": v.request, "text": v.text}
+
+
+def judge(records: Iterable[log.Record]) -> Verdict:
+    """The verdict on a day; ``JudgeError`` where the log is none."""
+    return judge_timeline(Timeline(records))
+
+
+def judge_timeline(line: Timeline) -> Verdict:
+    beats = sorted(r.late for r in line.records if isinstance(r, log.Lateness))
+    p99 = beats[min(len(beats) - 1, int(0.99 * len(beats)))] if beats else 0.0
+    most = beats[-1] if beats else 0.0
+    return Verdict(
+        day=line.day, rules=judge_rules(line), service=measure(line),
+        void=_void(line, p99 if len(beats) >= FEWEST_BEATS else 0.0, most),
+        crash=_crash(line), gaps=tuple(line.gaps[:MAX_GAPS]), late_p99=p99, late_max=most,
+        faults=tuple(r for r in line.records if isinstance(r, log.Happened)),
+        limiters=tuple(r for r in line.records if isinstance(r, log.Usage)),
+        kills=sum(isinstance(r, log.LimiterState) and r.what == "killed" for r in line.records),
+    )  # fmt: skip
+
+
+def _void(line: Timeline, p99: float, most: float) -> str:
+    for r in line.records:
+        if isinstance(r, log.Complaint):
+            return r.text
+    if p99 > LATE_OFTEN or most > LATE_ONCE:
+        late = f"99th percentile {p99 * 1000:.0f} ms, once {most * 1000:.0f} ms"
+        return f"the kit ran late ({late}): give it idle cores"
+    return f"the log has gaps: {line.gaps[0]}" if line.gaps else ""
+
+
+def _crash(line: Timeline) -> str:
+    for r in line.records:
+        if isinstance(r, log.LimiterState) and r.what == "crashed":
+            return f"{r.limiter} ended by itself with code {r.code} at {r.t:.2f} s: see its log"
+    return ""
--- /dev/null
+++ b/cypresspulley/rehearsal/limiters.py
@@ -0,0 +1,185 @@
+"""The limiters of a rehearsal: real processes, their configuration files, their ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import subprocess
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import psutil
+
+from cypresspulley.rehearsal.plan import random_for
+from cypresspulley.rehearsal.scenario import Scenario
+
+READY_WITHIN = 20.0  # seconds from start to the first good answer
+STOP_WITHIN = 6.0  # seconds from SIGTERM until SIGKILL
+LOG_TAIL = 400  # bytes of a log that an error shows
+
+
+class KitError(Exception):
+    """The kit itself could not do its work; the text says what to do."""
+
+
+def wire_settings(scenario: Scenario, index: int, hall: str) -> dict[str, Any]:
+    """The settings object of a limiter's configuration, in the protocol's names; times in seconds."""
+    effects = {"safe": "idempotent", "keyed": "deduplicated", "unsafe": "at_most_once"}
+    fleet = scenario.fleet
+    return {
+        "me": index, "n_instances": scenario.limiters.count, "my_zone": hall,
+        "classes": [
+            {"name": c.name, "aim_s": c.aim_ms / 1000, "deadline_s": c.deadline_ms / 1000, "worth": c.worth,
+             "effect": effects[c.effect], "group": c.group, "window_s": c.window, "late_worth": 0.0}
+            for c in scenario.classes
+        ],
+        "tariffs": [
+            {"name": p.name, "price": p.price, "quota_rate": p.rate, "store_size": p.burst,
+             "parallel": p.open_limit, "over_worth": p.over_worth, "over_cost": p.over_cost,
+             "never_over_rate": p.rate * p.ceiling, "hard_burst": p.burst * p.ceiling,
+             "tolerance": max(0.1 * p.burst * p.ceiling, 1.0)}
+            for p in scenario.plans
+        ],
+        "limits": {
+            "max_attempts": scenario.limiters.max_attempts, "may_duplicate": True, "cancel": True,
+            "probes": True, "retry_after": True, "max_retry_after_s": 1.0, "dial_timeout_s": 0.25,
+            "conn_idle_s": fleet.idle_seconds,
+        },
+        "report": {"how": "inline", "fields": ["queue", "qps", "inflight"]},
+        "contract": {
+            "cold_from": fleet.cold_share, "warm_after_s": fleet.cold_seconds,
+            "fall_multiple": fleet.fall_multiple, "fall_s": fleet.fall_seconds,
+            "stop_sending_within_s": fleet.drain_grace, "answer_slack_s": 0.008,
+        },
+        "specifics": {
+            "has_counter": True, "count_wait_s": scenario.keeper.give_up_ms / 1000, "max_units": 1.0,
+        },
+    }  # fmt: skip
+
+
+class LimiterProcess:
+    """One limiter: started from its configuration, ended by signals, followed until it is gone."""
+
+    def __init__(
+        self, name: str, address: tuple[str, int], folder: Path, command: list[str], seed: int
+    ) -> None:
+        self.name, self.address, self._folder = name, address, folder
+        self._command, self._seed = command, seed
+        self._path = folder / f"{name}.json"
+        self.log_path = folder / f"{name}.log"
+        self.process: asyncio.subprocess.Process | None = None
+        self._seen: psutil.Process | None = None
+        self._file: BinaryIO | None = None
+        self.lives, self.cpu_seconds, self.memory_mb, self._cpu = 0, 0.0, 0.0, 0.0
+        self.expected_end = False
+
+    def __repr__(self) -> str:
+        state = f"pid {self.process.pid}" if self.process and self.process.returncode is None else "down"
+        return f"<LimiterProcess {self.name} {state}, life {self.lives}>"
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def configure(self, raw: dict[str, Any]) -> None:
+        """Write its configuration, whole or not at all: a reload may read it at any time."""
+        listen = f"{self.address[0]}:{self.address[1]}"
+        seed = f"{random_for(self._seed, 'limiter', self.name, self.lives).getrandbits(64):016x}"
+        text = json.dumps({"name": self.name, "listen": listen, "seed": seed, **raw}, indent=1)
+        partial = self._path.with_suffix(".part")
+        try:
+            partial.write_text(text, encoding="utf-8")
+            partial.replace(self._path)
+        except OSError as error:
+            raise KitError(
+                f"cannot write {self._path}: {error.strerror}: free the disk or choose --logs"
+            ) from None
+
+    async def start(self) -> None:
+        self.lives += 1
+        self.expected_end = False
+        env = {**os.environ, "LB_CONFIG": str(self._path), "LB_NAME": self.name}
+        try:
+            self._file = open(self.log_path, "ab")  # noqa: SIM115 -- the child's for as long as it lives
+            self.process = await asyncio.create_subprocess_exec(
+                *self._command, env=env, stdin=subprocess.DEVNULL, stdout=self._file, stderr=self._file,
+                start_new_session=True,
+            )  # fmt: skip
+        except OSError as error:
+            raise KitError(f"{self.name} does not start: {error}: see {self.log_path}") from None
+        finally:
+            if self._file is not None:
+                self._file.close()
+        self._cpu = 0.0
+        with contextlib.suppress(psutil.Error):
+            self._seen = psutil.Process(self.process.pid)
+
+    async def ready(self) -> None:
+        """Wait until it answers its health call with 200."""
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                while not await self._healthy():
+                    if not self.running:
+                        code = self.process.returncode if self.process else None
+                        raise KitError(
+                            f"{self.name} ended with code {code} before it was ready: {self.tail()}"
+                        )
+                    await asyncio.sleep(0.03)
+        except TimeoutError:
+            raise KitError(f"{self.name} was not ready within {READY_WITHIN:g} s: {self.tail()}") from None
+
+    async def _healthy(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(*self.address)
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /healthz HTTP/1.1\r\nHost: rehearsal\r\nConnection: close\r\n\r\n")
+            async with asyncio.timeout(1.0):
+                return (await reader.readline()).startswith(b"HTTP/1.1 200")
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            writer.transport.abort()
+
+    def tail(self) -> str:
+        try:
+            return (
+                self.log_path.read_bytes()[-LOG_TAIL:].decode("utf-8", "replace").strip()
+                or "its log is empty"
+            )
+        except OSError:
+            return f"see {self.log_path}"
+
+    def signal(self, number: int) -> None:
+        """Send it a signal; one that has ended gets none."""
+        self.sample()
+        self.expected_end |= number in (signal.SIGKILL, signal.SIGTERM)
+        if self.process is not None and self.running:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def gone(self, within: float = STOP_WITHIN) -> int:
+        """Wait for its end, with SIGKILL for one that ignores SIGTERM; its exit code."""
+        if self.process is None:
+            return 0
+        try:
+            async with asyncio.timeout(within):
+                return await self.process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            await self.process.wait()
+            raise KitError(f"{self.name} ignored SIGTERM for {within:g} s and was killed") from None
+
+    def sample(self) -> None:
+        """Note what it has used so far."""
+        if self._seen is None:
+            return
+        with contextlib.suppress(psutil.Error):
+            times, memory = self._seen.cpu_times(), self._seen.memory_info().rss / 1e6
+            now = times.user + times.system
+            self.cpu_seconds += max(0.0, now - self._cpu)
+            self._cpu, self.memory_mb = max(self._cpu, now), max(self.memory_mb, memory)
--- /dev/null
+++ b/cypresspulley/rehearsal/play.py
@@ -0,0 +1,554 @@
+"""One play of a scenario on sockets: stand-ins and clients in this process, limiters in their own.
+
+The director turns the plan's faults into what happens to limiters, servers, halls, the keeper and discovery.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.limiters import KitError, LimiterProcess, wire_settings
+from cypresspulley.rehearsal.plan import Plan, PlannedFault, draw, random_for, work_of
+from cypresspulley.rehearsal.scenario import Scenario, limiter_names, server_names
+from cypresspulley.rehearsal.standins.bagserver import BagServer, RepeatMemory
+from cypresspulley.rehearsal.standins.clients import ClientFleet, Front
+from cypresspulley.rehearsal.standins.discovery import Agent, Host
+from cypresspulley.rehearsal.standins.keeper import Keeper
+from cypresspulley.rehearsal.standins.network import Link
+from cypresspulley.rehearsal.standins.processor import Machine
+from cypresspulley.rehearsal.standins.stage import Known, Stage
+
+SHIPPED_LIMITER = [sys.executable, "-m", "cypresspulley"]
+WARM_UP = 0.3  # seconds between the last limiter's readiness and the first request
+BEAT = 0.05  # seconds between two looks at the kit's own lateness
+SAMPLE = 0.5  # and at what the limiters use
+AFTER = 12.0  # seconds after the last arrival for what is still open
+CELL = 4  # servers of a cell
+DESCRIPTORS = 8192  # that the kit asks for itself; 64 a server and limiter are plenty
+Progress = Callable[[float, "Director"], None]
+
+
+def describe(scenario: Scenario, plan: Plan) -> log.Day:
+    """The facts that the judge goes by."""
+    halls, fleet = scenario.fleet.halls, scenario.fleet
+    return log.Day(
+        t=-60.0, scenario=scenario.name, seed=plan.seed, digest=plan.digest(), seconds=scenario.seconds,
+        goal=scenario.goal.service,
+        classes=tuple(
+            log.ClassFacts(c.name, c.aim_ms / 1000, c.worth, c.effect, c.group, c.window,
+                           c.work_ms / 1000)
+            for c in scenario.classes
+        ),
+        plans=tuple(
+            log.PlanFacts(p.name, p.rate, p.burst, p.price, p.over_worth, p.over_cost, p.open_limit,
+                          p.rate * p.ceiling, p.burst * p.ceiling)
+            for p in scenario.plans
+        ),
+        limiters={name: halls[i % len(halls)] for i, name in enumerate(limiter_names(scenario))},
+        max_units=1.0, drain_grace=fleet.drain_grace, fall_multiple=fleet.fall_multiple,
+        fall_seconds=fleet.fall_seconds, largest_work=max(c.work_ms for c in scenario.classes) / 1000,
+    )  # fmt: skip
+
+
+class Net:
+    """Addresses in 127.0.0.0/8, and the links between halls."""
+
+    def __init__(self, scenario: Scenario) -> None:
+        # A range of its own for each run: two at once never meet, and no port is asked for by number.
+        self._base = f"127.{16 + os.getpid() % 200}"
+        self._network = scenario.network
+        self.links = list[tuple[Link, str, str]]()  # with the halls at both ends
+
+    def host(self, group: int, number: int) -> str:
+        """An address for stand-in ``number`` (0..249) as a limiter sees it, by group (0..249)."""
+        return f"{self._base}.{group}.{number + 1}"
+
+    def link(self, limiter: str, here: str, there: str) -> Link:
+        ms = self._network.same_ms if here == there else self._network.cross_ms
+        link = Link(limiter, ms / 1000)
+        self.links.append((link, here, there))
+        return link
+
+    def cut(self, hall: str, cut: bool, now: float) -> None:
+        for link, here, there in self.links:
+            if here != there and hall in (here, there):
+                link.cut(now) if cut else link.heal()
+
+
+def free_port(host: str) -> int:
+    """A port of ``host`` that is free now; the address is this run's own, so it stays so."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Director:
+    """All that is on the stage of one play."""
+
+    def __init__(
+        self,
+        scenario: Scenario,
+        plan: Plan,
+        folder: Path,
+        command: list[str],
+        sink: Callable[[log.Record], None],
+    ) -> None:
+        classes = {c.name: c for c in scenario.classes}
+        self.scenario, self.plan = scenario, plan
+        self.stage = Stage(sink, lambda id, cls: work_of(plan.seed, id, classes[cls]))
+        self.stage.on_arrival = self._on_arrival
+        self.net = Net(scenario)
+        self.day = describe(scenario, plan)
+        self.halls = scenario.fleet.halls
+        k = scenario.keeper
+        self.keeper = Keeper(self.stage, k.parts, k.calls_per_second, k.waiting_ms / 1000, k.call_ms / 1000)
+        self._keeper_links = dict[str, Link]()
+        self._keeper_at = dict[str, str]()
+        self.agents = {name: Agent(self.stage, name) for name in limiter_names(scenario)}
+        self._agent_at = dict[str, str]()
+        self.servers = dict[str, BagServer]()
+        self._memories = dict[tuple[str, int], RepeatMemory]()
+        self.limiters = {
+            name: LimiterProcess(name, (host, free_port(host)), folder, command, plan.seed)
+            for i, name in enumerate(limiter_names(scenario))
+            for host in [self.net.host(250, i)]
+        }
+        self.front = Front(list(self.limiters))
+        self.clients = ClientFleet(
+            self.stage, self.front, lambda name: self.limiters[name].address, scenario.clients, classes,
+            plan.seed, scenario.seconds,
+        )  # fmt: skip
+        self._rng = random_for(plan.seed, "director")
+        self._tasks = set[asyncio.Task[None]]()
+        self._waiting_kills = list[tuple[str, PlannedFault]]()
+        self._failure: BaseException | None = None
+        self._next_server = scenario.fleet.servers
+        self.failed = asyncio.Event()
+
+    # The stage is set.
+
+    def build(self) -> None:
+        """Start all stand-ins, with nothing cold and every agent told the whole list."""
+        fleet = self.scenario.fleet
+        for number, name in enumerate(server_names(self.scenario)):
+            hall = fleet.halls[number % len(fleet.halls)]
+            self._add_server(name, hall, number // len(fleet.halls) // CELL, number).start(cold=False)
+        for index, limiter in enumerate(self.limiters):
+            link = self.net.link(limiter, self.day.limiters[limiter], self.halls[-1])
+            self._keeper_links[limiter] = link
+            self._keeper_at[limiter] = self.keeper.listen(link, self.net.host(251, index)).address
+            self._agent_at[limiter] = self.agents[limiter].listen(self.net.host(252, index))
+            agent = self.agents[limiter]
+            agent.publish(*(self._host(server, limiter, "ready") for server in self.servers.values()))
+            agent.told, agent.told_seq = dict(agent.hosts), agent.seq
+
+    def _add_server(
+        self, name: str, hall: str, cell: int, place: int, like: BagServer | None = None
+    ) -> BagServer:
+        fleet = self.scenario.fleet
+        machine = Machine(
+            fleet.cores, fleet.slots, fleet.waiting, fleet.thrash, fleet.cold_share, fleet.cold_seconds,
+            fleet.fall_multiple, fleet.fall_seconds,
+        )  # fmt: skip
+        server = BagServer(
+            self.stage, name, hall, cell, machine, self._memories.setdefault((hall, cell), RepeatMemory()),
+            random_for(self.plan.seed, "server", name), fleet.report_ms / 1000, fleet.idle_seconds,
+            fleet.connections, fleet.stops_running,
+        )  # fmt: skip
+        for index, limiter in enumerate(self.limiters):
+            link = self.net.link(limiter, self.day.limiters[limiter], hall)
+            host, port = self.net.host(index, place), 0
+            if like is not None:  # another server's address of before
+                host, text = like.dial(limiter).rsplit(":", 1)
+                port = int(text)
+            server.place(link, host, port)
+        self.servers[name] = server
+        return server
+
+    def _host(self, server: BagServer, limiter: str, health: str) -> Host:
+        dial = server.dial(limiter)
+        return Host(server.name, dial, server.hall, server.cell, health, server.born_ms)
+
+    def _config(self, limiter: str, known: dict[str, Any]) -> dict[str, Any]:
+        index = list(self.limiters).index(limiter)
+        limits = self.scenario.limiters
+        return {
+            "discovery": self._agent_at[limiter], "counter": self._keeper_at[limiter],
+            "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
+            "known": known,
+            "settings": wire_settings(self.scenario, index, self.day.limiters[limiter]),
+        }  # fmt: skip
+
+    # Limiters.
+
+    async def start_limiter(self, name: str, known: str = "last") -> None:
+        """Start it with the list that it had last (stale by now), or with one that names only dead ones."""
+        limiter, agent = self.limiters[name], self.agents[name]
+        listed = agent.known()
+        if known == "gone":
+            listed = {"seq": 0, "whole": True, "hosts": [self._dead_host(name, n).row() for n in range(3)]}
+        limiter.configure(self._config(name, listed))
+        self.stage.record(log.LimiterState(self.stage.now(), name, "started"))
+        hosts = {
+            row["host"]: (
+                row["health"],
+                row["born_ms"] / 1000 - self.stage.unix_ms(0) / 1000 if row["born_ms"] else -1e9,
+            )
+            for row in listed["hosts"]
+        }
+        self.stage.record(log.Listed(self.stage.now(), name, True, True, hosts))
+        await limiter.start()
+        self._spawn(self._watch_end(limiter))
+        await limiter.ready()
+        self.stage.record(log.LimiterState(self.stage.now(), name, "ready"))
+        self.front.up(name)
+
+    def _dead_host(self, limiter: str, number: int) -> Host:
+        """A server that is gone: nobody listens at its address."""
+        index = list(self.limiters).index(limiter)
+        host = self.net.host(index, 240 + number)
+        return Host(f"bag-gone-{number}", f"{host}:9", self.halls[0], 0, "ready")
+
+    async def _watch_end(self, limiter: LimiterProcess) -> None:
+        process = limiter.process
+        assert process is not None
+        code = await process.wait()
+        what = "exited" if limiter.expected_end else "crashed"
+        self.stage.record(log.LimiterState(self.stage.now(), limiter.name, what, code))
+        notice = self._rng.uniform(*self.scenario.clients.notice)
+        asyncio.get_running_loop().call_later(notice, self._front_notices, limiter)
+
+    def _front_notices(self, limiter: LimiterProcess) -> None:
+        if not limiter.running:
+            self.front.down(limiter.name)
+
+    def kill(self, name: str) -> None:
+        """SIGKILL, recorded just before: whatever breaks from now on was held by a dead process."""
+        limiter = self.limiters[name]
+        if limiter.running:
+            self.stage.record(log.LimiterState(self.stage.now(), name, "killed"))
+            limiter.signal(signal.SIGKILL)
+
+    async def _kill_and_return(self, name: str, spec_known: str, back_after: float) -> None:
+        self.kill(name)
+        await self.limiters[name].gone()
+        await asyncio.sleep(back_after)
+        await self.start_limiter(name, spec_known)
+
+    async def _restart(self, name: str, back_after: float) -> None:
+        limiter = self.limiters[name]
+        self.stage.record(log.LimiterState(self.stage.now(), name, "stopping"))
+        limiter.signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)  # a planned restart is announced: the front stops a little late
+        self.front.down(name)
+        await limiter.gone()
+        await asyncio.sleep(back_after)
+        await self.start_limiter(name)
+
+    def _reload(self, name: str) -> None:
+        """Discovery and keeper move; the file is replaced and the program told."""
+        index = list(self.limiters).index(name)
+        agent, limiter = self.agents[name], self.limiters[name]
+        self._agent_at[name] = agent.listen(self.net.host(252, index))
+        self._keeper_at[name] = self.keeper.listen(
+            self._keeper_links[name], self.net.host(251, index)
+        ).address
+        limiter.configure(self._config(name, agent.known()))
+        if limiter.running:
+            self.stage.record(log.LimiterState(self.stage.now(), name, "reloaded"))
+            limiter.signal(signal.SIGHUP)
+
+    # Servers.
+
+    def _on_arrival(self, server: BagServer, limiter: str, known: Known) -> None:
+        """An attempt is whole at a server: the moment at which a waiting kill strikes its sender."""
+        for wait in self._waiting_kills:
+            name, fault = wait
+            if name == limiter and known.effect == "unsafe":
+                self._waiting_kills.remove(wait)
+                self._happened(fault, name)
+                self._spawn(self._kill_and_return(name, fault.spec.known, fault.spec.back_after))
+                self.kill(name)  # now, not when the task has its turn
+                return
+
+    def _publish(self, server: BagServer, health: str) -> None:
+        """Discovery learns of it and tells each agent, each at its own time."""
+        loop = asyncio.get_running_loop()
+        for limiter, agent in self.agents.items():
+            notice = self._rng.uniform(*self.scenario.discovery.notice)
+            loop.call_later(notice, self._tell, agent, self._host(server, limiter, health))
+
+    def _tell(self, agent: Agent, host: Host) -> None:
+        held = agent.hosts.get(host.host)
+        if held is not None and held.born_ms > host.born_ms:
+            host = replace(host, born_ms=held.born_ms)  # the later news came first
+        agent.publish(host)
+
+    async def _crash_server(self, name: str, back_after: float) -> None:
+        server = self.servers[name]
+        server.crash()
+        await asyncio.sleep(back_after)
+        server.start(cold=True)
+        self._publish(server, "ready")
+
+    async def _drain_server(self, name: str, lasts: float) -> None:
+        server = self.servers[name]
+        server.drain()
+        self._publish(server, "draining")
+        await asyncio.sleep(lasts)
+        server.undrain()
+        self._publish(server, "ready")
+
+    async def _replace_servers(self, fault: PlannedFault) -> None:
+        """A rolling release: each drains and goes; a new one comes under a new id, maybe at its address."""
+        for name in fault.targets:
+            await self._replace_server(name, fault)
+
+    async def _replace_server(self, name: str, fault: PlannedFault) -> None:
+        old = self.servers[name]
+        old.drain()
+        self._publish(old, "draining")
+        grace = self.scenario.fleet.drain_grace + self.scenario.discovery.notice[1] + 0.5
+        self._spawn(self._finish_replacement(old, fault, grace))
+        await asyncio.sleep(fault.spec.every)
+
+    async def _finish_replacement(self, old: BagServer, fault: PlannedFault, grace: float) -> None:
+        await asyncio.sleep(grace)
+        old.crash("gone")
+        self._publish(old, "gone")
+        number, self._next_server = self._next_server, self._next_server + 1
+        like = old if fault.spec.reuse_address else None
+        new = self._add_server(f"bag-{number:02d}", old.hall, old.cell, number, like)
+        new.start(cold=True)
+        self._publish(new, "ready")
+
+    # Faults.
+
+    def schedule(self) -> None:
+        """Set a timer for each fault of the plan."""
+        loop, now = asyncio.get_running_loop(), self.stage.now()
+        for fault in self.plan.faults:
+            loop.call_later(max(0.0, fault.at - now), self._strike, fault)
+
+    def _happened(self, fault: PlannedFault, target: str) -> None:
+        now = self.stage.now()
+        until = max(now, fault.until if fault.spec.lasts else now)
+        self.stage.record(log.Happened(now, until, fault.kind, target))
+
+    def _strike(self, fault: PlannedFault) -> None:
+        if fault.kind == "limiter-kill" and fault.spec.when == "handover-written":
+            self._waiting_kills += [(name, fault) for name in fault.targets]
+            return
+        for target in fault.targets or ("",):
+            self._happened(fault, target)
+        try:
+            self._start_fault(fault)
+        except OSError as error:
+            self.fail(KitError(f"{fault.kind}: {error}"))
+
+    def _start_fault(self, fault: PlannedFault) -> None:
+        spec, lasts = fault.spec, fault.until - fault.at
+        each: dict[str, Callable[[str], Awaitable[None]]] = {
+            "limiter-kill": lambda name: self._kill_and_return(name, spec.known, spec.back_after),
+            "limiter-restart": lambda name: self._restart(name, spec.back_after),
+            "server-crash": lambda name: self._crash_server(name, spec.back_after),
+            "server-drain": lambda name: self._drain_server(name, lasts),
+        }
+        spells: dict[str, Callable[[str, bool], None]] = {
+            "server-errors": lambda n, on: setattr(self.servers[n], "error_share", spec.size if on else 0.0),
+            "server-resets": lambda n, on: setattr(self.servers[n], "reset_share", spec.size if on else 0.0),
+            "server-hang": lambda n, on: self.servers[n].hang(on),
+            "hall-cut": lambda hall, on: self.net.cut(hall, on, self.stage.now()),
+            "keeper-slow": lambda _n, on: setattr(self.keeper, "slow_by", spec.add_ms / 1000 if on else 0.0),
+            "keeper-stop": lambda _n, on: setattr(self.keeper, "stopped", on),
+            "discovery-silent": lambda _n, on: self._silence(on),
+        }
+        if fault.kind in each:
+            for target in fault.targets:
+                self._spawn(each[fault.kind](target))
+        elif fault.kind in spells:
+            for target in fault.targets or ("",):
+                spells[fault.kind](target, True)
+                asyncio.get_running_loop().call_later(lasts, spells[fault.kind], target, False)
+        elif fault.kind == "limiter-reload":
+            for target in fault.targets:
+                self._reload(target)
+        elif fault.kind == "server-replace":
+            self._spawn(self._replace_servers(fault))
+        elif fault.kind == "keeper-empty":
+            self.keeper.empty()
+        # A flood or a surge is in the arrivals.
+
+    def _silence(self, on: bool) -> None:
+        for agent in self.agents.values():
+            if on:
+                agent.silent = True
+            else:
+                agent.wake()
+
+    # Running.
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        async def guarded() -> None:
+            try:
+                await work
+            except (KitError, OSError) as error:
+                self.fail(error)
+
+        task = asyncio.get_running_loop().create_task(guarded())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def fail(self, error: BaseException) -> None:
+        """The kit cannot go on: the play ends with this."""
+        self._failure = self._failure or error
+        self.failed.set()
+
+    def check(self) -> None:
+        if self._failure is not None:
+            raise KitError(str(self._failure))
+
+    async def beat(self) -> None:
+        """Watch the kit's own lateness and what the limiters use, until cancelled."""
+        due, sampled = time.monotonic() + BEAT, 0.0
+        while True:
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            now = time.monotonic()
+            self.stage.record(log.Lateness(self.stage.now(), max(0.0, now - due)))
+            due = max(due + BEAT, now)
+            if now - sampled > SAMPLE:
+                sampled = now
+                for limiter in self.limiters.values():
+                    limiter.sample()
+
+    async def close(self) -> None:
+        """End everything; nothing of this play stays behind."""
+        for task in list(self._tasks):
+            task.cancel()
+        running = [x for x in self.limiters.values() if x.running]
+        for limiter in running:
+            limiter.signal(signal.SIGKILL)
+        for limiter in running:
+            with contextlib.suppress(KitError):
+                await limiter.gone()
+        for server in self.servers.values():
+            server.crash()
+        for agent in self.agents.values():
+            agent.close()
+        self.keeper.close()
+
+
+async def _day(director: Director, progress: Progress | None) -> None:
+    """From the first limiter's start to the last one's end."""
+    director.build()
+    director.stage.record(director.day)
+    await asyncio.gather(*(director.start_limiter(name) for name in director.limiters))
+    director.stage.begin(WARM_UP)
+    director.keeper.begun = True
+    director.schedule()
+    await director.clients.play(director.plan.arrivals)
+    await asyncio.sleep(max(0.0, director.scenario.seconds - director.stage.now()))
+    await director.clients.finish(AFTER)
+    await _stop_limiters(director)
+
+
+async def _stop_limiters(director: Director) -> None:
+    loop = asyncio.get_running_loop()
+    limit = loop.time() + READY_FOR_STOP
+    while any(not x.running for x in director.limiters.values()) and loop.time() < limit:
+        await asyncio.sleep(0.05)  # one that was to come back comes back first: its end is judged too
+    for limiter in director.limiters.values():
+        if limiter.running:
+            director.stage.record(log.LimiterState(director.stage.now(), limiter.name, "stopping"))
+            limiter.signal(signal.SIGTERM)
+    await asyncio.gather(*(limiter.gone() for limiter in director.limiters.values()))
+    for limiter in director.limiters.values():
+        director.stage.record(
+            log.Usage(
+                director.stage.now(), limiter.name, limiter.cpu_seconds, limiter.memory_mb, limiter.lives - 1
+            )
+        )
+
+
+READY_FOR_STOP = 8.0  # seconds for limiters that are still away at the day's end
+
+
+def _raise_descriptors() -> None:
+    import resource
+
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    want = DESCRIPTORS if hard == resource.RLIM_INFINITY else min(DESCRIPTORS, hard)
+    if soft < want:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (want, hard))
+
+
+async def play(
+    scenario: Scenario, seed: int, *, logs: Path | None = None, command: list[str] | None = None,
+    progress: Progress | None = None, records: list[log.Record] | None = None,
+) -> list[log.Record]:  # fmt: skip
+    """Play a day; the records of it. ``logs`` keeps the limiters' logs, configurations and ``records.jsonl``.
+
+    ``records`` may be given so that a caller that is interrupted still has what was seen.
+    Raises ``KitError`` where the kit cannot do its work; no process is left behind either way.
+    """
+    plan, kept = draw(scenario, seed), records if records is not None else []
+    folder = logs or Path(tempfile.mkdtemp(prefix="fawnseam-"))
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+    except OSError as error:
+        raise KitError(f"cannot make {folder}: {error.strerror}") from None
+    _raise_descriptors()
+    director = Director(scenario, plan, folder, command or SHIPPED_LIMITER, kept.append)
+    day = asyncio.ensure_future(_day(director, progress))
+    beat = asyncio.ensure_future(director.beat())
+    failed = asyncio.ensure_future(director.failed.wait())
+    shown = asyncio.ensure_future(_show(director, progress)) if progress else None
+    try:
+        await asyncio.wait((day, failed), return_when=asyncio.FIRST_COMPLETED)
+        director.check()
+        await day
+        director.stage.record(log.End(director.stage.now()))
+    except OSError as error:
+        raise KitError(f"{error.strerror or error}: the kit could not go on") from None
+    finally:
+        tasks = [task for task in (day, beat, failed, shown) if task is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await director.close()
+        if logs is None:
+            shutil.rmtree(folder, ignore_errors=True)
+    if logs is not None:
+        keep(kept, folder / "records.jsonl")
+    return kept
+
+
+def keep(records: list[log.Record], path: Path) -> None:
+    """Write a log that ``fawnseam judge`` reads."""
+    try:
+        with path.open("w", encoding="utf-8") as file:
+            log.write_log(file, records)
+    except OSError as error:
+        raise KitError(
+            f"cannot write {path}: {error.strerror}: free the disk or choose another place"
+        ) from None
+
+
+async def _show(director: Director, progress: Progress) -> None:
+    while True:
+        progress(director.stage.now(), director)
+        await asyncio.sleep(0.25)
--- /dev/null
+++ b/cypresspulley/rehearsal/rules.py
@@ -0,0 +1,250 @@
+"""The five rules, one function each: a timeline in, what was checked and what broke it out; free of I/O.
+
+Every slack is the contract's figure and, on sockets, 50 ms more (``SOCKETS``). Equal times speak for the
+limiter.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.standins.processor import warmth
+from cypresspulley.rehearsal.timeline import FOREVER, Attempt, Timeline, Try
+
+SOCKETS = 0.05  # seconds by which each time limit is longer on sockets
+ANSWER_SLACK = 0.008 + SOCKETS  # past the client's time
+CEILING_SLACK = 0.1  # of the ceiling's burst, one of the largest requests at least
+CEILING_LATE = 0.15  # seconds of the ceiling's rate by which its slack is wider on sockets
+TOLD_SHARE = 2 / 3  # of the work that pushed a cold server over must come from limiters that knew
+REFUSALS = (429, 503)
+RULES = (
+    "no request lost",
+    "no effect twice",
+    "drains kept",
+    "no cold server pushed over",
+    "ceilings kept",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    t: float
+    limiter: str
+    request: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class RuleVerdict:
+    """One rule: how many events it was held against, and what broke it."""
+
+    rule: str
+    checked: int
+    violations: tuple[Violation, ...]
+
+    @property
+    def kept(self) -> bool:
+        return not self.violations
+
+
+def judge_rules(line: Timeline) -> tuple[RuleVerdict, ...]:
+    checks = (
+        (len(line.tries), _lost(line)),
+        (len(line.attempts), _twice(line)),
+        (len(line.attempts), _drains(line)),
+        _cold(line),
+        _ceilings(line),
+    )
+    return tuple(
+        RuleVerdict(rule, checked, tuple(sorted(found, key=lambda v: (v.t, v.request, v.text))))
+        for rule, (checked, found) in zip(RULES, checks, strict=True)
+    )
+
+
+# 1: no request lost.
+
+
+def _lost(line: Timeline) -> Iterator[Violation]:
+    for one in line.tries.values():
+        for number, sent in enumerate(one.sent):
+            yield from _unanswered(line, one, sent, is_last=number == len(one.sent) - 1)
+        if one.sent:
+            yield from _answers(one)
+    for r in line.surplus:
+        yield Violation(r.t, r.limiter, r.id, f"{r.size} bytes came behind the final answer")
+
+
+def _unanswered(line: Timeline, one: Try, sent: log.Sent, is_last: bool) -> Iterator[Violation]:
+    """What one sending of a try owes: an answer, unless the limiter died or the client left first."""
+    broke = next((r for r in one.broke if r.t >= sent.t), None)
+    until = broke.t if broke else sent.t + sent.ttl + ANSWER_SLACK
+    answered = any(r.t >= sent.t for r in one.answers)
+    left = any(r.why == "impatient" for r in one.left)
+    if answered or line.died_within(sent.limiter, sent.t, until) or not is_last or left:
+        return
+    if broke is None:
+        # A request with no answer by then is lost unless the log ends before.
+        if any(r.why == "over" for r in one.left):
+            yield Violation(until, sent.limiter, one.id, "no answer while the client waited")
+        return
+    # The first request of a connection that is closed with nothing sent on has failed, and is not lost.
+    if broke.begun or not sent.fresh or one.attempts:
+        part = "after a part of the answer" if broke.begun else "with no answer"
+        yield Violation(broke.t, sent.limiter, one.id, f"its connection was ended {part}")
+
+
+def _answers(one: Try) -> Iterator[Violation]:
+    sent = one.sent[-1]
+    for extra in one.answers[1:]:
+        yield Violation(extra.t, sent.limiter, one.id, "answered twice")
+    if not one.answers:
+        return
+    answer = one.answers[0]
+    if answer.t > sent.t + sent.ttl + ANSWER_SLACK:
+        late = answer.t - sent.t - sent.ttl
+        yield Violation(answer.t, sent.limiter, one.id, f"answered {late * 1000:.0f} ms after its time")
+    if answer.status == 200 and not any(_made(a, answer) for a in one.attempts):
+        yield Violation(answer.t, sent.limiter, one.id, "served with what no server made for it")
+    for attempt in one.attempts:
+        if attempt.arrived.began > answer.t + SOCKETS and attempt.arrived.limiter == sent.limiter:
+            yield Violation(attempt.arrived.began, sent.limiter, one.id, "sent on after its final answer")
+
+
+def _made(attempt: Attempt, answer: log.Answered) -> bool:
+    reply = attempt.replied
+    return reply is not None and reply.status == 200 and reply.body == answer.body
+
+
+# 2: no effect twice.
+
+
+def _twice(line: Timeline) -> Iterator[Violation]:
+    for one in line.tries.values():
+        if not one.sent:
+            continue
+        cls = line.classes[one.sent[0].cls]
+        if cls.effect == "safe":
+            continue
+        ordered = sorted(one.attempts, key=lambda a: (a.arrived.t, a.arrived.attempt))
+        for number, attempt in enumerate(ordered):
+            earlier = [a for a in ordered[:number] if a.proved_unrun > attempt.arrived.t]
+            if earlier and (why := _forbidden(line, cls, earlier[0], attempt)):
+                yield Violation(attempt.arrived.t, attempt.arrived.limiter, one.id, why)
+        for answer in one.answers:
+            open_ = [a for a in ordered if a.arrived.t <= answer.t < a.proved_unrun]
+            if answer.status in REFUSALS and open_ and (cls.effect, cls.group) != ("keyed", "all"):
+                at = open_[0].arrived.server
+                text = f"refused with {answer.status} though it may have run at {at}"
+                yield Violation(answer.t, one.sent[-1].limiter, one.id, text)
+
+
+def _forbidden(line: Timeline, cls: log.ClassFacts, first: Attempt, again: Attempt) -> str:
+    """Why a further attempt after one that may have run is against the rule; "" if it is not."""
+    a, b = first.arrived, again.arrived
+    if cls.effect == "unsafe":
+        return f"sent again to {b.server} though it may have run at {a.server}"
+    same = {
+        "all": True,
+        "zone": line.halls.get(a.server) == line.halls.get(b.server),
+        "cell": line.cells.get(a.server) == line.cells.get(b.server),
+    }[cls.group]
+    if not same:
+        return f"a keyed request went on to {b.server}, outside the {cls.group} of {a.server}"
+    if b.began - a.t > cls.window + SOCKETS:
+        return f"a keyed request was repeated {b.began - a.t:.2f} s later; servers remember {cls.window} s"
+    return ""
+
+
+# 3: drains kept.
+
+
+def _drains(line: Timeline) -> Iterator[Violation]:
+    for attempt in line.attempts.values():
+        r = attempt.arrived
+        states = line.told_at(r.limiter, r.server, r.began)
+        since, health = FOREVER, ""
+        for state in reversed(states):
+            if state.health == "ready":
+                break
+            since, health = state.t, state.health
+        late = r.began - since - line.day.drain_grace
+        if late > SOCKETS:
+            text = f"new work to {r.server} {late:.2f} s past the grace; told {health} at {since:.2f}"
+            yield Violation(r.began, r.limiter, r.id, text)
+
+
+# 4: no cold server pushed over.
+
+
+def _cold(line: Timeline) -> tuple[int, list[Violation]]:
+    checked, found = 0, list[Violation]()
+    by_server = dict[str, list[log.Arrived]]()
+    for attempt in line.attempts.values():
+        by_server.setdefault(attempt.arrived.server, []).append(attempt.arrived)
+    for number, start in enumerate(line.servers):
+        if start.what != "started":
+            continue
+        ends = [s.t for s in line.servers[number + 1 :] if s.server == start.server and s.what != "draining"]
+        until = min([*ends, start.t + start.cold_seconds])
+        arrivals = [a for a in by_server.get(start.server, []) if start.t <= a.t <= until]
+        checked += len(arrivals)
+        if (violation := _pushed(line, start, sorted(arrivals, key=lambda a: (a.t, a.attempt)))) is not None:
+            found.append(violation)
+    return checked, found
+
+
+def _pushed(line: Timeline, start: log.ServerState, arrivals: list[log.Arrived]) -> Violation | None:
+    """Whether work within some window was too much for the cold server, most of it sent knowingly."""
+    day, window = line.day, deque[log.Arrived]()
+    for last in arrivals:
+        window.append(last)
+        while window[0].t <= last.t - day.fall_seconds:
+            window.popleft()
+        capacity = start.cores * warmth(last.t - start.t, start.cold_share, start.cold_seconds)
+        work = sum(a.work for a in window)
+        bound = day.fall_multiple * capacity * day.fall_seconds + max(a.work for a in window)
+        if work <= bound:
+            continue
+        knowing = sum(a.work for a in window if _knew(line, a, start))
+        if knowing >= TOLD_SHARE * work:
+            what = f"{work:.2f} s of work to cold {start.server}"
+            text = f"{what} within {day.fall_seconds:g} s; bound {bound:.2f}"
+            return Violation(last.t, last.limiter, last.id, text)
+    return None
+
+
+def _knew(line: Timeline, sent: log.Arrived, start: log.ServerState) -> bool:
+    return any(s.born >= start.t - SOCKETS for s in line.told_at(sent.limiter, sent.server, sent.t))
+
+
+# 5: ceilings kept.
+
+
+def _ceilings(line: Timeline) -> tuple[int, list[Violation]]:
+    stores = dict[tuple[str, str], tuple[float, float]]()  # level and when
+    worst = dict[tuple[str, str], Violation]()
+    checked = 0
+    for t, one in first_sendings(line):
+        sent, plan = one.sent[0], line.plans[one.sent[0].plan]
+        if plan.ceiling_rate <= 0:
+            continue
+        checked += 1
+        key = (sent.plan, sent.account)
+        level, at = stores.get(key, (plan.ceiling_burst, t))
+        level = min(plan.ceiling_burst, level + plan.ceiling_rate * (t - at)) - sent.units
+        stores[key] = level, t
+        slack = max(CEILING_SLACK * plan.ceiling_burst, line.day.max_units)
+        slack += CEILING_LATE * plan.ceiling_rate
+        if level < -slack - 1e-9 and key not in worst:
+            text = f"account {sent.account} went {-level:.2f} units over its ceiling; slack {slack:.2f}"
+            worst[key] = Violation(t, one.attempts[0].arrived.limiter, one.id, text)
+    return checked, list(worst.values())
+
+
+def first_sendings(line: Timeline) -> list[tuple[float, Try]]:
+    """When each try was first sent on, that is: whole at a server; in order of time."""
+    rows = [(min(a.arrived.t for a in one.attempts), one) for one in line.tries.values() if one.attempts]
+    return sorted(rows, key=lambda row: (row[0], row[1].id))
--- /dev/null
+++ b/cypresspulley/rehearsal/scenario.py
@@ -0,0 +1,265 @@
+"""Scenario files (TOML): what is played, checked key by key before anything starts.
+
+Times are seconds unless a name ends in ``_ms``; shares lie in 0..1; rates are requests a second.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+
+SHIPPED = Path(__file__).resolve().parents[2] / "examples" / "scenarios"
+INSTALLED = Path(__file__).resolve().parent / "scenarios"  # where a wheel puts them
+
+Share = Annotated[float, Field(ge=0, le=1)]
+Positive = Annotated[float, Field(gt=0, le=1e6)]
+NotNegative = Annotated[float, Field(ge=0, le=1e6)]
+Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,39}$")]
+
+# Which keys a fault may have beside kind and at: the table that `Fault` is checked against.
+FAULT_KEYS: dict[str, frozenset[str]] = {
+    "limiter-kill": frozenset(("targets", "count", "back_after", "known", "when")),
+    "limiter-restart": frozenset(("targets", "count", "back_after")),
+    "limiter-reload": frozenset(("targets", "count")),
+    "server-errors": frozenset(("targets", "count", "lasts", "size")),
+    "server-resets": frozenset(("targets", "count", "lasts", "size")),
+    "server-hang": frozenset(("targets", "count", "lasts")),
+    "server-crash": frozenset(("targets", "count", "back_after")),
+    "server-drain": frozenset(("targets", "count", "lasts")),
+    "server-replace": frozenset(("targets", "count", "every", "reuse_address")),
+    "hall-cut": frozenset(("targets", "lasts")),
+    "account-flood": frozenset(("lasts", "size")),
+    "account-surge": frozenset(("lasts", "size", "count")),
+    "keeper-slow": frozenset(("lasts", "add_ms")),
+    "keeper-stop": frozenset(("lasts",)),
+    "keeper-empty": frozenset(()),
+    "discovery-silent": frozenset(("lasts",)),
+}
+
+
+class ScenarioError(ValueError):
+    """A scenario that cannot be played; the text names file, key and what was expected."""
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Goal(_Strict):
+    service: Share = Field(0.0, description="the least service figure")
+
+
+class Fleet(_Strict):
+    """The bag servers: work is CPU seconds on one core of speed 1."""
+
+    servers: int = Field(9, ge=1, le=200)
+    halls: tuple[Name, ...] = Field(("east-hall", "west-hall", "dock-hall"), min_length=1, max_length=16)
+    cores: Positive = 2.0
+    slots: int = Field(8, ge=1, le=1000)
+    waiting: int = Field(40, ge=0, le=10_000)
+    thrash: NotNegative = 0.02
+    cold_share: Annotated[float, Field(gt=0, le=1)] = 0.3
+    cold_seconds: Positive = 10.0
+    fall_multiple: Positive = 2.5
+    fall_seconds: Positive = 2.0
+    connections: int = Field(800, ge=1, le=4000)
+    idle_seconds: Positive = 30.0
+    drain_grace: Positive = 2.0
+    report_ms: Positive = 400.0
+    stops_running: bool = Field(False, description="whether a time-out stops running work too")
+
+
+class Limiters(_Strict):
+    count: int = Field(3, ge=1, le=16)
+    sockets: int = Field(512, ge=64, le=4096)
+    memory_mb: int = Field(192, ge=32, le=4096)
+    max_attempts: int = Field(4, ge=1, le=10)
+
+
+class Keeper(_Strict):
+    parts: int = Field(2, ge=1, le=16)
+    calls_per_second: Positive = 480.0
+    call_ms: Positive = 1.0
+    waiting_ms: Positive = 150.0
+    give_up_ms: Positive = 50.0
+
+
+class Network(_Strict):
+    same_ms: NotNegative = 0.2
+    cross_ms: NotNegative = 1.0
+
+
+class DiscoverySection(_Strict):
+    notice: tuple[NotNegative, NotNegative] = (1.0, 3.0)
+
+
+class Clients(_Strict):
+    retries: int = Field(3, ge=0, le=10)
+    backoff: Literal["none", "fixed", "exp"] = "fixed"
+    backoff_ms: NotNegative = 250.0
+    honour: Share = 0.8
+    try_share: tuple[Share, Share] = (0.6, 1.0)
+    impatient: Share = 0.005
+    notice: tuple[NotNegative, NotNegative] = (2.0, 4.0)
+
+
+class ClassRow(_Strict):
+    name: Name
+    share: Positive
+    work_ms: Positive
+    spread: NotNegative = Field(0.6, description="coefficient of variation of the work")
+    aim_ms: Positive
+    deadline_ms: Positive = Field(le=60_000)
+    worth: Positive = 1.0
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    group: Literal["all", "zone", "cell"] = "all"
+    window: NotNegative = 5.0
+
+
+class PlanRow(_Strict):
+    name: Name
+    share: Positive
+    rate: Positive
+    burst: Positive
+    price: Positive = 1.0
+    over_worth: Share = 0.0
+    over_cost: Share = 0.5
+    open_limit: int = Field(0, ge=0, le=10_000)
+    ceiling: NotNegative = Field(0.0, description="hard ceiling, in times rate and burst; 0: none")
+
+
+class Load(_Strict):
+    inside: Positive = Field(60.0, description="requests a second asked inside the quotas", le=5000)
+    heavy: Share = Field(0.05, description="share of the accounts that ask for a multiple all day")
+    full: Share = Field(0.15, description="share of the accounts that use nearly all")
+    spiky: Share = Field(0.15, description="share of the accounts that ask for a multiple now and then")
+    spread: tuple[int, int] = (2, 3)
+
+
+class Fault(_Strict):
+    kind: str
+    at: NotNegative
+    lasts: Positive | None = None
+    targets: tuple[Name, ...] = ()
+    count: int = Field(1, ge=1, le=200)
+    size: Annotated[float, Field(gt=0, le=20)] = 0.5
+    back_after: Positive = 4.0
+    known: Literal["last", "gone"] = "last"
+    when: Literal["time", "handover-written"] = "time"
+    add_ms: Positive = 40.0
+    every: Positive = 2.0
+    reuse_address: bool = False
+
+    @model_validator(mode="after")
+    def _keys(self) -> Fault:
+        if self.kind not in FAULT_KEYS:
+            raise ValueError(f"kind {self.kind!r} is none of {', '.join(sorted(FAULT_KEYS))}")
+        allowed = FAULT_KEYS[self.kind]
+        if extra := sorted(self.model_fields_set - {"kind", "at"} - allowed):
+            raise ValueError(f"a {self.kind} has no {', '.join(extra)}; expected {sorted(allowed) or 'none'}")
+        if "lasts" in allowed and self.lasts is None:
+            raise ValueError(f"a {self.kind} needs lasts (seconds)")
+        return self
+
+
+CLASSES = (
+    ClassRow(name="bag-lookup", share=0.7, work_ms=110, aim_ms=1200, deadline_ms=4000, worth=2),
+    ClassRow(
+        name="handover-post", share=0.3, work_ms=290, aim_ms=2000, deadline_ms=5000, worth=5, effect="unsafe"
+    ),
+)
+PLANS = (
+    PlanRow(name="guesthouse", share=0.2, rate=0.8, burst=4, price=0.5, over_worth=0.2, over_cost=0.0),
+    PlanRow(name="standard", share=0.2, rate=0.9, burst=4, price=0.9),
+    PlanRow(name="business", share=0.3, rate=2.8, burst=13, price=1.2, ceiling=2.0),
+    PlanRow(name="chain", share=0.3, rate=7.0, burst=13, price=1.8, open_limit=6),
+)
+
+
+class Scenario(_Strict):
+    name: Name
+    about: str = Field(min_length=1)
+    seconds: Annotated[float, Field(ge=1, le=600)]
+    seed: int = Field(1, ge=0, lt=2**63)
+    goal: Goal = Goal()
+    fleet: Fleet = Fleet()
+    limiters: Limiters = Limiters()
+    keeper: Keeper = Keeper()
+    network: Network = Network()
+    discovery: DiscoverySection = DiscoverySection()
+    clients: Clients = Clients()
+    load: Load = Load()
+    classes: tuple[ClassRow, ...] = Field(CLASSES, alias="class", min_length=1)
+    plans: tuple[PlanRow, ...] = Field(PLANS, alias="plan", min_length=1)
+    faults: tuple[Fault, ...] = Field((), alias="fault")
+
+    @model_validator(mode="after")
+    def _fits(self) -> Scenario:
+        known = {
+            "limiter": set(limiter_names(self)),
+            "server": set(server_names(self)),
+            "hall": set(self.fleet.halls),
+        }
+        for rows, what in ((self.classes, "class"), (self.plans, "plan")):
+            if len({row.name for row in rows}) != len(rows):
+                raise ValueError(f"{what}: two have one name; expected each name once")
+        for number, fault in enumerate(self.faults):
+            if fault.at >= self.seconds:
+                raise ValueError(f"fault.{number}.at: {fault.at} is past the end; expected < {self.seconds}")
+            names = known.get(fault.kind.partition("-")[0], set[str]())
+            if wrong := [target for target in fault.targets if target not in names]:
+                raise ValueError(
+                    f"fault.{number}.targets: {wrong[0]!r} is none of {', '.join(sorted(names))}"
+                )
+            if names and not fault.targets and fault.count > len(names):
+                raise ValueError(f"fault.{number}.count: {fault.count}; expected at most {len(names)}")
+        low, high = self.load.spread
+        if not 1 <= low <= high <= self.limiters.count:
+            raise ValueError(f"load.spread: {low}..{high}; expected 1 <= low <= high <= limiters.count")
+        return self
+
+
+def limiter_names(scenario: Scenario) -> list[str]:
+    return [f"limiter-{i}" for i in range(scenario.limiters.count)]
+
+
+def server_names(scenario: Scenario) -> list[str]:
+    return [f"bag-{i:02d}" for i in range(scenario.fleet.servers)]
+
+
+def _place(error: dict[str, Any]) -> str:
+    where = ".".join(str(part) for part in error["loc"])
+    text = str(error["msg"]).removeprefix("Value error, ")
+    got = error.get("input")
+    shown = f" (got {got!r:.60})" if isinstance(got, str | int | float | bool) else ""
+    return f"{where}: {text}{shown}" if where else text
+
+
+def parse_scenario(raw: dict[str, Any], source: str) -> Scenario:
+    """A scenario from parsed TOML; ``ScenarioError`` names ``source``, each wrong key and what to write."""
+    try:
+        return Scenario.model_validate(raw)
+    except ValidationError as error:
+        lines = [_place(dict(one)) for one in error.errors()]
+        raise ScenarioError("\n".join(f"{source}: {line}" for line in lines)) from None
+
+
+def shipped() -> dict[str, Path]:
+    """The scenarios in the box, by name."""
+    folder = SHIPPED if SHIPPED.is_dir() else INSTALLED
+    return {path.stem: path for path in sorted(folder.glob("*.toml"))}
+
+
+def load_scenario(name: str) -> Scenario:
+    """A shipped scenario by its name, or one from a TOML file."""
+    path = shipped().get(name, Path(name))
+    if not path.is_file():
+        raise ScenarioError(f"{name}: neither a file nor a shipped scenario; expected {', '.join(shipped())}")
+    try:
+        raw = tomllib.loads(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise ScenarioError(f"{path}: not readable as TOML: {error}") from None
+    return parse_scenario(raw, str(path))
--- /dev/null
+++ b/cypresspulley/rehearsal/standins/clients.py
@@ -0,0 +1,305 @@
+"""Scripted clients: open-loop arrivals through a front, kept connections, retries of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import Protocol, cast
+
+import httptools
+
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.plan import Arrival, random_for, request_id
+from cypresspulley.rehearsal.scenario import ClassRow, Clients
+from cypresspulley.rehearsal.standins.stage import Known, Stage
+
+DIAL = 0.5  # seconds that a client waits for a connection
+OVERTIME = 0.1  # seconds past its time that a client stays, so that a late answer is seen
+MAX_WAIT = 2.0  # seconds of Retry-After that a client honours at most
+SHIFT = 12.0  # seconds after which an account's requests come through other limiters more than others
+LENGTHS = (24, 240)  # bytes of a body
+MAX_ANSWER = 256 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How one sending ended: an HTTP status, or 0 for a connection that broke or was left."""
+
+    status: int
+    retry_after: float | None = None
+    broke: bool = False
+
+
+class _Connection(asyncio.Protocol):
+    """One kept connection to a limiter; one request at a time."""
+
+    def __init__(self, stage: Stage, limiter: str) -> None:
+        self._stage, self._limiter = stage, limiter
+        self.transport: asyncio.Transport | None = None
+        self.uses, self.reusable = 0, True
+        self._id, self._last = "", ""
+        self._waiter: asyncio.Future[Outcome] | None = None
+        self._reset_answer()
+
+    def _reset_answer(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._body, self._size, self._begun = list[bytes](), 0, False
+        self._retry_after: float | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport, self.reusable = None, False
+        if self._waiter is not None and not self._waiter.done():
+            self._stage.record(log.Broke(self._stage.now(), self._id, self._begun))
+            self._finish(Outcome(0, broke=True))
+
+    def data_received(self, data: bytes) -> None:
+        if self._waiter is None:
+            self._stage.record(log.Surplus(self._stage.now(), self._limiter, self._last, len(data)))
+            return self.close()
+        self._begun = True
+        self._size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self.close()
+        if self._size > MAX_ANSWER:
+            self.close()
+
+    def ask(self, id: str, request: bytes) -> asyncio.Future[Outcome]:
+        assert self.transport is not None
+        self.uses += 1
+        self._id = id
+        self._reset_answer()
+        self._waiter = asyncio.get_running_loop().create_future()
+        self.transport.write(request)
+        return self._waiter
+
+    def close(self) -> None:
+        self.reusable = False
+        if self.transport is not None:
+            self.transport.abort()
+
+    def leave(self) -> None:
+        """The client goes away with its request open."""
+        self._waiter = None
+        self.close()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        key = name.lower()
+        if key == b"retry-after":
+            with contextlib.suppress(ValueError):
+                self._retry_after = float(value)
+        elif key == b"connection" and value.lower() == b"close":
+            self.reusable = False
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        status = self._parser.get_status_code()
+        if status < 200:
+            return self._reset_answer()
+        if self._waiter is None:  # a second answer in the same bytes
+            self._stage.record(log.Surplus(self._stage.now(), self._limiter, self._last, self._size))
+            return None
+        text = b"".join(self._body).decode("latin-1")[:400]
+        self._stage.record(log.Answered(self._stage.now(), self._id, status, self._retry_after, text))
+        return self._finish(Outcome(status, self._retry_after))
+
+    def _finish(self, outcome: Outcome) -> None:
+        waiter, self._waiter, self._last = self._waiter, None, self._id
+        if waiter is not None and not waiter.done():
+            waiter.set_result(outcome)
+
+
+class Front:
+    """Which limiters clients are sent to: in from the first good answer on, out some time after a death."""
+
+    def __init__(self, limiters: list[str]) -> None:
+        self._limiters, self._up = limiters, set[str]()
+
+    def up(self, limiter: str) -> None:
+        self._up.add(limiter)
+
+    def down(self, limiter: str) -> None:
+        self._up.discard(limiter)
+
+    def choose(self, seed: int, arrival: Arrival, now: float, attempt: int) -> str:
+        """A member of the account's set, unevenly, the uneven shares changing every ``SHIFT`` seconds."""
+        count = len(self._limiters)
+        members = [self._limiters[(arrival.first + k) % count] for k in range(arrival.spread)]
+        shares = random_for(seed, "shares", arrival.account, int(max(0.0, now) / SHIFT))
+        weights = {name: 0.15 + shares.random() ** 2 for name in members}
+        there = [name for name in members if name in self._up] or members
+        rng = random_for(seed, "front", arrival.number, attempt)
+        return rng.choices(there, [weights[name] for name in there])[0]
+
+
+class Dialer(Protocol):
+    def __call__(self, limiter: str) -> tuple[str, int]: ...
+
+
+class ClientFleet:
+    """All clients of the day; ``play`` sends each arrival at its time, whatever answers do."""
+
+    def __init__(
+        self, stage: Stage, front: Front, address: Dialer, options: Clients,
+        classes: dict[str, ClassRow], seed: int, seconds: float,
+    ) -> None:  # fmt: skip
+        self._stage, self.front, self._address = stage, front, address
+        self._options, self._classes = options, classes
+        self._seed, self._seconds = seed, seconds
+        self._idle = defaultdict[str, list[_Connection]](list)
+        self._open = set[asyncio.Task[None]]()
+        self.late = list[float]()  # seconds by which each arrival was sent late
+
+    @property
+    def open(self) -> int:
+        return len(self._open)
+
+    async def play(self, arrivals: tuple[Arrival, ...]) -> None:
+        loop = asyncio.get_running_loop()
+        for arrival in arrivals:
+            wait = arrival.t - self._stage.now()
+            if wait > 0:
+                await asyncio.sleep(wait)
+            self.late.append(max(0.0, self._stage.now() - arrival.t))
+            task = loop.create_task(self._request(arrival))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+
+    async def finish(self, within: float) -> int:
+        """Wait for the requests that are open; gives how many still were and were left."""
+        if self._open:
+            await asyncio.wait(self._open, timeout=within)
+        left = list(self._open)
+        for task in left:
+            task.cancel()
+        if left:
+            await asyncio.wait(left)
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.close()
+        return len(left)
+
+    async def _request(self, arrival: Arrival) -> None:
+        """All tries of one request."""
+        cls, asked = self._classes[arrival.cls], self._stage.now()
+        first = request_id(self._seed, arrival.number, 0)
+        for attempt in range(self._options.retries + 1):
+            rng = random_for(self._seed, "client", arrival.number, attempt)
+            id = request_id(self._seed, arrival.number, attempt)
+            limiter = self.front.choose(self._seed, arrival, self._stage.now(), attempt)
+            share, impatient = rng.uniform(*self._options.try_share), rng.random()
+            leave = rng.uniform(0.1, 0.9) if impatient < self._options.impatient else None
+            outcome = await self._try(arrival, cls, limiter, id, first, attempt, share, leave)
+            pause, honours = self._pause(attempt, rng.random()), rng.random() < self._options.honour
+            if outcome.status == 200 or leave is not None or not self._may_repeat(cls, outcome):
+                return
+            if outcome.retry_after is not None and honours:
+                pause = max(pause, min(MAX_WAIT, outcome.retry_after))
+            if self._stage.now() + pause - asked > cls.deadline_ms / 1000:
+                return
+            await asyncio.sleep(pause)
+
+    def _pause(self, attempt: int, draw: float) -> float:
+        base = self._options.backoff_ms / 1000 * (0.5 + draw)
+        return {"none": 0.0, "fixed": base, "exp": base * float(2**attempt)}[self._options.backoff]
+
+    def _may_repeat(self, cls: ClassRow, outcome: Outcome) -> bool:
+        """A refusal is harmless to repeat; a broken connection the client repeats at its own risk."""
+        if outcome.status in (429, 503) or outcome.broke:
+            return True
+        return cls.effect == "safe" or (cls.effect == "keyed" and cls.group == "all")
+
+    async def _try(
+        self, arrival: Arrival, cls: ClassRow, limiter: str, id: str, first: str, attempt: int,
+        share: float, leave: float | None,
+    ) -> Outcome:  # fmt: skip
+        ttl = max(1, int(cls.deadline_ms * share))
+        head, known = self._request_bytes(arrival, cls, id, attempt, ttl)
+        for again in (False, True):
+            connection = None if again else self._take(limiter)
+            connection = connection or await self._dial(limiter)
+            if connection is None:
+                self._stage.record(log.Unreached(self._stage.now(), id, first, limiter))
+                return Outcome(0, broke=True)
+            kept = connection.uses > 0
+            self._stage.sent(known)
+            self._stage.record(
+                log.Sent(
+                    self._stage.now(), id, first, attempt, limiter, arrival.account, arrival.plan, cls.name,
+                    arrival.units, ttl / 1000, not kept,
+                )
+            )  # fmt: skip
+            outcome = await self._wait(connection, id, head, ttl / 1000, leave)
+            if connection.reusable and connection.transport is not None:
+                self._idle[limiter].append(connection)
+            # A kept connection may have been closed just then: what is safe goes once more on a new one.
+            if not (outcome.broke and kept and cls.effect == "safe"):
+                return outcome
+        return outcome
+
+    async def _wait(
+        self, connection: _Connection, id: str, request: bytes, ttl: float, leave: float | None
+    ) -> Outcome:
+        waiter = connection.ask(id, request)
+        limit = ttl * leave if leave is not None else ttl + OVERTIME
+        try:
+            done, _ = await asyncio.wait((waiter,), timeout=limit)
+        except asyncio.CancelledError:
+            connection.leave()
+            raise
+        if done:
+            return waiter.result()
+        self._stage.record(log.Left(self._stage.now(), id, "over" if leave is None else "impatient"))
+        connection.leave()
+        return Outcome(0)
+
+    def _take(self, limiter: str) -> _Connection | None:
+        idle = self._idle[limiter]
+        while idle:
+            connection = idle.pop()
+            if (
+                connection.reusable
+                and connection.transport is not None
+                and not connection.transport.is_closing()
+            ):
+                return connection
+        return None
+
+    async def _dial(self, limiter: str) -> _Connection | None:
+        connection = _Connection(self._stage, limiter)
+        try:
+            async with asyncio.timeout(DIAL):
+                await asyncio.get_running_loop().create_connection(
+                    lambda: connection, *self._address(limiter)
+                )
+        except (OSError, TimeoutError):
+            connection.close()
+            return None
+        return connection if connection.transport is not None else None
+
+    def _request_bytes(
+        self, arrival: Arrival, cls: ClassRow, id: str, attempt: int, ttl: int
+    ) -> tuple[bytes, Known]:
+        target = f"/{cls.name}?account={arrival.account}"
+        method, body = ("GET", b"") if cls.effect == "safe" else ("POST", self._body(arrival))
+        head = (
+            f"{method} {target} HTTP/1.1\r\nHost: bags.internal\r\nX-Request-ID: {id}\r\n"
+            f"X-Priority-Class: {cls.name}\r\nX-Plan: {arrival.plan}\r\nX-Timeout-Ms: {ttl}\r\n"
+            f"X-Quota: units={arrival.units:g},spread={arrival.spread},first={arrival.first}\r\n"
+        )
+        head += "X-Retried: 1\r\n" if attempt else ""
+        head += f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
+        known = Known(id, method, target, body, cls.name, cls.effect, cls.window)
+        return f"{head}\r\n".encode() + body, known
+
+    def _body(self, arrival: Arrival) -> bytes:
+        rng = random_for(self._seed, "body", arrival.number)
+        return rng.randbytes(rng.randint(*LENGTHS)).hex().encode()
--- /dev/null
+++ b/cypresspulley/rehearsal/standins/discovery.py
@@ -0,0 +1,176 @@
+"""Discovery's agent on a limiter's machine: the list of servers and the watch on it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass, replace
+from typing import Any
+
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.standins.network import Link, LinkedProtocol, Listener
+from cypresspulley.rehearsal.standins.stage import Stage
+
+EMPTY_LINE = 2.0  # seconds between two signs of life of a watch
+MAX_HEAD = 16 * 1024
+KEPT = 1000  # changes that a watch may go on from; from an older version it gets the whole list
+
+
+@dataclass(frozen=True, slots=True)
+class Host:
+    """One server as discovery lists it; ``dial`` is this limiter's way to it."""
+
+    host: str
+    dial: str
+    site: str
+    block: int
+    health: str  # ready, draining or gone
+    born_ms: int = 0
+    share: float = 1.0
+
+    def row(self) -> dict[str, Any]:
+        return {
+            "host": self.host, "dial": self.dial, "site": self.site, "class": "small", "block": self.block,
+            "health": self.health, "share": self.share, "born_ms": self.born_ms,
+        }  # fmt: skip
+
+
+class _Connection(LinkedProtocol):
+    def __init__(self, agent: Agent, link: Link) -> None:
+        super().__init__(link)
+        self._agent, self._buffer = agent, b""
+        self.watching = False
+
+    def received(self, data: bytes) -> None:
+        self._buffer += data
+        while (end := self._buffer.find(b"\r\n\r\n")) >= 0:
+            head, self._buffer = self._buffer[:end], self._buffer[end + 4 :]
+            self._agent.asked(self, head.split(b"\r\n")[0].decode("latin-1"))
+        if len(self._buffer) > MAX_HEAD:
+            self.close()
+
+    def ended(self) -> None:
+        self._agent.watchers.discard(self)
+
+    def chunk(self, line: bytes) -> None:
+        self.send(b"%x\r\n%b\r\n" % (len(line), line))
+
+
+class Agent:
+    """What one limiter is told. ``publish`` is discovery's; a silent agent tells nothing until it is not."""
+
+    def __init__(self, stage: Stage, limiter: str) -> None:
+        self.stage, self.limiter = stage, limiter
+        self.seq = 1
+        self.hosts = dict[str, Host]()
+        self.told = dict[str, Host]()  # what the limiter was told last: what it comes back with
+        self.told_seq = 0
+        self._changes = list[tuple[int, Host]]()
+        self.watchers = set[_Connection]()
+        self._held = list[tuple[Host, ...]]()
+        self._listener: Listener | None = None
+        self._beat: asyncio.TimerHandle | None = None
+        self.silent = False
+
+    def __repr__(self) -> str:
+        return f"<Agent {self.limiter} seq {self.seq}, {len(self.hosts)} hosts{' silent' * self.silent}>"
+
+    def listen(self, host: str) -> str:
+        """Listen at a new address; the one before takes nobody new and ends its watches after 1.5 s."""
+        old, leaving = self._listener, list(self.watchers)
+        link = Link(self.limiter)
+        self._listener = Listener(host, link, lambda of: _Connection(self, of))
+        if old is not None:
+            old.close()
+            loop = asyncio.get_running_loop()
+            for watcher in leaving:
+                loop.call_later(1.5, watcher.close)
+        if self._beat is None:
+            self._empty_line()
+        return self._listener.address
+
+    def close(self) -> None:
+        if self._beat is not None:
+            self._beat.cancel()
+        if self._listener is not None:
+            self._listener.close()
+        for watcher in list(self.watchers):
+            watcher.close()
+
+    def known(self) -> dict[str, Any]:
+        """The list as the limiter had it last, in discovery's form."""
+        return {"seq": self.told_seq, "whole": True, "hosts": [h.row() for h in self.told.values()]}
+
+    def publish(self, *hosts: Host) -> None:
+        """Discovery sends the agent changed entries; ``gone`` ones are told once and forgotten."""
+        if self.silent:
+            self._held.append(hosts)
+            return
+        self.seq += 1
+        for host in hosts:
+            if host.health == "gone":
+                self.hosts.pop(host.host, None)
+            else:
+                self.hosts[host.host] = host
+            self._changes.append((self.seq, host))
+        del self._changes[:-KEPT]
+        self._note(False, False, hosts)
+        for watcher in list(self.watchers):
+            self._tell(watcher, False, hosts)
+
+    def wake(self) -> None:
+        """The silence is over: what discovery had to tell comes now."""
+        self.silent = False
+        held, self._held = self._held, []
+        for hosts in held:
+            self.publish(*hosts)
+
+    def _note(self, told: bool, whole: bool, hosts: tuple[Host, ...]) -> None:
+        rows = {h.host: (h.health, h.born_ms / 1000 - self.stage.unix_ms(0) / 1000) for h in hosts}
+        rows = {name: (health, -1e9 if born < -1e8 else born) for name, (health, born) in rows.items()}
+        self.stage.record(log.Listed(self.stage.now(), self.limiter, told, whole, rows))
+
+    def _tell(self, watcher: _Connection, whole: bool, hosts: tuple[Host, ...]) -> None:
+        message = {"seq": self.seq, "whole": whole, "hosts": [host.row() for host in hosts]}
+        watcher.chunk(json.dumps(message, separators=(",", ":")).encode() + b"\n")
+        self.heard(whole, hosts)
+
+    def heard(self, whole: bool, hosts: tuple[Host, ...]) -> None:
+        """The limiter has been told, by the watch or by its configuration."""
+        self.told_seq = self.seq
+        if whole:
+            self.told = {}
+        for host in hosts:
+            if host.health == "gone":
+                self.told.pop(host.host, None)
+            else:
+                self.told[host.host] = replace(host)
+        self._note(True, whole, hosts)
+
+    def asked(self, connection: _Connection, line: str) -> None:
+        method, _, rest = line.partition(" ")
+        path, _, query = rest.partition(" ")[0].partition("?")
+        if method != "GET" or path != "/v1/servers":
+            return connection.send(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+        if self.silent:
+            return None  # down: it says nothing
+        options = dict(part.partition("=")[::2] for part in query.split("&"))
+        whole = tuple(self.hosts.values())
+        if options.get("follow") != "1":
+            body = json.dumps({"seq": self.seq, "whole": True, "hosts": [h.row() for h in whole]}).encode()
+            connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            return self.heard(True, whole)
+        connection.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.watchers.add(connection)
+        since = options.get("since", "")
+        oldest = self._changes[0][0] if self._changes else self.seq + 1
+        if since.isdigit() and oldest - 1 <= int(since) <= self.seq:
+            changed = tuple(host for seq, host in self._changes if seq > int(since))
+            return self._tell(connection, False, changed) if changed else None
+        return self._tell(connection, True, whole)
+
+    def _empty_line(self) -> None:
+        self._beat = asyncio.get_running_loop().call_later(EMPTY_LINE, self._empty_line)
+        if not self.silent:
+            for watcher in list(self.watchers):
+                watcher.chunk(b"\n")
--- /dev/null
+++ b/cypresspulley/rehearsal/timeline.py
@@ -0,0 +1,220 @@
+"""A log put in order and indexed for the judge; free of I/O.
+
+Records may come in any order: they are sorted by time, and what happened in the same tick by kind. No check
+goes by the order within a tick; each compares times, and equal times speak for the limiter.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cypresspulley.rehearsal import records as log
+
+RANK = {kind: rank for rank, kind in enumerate(log.KINDS.values())}
+FOREVER = float("inf")
+TOLD_AFTER = 6.0  # seconds until what an agent has counts as told, whether or not it arrived
+
+
+class JudgeError(ValueError):
+    """A log that cannot be judged."""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt at a server, with what became of it."""
+
+    arrived: log.Arrived
+    ran: log.Ran | None = None
+    replied: log.Replied | None = None
+    ended: log.Ended | None = None
+
+    @property
+    def proved_unrun(self) -> float:
+        """When it was proved that it never ran; infinity if never."""
+        return self.replied.t if self.replied is not None and self.replied.not_processed else FOREVER
+
+    @property
+    def out_until(self) -> float:
+        ends = [r.t for r in (self.replied, self.ended) if r is not None]
+        return min(ends, default=FOREVER)
+
+
+@dataclass(slots=True)
+class Try:
+    """One try of a client, by its id."""
+
+    id: str
+    sent: list[log.Sent] = field(default_factory=list)
+    unreached: list[log.Unreached] = field(default_factory=list)
+    answers: list[log.Answered] = field(default_factory=list)
+    broke: list[log.Broke] = field(default_factory=list)
+    left: list[log.Left] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Life:
+    """One process of a limiter; ``how`` it ended: killed, stopping, crashed or "" (still running)."""
+
+    start: float
+    end: float
+    how: str
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """From ``t`` on a limiter knows a server in this state (or counts as knowing it)."""
+
+    t: float
+    health: str
+    born: float
+
+
+class Timeline:
+    """What the rules and figures look things up in."""
+
+    def __init__(self, records: Iterable[log.Record]) -> None:
+        self.records = sorted(records, key=lambda r: (r.t, RANK[type(r)], log.to_line(r)))
+        days = [r for r in self.records if isinstance(r, log.Day)]
+        if len(days) != 1:
+            raise JudgeError(f"a log holds one day record; this one holds {len(days)}")
+        self.day = days[0]
+        self.classes = {c.name: c for c in self.day.classes}
+        self.plans = {p.name: p for p in self.day.plans}
+        self.tries = dict[str, Try]()
+        self.attempts = dict[int, Attempt]()
+        self.gaps = list[str]()  # what the log must have lost
+        self.surplus = [r for r in self.records if isinstance(r, log.Surplus)]
+        self.servers = [r for r in self.records if isinstance(r, log.ServerState)]
+        self.halls = {r.server: r.hall for r in self.servers}
+        self.cells = {r.server: (r.hall, r.cell) for r in self.servers}
+        self._index_clients()
+        self._index_servers()
+        self.lives = self._lives()
+        self.told = self._told()
+        if not any(isinstance(r, log.End) for r in self.records):
+            self.gaps.append("the log has no end record")
+
+    def of(self, kind: type[log.Record]) -> list[log.Record]:
+        return [r for r in self.records if type(r) is kind]
+
+    def _index_clients(self) -> None:
+        for r in self.records:
+            if isinstance(r, log.Sent):
+                if r.cls not in self.classes or r.plan not in self.plans:
+                    raise JudgeError(f"{r.id} is of class {r.cls}, plan {r.plan}: the day has no such")
+                self._try(r.id).sent.append(r)
+            elif isinstance(r, log.Unreached):
+                self._try(r.id).unreached.append(r)
+        for r in self.records:
+            if isinstance(r, log.Answered | log.Broke | log.Left):
+                known = self.tries.get(r.id)
+                if known is None or not (known.sent or isinstance(r, log.Left)):
+                    self.gaps.append(f"{type(r).__name__.lower()} {r.id} at {r.t:.3f}: it was never sent")
+                elif isinstance(r, log.Answered):
+                    known.answers.append(r)
+                elif isinstance(r, log.Broke):
+                    known.broke.append(r)
+                else:
+                    known.left.append(r)
+
+    def _try(self, id: str) -> Try:
+        if id not in self.tries:
+            self.tries[id] = Try(id)
+        return self.tries[id]
+
+    def _index_servers(self) -> None:
+        for r in self.records:
+            if isinstance(r, log.Arrived):
+                self.attempts[r.attempt] = attempt = Attempt(r)
+                if r.id in self.tries and self.tries[r.id].sent:
+                    self.tries[r.id].attempts.append(attempt)
+                else:
+                    self.gaps.append(f"arrived {r.id} at {r.t:.3f}: no client sent it")
+        for r in self.records:
+            if isinstance(r, log.Ran | log.Replied | log.Ended):
+                found = self.attempts.get(r.attempt)
+                if found is None:
+                    self.gaps.append(f"{type(r).__name__.lower()} of attempt {r.attempt}: it never arrived")
+                elif isinstance(r, log.Ran):
+                    found.ran = r
+                elif isinstance(r, log.Replied):
+                    found.replied = r
+                else:
+                    found.ended = r
+
+    def _lives(self) -> dict[str, list[Life]]:
+        lives = defaultdict[str, list[Life]](list)
+        begun = dict[str, float]()
+        for r in self.records:
+            if not isinstance(r, log.LimiterState):
+                continue
+            if r.what == "started":
+                begun[r.limiter] = r.t
+            elif r.what in ("killed", "crashed", "exited") and r.limiter in begun:
+                lives[r.limiter].append(Life(begun.pop(r.limiter), r.t, r.what))
+        for name, start in begun.items():
+            lives[name].append(Life(start, FOREVER, ""))
+        return lives
+
+    def died_within(self, limiter: str, start: float, end: float) -> bool:
+        """Whether a process of the limiter was killed outright in that time, both ends included."""
+        return any(life.how == "killed" and start <= life.end <= end for life in self.lives[limiter])
+
+    def life_at(self, limiter: str, t: float) -> Life:
+        for life in self.lives[limiter]:
+            if life.start <= t <= life.end:
+                return life
+        return Life(-FOREVER, FOREVER, "")
+
+    def _told(self) -> dict[tuple[str, float, str], list[Told]]:
+        """By limiter, start of its life and server: what it was told, in order of time."""
+        lists = defaultdict[str, list[log.Listed]](list)
+        for r in self.records:
+            if isinstance(r, log.Listed):
+                lists[r.limiter].append(r)
+        told = dict[tuple[str, float, str], list[Told]]()
+        for limiter, rows in lists.items():
+            for life in self.lives.get(limiter) or [Life(-FOREVER, FOREVER, "")]:
+                for server, states in _states(rows, life).items():
+                    told[limiter, life.start, server] = states
+        return told
+
+    def told_at(self, limiter: str, server: str, t: float) -> list[Told]:
+        """What the limiter's process of that time had been told of the server by then."""
+        states = self.told.get((limiter, self.life_at(limiter, t).start, server), [])
+        return states[: bisect_right(states, t, key=lambda s: s.t)]
+
+    def history(self, id: str) -> list[log.Record]:
+        """All records of one try, for people."""
+        numbers = {a.arrived.attempt for a in self.tries[id].attempts} if id in self.tries else set[int]()
+        return [
+            r for r in self.records if getattr(r, "id", None) == id or getattr(r, "attempt", None) in numbers
+        ]
+
+
+def _states(rows: list[log.Listed], life: Life) -> dict[str, list[Told]]:
+    """What one life was told of each server. What its agent has counts as told some seconds later."""
+    events, known = list[tuple[float, bool, dict[str, tuple[str, float]]]](), set[str]()
+    for row in rows:
+        if row.told:
+            if life.start <= row.t <= life.end:
+                events.append((row.t, row.whole, row.hosts))
+        elif row.t <= life.end:
+            events.append((max(row.t, life.start) + TOLD_AFTER, row.whole, row.hosts))
+    states = defaultdict[str, list[Told]](list)
+    for t, whole, hosts in sorted(events, key=lambda e: e[0]):
+        known |= hosts.keys()
+        for server in known:
+            if server in hosts:
+                health, born = hosts[server]
+            elif whole:
+                health, born = "gone", 0.0
+            else:
+                continue
+            if not states[server] or states[server][-1].health != health or states[server][-1].born != born:
+                states[server].append(Told(t, health, born))
+    return states
