--- a/cypresspulley/rehearsal/limiters.py
+++ b/cypresspulley/rehearsal/limiters.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import resource
 import signal
 import subprocess
 from pathlib import Path
@@ -64,10 +65,10 @@
     """One limiter: started from its configuration, ended by signals, followed until it is gone."""
 
     def __init__(
-        self, name: str, address: tuple[str, int], folder: Path, command: list[str], seed: int
-    ) -> None:
+        self, name: str, address: tuple[str, int], folder: Path, command: list[str], seed: int, sockets: int
+    ) -> None:  # fmt: skip
         self.name, self.address, self._folder = name, address, folder
-        self._command, self._seed = command, seed
+        self._command, self._seed, self._sockets = command, seed, sockets
         self._path = folder / f"{name}.json"
         self.log_path = folder / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
@@ -106,7 +107,7 @@
             self._file = open(self.log_path, "ab")  # noqa: SIM115 -- the child's for as long as it lives
             self.process = await asyncio.create_subprocess_exec(
                 *self._command, env=env, stdin=subprocess.DEVNULL, stdout=self._file, stderr=self._file,
-                start_new_session=True,
+                start_new_session=True, preexec_fn=self._limit,
             )  # fmt: skip
         except OSError as error:
             raise KitError(f"{self.name} does not start: {error}: see {self.log_path}") from None
@@ -117,6 +118,10 @@
         with contextlib.suppress(psutil.Error):
             self._seen = psutil.Process(self.process.pid)
 
+    def _limit(self) -> None:
+        """In the child, before the program: it may hold no more descriptors than it is told."""
+        resource.setrlimit(resource.RLIMIT_NOFILE, (self._sockets, self._sockets))
+
     async def ready(self) -> None:
         """Wait until it answers its health call with 200."""
         try:
--- a/cypresspulley/rehearsal/page.py
+++ b/cypresspulley/rehearsal/page.py
@@ -65,7 +65,7 @@
     axes[2].set_xlabel("seconds from the start of the day")
     for mark in verdict.faults:
         for axis in axes[:2]:
-            axis.axvspan(mark.t, max(mark.until, mark.t + 0.05), color="#f2c6a0", alpha=0.25, lw=0)
+            axis.axvspan(mark.t, max(mark.until, mark.t + 0.05), color="#f2c6a0", alpha=0.25, lw=0, zorder=0)
     text = io.StringIO()
     figure.savefig(text, format="svg", metadata=dict.fromkeys(("Date", "Type", "Format", "Creator")))
     svg = re.sub(r"^.*?(<svg )", r"\1", text.getvalue(), count=1, flags=re.DOTALL)
@@ -99,7 +99,9 @@
     for outcome, color in COLORS.items():
         wanted = ("failed", "unreached") if outcome == "failed" else (outcome,)
         values = [float(sum(per_second.get(s, Counter())[w] for w in wanted)) for s in range(count)]
-        axis.bar([s + 0.5 for s in range(count)], values, 1.0, bottom=floor, color=color, label=outcome)
+        axis.bar(
+            [s + 0.5 for s in range(count)], values, 1.0, bottom=floor, color=color, label=outcome, zorder=2
+        )
         floor = [a + b for a, b in zip(floor, values, strict=True)]
     axis.set_ylabel("requests a second,\nby how they ended")
     axis.legend(ncols=len(COLORS), fontsize=8, loc="upper left")
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import os
+import resource
 import shutil
 import signal
 import socket
@@ -125,7 +126,9 @@
         self.servers = dict[str, BagServer]()
         self._memories = dict[tuple[str, int], RepeatMemory]()
         self.limiters = {
-            name: LimiterProcess(name, (host, free_port(host)), folder, command, plan.seed)
+            name: LimiterProcess(
+                name, (host, free_port(host)), folder, command, plan.seed, scenario.limiters.sockets
+            )
             for i, name in enumerate(limiter_names(scenario))
             for host in [self.net.host(250, i)]
         }
@@ -495,11 +498,13 @@
 READY_FOR_STOP = 8.0  # seconds for limiters that are still away at the day's end
 
 
-def _raise_descriptors() -> None:
-    import resource
-
+def _raise_descriptors(scenario: Scenario) -> None:
+    """As many as this day may want: both ends of the clients' connections are not ours, the servers' are."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     want = DESCRIPTORS if hard == resource.RLIM_INFINITY else min(DESCRIPTORS, hard)
+    need = 100 + scenario.limiters.count * (4 * scenario.fleet.servers + 40) + int(2 * scenario.load.inside)
+    if want < need:
+        raise KitError(f"this day wants {need} descriptors and may have {hard}: raise `ulimit -n`")
     if soft < want:
         resource.setrlimit(resource.RLIMIT_NOFILE, (want, hard))
 
@@ -519,7 +524,7 @@
         folder.mkdir(parents=True, exist_ok=True)
     except OSError as error:
         raise KitError(f"cannot make {folder}: {error.strerror}") from None
-    _raise_descriptors()
+    _raise_descriptors(scenario)
     director = Director(scenario, plan, folder, command or SHIPPED_LIMITER, kept.append)
     day = asyncio.ensure_future(_day(director, progress))
     beat = asyncio.ensure_future(director.beat())
--- a/cypresspulley/rehearsal/scenario.py
+++ b/cypresspulley/rehearsal/scenario.py
@@ -11,8 +11,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
-SHIPPED = Path(__file__).resolve().parents[2] / "examples" / "scenarios"
-INSTALLED = Path(__file__).resolve().parent / "scenarios"  # where a wheel puts them
+SHIPPED = Path(__file__).resolve().parent / "scenarios"  # in a checkout a link to examples/scenarios
 
 Share = Annotated[float, Field(ge=0, le=1)]
 Positive = Annotated[float, Field(gt=0, le=1e6)]
@@ -249,8 +248,7 @@
 
 def shipped() -> dict[str, Path]:
     """The scenarios in the box, by name."""
-    folder = SHIPPED if SHIPPED.is_dir() else INSTALLED
-    return {path.stem: path for path in sorted(folder.glob("*.toml"))}
+    return {path.stem: path for path in sorted(SHIPPED.glob("*.toml"))}
 
 
 def load_scenario(name: str) -> Scenario:
--- a/cypresspulley/rehearsal/standins/clients.py
+++ b/cypresspulley/rehearsal/standins/clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 from collections import defaultdict
 from dataclasses import dataclass
 from typing import Protocol, cast
@@ -280,7 +281,9 @@
                 await asyncio.get_running_loop().create_connection(
                     lambda: connection, *self._address(limiter)
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            if isinstance(error, OSError) and error.errno in (errno.EMFILE, errno.ENFILE):
+                self._stage.no_descriptors()  # else it would pass for a limiter that refuses
             connection.close()
             return None
         return connection if connection.transport is not None else None
--- a/cypresspulley/rehearsal/standins/network.py
+++ b/cypresspulley/rehearsal/standins/network.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import contextlib
-import errno
 import socket
 import struct
 from collections import deque
@@ -193,10 +192,8 @@
                 accepted, _peer = self._socket.accept()
             except (BlockingIOError, InterruptedError):
                 return
-            except OSError as error:
-                if error.errno in (errno.EMFILE, errno.ENFILE):
-                    raise OSError(error.errno, "the kit has no descriptors left: raise `ulimit -n`") from None
-                return
+            except OSError:
+                return  # reset before it was accepted, or no descriptor left: the dialer's side tells
             accepted.setblocking(False)
             accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             task = self._loop.create_task(self._adopt(accepted))
--- a/cypresspulley/rehearsal/standins/stage.py
+++ b/cypresspulley/rehearsal/standins/stage.py
@@ -80,6 +80,9 @@
         if self.on_arrival is not None:
             self.on_arrival(server, limiter, known)
 
+    def no_descriptors(self) -> None:
+        self.complain("the kit has no descriptors left: raise `ulimit -n`")
+
     def complain(self, text: str) -> None:
         """What no limiter may do and no rule covers: it voids the run."""
         if len(self.complaints) < MAX_COMPLAINTS:
--- a/tests/rehearsal/test_command.py
+++ b/tests/rehearsal/test_command.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -148,6 +149,27 @@
     assert "ended with code 7 before it was ready: no luck" in text
 
 
+def test_a_port_in_use_is_an_error(monkeypatch: pytest.MonkeyPatch) -> None:
+    taken = list[socket.socket]()
+
+    def taken_port(host: str) -> int:
+        taken.append(socket.create_server((host, 0)))
+        port: int = taken[-1].getsockname()[1]
+        return port
+
+    monkeypatch.setattr("cypresspulley.rehearsal.play.free_port", taken_port)
+    text = outcome_of([sys.executable, "-m", "cypresspulley"])
+    assert "ended with code 2 before it was ready" in text and "cannot listen" in text
+    for one in taken:
+        one.close()
+
+
+def test_too_few_descriptors_are_an_error_before_anything_starts(tmp_path: Path) -> None:
+    line = ["bash", "-c", 'ulimit -n 90; exec "$@"', "bash", *FAWNSEAM, "rehearse", write_day(tmp_path)]
+    done = subprocess.run(line, capture_output=True, text=True, timeout=60)
+    assert done.returncode == 3 and "and may have 90: raise `ulimit -n`" in done.stderr
+
+
 def test_a_limiter_that_ignores_sigterm_is_killed_and_named(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("cypresspulley.rehearsal.limiters.STOP_WITHIN", 0.5)
     assert "ignored SIGTERM for 0.5 s and was killed" in outcome_of(command("ignores-sigterm"))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -18,6 +18,10 @@
 import pytest
 
 from cypresspulley.__main__ import LogLimit, config_from
+from cypresspulley.rehearsal.standins.discovery import Agent, Host
+from cypresspulley.rehearsal.standins.keeper import Keeper
+from cypresspulley.rehearsal.standins.network import Link
+from cypresspulley.rehearsal.standins.stage import Stage
 from tests.loopback import Origin, ask, listening, read_message, run
 
 WIRE_SETTINGS: dict[str, Any] = {
@@ -28,6 +32,11 @@
 }  # fmt: skip
 
 
+def stand_in_stage() -> Stage:
+    """A stage that keeps nothing, for stand-ins outside a rehearsal."""
+    return Stage(lambda _record: None, lambda _id, _cls: 0.0)
+
+
 def free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
@@ -121,20 +130,11 @@
 
 def test_sighup_moves_to_the_new_addresses_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
     async def main() -> None:
-        async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            calls.put_nowait("agent")
-            line = json.dumps(config(dial)["known"] | {"seq": 1}).encode() + b"\n"
-            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            writer.write(head + b"%x\r\n%b\r\n" % (len(line), line))
-            await asyncio.Event().wait()
-
-        async def tally(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
-            calls.put_nowait("counter")
-            await reader.read()
-
-        calls, origin, path = asyncio.Queue[str](), Origin(), tmp_path / "config.json"
-        async with listening(origin.talk) as dial, listening(agent) as there, listening(tally) as count:
+        origin, path, stage, link = Origin(), tmp_path / "config.json", stand_in_stage(), Link("n0")
+        agent, keeper = Agent(stage, "n0"), Keeper(stage, 1, 1000.0, 0.1, 0.001)
+        there, count = agent.listen("127.0.0.1"), keeper.listen(link, "127.0.0.1").address
+        async with listening(origin.talk) as dial:
+            agent.publish(Host("s1", dial, "a", 0, "ready"))
             raw = config("127.0.0.1:1") | {"counter": "127.0.0.1:1"}
             raw["settings"] = WIRE_SETTINGS | {"specifics": {"has_counter": True, "count_wait_s": 0.05}}
             async with started(raw, tmp_path) as program:
@@ -144,7 +144,8 @@
                     assert " 200 " in await program.health()
                 path.write_text(json.dumps(raw | {"discovery": there, "counter": count}))
                 program.process.send_signal(signal.SIGHUP)
-                assert {await calls.get(), await calls.get()} == {"agent", "counter"}
+                while not (agent.watchers and link.ends):
+                    await asyncio.sleep(0.01)
                 while not origin.seen:  # the new list names the server's true address
                     reader, writer = await program.connect()
                     writer.write(ask())
@@ -152,6 +153,8 @@
                 program.process.send_signal(signal.SIGTERM)
                 program.process.send_signal(signal.SIGHUP)
                 assert await program.process.wait() == 0
+        agent.close()
+        keeper.close()
 
     run(main())
 
@@ -173,27 +176,17 @@
 
 def test_a_list_from_discovery_replaces_the_known_one(tmp_path: Path) -> None:
     async def main() -> None:
-        origin, told = Origin(), asyncio.Event()
-
-        async def agent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            known = config(dial)["known"] | {"seq": 42}
-            line = json.dumps(known).encode() + b"\n"
-            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            writer.write(head + b"%x\r\n%b\r\n" % (len(line), line))
-            told.set()
-            await asyncio.Event().wait()
-
-        async with (
-            listening(origin.talk) as dial,
-            listening(agent) as discovery,
-            started(config("127.0.0.1:1", discovery), tmp_path) as program,
-        ):
-            await told.wait()
-            while not origin.seen:
-                reader, writer = await program.connect()
-                writer.write(ask())
-                await read_message(reader)
+        origin, agent = Origin(), Agent(stand_in_stage(), "n0")
+        async with listening(origin.talk) as dial:
+            agent.publish(Host("s1", dial, "a", 0, "ready"))
+            raw = config("127.0.0.1:1", agent.listen("127.0.0.1"))
+            raw["known"]["seq"] = 0
+            async with started(raw, tmp_path) as program:
+                while not origin.seen:
+                    reader, writer = await program.connect()
+                    writer.write(ask())
+                    await read_message(reader)
+        agent.close()
 
     run(main())
 
