--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -10,8 +10,9 @@
 import signal
 import sys
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, replace
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -23,8 +24,12 @@
 from cypresspulley.net.http import split_address
 from cypresspulley.net.node import Node, unix_clock
 from cypresspulley.net.upstream import Upstream
+from cypresspulley.operators import Operators, OperatorsError, load_operators
 from cypresspulley.settings import Timing, settings_from, timing_from
 
+if TYPE_CHECKING:
+    from cypresspulley.accesslog import LogFile
+
 log = logging.getLogger("cypresspulley")
 
 SPARE_SOCKETS = 48  # descriptors kept for everything but clients and servers, and for those being closed
@@ -118,7 +123,7 @@
         log.info("the configuration was reloaded%s", "" if new == old else ": some of it needs a restart")
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, operators: Operators) -> None:
     """Run one limiter until SIGTERM or SIGINT."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -137,7 +142,7 @@
         gateway = Gateway(config.settings, config.seed, clock())
     except ValueError as error:
         raise ConfigError(str(error)) from None
-    node = Node(config.settings, gateway, clock, upstream, counter)
+    node, access_log = _node(config.settings, gateway, clock, upstream, counter, operators)
     if config.known is not None:
         node.listed(config.known)
     frontend = Frontend(node, config.settings, clients)
@@ -165,15 +170,46 @@
     upstream.close()
     if counter is not None:
         counter.close()
+    if access_log is not None:
+        access_log.close()
+
+
+def _node(
+    settings: api.Settings, gateway: Gateway, clock: Callable[[], float], upstream: Upstream,
+    counter: CounterClient | None, operators: Operators,
+) -> tuple[Node, LogFile | None]:  # fmt: skip
+    """The node, with an access log where the operators want one; what is off is not even imported."""
+    if operators.access_log is None:
+        return Node(settings, gateway, clock, upstream, counter), None
+    from cypresspulley.accesslog import LogFile, LoggedNode
+
+    try:
+        file = LogFile(operators.access_log)
+    except OSError as error:
+        raise ConfigError(f"cannot write the access log: {error}") from None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, file.reopen)
+    return LoggedNode(settings, gateway, clock, upstream, counter, file), file
+
+
+def _operators(arguments: list[str]) -> Operators:
+    if not arguments:
+        return Operators()
+    if len(arguments) != 2 or arguments[0] != "--operators":
+        raise ConfigError("expected no arguments, or --operators FILE")
+    try:
+        return load_operators(arguments[1])
+    except OperatorsError as error:
+        raise ConfigError(str(error)) from None
 
 
-def main() -> int:
+def main(arguments: list[str] | None = None) -> int:
     handler = logging.StreamHandler(sys.stderr)
     handler.addFilter(LogLimit(LOGS_A_SECOND))
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop handles it: it must never end the process
     logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s: %(message)s")
     try:
-        uvloop.run(serve(load_config(os.environ.get("LB_CONFIG"))))
+        operators = _operators(sys.argv[1:] if arguments is None else arguments)
+        uvloop.run(serve(load_config(os.environ.get("LB_CONFIG")), operators))
     except ConfigError as error:
         print(f"cypresspulley: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/cypresspulley/capture/command.py
@@ -0,0 +1,241 @@
+"""What ``fawnseam capture`` and ``fawnseam replay`` do; their exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import json
+import math
+import os
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+import jinja2
+import uvloop
+from matplotlib.figure import Figure
+from rich.console import Console
+from rich.table import Table
+
+from cypresspulley.capture.arrivals import Stretch, arrivals_from
+from cypresspulley.capture.load import Loaded, load
+from cypresspulley.capture.mapping import load_mapping
+from cypresspulley.capture.model import CaptureError, Entry, shown
+from cypresspulley.capture.replay import Report, against, percentile
+from cypresspulley.capture.retries import PATIENCE, mark_retries
+from cypresspulley.capture.scrub import KEY_BYTES, write
+from cypresspulley.capture.skew import Clock, merge
+from cypresspulley.capture.summary import Summary, summarise
+from cypresspulley.rehearsal import command as rehearsal
+from cypresspulley.rehearsal.plan import Plan, draw
+from cypresspulley.rehearsal.scenario import Load, Scenario, ScenarioError, load_scenario
+
+GOOD, BAD_INPUT, BROKEN_TOOL = 0, 2, 3
+AFTER = 5.0  # seconds of a replayed day past the last arrival
+
+
+@dataclass(frozen=True, slots=True)
+class Input:
+    """Which files are read, and how."""
+
+    files: tuple[str, ...]
+    kind: str = "auto"
+    notation: str = ""
+    mapping: str | None = None
+    strict: bool = False
+    patience: float = PATIENCE
+
+
+def read(what: Input) -> tuple[list[Entry], Loaded, list[Clock]]:
+    """Files to merged entries in order of time, with their retries marked."""
+    loaded = load(what.files, load_mapping(what.mapping), what.kind, what.notation, what.strict)
+    entries, clocks = merge(loaded.sources)
+    mark_retries(entries, what.patience)
+    return entries, loaded, clocks
+
+
+def _fail(error: Exception, code: int = BAD_INPUT) -> int:
+    print(f"fawnseam: {error}", file=sys.stderr)
+    return code
+
+
+def inspect(what: Input, json_file: Path | None, html: Path | None) -> int:
+    """Print what the files hold; the exit code."""
+    try:
+        entries, loaded, clocks = read(what)
+        summary = summarise(entries, loaded, clocks)
+        _print(summary)
+        if json_file is not None:
+            json_file.write_text(json.dumps(summary.as_json(), indent=1) + "\n", encoding="utf-8")
+        if html is not None:
+            html.write_text(page(summary), encoding="utf-8")
+    except CaptureError as error:
+        return _fail(error)
+    except OSError as error:
+        return _fail(error, BROKEN_TOOL)
+    return GOOD
+
+
+def scrub(what: Input, out: Path, key: str | None) -> int:
+    """Write a capture without secrets and with accounts renamed; the exit code."""
+    try:
+        secret = _key(key)
+        loaded = load(what.files, load_mapping(what.mapping), what.kind, what.notation, what.strict)
+        with out.open("w", encoding="utf-8") as file:
+            count = write(sorted(loaded.entries, key=lambda e: e.t), secret, file)
+    except CaptureError as error:
+        return _fail(error)
+    except OSError as error:
+        return _fail(error, BROKEN_TOOL)
+    _tell_unread(loaded)
+    print(f"{count} requests written to {out}", file=sys.stderr)
+    return GOOD
+
+
+def _key(path: str | None) -> bytes:
+    """The key of the renaming: a file's bytes, or one drawn now and forgotten."""
+    if path is None:
+        return os.urandom(32)
+    try:
+        key = Path(path).read_bytes().strip()
+    except OSError as error:
+        raise CaptureError(f"{path}: not readable: {error.strerror}") from None
+    if not KEY_BYTES <= len(key) <= 64:
+        raise CaptureError(f"{path}: a key of {len(key)} bytes; expected {KEY_BYTES} to 64")
+    return key
+
+
+def _tell_unread(loaded: Loaded) -> None:
+    for place in loaded.places:
+        print(f"fawnseam: not read: {shown(place.place)}: {shown(place.why)}", file=sys.stderr)
+    for name, count in loaded.broken.items():
+        print(f"fawnseam: {shown(name)}: {count} lines or entries were not read", file=sys.stderr)
+    for reason, count in loaded.unmapped.most_common(10):
+        print(f"fawnseam: not mapped, {count} times: {reason}", file=sys.stderr)
+
+
+def _print(summary: Summary) -> None:
+    console = Console(highlight=False, markup=False, soft_wrap=True)
+    span = summary.last - summary.first
+    console.print(f"{summary.tries} tries of {summary.requests} requests over {span:.1f} s; "
+                  f"{summary.retries} retries, {summary.accounts} accounts")  # fmt: skip
+    for title, table in (("class", summary.by_class), ("plan", summary.by_plan), ("status", summary.by_status),
+                         ("busiest accounts", dict(summary.top[:5]))):  # fmt: skip
+        shown_table = Table(title, "tries", box=None, pad_edge=False)
+        for name, count in table.items():
+            shown_table.add_row(name, str(count))
+        console.print(shown_table)
+    for clock in summary.clocks[1:]:
+        error = f"+-{clock.error * 1000:.1f} ms" if math.isfinite(clock.error) else "unknown: nothing shared"
+        drift = f"{clock.drift * 1e6:.0f} ppm" if math.isfinite(clock.error) else "-"
+        console.print(f"clock of {shown(clock.source)}: add {clock.offset:.3f} s ({error}), drift {drift}")
+    for name, count in summary.broken.items():
+        console.print(f"not read: {count} in {name}")
+    for place, why in summary.places[:10]:
+        console.print(f"  {place}: {why}")
+    for reason, count in summary.unmapped.items():
+        console.print(f"not mapped, {count} times: {reason}")
+
+
+PAGE = """<!doctype html><html lang="en"><head><meta charset="utf-8"><title>Capture</title><style>
+body { font: 15px/1.45 system-ui, sans-serif; max-width: 60rem; margin: 2rem auto; padding: 0 1rem }
+td, th { padding: .15rem .9rem .15rem 0; text-align: left } td + td { text-align: right }
+svg { width: 100%; height: auto } .side { display: flex; flex-wrap: wrap; gap: 3rem }
+</style></head><body><h1>Capture</h1>
+<p>{{ s.tries }} tries of {{ s.requests }} requests, {{ s.retries }} retries, {{ s.accounts }} accounts,
+{{ "%.1f" | format(s.last - s.first) }} s.</p>{{ chart | safe }}
+<div class="side">{% for title, table in tables %}<div><h2>{{ title }}</h2><table>
+{% for name, n in table.items() %}<tr><td>{{ name }}</td><td>{{ n }}</td></tr>{% endfor %}</table></div>
+{% endfor %}</div>
+{% if s.clocks | length > 1 %}<h2>Clocks, against {{ s.clocks[0].source }}</h2><table>
+<tr><th>source</th><th>add, s</th><th>error, ms</th><th>drift, ppm</th></tr>{% for c in s.clocks[1:] %}
+<tr><td>{{ c.source }}</td><td>{{ "%.3f" | format(c.offset) }}</td><td>{{ "%.1f" | format(c.error * 1000) }}</td>
+<td>{{ "%.0f" | format(c.drift * 1e6) }}</td></tr>{% endfor %}</table>{% endif %}
+{% if s.places %}<h2>Not read</h2><table>{% for place, why in s.places %}
+<tr><td>{{ place }}</td><td>{{ why }}</td></tr>{% endfor %}</table>{% endif %}</body></html>
+"""
+
+
+def page(summary: Summary) -> str:
+    """The summary as one self-contained page."""
+    figure = Figure(figsize=(10, 3), layout="constrained")
+    axis = figure.subplots()
+    axis.step([t for t, _ in summary.rate], [n for _, n in summary.rate], where="post", color="#3a7d44")
+    axis.set_xlabel("seconds from the first request")
+    axis.set_ylabel("tries a second")
+    axis.set_ylim(bottom=0)
+    text = io.StringIO()
+    figure.savefig(text, format="svg", metadata=dict.fromkeys(("Date", "Type", "Format", "Creator")))
+    svg = text.getvalue()
+    tables = [
+        ("Classes", summary.by_class), ("Plans", summary.by_plan), ("Statuses", summary.by_status),
+        ("Busiest accounts", dict(summary.top)), ("Not mapped", summary.unmapped),
+    ]  # fmt: skip
+    environment = jinja2.Environment(autoescape=True, undefined=jinja2.StrictUndefined)
+    return environment.from_string(PAGE).render(s=summary, chart=svg[svg.index("<svg") :], tables=tables)
+
+
+# Replay.
+
+
+def captured_scenario(base: Scenario, arrivals_end: float, clients: bool) -> Scenario:
+    """A scenario whose load is the capture's: as long as it, its clients retrying only if they are to."""
+    seconds = min(600.0, max(1.0, math.ceil(arrivals_end + 0.001)))
+    options = base.clients if clients else base.clients.model_copy(update={"retries": 0})
+    faults = tuple(f for f in base.faults if f.at < seconds)
+    return base.model_copy(update={"seconds": seconds, "clients": options, "faults": faults})
+
+
+def captured_plan(scenario: Scenario, seed: int) -> tuple[Scenario, Plan]:
+    """The plan of a scenario whose load names a capture; ``CaptureError`` where that cannot be used."""
+    wish = scenario.load
+    assert wish.capture is not None
+    entries, _, _ = read(Input((wish.capture,), mapping=wish.mapping))
+    stretch = Stretch(wish.speed, wish.stretch_accounts, clients=wish.scripted_clients)
+    return plan_of(entries, scenario, stretch, seed)
+
+
+def plan_of(entries: list[Entry], scenario: Scenario, stretch: Stretch, seed: int) -> tuple[Scenario, Plan]:
+    arrivals = arrivals_from(entries, scenario, stretch, seed)
+    made = captured_scenario(scenario, arrivals[-1].t, stretch.clients)
+    return made, draw(made, seed, tuple(arrivals))
+
+
+def replay(
+    what: Input,
+    stretch: Stretch,
+    seed: int,
+    scenario: str,
+    targets: tuple[str, ...],
+    outputs: rehearsal.Outputs,
+) -> int:
+    """Play captures again, against the kit's stand-ins or running limiters; the exit code."""
+    try:
+        outputs.check()
+        entries, loaded, _ = read(what)
+        _tell_unread(loaded)
+        base = load_scenario(scenario)
+        quiet = base.model_copy(update={"load": Load()})
+        made, plan = plan_of(entries, quiet, stretch, seed)
+    except (CaptureError, ScenarioError) as error:
+        return _fail(error)
+    if not targets:
+        return rehearsal.play_and_judge(made, plan, outputs)
+    try:
+        report = uvloop.run(against(made, plan, targets))
+    except (CaptureError, OSError) as error:
+        return _fail(error, BROKEN_TOOL)
+    except asyncio.CancelledError:
+        return rehearsal.INTERRUPTED
+    _print_report(report)
+    if outputs.json is not None:
+        outputs.json.write_text(json.dumps(report.as_json(), indent=1) + "\n", encoding="utf-8")
+    return GOOD
+
+
+def _print_report(report: Report) -> None:
+    late = report.late
+    print(f"{report.sent} tries sent, {report.unreached} reached nobody; late p50 {percentile(late, 50):.1f} ms, "
+          f"p99 {percentile(late, 99):.1f} ms, worst {max(late, default=0.0):.1f} ms")  # fmt: skip
+    print("answers: " + ", ".join(f"{status} {n}" for status, n in sorted(report.statuses.items())))
+    print(f"latency p50 {percentile(report.latency, 50):.1f} ms, p99 {percentile(report.latency, 99):.1f} ms")
--- /dev/null
+++ b/cypresspulley/capture/har_writer.py
@@ -0,0 +1,48 @@
+"""What scripted clients sent and got, as a HAR file: a capture of a rehearsal from the clients' side."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from typing import Any, TextIO
+
+from cypresspulley.rehearsal import records as log
+
+
+def write_har(records: Iterable[log.Record], unix_start: float, out: TextIO) -> int:
+    """Every sending as an entry, in order of time; how many. ``unix_start`` is the day's second 0."""
+    records = list(records)
+    ends = {r.id: r for r in records if isinstance(r, log.Answered)}
+    day = next(r for r in records if isinstance(r, log.Day))
+    safe = {c.name for c in day.classes if c.effect == "safe"}
+    sent = sorted((r for r in records if isinstance(r, log.Sent)), key=lambda r: (r.t, r.id))
+    entries = [_entry(r, ends.get(r.id), unix_start, r.cls in safe) for r in sent]
+    creator = {"name": "fawnseam", "version": "1"}
+    json.dump({"log": {"version": "1.2", "creator": creator, "entries": entries}}, out)
+    return len(entries)
+
+
+def _entry(sent: log.Sent, answer: log.Answered | None, unix_start: float, safe: bool) -> dict[str, Any]:
+    started = datetime.fromtimestamp(unix_start + sent.t, UTC).isoformat(timespec="microseconds")
+    headers = {
+        "x-request-id": sent.id, "x-priority-class": sent.cls, "x-plan": sent.plan,
+        "x-quota": f"units={sent.units:g}", "x-retried": "1" if sent.number else "0",
+    }  # fmt: skip
+    url = f"http://{sent.limiter}/{sent.cls}?account={sent.account}"
+    return {
+        "startedDateTime": started,
+        "time": round((answer.t - sent.t) * 1000, 3) if answer else -1,
+        "request": {
+            "method": "GET" if safe else "POST", "url": url, "httpVersion": "HTTP/1.1", "cookies": [],
+            "headers": [{"name": key, "value": value} for key, value in headers.items()],
+            "queryString": [{"name": "account", "value": sent.account}], "headersSize": -1, "bodySize": -1,
+        },
+        "response": {
+            "status": answer.status if answer else 0, "statusText": "", "httpVersion": "HTTP/1.1",
+            "cookies": [], "headers": [], "redirectURL": "", "headersSize": -1,
+            "bodySize": len(answer.body) if answer else -1,
+            "content": {"size": len(answer.body) if answer else 0, "mimeType": "application/json"},
+        },
+        "cache": {}, "timings": {"send": 0, "wait": -1, "receive": 0},
+    }  # fmt: skip
--- /dev/null
+++ b/cypresspulley/capture/load.py
@@ -0,0 +1,86 @@
+"""Captures to entries: kinds detected, broken places counted, everything that could not be used told."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from cypresspulley.capture.access import FORMATS, Format, nginx_format, read_log
+from cypresspulley.capture.har import read_har
+from cypresspulley.capture.mapping import Mapper, Mapping
+from cypresspulley.capture.model import Broken, CaptureError, Counted, Entry, Raw
+from cypresspulley.capture.source import open_capture
+
+KINDS = ("auto", "har", *FORMATS)
+SHOWN = 20  # broken places of a file that are named
+SNIFF = 4096
+
+
+@dataclass(slots=True)
+class Source:
+    """One file, or one stretch of it between two jumps of its clock."""
+
+    name: str
+    kind: str
+    entries: list[Entry] = field(default_factory=list)
+    counts: list[Counted] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Loaded:
+    """What was read of all files, and what was not."""
+
+    sources: list[Source]
+    broken: Counter[str]
+    places: list[Broken]
+    unmapped: Counter[str]
+    ignored: int
+
+    @property
+    def entries(self) -> list[Entry]:
+        return [entry for source in self.sources for entry in source.entries]
+
+
+def records(name: str, kind: str = "auto", notation: str = "") -> Iterator[Raw | Counted | Broken]:
+    """What a reader finds in a file; ``kind`` is detected unless named, ``notation`` is nginx's log_format."""
+    with open_capture(name) as stream:
+        if notation:
+            yield from read_log(stream, name, (nginx_format(notation),))
+        elif kind == "har" or (kind == "auto" and is_har(stream.peek(SNIFF)[:SNIFF])):
+            yield from read_har(stream, name)
+        else:
+            formats: tuple[Format, ...] = () if kind == "auto" else (FORMATS[kind],)
+            yield from read_log(stream, name, formats)
+
+
+def is_har(head: bytes) -> bool:
+    """A HAR is one object whose first key is ``log``; a log line's object is whole on its line."""
+    text = head.lstrip()
+    return text.startswith(b"{") and text[1:].lstrip().startswith(b'"log"')
+
+
+def load(
+    names: tuple[str, ...], mapping: Mapping, kind: str = "auto", notation: str = "", strict: bool = False
+) -> Loaded:
+    """All files as entries. ``strict`` makes the first broken place a ``CaptureError``."""
+    mapper, broken, places, sources = Mapper(mapping), Counter[str](), list[Broken](), list[Source]()
+    for name in names:
+        source = Source(name, kind)
+        sources.append(source)
+        shown = 0
+        for record in records(name, kind, notation):
+            if isinstance(record, Raw):
+                entry = mapper.entry(record, name)
+                if entry is not None:
+                    source.entries.append(entry)
+            elif isinstance(record, Counted):
+                source.counts.append(record)
+            elif strict:
+                raise CaptureError(f"{record.place}: {record.why}")
+            else:
+                broken[name] += 1
+                shown += 1
+                if shown <= SHOWN:
+                    places.append(record)
+    return Loaded(sources, broken, places, mapper.unmapped, mapper.ignored)
--- /dev/null
+++ b/cypresspulley/capture/model.py
@@ -0,0 +1,96 @@
+"""The one request model of all captures, and what a reader says of a line or entry that it cannot read.
+
+Times are Unix seconds, latencies seconds, sizes bytes. What a capture does not tell is -1 for a number, "" for
+a text; status 0 is a try that got no answer.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+
+UNKNOWN = -1.0
+EARLIEST, LATEST = 631_152_000.0, 4_102_444_800.0  # 1990 and 2100: a time outside is a wrong field
+MAX_SHOWN = 120
+TOKEN = re.compile(r"[A-Za-z0-9_\-+=.]{20,}")  # a path's part that may be a secret
+
+
+class CaptureError(ValueError):
+    """A capture that cannot be used; the text names file, place and what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class Raw:
+    """One request as a reader found it. ``fields`` holds headers and log fields by lower-case name."""
+
+    t: float  # when it began
+    method: str
+    target: str  # path and query
+    status: int
+    sent: int
+    latency: float
+    place: str
+    fields: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """What could not be read, and why."""
+
+    place: str
+    why: str
+
+
+@dataclass(frozen=True, slots=True)
+class Counted:
+    """A call to the count keeper that a limiter's own log tells: its total orders it among all limiters'."""
+
+    t: float  # when it was made
+    answered: float
+    name: str
+    amount: float
+    total: float
+
+
+@dataclass(slots=True)
+class Entry:
+    """One try of a client. ``repeats`` is the place in the list of the first try that it repeats, or -1."""
+
+    t: float
+    account: str
+    cls: str
+    plan: str
+    method: str
+    path: str
+    id: str
+    status: int
+    sent: int
+    latency: float
+    source: str
+    place: str
+    units: float = 1.0
+    marked: bool | None = None  # whether the client marked it as a retry; None: the capture does not tell
+    repeats: int = -1
+
+    @property
+    def end(self) -> float:
+        """When it was over, as far as the capture tells."""
+        return self.t + max(0.0, self.latency)
+
+
+def good_time(t: float) -> bool:
+    return EARLIEST < t < LATEST
+
+
+def shown(text: str) -> str:
+    """A text from outside made safe for a terminal or a page: no control characters, of bounded length."""
+    plain = "".join(c if c.isprintable() else f"\\x{ord(c):02x}" for c in text[: MAX_SHOWN + 1])
+    return plain if len(plain) <= MAX_SHOWN else plain[:MAX_SHOWN] + "..."
+
+
+def bare_path(target: str) -> str:
+    """A target's path with nothing that may be secret: no query, no part that looks like a token."""
+    path = target.partition("?")[0].partition("#")[0]
+    if "://" in path[:10]:
+        path = "/" + path.split("://", 1)[1].partition("/")[2]
+    return TOKEN.sub("{}", shown(path))
--- /dev/null
+++ b/cypresspulley/capture/replay.py
@@ -0,0 +1,75 @@
+"""A plan's arrivals sent to limiters that run already; open loop: the timing stays whatever answers do."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from cypresspulley.capture.model import CaptureError
+from cypresspulley.net.http import split_address
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.plan import Plan
+from cypresspulley.rehearsal.scenario import Scenario
+from cypresspulley.rehearsal.standins.clients import ClientFleet, Front
+from cypresspulley.rehearsal.standins.stage import Stage
+
+LEAD = 0.3  # seconds until the first request
+AFTER = 10.0  # seconds after the last for answers that are still out
+
+
+@dataclass(slots=True)
+class Report:
+    """What was sent and what came back; ``late`` and ``latency`` in milliseconds."""
+
+    sent: int = 0
+    unreached: int = 0
+    late: list[float] = field(default_factory=list)
+    latency: list[float] = field(default_factory=list)
+    statuses: Counter[int] = field(default_factory=Counter)
+
+    def as_json(self) -> dict[str, Any]:
+        return {
+            "sent": self.sent, "unreached": self.unreached, "statuses": dict(sorted(self.statuses.items())),
+            "late_ms": {f"p{p}": round(percentile(self.late, p), 3) for p in (50, 99, 100)},
+            "latency_ms": {f"p{p}": round(percentile(self.latency, p), 3) for p in (50, 99, 100)},
+        }  # fmt: skip
+
+
+def percentile(values: list[float], percent: float) -> float:
+    """The value that so many percent do not exceed; 0 of nothing."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))] if ordered else 0.0
+
+
+async def against(scenario: Scenario, plan: Plan, targets: tuple[str, ...]) -> Report:
+    """Send all arrivals; ``targets`` are ``host:port``, as many as there are limiters."""
+    try:
+        addresses = {target: split_address(target) for target in targets}
+    except ValueError as error:
+        raise CaptureError(f"--against: {error}; expected HOST:PORT") from None
+    report, started = Report(), dict[str, float]()
+
+    def sink(record: log.Record) -> None:
+        if isinstance(record, log.Sent):
+            report.sent += 1
+            started[record.id] = record.t
+        elif isinstance(record, log.Unreached):
+            report.unreached += 1
+        elif isinstance(record, log.Answered):
+            report.statuses[record.status] += 1
+            report.latency.append((record.t - started.pop(record.id, record.t)) * 1000)
+
+    stage = Stage(sink, lambda _id, _cls: 0.0)
+    front = Front(list(addresses))
+    for target in addresses:
+        front.up(target)
+    classes = {c.name: c for c in scenario.classes}
+    fleet = ClientFleet(
+        stage, front, lambda name: addresses[name], scenario.clients, classes, plan.seed, scenario.seconds
+    )
+    stage.begin(LEAD)
+    await fleet.play(plan.arrivals)
+    await fleet.finish(AFTER)
+    report.late = [late * 1000 for late in fleet.late]
+    return report
--- /dev/null
+++ b/cypresspulley/capture/skew.py
@@ -0,0 +1,279 @@
+"""Clock skew of several sources, from what they share; free of I/O.
+
+Each shared thing says that one moment came before another: ``x`` in source A, ``y`` in source B, x before y in
+truth. With true time = written time + offset + drift * (written time - middle) that is one linear constraint on the
+two clocks. All constraints together bound each clock against the first source's; the two ends are found by linear
+programming, the estimate is their middle and its error half their distance. The error holds for certain as long as the
+constraints are true; constraints that exclude each other are refused.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import numpy as np
+from scipy.optimize import linprog
+
+from cypresspulley.capture.load import Source
+from cypresspulley.capture.model import CaptureError, Counted, Entry
+
+MAX_OFFSET, MAX_DRIFT = 3600.0, 1e-3  # seconds; a clock worse than this is another matter
+JUMP = 1.0  # seconds by which a log's own time may run back before its clock is taken to have jumped
+NEAR = 3.0  # seconds from the coarse offset within which a shared thing is believed
+MOST = 4000  # constraints of a pair of sources, the tightest of each stretch of time
+STRETCHES = 40
+REFUSED = frozenset((0, 408, 425, 429, 500, 502, 503, 504))
+SLACK = 2e-3  # seconds that a log may round away
+
+
+@dataclass(frozen=True, slots=True)
+class Before:
+    """``x`` by the clock of source ``a`` came before ``y`` by the clock of source ``b``."""
+
+    a: int
+    b: int
+    x: float
+    y: float
+
+
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """What is added to a source's times: ``offset`` at ``middle``, and ``drift`` (seconds a second)."""
+
+    source: str
+    offset: float
+    error: float  # of a corrected time within the source, in seconds; infinite: nothing shared
+    drift: float
+    middle: float
+
+    def true(self, t: float) -> float:
+        return t + self.offset + self.drift * (t - self.middle)
+
+
+def split_jumps(source: Source) -> list[Source]:
+    """A log whose clock was set back in the middle, as one source for each stretch."""
+    if source.kind == "har" or not source.entries:
+        return [source]  # a HAR's entries come in any order
+    parts, latest = [Source(source.name, source.kind)], -math.inf
+    for entry in source.entries:
+        # A line is written when its request ends.
+        if entry.end < latest - JUMP - _longest(entry):
+            parts.append(Source(f"{source.name}#{len(parts) + 1}", source.kind))
+            latest = -math.inf
+        latest = max(latest, entry.end)
+        parts[-1].entries.append(entry)
+    if len(parts) == 1:
+        return [source]
+    for count in source.counts:
+        _nearest(parts, count).counts.append(count)
+    for part in parts:
+        for entry in part.entries:
+            entry.source = part.name
+    return parts
+
+
+def _longest(entry: Entry) -> float:
+    return max(0.0, entry.latency) if entry.latency >= 0 else 5.0
+
+
+def _nearest(parts: list[Source], count: Counted) -> Source:
+    def away(part: Source) -> float:
+        first, last = part.entries[0].t, part.entries[-1].end
+        return max(first - count.t, count.t - last, 0.0)
+
+    return min(parts, key=away)
+
+
+def constraints(sources: list[Source]) -> list[Before]:
+    """All that the sources share, as one moment before another."""
+    found = list[Before]()
+    for a in range(len(sources)):
+        for b in range(a + 1, len(sources)):
+            pairs = _by_id(sources[a], sources[b], a, b)
+            pairs += _by_count(sources[a], sources[b], a, b)
+            found += _tightest(_believed(pairs))
+    return found
+
+
+def _by_id(one: Source, other: Source, a: int, b: int) -> list[tuple[Before, float]]:
+    """Tries with one id in both: seen from client and server, or refused here and tried again there."""
+    there = defaultdict[str, list[Entry]](list)
+    for entry in other.entries:
+        if entry.id:
+            there[entry.id].append(entry)
+    found = list[tuple[Before, float]]()
+    for x in one.entries:
+        for y in there.get(x.id, []) if x.id else []:
+            near = y.t - x.t
+            if x.status == y.status and x.latency >= 0 and y.latency >= 0:
+                outer, inner = (x, y) if x.latency >= y.latency else (y, x)
+                p, q = (a, b) if outer is x else (b, a)
+                found.append((Before(p, q, outer.t, inner.t), near))
+                found.append((Before(q, p, inner.end, outer.end), near))
+            elif x.status in REFUSED and y.status not in REFUSED:
+                found.append((Before(a, b, x.end, y.t), near))
+            elif y.status in REFUSED and x.status not in REFUSED:
+                found.append((Before(b, a, y.end, x.t), near))
+    return found
+
+
+def _by_count(one: Source, other: Source, a: int, b: int) -> list[tuple[Before, float]]:
+    """Calls to the keeper that follow one another: one's total is what the other found."""
+    found = list[tuple[Before, float]]()
+    for first, second, p, q in ((one, other, a, b), (other, one, b, a)):
+        ends = _unique(first.counts, lambda c: c.total)
+        starts = _unique(second.counts, lambda c: c.total - c.amount)
+        for key in ends.keys() & starts.keys():
+            x, y = ends[key], starts[key]
+            near = (y.t - x.t) if p == a else (x.t - y.t)
+            # The earlier was made before the later was answered: what lies between them is the keeper's.
+            found.append((Before(p, q, x.t, y.answered), near))
+    return found
+
+
+def _unique(counts: list[Counted], level: Callable[[Counted], float]) -> dict[tuple[str, int], Counted]:
+    """Calls by name and level of the count, without those whose level comes twice: they prove nothing."""
+    seen, times = dict[tuple[str, int], Counted](), Counter[tuple[str, int]]()
+    for count in counts:
+        if count.amount > 0:
+            key = (count.name, round(level(count) * 1000))
+            times[key] += 1
+            seen[key] = count
+    return {key: count for key, count in seen.items() if times[key] == 1}
+
+
+def _believed(pairs: list[tuple[Before, float]]) -> list[Before]:
+    """Without chance meetings: those whose distance is near the most common one."""
+    if not pairs:
+        return []
+    bins = Counter(round(near) for _, near in pairs)
+    mode = max(bins, key=lambda k: (bins[k - 1] + bins[k] + bins[k + 1], -abs(k)))
+    return [pair for pair, near in pairs if abs(near - mode) <= NEAR]
+
+
+def _tightest(pairs: list[Before]) -> list[Before]:
+    """The constraints that say most, of each direction and stretch of time."""
+    if len(pairs) <= MOST:
+        return pairs
+    first, last = min(p.x for p in pairs), max(p.x for p in pairs)
+    groups = defaultdict[tuple[int, int], list[Before]](list)
+    for pair in pairs:
+        stretch = int((pair.x - first) / max(1e-9, last - first) * STRETCHES)
+        groups[pair.a, stretch].append(pair)
+    keep = max(1, MOST // max(1, len(groups)))
+    return [p for group in groups.values() for p in sorted(group, key=lambda p: p.y - p.x)[:keep]]
+
+
+def estimate(sources: list[Source], pairs: list[Before] | None = None) -> list[Clock]:
+    """Each source's clock against the first's. ``CaptureError`` where what they share cannot all be true."""
+    pairs = constraints(sources) if pairs is None else pairs
+    spans = [_span(source) for source in sources]
+    middles = [(low + high) / 2 for low, high in spans]
+    rows, bounds = _matrix(pairs, middles, len(sources))
+    clocks = [Clock(sources[0].name, 0.0, 0.0, 0.0, middles[0])]
+    linked = _linked(pairs, len(sources))
+    for number in range(1, len(sources)):
+        if number not in linked:
+            clocks.append(Clock(sources[number].name, 0.0, math.inf, 0.0, middles[number]))
+            continue
+        clocks.append(_clock(sources[number].name, number, spans[number], middles[number], rows, bounds))
+    return clocks
+
+
+def _span(source: Source) -> tuple[float, float]:
+    times = [e.t for e in source.entries] + [c.t for c in source.counts]
+    return (min(times), max(times)) if times else (0.0, 0.0)
+
+
+def _matrix(pairs: list[Before], middles: list[float], count: int) -> tuple[np.ndarray, np.ndarray]:
+    """x + o_a + d_a (x - m_a) <= y + o_b + d_b (y - m_b), a row each; columns: offsets, then drifts."""
+    rows, bounds = np.zeros((len(pairs), 2 * count)), np.zeros(len(pairs))
+    for n, p in enumerate(pairs):
+        rows[n, p.a], rows[n, count + p.a] = 1.0, p.x - middles[p.a]
+        rows[n, p.b], rows[n, count + p.b] = -1.0, -(p.y - middles[p.b])
+        bounds[n] = p.y - p.x + SLACK
+    return rows, bounds
+
+
+def _linked(pairs: list[Before], count: int) -> set[int]:
+    """Sources that are tied to the first, over others if need be, from both sides."""
+    both = {frozenset((p.a, p.b)) for p in pairs} if pairs else set()
+    reached, grown = {0}, True
+    while grown:
+        grown = False
+        for pair in both:
+            a, b = sorted(pair)
+            if (a in reached) != (b in reached):
+                reached |= {a, b}
+                grown = True
+    return reached
+
+
+def _clock(
+    name: str, number: int, span: tuple[float, float], middle: float, rows: np.ndarray, bounds: np.ndarray
+) -> Clock:
+    count = rows.shape[1] // 2
+    limits = [(0.0, 0.0) if n == 0 else (-MAX_OFFSET, MAX_OFFSET) for n in range(count)]
+    limits += [(0.0, 0.0) if n == 0 else (-MAX_DRIFT, MAX_DRIFT) for n in range(count)]
+    ends = list[tuple[float, float]]()
+    for t in (span[0], span[1]):
+        goal = np.zeros(2 * count)
+        goal[number], goal[count + number] = 1.0, t - middle
+        low, high = (linprog(sign * goal, rows, bounds, bounds=limits, method="highs") for sign in (1, -1))
+        if low.status == 2 or high.status == 2:
+            raise CaptureError(
+                f"{name}: its clock cannot be reconciled with the others': what they share excludes each other; "
+                "expected clocks that differ by an offset and a drift (was a clock set in the middle?)"
+            )
+        if low.status != 0 or high.status != 0:
+            raise CaptureError(f"{name}: its clock could not be estimated: {low.message}")
+        ends.append((float(low.fun), -float(high.fun)))
+    (low0, high0), (low1, high1) = ends
+    first, last = (low0 + high0) / 2, (low1 + high1) / 2
+    error = max(high0 - low0, high1 - low1) / 2
+    if error >= MAX_OFFSET / 2:
+        error = math.inf
+        first = last = 0.0
+    width = span[1] - span[0]
+    drift = (last - first) / width if width > 0 else 0.0
+    return Clock(name, (first + last) / 2, error, drift, middle)
+
+
+def correct(sources: list[Source], clocks: list[Clock]) -> None:
+    """Put all times on the first source's clock. Latencies stay: a drift of 1e-3 is nothing there."""
+    for source, clock in zip(sources, clocks, strict=True):
+        for entry in source.entries:
+            entry.t = clock.true(entry.t)
+
+
+def merge(sources: list[Source]) -> tuple[list[Entry], list[Clock]]:
+    """All entries on one clock and in order, each try once, with the clocks that were found."""
+    parts = [part for source in sources for part in split_jumps(source) if part.entries]
+    if not parts:
+        return [], []
+    clocks = estimate(parts) if len(parts) > 1 else [Clock(parts[0].name, 0.0, 0.0, 0.0, 0.0)]
+    correct(parts, clocks)
+    entries = sorted((e for part in parts for e in part.entries), key=lambda e: (e.t, e.id, e.place))
+    return once(entries), clocks
+
+
+def once(entries: list[Entry]) -> list[Entry]:
+    """Each try once: one id in two captures is one try seen twice, unless it was refused and tried again."""
+    kept, by_id = list[Entry](), dict[str, list[Entry]]()
+    for entry in entries:
+        same = by_id.setdefault(entry.id, []) if entry.id else []
+        twin = next((e for e in same if e.source != entry.source and _one_try(e, entry)), None)
+        if twin is None:
+            kept.append(entry)
+            same.append(entry)
+        else:
+            twin.latency = max(twin.latency, entry.latency)
+            twin.marked = entry.marked if twin.marked is None else twin.marked
+    return kept
+
+
+def _one_try(a: Entry, b: Entry) -> bool:
+    return a.status == b.status or 0 in (a.status, b.status) or b.t < a.end
--- /dev/null
+++ b/cypresspulley/capture/source.py
@@ -0,0 +1,92 @@
+"""Bytes of a capture: a file, gzip, zstd or standard input, as lines or a stream, all of it bounded."""
+
+from __future__ import annotations
+
+import gzip
+import io
+import sys
+from collections.abc import Iterator
+from typing import IO, Any, cast
+
+import zstandard
+
+from cypresspulley.capture.model import CaptureError
+
+MAX_LINE = 1 << 20  # bytes; a longer line is skipped and reported
+MAX_RATIO, FREE = 300, 64 << 20  # a compressed file may grow so many times, past the first 64 MB
+CHUNK = 1 << 16
+GZIP, ZSTD, BOM = b"\x1f\x8b", b"\x28\xb5\x2f\xfd", b"\xef\xbb\xbf"
+
+
+class _Counting(io.RawIOBase):
+    """Counts what is read of the packed bytes."""
+
+    def __init__(self, inner: IO[bytes], head: bytes) -> None:
+        self._inner, self._head, self.count = inner, head, 0
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: memoryview) -> int:  # type: ignore[override]
+        data = self._head[: len(buffer)] or self._inner.read(len(buffer))
+        self._head = self._head[len(buffer) :]
+        buffer[: len(data)] = data
+        self.count += len(data)
+        return len(data)
+
+
+class _Bounded(io.RawIOBase):
+    """Unpacked bytes, refused where they are a bomb."""
+
+    def __init__(self, unpacked: IO[bytes], packed: _Counting, name: str) -> None:
+        self._unpacked, self._packed, self._name, self._count = unpacked, packed, name, 0
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: memoryview) -> int:  # type: ignore[override]
+        try:
+            data = self._unpacked.read(min(len(buffer), CHUNK))
+        except (OSError, EOFError, zstandard.ZstdError) as error:
+            raise CaptureError(f"{self._name}: damaged after {self._count} bytes: {error}") from None
+        self._count += len(data)
+        if self._count > FREE + MAX_RATIO * self._packed.count:
+            raise CaptureError(f"{self._name}: unpacks to over {MAX_RATIO} times its size: refused")
+        buffer[: len(data)] = data
+        return len(data)
+
+
+def open_capture(name: str) -> io.BufferedReader[Any]:
+    """The bytes of a capture, unpacked, without a byte-order mark. ``-`` is standard input."""
+    try:
+        raw: IO[bytes] = sys.stdin.buffer if name == "-" else open(name, "rb", buffering=0)  # noqa: SIM115
+        head = raw.read(4) or b""
+    except OSError as error:
+        raise CaptureError(f"{name}: not readable: {error.strerror}") from None
+    counting = _Counting(raw, head)
+    plain: io.BufferedReader[Any] = io.BufferedReader(counting, CHUNK)
+    if head.startswith(GZIP):
+        unpacked: IO[bytes] = cast(IO[bytes], gzip.GzipFile(fileobj=plain))
+    elif head.startswith(ZSTD):
+        unpacked = cast(IO[bytes], zstandard.ZstdDecompressor().stream_reader(plain, read_across_frames=True))
+    else:
+        unpacked = cast(IO[bytes], plain)
+    stream: io.BufferedReader[Any] = plain
+    if unpacked is not plain:
+        stream = io.BufferedReader(_Bounded(unpacked, counting, name), CHUNK)
+    if stream.peek(3)[:3] == BOM:
+        stream.read(3)
+    return stream
+
+
+def lines(stream: io.BufferedReader) -> Iterator[tuple[int, bytes | None]]:
+    """Numbered lines without their ends; None in place of one that is too long, which is not kept."""
+    number = 0
+    while line := stream.readline(MAX_LINE + 1):
+        number += 1
+        if len(line) > MAX_LINE and not line.endswith(b"\n"):
+            while (rest := stream.readline(CHUNK)) and not rest.endswith(b"\n"):
+                pass
+            yield number, None
+        else:
+            yield number, line.rstrip(b"\r\n")
--- /dev/null
+++ b/cypresspulley/capture/summary.py
@@ -0,0 +1,73 @@
+"""What a capture holds, in figures; free of I/O."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter, defaultdict
+from dataclasses import dataclass
+from typing import Any
+
+from cypresspulley.capture.load import Loaded
+from cypresspulley.capture.model import Entry, shown
+from cypresspulley.capture.skew import Clock
+
+TOP = 20  # accounts that are listed
+
+
+@dataclass(frozen=True, slots=True)
+class Summary:
+    """The figures of a merged capture. Rates are requests a second, times Unix seconds."""
+
+    requests: int
+    tries: int
+    retries: int
+    first: float
+    last: float
+    by_class: dict[str, int]
+    by_plan: dict[str, int]
+    by_status: dict[str, int]
+    accounts: int
+    top: list[tuple[str, int]]
+    rate: list[tuple[int, int]]  # seconds from the start, tries in that second
+    clocks: list[Clock]
+    broken: dict[str, int]
+    places: list[tuple[str, str]]
+    unmapped: dict[str, int]
+    ignored: int
+
+    def as_json(self) -> dict[str, Any]:
+        """The object that ``--json`` writes."""
+        seconds = max(1e-9, self.last - self.first)
+        return {
+            "requests": self.requests, "tries": self.tries, "retries": self.retries, "first": self.first,
+            "last": self.last, "mean_rate": round(self.tries / seconds, 3) if self.tries > 1 else 0.0,
+            "by_class": self.by_class, "by_plan": self.by_plan, "by_status": self.by_status,
+            "accounts": self.accounts, "top_accounts": dict(self.top), "rate": self.rate,
+            "clocks": [
+                {"source": shown(c.source), "offset_s": round(c.offset, 6), "drift_ppm": round(c.drift * 1e6, 2),
+                 "error_s": round(c.error, 6) if math.isfinite(c.error) else None} for c in self.clocks
+            ],
+            "unread": self.broken, "unread_places": [list(p) for p in self.places],
+            "unmapped": self.unmapped, "ignored": self.ignored,
+        }  # fmt: skip
+
+
+def summarise(entries: list[Entry], loaded: Loaded, clocks: list[Clock]) -> Summary:
+    """Figures of merged entries whose retries are marked."""
+    rate = defaultdict[int, int](int)
+    first = entries[0].t if entries else 0.0
+    for entry in entries:
+        rate[int(entry.t - first)] += 1
+    retries = sum(e.repeats >= 0 for e in entries)
+    accounts = Counter(e.account for e in entries)
+    return Summary(
+        requests=len(entries) - retries, tries=len(entries), retries=retries, first=first,
+        last=entries[-1].t if entries else 0.0,
+        by_class=dict(sorted(Counter(shown(e.cls) for e in entries).items())),
+        by_plan=dict(sorted(Counter(shown(e.plan) for e in entries).items())),
+        by_status={str(k): n for k, n in sorted(Counter(e.status for e in entries).items())},
+        accounts=len(accounts), top=[(shown(a), n) for a, n in accounts.most_common(TOP)],
+        rate=sorted(rate.items()), clocks=clocks, broken={shown(k): n for k, n in loaded.broken.items()},
+        places=[(shown(p.place), shown(p.why)) for p in loaded.places],
+        unmapped=dict(loaded.unmapped.most_common(TOP)), ignored=loaded.ignored,
+    )  # fmt: skip
--- a/cypresspulley/cli.py
+++ b/cypresspulley/cli.py
@@ -8,6 +8,7 @@
 
 import os
 import sys
+from collections.abc import Callable
 from pathlib import Path
 
 try:
@@ -30,7 +31,8 @@
 
 @main.command()
 @click.argument("config", required=False, type=click.Path(dir_okay=False))
-def limiter(config: str | None) -> None:
+@click.option("--operators", metavar="FILE", help="What is switched on beside the configuration (TOML).")
+def limiter(config: str | None, operators: str | None) -> None:
     """Run one limiter from CONFIG (default: the file that LB_CONFIG names).
 
     \b
@@ -42,7 +44,7 @@
 
     if config is not None:
         os.environ["LB_CONFIG"] = config
-    sys.exit(run_limiter())
+    sys.exit(run_limiter(["--operators", operators] if operators else []))
 
 
 @main.command()
@@ -53,9 +55,10 @@
 @click.option("--json", "json_file", type=click.Path(path_type=Path), help="Write the verdict as JSON.")
 @click.option("--html", type=click.Path(path_type=Path), help="Write a page to look at.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs, configurations and records here.")
+@click.option("--har", type=click.Path(path_type=Path), help="Write what the clients sent and got as HAR.")
 def rehearse(
     scenario: str | None, listed: bool, check: str | None, seed: int | None,
-    json_file: Path | None, html: Path | None, logs: Path | None,
+    json_file: Path | None, html: Path | None, logs: Path | None, har: Path | None,
 ) -> None:  # fmt: skip
     """Play SCENARIO (a shipped name or a TOML file) against real limiters and judge the five rules.
 
@@ -77,7 +80,7 @@
         sys.exit(command.check(check))
     if scenario is None:
         raise click.UsageError("SCENARIO is missing; --list shows the shipped ones")
-    sys.exit(command.rehearse(scenario, seed, command.Outputs(json_file, html, logs)))
+    sys.exit(command.rehearse(scenario, seed, command.Outputs(json_file, html, logs, har)))
 
 
 @main.command()
@@ -97,5 +100,123 @@
     sys.exit(command.judge_log(log, command.Outputs(json_file, html, None)))
 
 
+def _inputs(function: Callable[..., None]) -> Callable[..., None]:
+    """The options of everything that reads captures."""
+    for option in reversed((
+        click.argument("files", nargs=-1, required=True),
+        click.option("--kind", type=click.Choice(("auto", "har", "json", "combined", "common", "envoy", "haproxy")),
+                     default="auto", show_default=True, help="What the files are."),
+        click.option("--format", "notation", default="", help="Lines in nginx's log_format notation."),
+        click.option("--mapping", metavar="FILE", help="How account, class and plan are found (TOML)."),
+        click.option("--strict", is_flag=True, help="A broken line or entry is an error (exit 2)."),
+        click.option("--patience", type=click.FloatRange(0, 600), default=5.0, show_default=True,
+                     help="Seconds in which a client tries again."),
+    )):  # fmt: skip
+        function = option(function)
+    return function
+
+
+@main.group()
+def capture() -> None:
+    """Look at captured load: HAR files and access logs, gzip and zstd too.
+
+    \b
+    Example:
+      fawnseam capture inspect tablet.har limiter-*.jsonl --html capture.html
+    """
+
+
+@capture.command("inspect")
+@_inputs
+@click.option("--json", "json_file", type=click.Path(path_type=Path), help="Write the figures as JSON.")
+@click.option("--html", type=click.Path(path_type=Path), help="Write a page to look at.")
+def capture_inspect(
+    files: tuple[str, ...], kind: str, notation: str, mapping: str | None, strict: bool, patience: float,
+    json_file: Path | None, html: Path | None,
+) -> None:  # fmt: skip
+    """Print what FILES hold: mix, accounts, rate, retries, clock skew, what could not be read.
+
+    \b
+    Example:
+      fawnseam capture inspect a.jsonl b.jsonl c.jsonl.gz --json figures.json
+    Exit codes: 0 read (broken places are listed); 2 bad input; 3 a file could not be written.
+    """
+    from cypresspulley.capture import command
+
+    what = command.Input(files, kind, notation, mapping, strict, patience)
+    sys.exit(command.inspect(what, json_file, html))
+
+
+@capture.command("scrub")
+@_inputs
+@click.option(
+    "--out", type=click.Path(path_type=Path), required=True, help="The capture to write (JSON lines)."
+)
+@click.option(
+    "--key", metavar="FILE", help="Key of the renaming, 16 to 64 bytes; default: drawn and forgotten."
+)
+def capture_scrub(
+    files: tuple[str, ...], kind: str, notation: str, mapping: str | None, strict: bool, patience: float,
+    out: Path, key: str | None,
+) -> None:  # fmt: skip
+    """Write FILES as one capture without secrets and with accounts renamed by a keyed hash.
+
+    \b
+    Example:
+      fawnseam capture scrub tablet.har --out shareable.jsonl --key key.bin
+    Exit codes: 0 written; 2 bad input; 3 the file could not be written.
+    """
+    from cypresspulley.capture import command
+
+    sys.exit(command.scrub(command.Input(files, kind, notation, mapping, strict, patience), out, key))
+
+
+@main.command()
+@_inputs
+@click.option(
+    "--against", multiple=True, metavar="HOST:PORT", help="Limiters that run; default: the kit's own."
+)
+@click.option("--speed", type=click.FloatRange(0.01, 1000), default=1.0, show_default=True)
+@click.option("--stretch-accounts", type=click.IntRange(1, 1000), default=1, show_default=True,
+              help="Each account becomes so many.")  # fmt: skip
+@click.option("--from", "start", type=float, default=0.0, help="Seconds into the capture to begin at.")
+@click.option("--to", "end", type=float, default=float("inf"), help="Seconds into the capture to end at.")
+@click.option("--clients", is_flag=True, help="Scripted clients retry; the captured retries stay out.")
+@click.option("--seed", type=click.IntRange(0, 2**63 - 1), default=1, show_default=True)
+@click.option(
+    "--scenario", default="calm-morning", show_default=True, help="Fleet, plans, classes and faults."
+)
+@click.option(
+    "--json", "json_file", type=click.Path(path_type=Path), help="Write the verdict or report as JSON."
+)
+@click.option("--html", type=click.Path(path_type=Path), help="Write a page to look at.")
+@click.option("--logs", type=click.Path(path_type=Path), help="Keep logs, configurations and records here.")
+def replay(
+    files: tuple[str, ...], kind: str, notation: str, mapping: str | None, strict: bool, patience: float,
+    against: tuple[str, ...], speed: float, stretch_accounts: int, start: float, end: float, clients: bool,
+    seed: int, scenario: str, json_file: Path | None, html: Path | None, logs: Path | None,
+) -> None:  # fmt: skip
+    """Play captured FILES again, open loop, against the kit's stand-ins or running limiters.
+
+    \b
+    Examples:
+      fawnseam replay morning.har --html morning.html
+      fawnseam replay a.jsonl b.jsonl --speed 2 --stretch-accounts 3 --clients
+      fawnseam replay a.jsonl --against 127.0.0.1:7070 --from 60 --to 120
+    Exit codes: as of rehearse; with --against 0 once all was sent.
+    """
+    from cypresspulley.capture import command
+    from cypresspulley.capture.arrivals import Stretch
+    from cypresspulley.rehearsal.command import Outputs
+
+    sys.exit(
+        command.replay(
+            command.Input(files, kind, notation, mapping, strict, patience),
+            Stretch(speed, stretch_accounts, start, end, clients), seed, scenario, against,
+            Outputs(json_file, html, logs),
+        )
+    )  # fmt: skip
+
+
 if __name__ == "__main__":
     main()
--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -418,9 +418,9 @@
         a, effect = r.account, r.cls.effect
         if r.ran is None or effect is Effect.SAFE or (effect, r.cls.scope) == (Effect.KEYED, api.Scope.ALL):
             short = max(0.1, (r.units - a.level) / a.plan.rate if a.plan.rate else 0.0)
-            self._out.append(api.Refuse(r.id, min(self._set.max_retry_after, short)))
+            self._out.append(api.Refuse(r.id, min(self._set.max_retry_after, short), why))
         else:
-            self._out.append(api.Fail(r.id))
+            self._out.append(api.Fail(r.id, why))
         self._forget(r.id)
 
     def _forget(self, request: int) -> None:
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -178,11 +178,13 @@
 class Refuse:
     id: int
     retry_after: float
+    why: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class Fail:
     id: int
+    why: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -61,6 +61,11 @@
 
     __slots__ = ("_client", "answer", "body", "event", "head", "id", "keep_alive")
 
+    @property
+    def took(self) -> float:
+        """Seconds from the request's first byte to now, for one that has just come whole."""
+        return max(0.0, self._client.frontend.clock() - self._client.since)
+
     def __init__(self, client: _Client, keep_alive: bool) -> None:
         self._client, self.keep_alive = client, keep_alive
         self.event: api.Request | None = None
--- /dev/null
+++ b/cypresspulley/operators.py
@@ -0,0 +1,47 @@
+"""The operators' own file: what is switched on beside the platform's configuration. Without it, nothing is.
+
+``python -m cypresspulley --operators deploy/operators.toml``; each table switches one thing on.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass
+from typing import Any
+
+TABLES = {"access_log": {"path": str}}
+
+
+class OperatorsError(ValueError):
+    """A file that cannot be used; the text names file, key and what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class Operators:
+    """What is on. ``access_log`` is the path of the access log, None for none."""
+
+    access_log: str | None = None
+
+
+def load_operators(path: str) -> Operators:
+    """Read the file; ``OperatorsError`` where it cannot be used."""
+    try:
+        with open(path, "rb") as file:
+            raw = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as error:
+        raise OperatorsError(f"{path}: not readable as TOML: {error}") from None
+    for table, keys in raw.items():
+        _check(path, table, keys)
+    return Operators(access_log=raw.get("access_log", {}).get("path"))
+
+
+def _check(path: str, table: str, keys: Any) -> None:
+    if table not in TABLES or not isinstance(keys, dict):
+        raise OperatorsError(f"{path}: {table}: expected a table, one of {', '.join(TABLES)}")
+    for key, kind in TABLES[table].items():
+        if not isinstance(keys.get(key), kind) or not keys[key]:
+            raise OperatorsError(
+                f"{path}: {table}.{key}: expected a {kind.__name__}, got {keys.get(key)!r:.60}"
+            )
+    if extra := set(keys) - set(TABLES[table]):
+        raise OperatorsError(f"{path}: {table}.{min(extra)}: unknown; expected {', '.join(TABLES[table])}")
--- a/cypresspulley/rehearsal/scenario.py
+++ b/cypresspulley/rehearsal/scenario.py
@@ -136,6 +136,13 @@
     full: Share = Field(0.15, description="share of the accounts that use nearly all")
     spiky: Share = Field(0.15, description="share of the accounts that ask for a multiple now and then")
     spread: tuple[int, int] = (2, 3)
+    capture: str | None = Field(None, description="a captured file in place of drawn arrivals")
+    mapping: str | None = Field(None, description="how account, class and plan are found in it")
+    speed: Annotated[float, Field(gt=0, le=1000)] = 1.0
+    stretch_accounts: int = Field(1, ge=1, le=1000)
+    scripted_clients: bool = Field(
+        False, description="clients retry by themselves; captured retries stay out"
+    )
 
 
 class Fault(_Strict):
