--- a/cypresspulley/capture/load.py
+++ b/cypresspulley/capture/load.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cypresspulley.capture.access import FORMATS, Format, nginx_format, read_log
 from cypresspulley.capture.har import read_har
@@ -75,7 +75,7 @@
                 if entry is not None:
                     source.entries.append(entry)
             elif isinstance(record, Counted):
-                source.counts.append(record)
+                source.counts.append(replace(record, after=len(source.entries)))
             elif strict:
                 raise CaptureError(f"{record.place}: {record.why}")
             else:
--- a/cypresspulley/capture/model.py
+++ b/cypresspulley/capture/model.py
@@ -50,6 +50,7 @@
     name: str
     amount: float
     total: float
+    after: int = 0  # entries of its log that stand before it
 
 
 @dataclass(slots=True)
--- a/cypresspulley/capture/skew.py
+++ b/cypresspulley/capture/skew.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_right
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -57,34 +58,36 @@
     """A log whose clock was set back in the middle, as one source for each stretch."""
     if source.kind == "har" or not source.entries:
         return [source]  # a HAR's entries come in any order
-    parts, latest = [Source(source.name, source.kind)], -math.inf
-    for entry in source.entries:
+    parts, starts, latest = [Source(source.name, source.kind)], [0], -math.inf
+    for number, entry in enumerate(source.entries):
         # A line is written when its request ends.
         if entry.end < latest - JUMP - _longest(entry):
             parts.append(Source(f"{source.name}#{len(parts) + 1}", source.kind))
+            starts.append(number)
             latest = -math.inf
         latest = max(latest, entry.end)
         parts[-1].entries.append(entry)
     if len(parts) == 1:
         return [source]
     for count in source.counts:
-        _nearest(parts, count).counts.append(count)
+        parts[_part_of(count, parts, starts)].counts.append(count)
     for part in parts:
         for entry in part.entries:
             entry.source = part.name
     return parts
 
 
-def _longest(entry: Entry) -> float:
-    return max(0.0, entry.latency) if entry.latency >= 0 else 5.0
-
+def _part_of(count: Counted, parts: list[Source], starts: list[int]) -> int:
+    """The stretch that a call stands in; between two of them, the one whose clock is nearer."""
+    at = bisect_right(starts, count.after) - 1
+    if at > 0 and starts[at] == count.after:
+        before, behind = parts[at - 1].entries[-1].end, parts[at].entries[0].end
+        return at - (abs(count.answered - before) < abs(count.answered - behind))
+    return at
 
-def _nearest(parts: list[Source], count: Counted) -> Source:
-    def away(part: Source) -> float:
-        first, last = part.entries[0].t, part.entries[-1].end
-        return max(first - count.t, count.t - last, 0.0)
 
-    return min(parts, key=away)
+def _longest(entry: Entry) -> float:
+    return max(0.0, entry.latency) if entry.latency >= 0 else 5.0
 
 
 def constraints(sources: list[Source]) -> list[Before]:
--- a/cypresspulley/capture/source.py
+++ b/cypresspulley/capture/source.py
@@ -14,7 +14,7 @@
 
 MAX_LINE = 1 << 20  # bytes; a longer line is skipped and reported
 MAX_RATIO, FREE = 300, 64 << 20  # a compressed file may grow so many times, past the first 64 MB
-CHUNK = 1 << 16
+CHUNK, HEAD = 1 << 16, 4096  # bytes at a time; bytes that must be there to tell what it is
 GZIP, ZSTD, BOM = b"\x1f\x8b", b"\x28\xb5\x2f\xfd", b"\xef\xbb\xbf"
 
 
@@ -60,7 +60,9 @@
     """The bytes of a capture, unpacked, without a byte-order mark. ``-`` is standard input."""
     try:
         raw: IO[bytes] = sys.stdin.buffer if name == "-" else open(name, "rb", buffering=0)  # noqa: SIM115
-        head = raw.read(4) or b""
+        head = b""
+        while len(head) < HEAD and (more := raw.read(HEAD - len(head))):
+            head += more
     except OSError as error:
         raise CaptureError(f"{name}: not readable: {error.strerror}") from None
     counting = _Counting(raw, head)
--- /dev/null
+++ b/tests/capture/test_skew.py
@@ -0,0 +1,116 @@
+"""Clocks of three logs from what they share, beside the truth; retries beside the truth."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+import pytest
+
+from cypresspulley.capture.load import Source
+from cypresspulley.capture.model import CaptureError, Entry
+from cypresspulley.capture.retries import mark_retries
+from cypresspulley.capture.skew import Before, Clock, estimate, merge, once, split_jumps
+from tests.capture.truth import START, Skew, seen, traffic
+
+
+def worst(sources: list[Source], clocks: list[Clock], true: list[Skew]) -> list[tuple[float, float]]:
+    """For each source but the first: the largest error of a corrected time, and the error that is printed."""
+    found = list[tuple[float, float]]()
+    for source, clock in zip(sources[1:], clocks[1:], strict=True):
+        skew = true[int(source.name[8])]
+        moments = [START + k for k in range(0, 121, 10)]
+        moments = [m for m in moments if source.entries[0].t <= skew.shows(m) <= source.entries[-1].end]
+        reference = true[0]
+        errors = [abs(clock.true(skew.shows(m)) - reference.shows(m)) for m in moments]
+        found.append((max(errors, default=0.0), clock.error))
+    return found
+
+
+@pytest.mark.parametrize("seed", range(200))
+def test_the_printed_error_holds(seed: int) -> None:
+    """200 generated cases: offsets up to 90 s, drifts up to 200 ppm; the reference's clock is wrong as well."""
+    rng = Random(seed)
+    clocks = [Skew(rng.uniform(-90, 90), rng.choice((0.0, rng.uniform(-2e-4, 2e-4)))) for _ in range(3)]
+    sources = seen(traffic(rng, seconds=60, rate=rng.uniform(8, 30)), clocks)
+    for error, printed in worst(sources, estimate(sources), clocks):
+        assert error <= printed + 1e-6
+
+
+def test_offset_drift_and_a_jump_are_found_within_20_ms() -> None:
+    clocks = [Skew(0.0), Skew(90.0, 2e-4), Skew(-45.0, 0.0, 60.0, 3600.0 / 60)]
+    sources = seen(traffic(Random(3), rate=40), clocks)
+    parts = [part for source in sources for part in split_jumps(source)]
+    assert [part.name for part in parts] == ["limiter-0", "limiter-1", "limiter-2", "limiter-2#2"]
+    found = estimate(parts)
+    for clock, (name, offset) in zip(
+        found[1:], [("limiter-1", -90.012), ("limiter-2", 45.0), ("limiter-2#2", 105.0)], strict=True
+    ):
+        assert clock.source == name and clock.error <= 0.02
+        assert abs(clock.offset - offset) <= 0.02 + 0.012  # the drift shows up to 24 ms over the log
+    assert found[1].drift == pytest.approx(-2e-4, abs=1e-4)
+
+
+def test_what_excludes_each_other_is_refused() -> None:
+    sources = seen(traffic(Random(1), seconds=20), [Skew(), Skew(), Skew()])[:2]
+    pairs = [Before(0, 1, 10.0, 5.0), Before(1, 0, 8.0, 5.0)]
+    with pytest.raises(CaptureError, match="cannot be reconciled"):
+        estimate(sources, pairs)
+
+
+def test_sources_that_share_nothing_say_so() -> None:
+    sources = seen(traffic(Random(1), seconds=20), [Skew(), Skew(), Skew()])[:2]
+    for source in sources:
+        source.counts.clear()
+    clocks = estimate(sources)
+    assert math.isinf(clocks[1].error) and clocks[1].offset == 0.0
+
+
+def test_a_try_in_a_har_and_in_a_log_is_one_and_ties_their_clocks() -> None:
+    truth = traffic(Random(4), seconds=60)
+    log = Source("limiter.jsonl", "json")
+    har = Source("tablet.har", "har")
+    for entry in truth.tries:
+        there = Entry(**{k: getattr(entry, k) for k in Entry.__slots__})
+        there.t, there.source = entry.t + 30.0, "limiter.jsonl"
+        log.entries.append(there)
+        here = Entry(**{k: getattr(entry, k) for k in Entry.__slots__})
+        here.t, here.latency, here.source = entry.t - 0.002, entry.latency + 0.005, "tablet.har"
+        har.entries.append(here)
+    merged, clocks = merge([har, log])
+    assert len(merged) == len(truth.tries)
+    assert clocks[1].offset == pytest.approx(-30.0, abs=0.02) and clocks[1].error < 0.02
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_retries_are_marked_with_precision_and_recall(seed: int) -> None:
+    truth = traffic(Random(seed), rate=60)
+    mark_retries(truth.tries)
+    said = {(n, e.repeats) for n, e in enumerate(truth.tries) if e.repeats >= 0}
+    real = {(n, first) for n, first in enumerate(truth.repeats) if first >= 0}
+    assert len(real) > 500
+    assert len(said & real) / len(said) >= 0.99 and len(said & real) / len(real) >= 0.99
+
+
+def test_what_the_client_marked_is_believed() -> None:
+    def entry(t: float, status: int, marked: bool | None) -> Entry:
+        return Entry(t, "a", "c", "p", "GET", "/c", str(t), status, 1, 0.01, "s", "", marked=marked)
+
+    entries = [entry(0, 429, False), entry(1, 200, False), entry(2, 503, False), entry(3, 503, True)]
+    entries += [entry(4, 200, True), entry(20, 200, True)]
+    assert mark_retries(entries) == 2
+    assert [e.repeats for e in entries] == [-1, -1, -1, 0, 2, -1]
+
+
+def test_a_handover_that_stands_twice_is_one_with_two_tries() -> None:
+    """The tablet's HAR holds both tries, two limiters' logs hold one each."""
+
+    def entry(t: float, id: str, status: int, source: str) -> Entry:
+        return Entry(t, "a", "handover-post", "p", "POST", "/h", id, status, 1, 0.01, source, "")
+
+    entries = [
+        entry(0.0, "x", 503, "har"), entry(0.001, "x", 503, "one"), entry(0.5, "y", 200, "har"),
+        entry(0.501, "y", 200, "two"),
+    ]  # fmt: skip
+    kept = once(entries)
+    assert [e.id for e in kept] == ["x", "y"] and mark_retries(kept) == 1 and kept[1].repeats == 0
--- /dev/null
+++ b/tests/capture/truth.py
@@ -0,0 +1,93 @@
+"""Captures whose truth is known: traffic of a few accounts through three limiters, seen by clocks that are wrong."""
+
+from __future__ import annotations
+
+from bisect import bisect_right
+from dataclasses import dataclass, replace
+from random import Random
+
+from cypresspulley.capture.load import Source
+from cypresspulley.capture.model import Counted, Entry
+
+START = 1_800_000_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Skew:
+    """A clock that shows true time + offset + drift * (time since the start), and from ``jump_at`` on less ``jump``."""
+
+    offset: float = 0.0
+    drift: float = 0.0
+    jump_at: float = float("inf")
+    jump: float = 0.0
+
+    def shows(self, t: float) -> float:
+        back = self.jump if t - START >= self.jump_at else 0.0
+        return t + self.offset + self.drift * (t - START) - back
+
+
+@dataclass(slots=True)
+class Truth:
+    """Every try in order of true time, with the place of the first try that it repeats, or -1."""
+
+    tries: list[Entry]
+    repeats: list[int]
+    counts: list[tuple[int, Counted]]  # with the limiter that made the call
+
+
+def traffic(rng: Random, seconds: float = 120.0, rate: float = 20.0, accounts: int = 12) -> Truth:
+    """Poisson arrivals; a fifth is refused and mostly retried; each served try is counted by the keeper."""
+    planned, t, number = list[tuple[float, int, Entry]](), START, 0
+    while (t := t + rng.expovariate(rate)) < START + seconds:
+        account = f"{rng.randrange(accounts):016x}"
+        cls, method = rng.choice((("bag-lookup", "GET"), ("handover-post", "POST")))
+        path, at, first = f"/{cls}/item-{number}", t, number
+        for attempt in range(4):
+            refused = rng.random() < 0.2
+            latency = rng.uniform(0.001, 0.004) if refused else rng.uniform(0.05, 0.4)
+            status = rng.choice((429, 503, 502)) if refused else 200
+            entry = Entry(
+                at, account, cls, "standard", method, path, f"{number:016x}-{attempt}", status, 100, latency,
+                f"limiter-{rng.randrange(3)}", "", marked=None,
+            )  # fmt: skip
+            planned.append((at, first, entry))
+            if not refused or rng.random() < 0.2:
+                break
+            at += latency + rng.uniform(0.002, 1.5)
+        number += 1
+    planned.sort(key=lambda row: row[0])
+    places, repeats = dict[int, int](), list[int]()
+    for place, (_, first, _) in enumerate(planned):
+        repeats.append(places.get(first, -1))
+        places.setdefault(first, place)
+    tries = [entry for _, _, entry in planned]
+    return Truth(tries, repeats, _counts(rng, tries))
+
+
+def _counts(rng: Random, tries: list[Entry]) -> list[tuple[int, Counted]]:
+    """The keeper's totals of each account, added at some moment between call and answer."""
+    calls, totals = list[tuple[float, float, float, int, str]](), dict[str, float]()
+    for entry in tries:
+        added = entry.t + rng.uniform(0.0005, 0.002)
+        calls.append(
+            (added, entry.t, added + rng.uniform(0.0005, 0.002), int(entry.source[-1]), entry.account)
+        )
+    found = list[tuple[int, Counted]]()
+    for _, made, answered, limiter, account in sorted(calls):
+        totals[account] = totals.get(account, 0.0) + 1
+        found.append((limiter, Counted(made, answered, account, 1.0, totals[account])))
+    return found
+
+
+def seen(truth: Truth, clocks: list[Skew]) -> list[Source]:
+    """What each limiter's log holds, in the order of its lines."""
+    sources = [Source(f"limiter-{n}", "json") for n in range(len(clocks))]
+    for entry in sorted(truth.tries, key=lambda e: e.end):
+        n = int(entry.source[-1])
+        sources[n].entries.append(replace(entry, t=clocks[n].shows(entry.end) - entry.latency))
+    written = [sorted(e.end for e in truth.tries if int(e.source[-1]) == n) for n in range(len(clocks))]
+    for n, c in truth.counts:
+        made, answered = clocks[n].shows(c.t), clocks[n].shows(c.answered)
+        after = bisect_right(written[n], c.answered)
+        sources[n].counts.append(Counted(made, answered, c.name, c.amount, c.total, after))
+    return sources
