--- /dev/null
+++ b/benchmarks/replay_timing.py
@@ -0,0 +1,89 @@
+"""How well a replay keeps the captured distances between requests, by rate and speed.
+
+    python -m benchmarks.replay_timing [--seconds 8]
+
+A server in a process of its own answers at once. For each rate (of the capture) and speed: the 99th percentile of
+the difference between each wanted and each real distance of two sendings, beside that of a bare loop that only sleeps
+and notes the time (the baseline: what this machine's timers do).
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import subprocess
+import sys
+import time
+from random import Random
+
+import uvloop
+
+from benchmarks.cpu_per_request import HOST, Server, up
+from cypresspulley.capture.arrivals import Stretch
+from cypresspulley.capture.command import plan_of
+from cypresspulley.capture.replay import against, percentile
+from cypresspulley.rehearsal.play import free_port
+from cypresspulley.rehearsal.scenario import load_scenario
+from tests.capture.truth import traffic
+
+
+async def serve(port: int) -> None:
+    server = await asyncio.get_running_loop().create_server(Server, HOST, port)
+    await server.serve_forever()
+
+
+async def bare(times: list[float]) -> list[float]:
+    """When a loop that does nothing else would have sent, in seconds from its start."""
+    start, real = time.monotonic(), list[float]()
+    for t in times:
+        if (wait := start + t - time.monotonic()) > 0:
+            await asyncio.sleep(wait)
+        real.append(time.monotonic() - start)
+    return real
+
+
+def difference(wanted: list[float], real: list[float]) -> float:
+    """99th percentile of how far distances are from the wanted ones, in milliseconds."""
+    pairs = zip(wanted, wanted[1:], real, real[1:], strict=False)
+    return percentile([abs((d - c) - (b - a)) * 1000 for a, b, c, d in pairs], 99)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--serve", type=int, help=argparse.SUPPRESS)
+    options = parser.parse_args()
+    if options.serve:
+        return uvloop.run(serve(options.serve))
+    port = free_port(HOST)
+    child = subprocess.Popen([sys.executable, "-m", "benchmarks.replay_timing", "--serve", str(port)])
+    try:
+        uvloop.run(up(port))
+        for rate in (100, 1000):
+            for speed in (0.5, 1.0, 4.0):
+                one(rate, speed, options.seconds, f"{HOST}:{port}")
+    finally:
+        child.terminate()
+        child.wait()
+    return None
+
+
+def one(rate: float, speed: float, seconds: float, target: str) -> None:
+    base = load_scenario("calm-morning")
+    truth = traffic(Random(1), seconds * speed, rate / 1.2, accounts=200)  # a fifth comes again
+    made, plan = plan_of(truth.tries, base, Stretch(speed), 1)
+    report = uvloop.run(against(made, plan, (target,)))
+    wanted = [a.t for a in plan.arrivals]
+    real = [t + late / 1000 for t, late in zip(wanted, report.late, strict=True)]
+    floor = difference(wanted, uvloop.run(bare(wanted)))
+    print(
+        f"{rate:5g}/s captured, speed {speed:g}: {report.sent} sent, distances off by "
+        f"{difference(wanted, real):.2f} ms (p99), bare loop {floor:.2f} ms; late p99 {percentile(report.late, 99):.1f} ms; "
+        f"answers {dict(report.statuses)}"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/cypresspulley/capture/command.py
+++ b/cypresspulley/capture/command.py
@@ -28,7 +28,7 @@
 from cypresspulley.capture.summary import Summary, summarise
 from cypresspulley.rehearsal import command as rehearsal
 from cypresspulley.rehearsal.plan import Plan, draw
-from cypresspulley.rehearsal.scenario import Load, Scenario, ScenarioError, load_scenario
+from cypresspulley.rehearsal.scenario import Goal, Load, Scenario, ScenarioError, load_scenario
 
 GOOD, BAD_INPUT, BROKEN_TOOL = 0, 2, 3
 AFTER = 5.0  # seconds of a replayed day past the last arrival
@@ -215,7 +215,7 @@
         entries, loaded, _ = read(what)
         _tell_unread(loaded)
         base = load_scenario(scenario)
-        quiet = base.model_copy(update={"load": Load()})
+        quiet = base.model_copy(update={"name": "replay", "load": Load(), "goal": Goal()})
         made, plan = plan_of(entries, quiet, stretch, seed)
     except (CaptureError, ScenarioError) as error:
         return _fail(error)
--- a/cypresspulley/operators.py
+++ b/cypresspulley/operators.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import tomllib
 from dataclasses import dataclass
 from typing import Any
@@ -18,7 +19,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Operators:
-    """What is on. ``access_log`` is the path of the access log, None for none."""
+    """What is on. ``access_log`` is the path of the access log, None for none; ``{name}`` in it is LB_NAME."""
 
     access_log: str | None = None
 
@@ -32,7 +33,9 @@
         raise OperatorsError(f"{path}: not readable as TOML: {error}") from None
     for table, keys in raw.items():
         _check(path, table, keys)
-    return Operators(access_log=raw.get("access_log", {}).get("path"))
+    access_log = raw.get("access_log", {}).get("path")
+    name = os.environ.get("LB_NAME", "limiter")
+    return Operators(access_log=access_log.replace("{name}", name) if access_log else None)
 
 
 def _check(path: str, table: str, keys: Any) -> None:
--- /dev/null
+++ b/tests/test_accesslog.py
@@ -0,0 +1,165 @@
+"""The limiter's own access log: what it says, that it never holds the loop, that it can be rotated; off, nothing."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cypresspulley.accesslog import LogFile
+from cypresspulley.capture.load import load
+from cypresspulley.capture.mapping import Mapping
+from cypresspulley.operators import OperatorsError, load_operators
+from cypresspulley.rehearsal.standins.keeper import Keeper
+from cypresspulley.rehearsal.standins.network import Link
+from tests.loopback import Origin, ask, listening, read_message, run
+from tests.test_program import WIRE_SETTINGS, config, stand_in_stage, started
+
+
+def rows(path: Path) -> list[dict[str, Any]]:
+    return [json.loads(line) for line in path.read_text().splitlines()]
+
+
+def wait_for(condition: Callable[[], object]) -> None:
+    limit = time.monotonic() + 10
+    while not condition():
+        assert time.monotonic() < limit
+        time.sleep(0.005)
+
+
+def operators(folder: Path) -> list[str]:
+    path = folder / "operators.toml"
+    path.write_text(f'[access_log]\npath = "{folder / "access.jsonl"}"\n')
+    return ["--operators", str(path)]
+
+
+def test_each_request_is_a_line_that_the_readers_take(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin, link = Origin(), Link("n0")
+        keeper = Keeper(stand_in_stage(), 1, 1000.0, 0.1, 0.0)
+        keeper.begun = True
+        async with listening(origin.talk) as dial:
+            raw = config(dial) | {"counter": keeper.listen(link, "127.0.0.1").address}
+            tight = [{"name": "basic", "quota_rate": 0.1, "store_size": 2.0}]
+            raw["settings"] = WIRE_SETTINGS | {
+                "specifics": {"has_counter": True, "count_wait_s": 0.5}, "tariffs": tight,
+            }  # fmt: skip
+            async with started(raw, tmp_path, *operators(tmp_path)) as program:
+                statuses = list[str]()
+                for _ in range(6):
+                    reader, writer = await program.connect()
+                    writer.write(ask(X_Retried="1"))
+                    statuses.append((await read_message(reader))[0].split()[1])
+                program.process.send_signal(signal.SIGTERM)
+                assert await program.process.wait() == 0
+        keeper.close()
+        told = [row for row in rows(tmp_path / "access.jsonl") if "kind" not in row]
+        assert [str(row["status"]) for row in told] == statuses and {"200", "429"} <= set(statuses)
+        served = told[statuses.index("200")]
+        assert served["outcome"] == "served" and served["attempts"] == 1 and served["why"] == ""
+        assert served["first_byte"] <= served["time"] <= served["last_byte"] and served["sent"] == 2
+        assert abs(served["time"] - time.time()) < 60
+        refused = told[statuses.index("429")]
+        assert refused["outcome"] == "refused" and refused["why"] == "quota" and refused["attempts"] == 0
+        lookups = Mapping.model_validate({"class": {"from": ["field:class"]}})
+        loaded = load((str(tmp_path / "access.jsonl"),), lookups, strict=True)
+        assert [str(e.status) for e in loaded.entries] == statuses
+        assert all(e.marked and e.account == "00000000b4d65521" and e.plan == "basic" for e in loaded.entries)
+        assert any(count.total > 0 for count in loaded.sources[0].counts)
+
+    run(main())
+
+
+def test_sigusr1_opens_the_file_anew(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with (
+            listening(Origin().talk) as dial,
+            started(config(dial), tmp_path, *operators(tmp_path)) as program,
+        ):
+            path, moved = tmp_path / "access.jsonl", tmp_path / "moved.jsonl"
+            path.rename(moved)
+            program.process.send_signal(signal.SIGUSR1)
+            assert " 200 " in await program.health()  # the signal has been handled by now
+            reader, writer = await program.connect()
+            writer.write(ask())
+            await read_message(reader)
+            program.process.send_signal(signal.SIGTERM)
+            await program.process.wait()
+            assert len(rows(path)) == 1 and moved.read_text() == ""
+
+    run(main())
+
+
+def test_a_slow_disk_drops_lines_and_holds_nobody(tmp_path: Path) -> None:
+    """A pipe that nobody reads takes 64 KiB, then blocks its writer as a dying disk would."""
+    pipe = tmp_path / "pipe"
+    os.mkfifo(pipe)
+    reader = os.open(pipe, os.O_RDONLY | os.O_NONBLOCK)
+    file = LogFile(str(pipe), most=100_000)
+    began = time.monotonic()
+    for number in range(20_000):
+        file.put({"n": number})
+    assert time.monotonic() - began < 5
+    assert file.dropped > 0
+    os.set_blocking(reader, True)
+    got = list[bytes]()
+    drain = threading.Thread(target=lambda: got.extend(iter(lambda: os.read(reader, 1 << 16), b"")))
+    drain.start()
+    wait_for(lambda: file._waiting == 0)
+    dropped = file.dropped
+    file.put({"n": "last"})
+    file.close()
+    drain.join(10)
+    os.close(reader)
+    lines = [json.loads(line) for line in b"".join(got).splitlines()]
+    assert lines[-1] == {"n": "last", "dropped": dropped}
+    assert len(lines) - 1 + sum(line.get("dropped", 0) for line in lines) == 20_000
+
+
+def test_a_disk_that_takes_nothing_is_counted() -> None:
+    file = LogFile("/dev/full")
+    file.put({"n": 1})
+    wait_for(lambda: file.dropped)
+    file.close()
+    assert file.dropped == 1
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        ("[", "not readable as TOML"),
+        ("[acess_log]\n", "acess_log: expected a table, one of access_log"),
+        ("access_log = 3\n", "access_log: expected a table"),
+        ("[access_log]\n", "access_log.path: expected a str, got None"),
+        ('[access_log]\npath = "x"\nsize = 3\n', "access_log.size: unknown; expected path"),
+    ],
+)
+def test_a_wrong_file_is_named(tmp_path: Path, text: str, expected: str) -> None:
+    path = tmp_path / "operators.toml"
+    path.write_text(text)
+    with pytest.raises(OperatorsError) as error:
+        load_operators(str(path))
+    assert str(error.value).startswith(f"{path}: ") and expected in str(error.value)
+
+
+def test_off_it_is_not_even_imported() -> None:
+    text = "import cypresspulley.__main__, sys; print([m for m in sys.modules if 'accesslog' in m or 'capture' in m])"
+    done = subprocess.run([sys.executable, "-c", text], capture_output=True, text=True, check=True)
+    assert done.stdout == "[]\n"
+
+
+def test_wrong_arguments_are_one_plain_line() -> None:
+    for arguments in (["--operators"], ["x"], ["--operators", "/nowhere"]):
+        done = subprocess.run(
+            [sys.executable, "-m", "cypresspulley", *arguments], capture_output=True, text=True
+        )
+        assert done.returncode == 2 and len(done.stderr.splitlines()) == 1
