--- a/benchmarks/round_trip.py
+++ b/benchmarks/round_trip.py
@@ -12,7 +12,6 @@
 import json
 import sys
 import tempfile
-import time
 from collections import Counter
 from pathlib import Path
 from typing import Any
@@ -35,11 +34,10 @@
     operators = folder / "operators.toml"
     operators.write_text(f'[access_log]\npath = "{folder}/access-{{name}}.jsonl"\n')
     command = [sys.executable, "-m", "cypresspulley", "--operators", str(operators)]
-    began = time.time()
     records = uvloop.run(play(scenario, seed, command=command))
     har = folder / "clients.har"
     with har.open("w") as file:
-        write_har(records, began, file)
+        write_har(records, file)
     logs = sorted(folder.glob("access-*.jsonl"))
     for path, skew in zip(logs, SKEWS, strict=False):
         skew_file(path, *skew)
--- a/cypresspulley/capture/har_writer.py
+++ b/cypresspulley/capture/har_writer.py
@@ -10,9 +10,10 @@
 from cypresspulley.rehearsal import records as log
 
 
-def write_har(records: Iterable[log.Record], unix_start: float, out: TextIO) -> int:
-    """Every sending as an entry, in order of time; how many. ``unix_start`` is the day's second 0."""
+def write_har(records: Iterable[log.Record], out: TextIO) -> int:
+    """Every sending as an entry, in order of time; how many."""
     records = list(records)
+    unix_start = next((r.unix_start for r in records if isinstance(r, log.End)), 0.0)
     ends = {r.id: r for r in records if isinstance(r, log.Answered)}
     day = next(r for r in records if isinstance(r, log.Day))
     safe = {c.name for c in day.classes if c.effect == "safe"}
--- a/cypresspulley/capture/load.py
+++ b/cypresspulley/capture/load.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import io
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
+from typing import Any
 
-from cypresspulley.capture.access import FORMATS, Format, nginx_format, read_log
+from cypresspulley.capture.access import FORMATS, nginx_format, read_log
 from cypresspulley.capture.har import read_har
 from cypresspulley.capture.mapping import Mapper, Mapping
 from cypresspulley.capture.model import Broken, CaptureError, Counted, Entry, Raw
@@ -45,13 +47,24 @@
 def records(name: str, kind: str = "auto", notation: str = "") -> Iterator[Raw | Counted | Broken]:
     """What a reader finds in a file; ``kind`` is detected unless named, ``notation`` is nginx's log_format."""
     with open_capture(name) as stream:
-        if notation:
-            yield from read_log(stream, name, (nginx_format(notation),))
-        elif kind == "har" or (kind == "auto" and is_har(stream.peek(SNIFF)[:SNIFF])):
-            yield from read_har(stream, name)
-        else:
-            formats: tuple[Format, ...] = () if kind == "auto" else (FORMATS[kind],)
-            yield from read_log(stream, name, formats)
+        yield from _reader(stream, name, _kind(stream, kind, notation), notation)
+
+
+def _kind(stream: io.BufferedReader[Any], kind: str, notation: str) -> str:
+    """``har``, or the kind of log; ``auto`` for a log of any formats."""
+    if kind == "auto" and not notation and is_har(stream.peek(SNIFF)[:SNIFF]):
+        return "har"
+    return kind
+
+
+def _reader(
+    stream: io.BufferedReader[Any], name: str, kind: str, notation: str
+) -> Iterator[Raw | Counted | Broken]:
+    if notation:
+        return read_log(stream, name, (nginx_format(notation),))
+    if kind == "har":
+        return read_har(stream, name)
+    return read_log(stream, name, () if kind == "auto" else (FORMATS[kind],))
 
 
 def is_har(head: bytes) -> bool:
@@ -66,21 +79,20 @@
     """All files as entries. ``strict`` makes the first broken place a ``CaptureError``."""
     mapper, broken, places, sources = Mapper(mapping), Counter[str](), list[Broken](), list[Source]()
     for name in names:
-        source = Source(name, kind)
-        sources.append(source)
-        shown = 0
-        for record in records(name, kind, notation):
-            if isinstance(record, Raw):
-                entry = mapper.entry(record, name)
-                if entry is not None:
-                    source.entries.append(entry)
-            elif isinstance(record, Counted):
-                source.counts.append(replace(record, after=len(source.entries)))
-            elif strict:
-                raise CaptureError(f"{record.place}: {record.why}")
-            else:
-                broken[name] += 1
-                shown += 1
-                if shown <= SHOWN:
-                    places.append(record)
+        with open_capture(name) as stream:
+            source = Source(name, _kind(stream, kind, notation))
+            sources.append(source)
+            for record in _reader(stream, name, source.kind, notation):
+                if isinstance(record, Raw):
+                    entry = mapper.entry(record, name)
+                    if entry is not None:
+                        source.entries.append(entry)
+                elif isinstance(record, Counted):
+                    source.counts.append(replace(record, after=len(source.entries)))
+                elif strict:
+                    raise CaptureError(f"{record.place}: {record.why}")
+                else:
+                    broken[name] += 1
+                    if broken[name] <= SHOWN:
+                        places.append(record)
     return Loaded(sources, broken, places, mapper.unmapped, mapper.ignored)
--- a/cypresspulley/rehearsal/command.py
+++ b/cypresspulley/rehearsal/command.py
@@ -6,7 +6,6 @@
 import json
 import signal
 import sys
-import time
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -139,7 +138,6 @@
         with _Shown(scenario) as shown:
             await play(scenario, plan.seed, logs=outputs.logs, progress=shown, records=records, plan=plan)
 
-    unix_start = time.time()
     try:
         uvloop.run(main())
     except KitError as error:
@@ -150,7 +148,7 @@
         from cypresspulley.capture.har_writer import write_har
 
         with outputs.har.open("w", encoding="utf-8") as file:
-            write_har(records, unix_start, file)
+            write_har(records, file)
     return _conclude(records, outputs)
 
 
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -535,7 +535,7 @@
         await asyncio.wait((day, failed), return_when=asyncio.FIRST_COMPLETED)
         director.check()
         await day
-        director.stage.record(log.End(director.stage.now()))
+        director.stage.record(log.End(director.stage.now(), director.stage.unix_ms(0) / 1000))
     except OSError as error:
         raise KitError(f"{error.strerror or error}: the kit could not go on") from None
     finally:
--- a/cypresspulley/rehearsal/records.py
+++ b/cypresspulley/rehearsal/records.py
@@ -263,7 +263,10 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
+    """The day is over. ``unix_start`` is the Unix time of its second 0."""
+
     t: float
+    unix_start: float = 0.0
 
 
 Record = (
--- a/tests/capture/test_replay.py
+++ b/tests/capture/test_replay.py
@@ -25,7 +25,7 @@
 from cypresspulley.rehearsal.judge import judge
 from cypresspulley.rehearsal.play import play
 from cypresspulley.rehearsal.scenario import Scenario
-from tests.capture.truth import START, traffic
+from tests.capture.truth import traffic
 from tests.loopback import Origin, listening, run
 from tests.rehearsal.small import command, small
 
@@ -113,7 +113,7 @@
         assert len(firsts) == sum(a.repeats < 0 for a in plan.arrivals)  # a retry is no request of its own
         path = tmp_path / "clients.har"
         with path.open("w") as file:
-            write_har(records, START, file)
+            write_har(records, file)
         entries = sorted(load((str(path),), Mapping(), strict=True).entries, key=lambda e: e.t)
         assert Counter((e.account, e.cls) for e in entries) == Counter((r.account, r.cls) for r in sent)
         assert [e.marked for e in entries] == [r.number > 0 for r in sorted(sent, key=lambda r: (r.t, r.id))]
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -369,9 +369,9 @@
         ("{", "x:3: not JSON"),
         ("[1]", "x:3: expected an object with record"),
         ('{"record":"moved"}', "one of day, sent"),
-        ('{"record":"end"}', "a End has t"),
-        ('{"record":"end","t":"soon"}', "End.t: expected float"),
-        ('{"record":"end","t":true}', "End.t: expected float"),
+        ('{"record":"end"}', "a End has t, unix_start"),
+        ('{"record":"end","t":"soon","unix_start":0}', "End.t: expected float"),
+        ('{"record":"end","t":true,"unix_start":0}', "End.t: expected float"),
         ("[" * 100_000, "x:3: not JSON"),
     ],
 )
