--- a/benchmarks/cpu_per_request.py
+++ b/benchmarks/cpu_per_request.py
@@ -100,7 +100,7 @@
     return sum(await asyncio.gather(*(one(requests // CONNECTIONS) for _ in range(CONNECTIONS))))
 
 
-def limiter_config(folder: Path, port: int, servers: list[int]) -> Path:
+def limiter_config(folder: Path, port: int, servers: list[int], name: str = "config.json") -> Path:
     scenario = parse_scenario(
         {"name": "bench", "about": "-", "seconds": 1, "limiters": {"count": 1}, "load": {"spread": [1, 1]},
          "plan": [{"name": "free", "share": 1, "rate": 1e5, "burst": 1e5}]}, "bench",
@@ -114,7 +114,7 @@
         "listen": f"{HOST}:{port}", "discovery": f"{HOST}:9", "seed": "1", "limits": {"sockets": 512},
         "known": {"seq": 1, "whole": True, "hosts": hosts}, "settings": settings,
     }  # fmt: skip
-    path = folder / "config.json"
+    path = folder / name
     path.write_text(json.dumps(raw))
     return path
 
@@ -128,7 +128,7 @@
             await asyncio.sleep(0.02)
 
 
-async def measure(requests: int, rounds: int) -> dict[str, list[float]]:
+async def measure(requests: int, rounds: int, log: bool) -> dict[str, list[float]]:
     """Microseconds of CPU a request, by who stood between, one figure a round."""
     loop = asyncio.get_running_loop()
     started = [await loop.create_server(Server, HOST, 0) for _ in range(SERVERS)]
@@ -141,6 +141,18 @@
             "limiter": [sys.executable, "-m", "cypresspulley"],
             "pipe": [sys.executable, "-m", "benchmarks.cpu_per_request", "--pipe", str(ports["pipe"])],
         }
+        if log:
+            operators = Path(folder) / "operators.toml"
+            operators.write_text(f'[access_log]\npath = "{folder}/access.jsonl"\n')
+            ports["logged"] = free_port(HOST)
+            logged = limiter_config(Path(folder), ports["logged"], servers, "logged.json")
+            commands["logged"] = [
+                "env",
+                f"LB_CONFIG={logged}",
+                *commands["limiter"],
+                "--operators",
+                str(operators),
+            ]
         children = {
             who: subprocess.Popen(command, env=env, stderr=subprocess.DEVNULL)
             for who, command in commands.items()
@@ -171,14 +183,18 @@
     )
     parser.add_argument("--requests", type=int, default=6000)
     parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--log", action="store_true", help="a limiter with its access log on as well")
     parser.add_argument("--pipe", type=int, help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.pipe:
         return uvloop.run(pipe(options.pipe))
-    found = uvloop.run(measure(options.requests, options.rounds))
+    found = uvloop.run(measure(options.requests, options.rounds, options.log))
     limiter, bare = (statistics.median(found[who]) for who in ("limiter", "pipe"))
     for who, figures in found.items():
         print(f"{who:8} {' '.join(f'{x:7.1f}' for x in figures)}  us of CPU a request")
+    if options.log:
+        logged = statistics.median(found["logged"])
+        print(f"access log: {logged - limiter:+.0f} us, {logged / limiter:.2f} times the limiter without")
     print(f"ratio    {limiter / bare:.1f} (limiter {limiter:.0f} us, byte pipe {bare:.0f} us)")
     return None
 
--- a/cypresspulley/capture/access.py
+++ b/cypresspulley/capture/access.py
@@ -72,7 +72,11 @@
                 f"log format: ${key} and the next variable stand side by side: where does it end?"
             )
         inner = (
-            r"(?:[^\"\\]|\\.)*" if following == '"' else f"[^{re.escape(following)}]*" if following else ".*"
+            r"[^\"\\]*(?:\\.[^\"\\]*)*"
+            if following == '"'
+            else f"[^{re.escape(following)}]*"
+            if following
+            else ".*"
         )
         if key in names or not key.isidentifier():
             parts.append(f"(?:{inner})")
@@ -89,7 +93,7 @@
 
 
 def _unescaped(text: str | None) -> str:
-    if text is None or text == "-":
+    if not text or text == "-":
         return ""
     return ESCAPED.sub(lambda m: chr(int(m[1], 16)), text) if "\\x" in text else text
 
@@ -202,10 +206,9 @@
     size = int(_number((_first(fields, SIZES)[1] or "-1").lstrip("+"), "a size"))
     if not -1 <= status <= 999:
         raise ValueError(f"a status of {status}")
-    named = {
-        key.removeprefix("http_").replace("_", "-"): x for key, x in fields.items() if key[:5] == "http_"
-    }
-    return Raw(t, method, target, max(0, status), size, latency, place, fields | named)
+    for name in [key for key in fields if key.startswith("http_")]:
+        fields[name[5:].replace("_", "-")] = fields[name]  # a header under its own name
+    return Raw(t, method, target, max(0, status), size, latency, place, fields)
 
 
 def _request(fields: dict[str, str]) -> tuple[str, str]:
--- a/tests/capture/test_readers.py
+++ b/tests/capture/test_readers.py
@@ -134,6 +134,22 @@
     assert len(packed.entries) == 3
 
 
+@pytest.mark.parametrize(
+    ("program", "statuses"),
+    [("chrome", [0, 200]), ("firefox", [200, 0]), ("safari", [200]), ("proxy", [200])],
+)
+def test_files_as_each_program_writes_them(program: str, statuses: list[int]) -> None:
+    """Written by hand from what these programs export."""
+    name = str(Path(__file__).parent / "samples" / f"{program}.har")
+    loaded = load((name,), Mapping(), strict=True)
+    entries = sorted(loaded.entries, key=lambda e: e.t)
+    assert [e.status for e in entries] == statuses and not loaded.unmapped
+    (served,) = [e for e in entries if e.status == 200]
+    assert served.t == pytest.approx(T) and served.latency == pytest.approx(0.1303, abs=0.001)
+    assert (served.id, served.plan, served.cls) == ("9b1f03aa5c7e2d41", "chain", "bag-lookup")
+    assert "hush" not in repr(entries) and "not-for-anyone" not in repr(entries)
+
+
 def test_a_page_of_other_requests_is_told_and_not_guessed(tmp_path: Path) -> None:
     image = {"method": "GET", "url": "https://cdn.example/img/a.png?account=00000000000000aa", "headers": []}
     entries = [har_entry() for _ in range(12)] + [har_entry(request=image) for _ in range(400)]
