--- a/tests/capture/test_skew.py
+++ b/tests/capture/test_skew.py
@@ -8,7 +8,7 @@
 import pytest
 
 from cypresspulley.capture.load import Source
-from cypresspulley.capture.model import CaptureError, Entry
+from cypresspulley.capture.model import CaptureError, Counted, Entry
 from cypresspulley.capture.retries import mark_retries
 from cypresspulley.capture.skew import Before, Clock, estimate, merge, once, split_jumps
 from tests.capture.truth import START, Skew, seen, traffic
@@ -51,6 +51,30 @@
     assert found[1].drift == pytest.approx(-2e-4, abs=1e-4)
 
 
+def test_counts_that_expired_and_came_back_prove_nothing() -> None:
+    """A count that lives 2 s reaches the same totals again and again: such levels link moments seconds apart."""
+    clocks = [Skew(0.0), Skew(5.0), Skew(-5.0)]
+    sources = seen(traffic(Random(5), seconds=60), clocks)
+    for n, source in enumerate(sources):
+        for k in range(30 - n):  # the last stretches are in one log only
+            for level in range(1, 4):
+                moment = clocks[n].shows(START + 2 * k + 0.4 * level + 0.1 * n)
+                source.counts.append(Counted(moment, moment + 0.001, "short", 1.0, float(level)))
+    for error, printed in worst(sources, estimate(sources), clocks):
+        assert error <= printed + 1e-6 < 0.05
+
+
+def test_a_call_between_two_stretches_goes_to_the_nearer_clock() -> None:
+    def line(t: float) -> Entry:
+        return Entry(START + t, "a", "c", "p", "GET", "/c", str(t), 200, 1, 0.01, "log", "")
+
+    source = Source("log", "json", [line(50), line(60), line(2), line(9)])
+    before, behind = (Counted(START + t, START + t, "x", 1.0, t, after=2) for t in (60.5, 1.5))
+    source.counts = [before, behind]
+    one, two = split_jumps(source)
+    assert one.counts == [before] and two.counts == [behind]
+
+
 def test_what_excludes_each_other_is_refused() -> None:
     sources = seen(traffic(Random(1), seconds=20), [Skew(), Skew(), Skew()])[:2]
     pairs = [Before(0, 1, 10.0, 5.0), Before(1, 0, 8.0, 5.0)]
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -218,14 +218,22 @@
 
 
 def agent_knew_and_told_otherwise_since(s: Story) -> None:
-    """Draining at its agent at 3, read at 3.1; ready again, read at 5: the old must not come back at 9."""
+    """Draining at its agent at 3, read at 3.1; ready again, read at 8: the old must not come back at 9."""
     s.records.append(log.Listed(3.0, "n0", False, False, {"s1": ("draining", -1e9)}))
     s.told(3.1, "n0", False, s1=("draining", -1e9))
-    s.records.append(log.Listed(4.9, "n0", False, False, {"s1": ("ready", -1e9)}))
-    s.told(5.0, "n0", False, s1=("ready", -1e9))
+    s.records.append(log.Listed(7.9, "n0", False, False, {"s1": ("ready", -1e9)}))
+    s.told(8.0, "n0", False, s1=("ready", -1e9))
     s.served(11.5, "look", "n0", "s1")
 
 
+def ready_news_older_than_the_list(s: Story) -> None:
+    """Its agent had s9 as ready at 3; a whole list without s9, read at 4, is newer: it must not come back at 9."""
+    s.told(2.0, "n0", False, s9=("ready", -1e9))
+    s.records.append(log.Listed(3.0, "n0", False, False, {"s9": ("ready", -1e9)}))
+    s.told(4.0, "n0", True, s1=("ready", -1e9), s2=("ready", -1e9), s3=("ready", -1e9))
+    s.served(10.0, "look", "n0", "s9")
+
+
 def agent_knew_before_the_start(s: Story) -> None:
     s.limiter(2.0, "n0", "killed")
     s.records.append(log.Listed(3.0, "n0", False, False, {"s1": ("gone", -1e9)}))
@@ -286,6 +294,7 @@
     (drain(7.0, "s2"), []),
     (left_out_of_a_whole_list, [DRAINS]), (drained_and_back, []), (back_with_a_stale_list, []),
     (agent_knew, [DRAINS]), (agent_knew_not_yet, []), (agent_knew_and_told_otherwise_since, []),
+    (ready_news_older_than_the_list, [DRAINS]),
     (agent_knew_before_the_start, [DRAINS]),
     (cold(15), []), (cold(17), [COLD]), (cold(17, limiter_told=False), []), (cold(17, at=13.0), []),
     (ceiling(9, 0.01), []), (ceiling(10, 0.01), [CEILINGS]), (ceiling(30, 0.25), []), (ceiling(30, 0.2), []),
