--- /dev/null
+++ b/cypresspulley/rehearsal/virtual/network.py
@@ -0,0 +1,305 @@
+"""In-memory connections that obey TCP where a program can tell: order, split and joined bytes, delay, full
+buffers, half-closed and silent peers, resets, refused and unanswered dials.
+
+| event | what the other end sees |
+| --- | --- |
+| ``write`` | the bytes, in order, in pieces that the seed decides |
+| ``close`` | what was written, then the end (``eof_received``) |
+| ``abort`` | a reset: ``connection_lost`` with ConnectionResetError; bytes under way are lost |
+| ``write_eof`` | the end, while it can still write |
+| the link is cut | nothing; what is sent stays under way until it is healed |
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import TYPE_CHECKING, Any, cast
+
+if TYPE_CHECKING:
+    from cypresspulley.rehearsal.virtual.loop import VirtualLoop
+
+HIGH = 64 * 1024  # bytes that a transport holds before it says pause_writing
+KERNEL = 128 * 1024  # bytes that lie between two ends while the reader reads nothing
+LEAST_DELAY, MOST_DELAY = 1e-4, 4e-4  # seconds one way
+FIRST_PORT = 40_000
+Address = tuple[str, int]
+
+
+class Path:
+    """One direction of a connection: bytes under way, and when they come."""
+
+    def __init__(self, network: VirtualNetwork, reader: VirtualTransport) -> None:
+        self._network, self._reader = network, reader
+        self._under_way = deque[bytes | None]()  # None is the end
+        self._timer: asyncio.TimerHandle | None = None
+        self.size = 0
+
+    def send(self, data: bytes | None) -> None:
+        self._under_way.append(data)
+        self.size += len(data or b"")
+        self.wake()
+
+    def wake(self) -> None:
+        """Deliver the next piece a little later, unless the reader rests, the way is cut or one is coming."""
+        cut = self._network.is_cut(self._reader.address, self._reader.peer_address)
+        if self._timer is None and self._under_way and not self._reader.paused and not cut:
+            self._timer = self._network.loop.call_later(self._network.delay(), self._deliver)
+
+    def drop(self) -> None:
+        self._under_way.clear()
+        self.size = 0
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _deliver(self) -> None:
+        self._timer = None
+        cut = self._network.is_cut(self._reader.address, self._reader.peer_address)
+        if self._reader.paused or cut or not self._under_way:
+            return
+        data = self._under_way.popleft()
+        if data is None:
+            return self._reader.end_came()
+        # Pieces are split anywhere and joined with what follows: bytes have no borders.
+        while self._under_way and self._under_way[0] is not None and self._network.rng.random() < 0.5:
+            data += cast(bytes, self._under_way.popleft())
+        if len(data) > 1 and self._network.rng.random() < 0.5:
+            at = self._network.rng.randrange(1, len(data))
+            self._under_way.appendleft(data[at:])
+            data = data[:at]
+        self.size -= len(data)
+        self._reader.data_came(data)
+        self.wake()
+
+
+class VirtualTransport(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, network: VirtualNetwork, protocol: Any, address: Address, peer: Address) -> None:
+        super().__init__()
+        self._network, self._protocol = network, protocol
+        self.address, self.peer_address = address, peer
+        self.paused = self._closing = self._lost = self._ended = self._held = False
+        self._waiting = deque[bytes]()  # written, and not yet under way: the way is full
+        self._waiting_size, self._high, self._low = 0, HIGH, HIGH // 4
+        self._eof_sent = False
+        self.out: Path = cast(Path, None)
+        self.other: VirtualTransport = cast(VirtualTransport, None)
+
+    def __repr__(self) -> str:
+        state = "lost" if self._lost else "closing" if self._closing else "open"
+        return f"<VirtualTransport {self.address} to {self.peer_address} {state}{' paused' * self.paused}>"
+
+    # What a program asks.
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return {"peername": self.peer_address, "sockname": self.address}.get(name, default)
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        return cast(asyncio.BaseProtocol, self._protocol)
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        self._protocol = protocol
+
+    def is_closing(self) -> bool:
+        return self._closing
+
+    def is_reading(self) -> bool:
+        return not self.paused and not self._closing
+
+    def pause_reading(self) -> None:
+        self.paused = True
+
+    def resume_reading(self) -> None:
+        self.paused = False
+        if self.other is not None:
+            self.other.out.wake()
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        self._high = HIGH if high is None else high
+        self._low = self._high // 4 if low is None else low
+        self._flow()
+
+    def get_write_buffer_size(self) -> int:
+        return self._waiting_size
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        if self._eof_sent:
+            raise RuntimeError("Cannot call write() after write_eof()")
+        if self._closing or not data:
+            return
+        self._waiting.append(bytes(data))
+        self._waiting_size += len(data)
+        self.move_on()
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def write_eof(self) -> None:
+        if not self._eof_sent and not self._closing:
+            self._eof_sent = True
+            self.move_on()
+
+    def close(self) -> None:
+        if not self._closing:
+            self._closing = True
+            self.move_on()
+            if not self._waiting:
+                self._network.loop.call_soon(self._lose, None)
+
+    def abort(self) -> None:
+        if self._lost:
+            return
+        self._closing = True
+        self._waiting.clear()
+        self._waiting_size = 0
+        self.out.drop()
+        self._network.loop.call_soon(self._lose, None)
+        if not self.other._lost:
+            self._network.loop.call_later(self._network.delay(), self.other.reset_came)
+
+    # What the way does.
+
+    def move_on(self) -> None:
+        """Put what waits under way, as far as there is room."""
+        while self._waiting and self.out.size < KERNEL:
+            data = self._waiting.popleft()
+            room = KERNEL - self.out.size
+            if len(data) > room:
+                self._waiting.appendleft(data[room:])
+                data = data[:room]
+            self._waiting_size -= len(data)
+            self.out.send(data)
+        if not self._waiting and not self._ended and (self._eof_sent or self._closing):
+            self._ended = True
+            self.out.send(None)
+            if self._closing:
+                self._network.loop.call_soon(self._lose, None)
+        self._flow()
+
+    def _flow(self) -> None:
+        if not self._held and self._waiting_size > self._high:
+            self._held = True
+            self._protocol.pause_writing()
+        elif self._held and self._waiting_size <= self._low:
+            self._held = False
+            self._protocol.resume_writing()
+
+    def data_came(self, data: bytes) -> None:
+        if not self._closing:
+            self._protocol.data_received(data)
+        self.other.move_on()
+
+    def end_came(self) -> None:
+        if self._closing:
+            return
+        if not self._protocol.eof_received():
+            self.close()
+
+    def reset_came(self) -> None:
+        if not self._lost:
+            self._closing = True
+            self.out.drop()
+            self._lose(ConnectionResetError(104, "Connection reset by peer"))
+
+    def _lose(self, error: Exception | None) -> None:
+        if not self._lost:
+            self._lost = True
+            self._network.open.discard(self)
+            self._protocol.connection_lost(error)
+
+
+class _Name:
+    """Stands where a listening socket stands, for its address only."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+
+    def getsockname(self) -> Address:
+        return self._address
+
+
+class VirtualServer:
+    """A listening address. Blocked, it answers no dial, as a machine that is cut off."""
+
+    def __init__(self, network: VirtualNetwork, factory: Callable[[], Any], address: Address) -> None:
+        self._network, self.factory, self.address, self.blocked = network, factory, address, False
+
+    def close(self) -> None:
+        self._network.listeners.pop(self.address, None)
+
+    async def wait_closed(self) -> None: ...
+
+    @property
+    def sockets(self) -> tuple[_Name, ...]:
+        return (_Name(self.address),)
+
+    def is_serving(self) -> bool:
+        return self._network.listeners.get(self.address) is self
+
+
+class VirtualNetwork:
+    """All listeners and connections of one loop; ``limit`` is how many ends may be open at once."""
+
+    def __init__(self, loop: VirtualLoop, seed: int, limit: int = 100_000) -> None:
+        self.loop, self.rng, self.limit = loop, Random(seed), limit
+        self.listeners = dict[Address, VirtualServer]()
+        self.open = set[VirtualTransport]()
+        self._cuts = set[frozenset[str]]()
+        self._last_port = FIRST_PORT
+
+    def __repr__(self) -> str:
+        return f"<VirtualNetwork {len(self.listeners)} listeners, {len(self.open)} ends open>"
+
+    def delay(self) -> float:
+        return self.rng.uniform(LEAST_DELAY, MOST_DELAY)
+
+    def is_cut(self, one: Address, other: Address) -> bool:
+        return bool(self._cuts) and frozenset((one[0], other[0])) in self._cuts
+
+    def cut(self, one: str, other: str) -> None:
+        """Silence between two hosts: nothing arrives, no dial comes up, nothing is reset."""
+        self._cuts.add(frozenset((one, other)))
+
+    def heal(self, one: str, other: str) -> None:
+        """What was under way arrives."""
+        self._cuts.discard(frozenset((one, other)))
+        for end in sorted(self.open, key=lambda e: (e.address, e.peer_address)):
+            end.out.wake()
+
+    def listen(self, factory: Callable[[], Any], host: str, port: int) -> VirtualServer:
+        address = (host, port or self._port())
+        if address in self.listeners:
+            raise OSError(98, f"address already in use: {host}:{address[1]}")
+        server = self.listeners[address] = VirtualServer(self, factory, address)
+        return server
+
+    def _port(self) -> int:
+        self._last_port += 1
+        return self._last_port
+
+    async def connect(
+        self, factory: Callable[[], Any], host: str, port: int, source: str = "127.0.0.1"
+    ) -> tuple[VirtualTransport, Any]:
+        """Dial; ConnectionRefusedError where nobody listens, for ever silent where the way is cut."""
+        if len(self.open) + 2 > self.limit:
+            raise OSError(24, "Too many open files")
+        await asyncio.sleep(2 * self.delay())
+        server = self.listeners.get((host, port))
+        if self.is_cut((source, 0), (host, port)) or (server is not None and server.blocked):
+            await self.loop.create_future()
+        if server is None:
+            raise ConnectionRefusedError(111, f"Connect call failed ('{host}', {port})")
+        here, there = (source, self._port()), (host, port)
+        near_protocol, far_protocol = factory(), server.factory()
+        near = VirtualTransport(self, near_protocol, here, there)
+        far = VirtualTransport(self, far_protocol, there, here)
+        near.other, far.other = far, near
+        near.out, far.out = Path(self, far), Path(self, near)
+        self.open |= {near, far}
+        far_protocol.connection_made(far)
+        near_protocol.connection_made(near)
+        return near, near_protocol
