--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -106,12 +106,14 @@
 class Reload:
     """SIGHUP: the file is read again, and discovery and the counter are followed to where it says."""
 
-    def __init__(self, config: Config, follower: Follower, counter: CounterClient | None) -> None:
-        self._config, self._follower, self._counter = config, follower, counter
+    def __init__(
+        self, config: Config, follower: Follower, counter: CounterClient | None, reread: Callable[[], Config]
+    ) -> None:
+        self._config, self._follower, self._counter, self._reread = config, follower, counter, reread
 
     def __call__(self) -> None:
         try:
-            new = load_config(os.environ.get("LB_CONFIG"))
+            new = self._reread()
         except ConfigError as error:
             # A half-written or wrong file must not end a limiter that serves.
             log.error("the configuration was not reloaded: %s", error)
@@ -123,15 +125,26 @@
         log.info("the configuration was reloaded%s", "" if new == old else ": some of it needs a restart")
 
 
-async def serve(config: Config, operators: Operators) -> None:
-    """Run one limiter until SIGTERM or SIGINT."""
+def configured() -> Config:
+    """The configuration that LB_CONFIG names."""
+    return load_config(os.environ.get("LB_CONFIG"))
+
+
+async def serve(
+    config: Config,
+    operators: Operators,
+    clock: Callable[[], float] | None = None,
+    reread: Callable[[], Config] = configured,
+) -> None:
+    """Run one limiter until SIGTERM or SIGINT. All that it takes from the machine is the running loop, Unix time
+    from ``clock`` and, at SIGHUP, the configuration from ``reread``."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.set_exception_handler(
         lambda _loop, context: log.error("%s", context.get("message"), exc_info=context.get("exception"))
     )
-    clock = unix_clock()
+    clock = clock or unix_clock()
     # Usual clients hold a third of all at most; what silent ones hold beyond gives way to them.
     clients = servers = max(8, (config.sockets - SPARE_SOCKETS) // 2)
     timing = config.timing
@@ -155,7 +168,7 @@
     follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
-    loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter))
+    loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter, reread))
     gc.collect()
     gc.freeze()  # what is here now stays: the collector need not walk it again
     log.info("ready")
@@ -209,7 +222,7 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s: %(message)s")
     try:
         operators = _operators(sys.argv[1:] if arguments is None else arguments)
-        uvloop.run(serve(load_config(os.environ.get("LB_CONFIG")), operators))
+        uvloop.run(serve(configured(), operators))
     except ConfigError as error:
         print(f"cypresspulley: {error}", file=sys.stderr)
         return 2
--- a/cypresspulley/cli.py
+++ b/cypresspulley/cli.py
@@ -56,9 +56,11 @@
 @click.option("--html", type=click.Path(path_type=Path), help="Write a page to look at.")
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep logs, configurations and records here.")
 @click.option("--har", type=click.Path(path_type=Path), help="Write what the clients sent and got as HAR.")
+@click.option("--virtual", is_flag=True, help="In virtual time, in this process: one seed is one trace.")
 def rehearse(
     scenario: str | None, listed: bool, check: str | None, seed: int | None,
     json_file: Path | None, html: Path | None, logs: Path | None, har: Path | None,
+    virtual: bool,
 ) -> None:  # fmt: skip
     """Play SCENARIO (a shipped name or a TOML file) against real limiters and judge the five rules.
 
@@ -80,7 +82,7 @@
         sys.exit(command.check(check))
     if scenario is None:
         raise click.UsageError("SCENARIO is missing; --list shows the shipped ones")
-    sys.exit(command.rehearse(scenario, seed, command.Outputs(json_file, html, logs, har)))
+    sys.exit(command.rehearse(scenario, seed, command.Outputs(json_file, html, logs, har), virtual))
 
 
 @main.command()
--- a/cypresspulley/rehearsal/command.py
+++ b/cypresspulley/rehearsal/command.py
@@ -18,7 +18,7 @@
 from cypresspulley.rehearsal.judge import judge_timeline
 from cypresspulley.rehearsal.limiters import KitError
 from cypresspulley.rehearsal.plan import Plan, draw
-from cypresspulley.rehearsal.play import Director, play
+from cypresspulley.rehearsal.play import Director, keep, play
 from cypresspulley.rehearsal.report import print_verdict
 from cypresspulley.rehearsal.scenario import Scenario, ScenarioError, load_scenario, shipped
 from cypresspulley.rehearsal.timeline import JudgeError, Timeline
@@ -106,8 +106,8 @@
             self._next = now - now % PLAIN_EVERY + PLAIN_EVERY
 
 
-def rehearse(name: str, seed: int | None, outputs: Outputs) -> int:
-    """Play a scenario, print and write what came of it; the exit code."""
+def rehearse(name: str, seed: int | None, outputs: Outputs, virtual: bool = False) -> int:
+    """Play a scenario, on sockets or in virtual time, print and write what came of it; the exit code."""
     try:
         outputs.check()
         scenario = load_scenario(name)
@@ -115,7 +115,7 @@
         scenario, plan = _planned(scenario, seed)  # bad sizes are bad input, said before anything starts
     except ValueError as error:
         return _fail(str(error), BAD_INPUT)
-    return play_and_judge(scenario, plan, outputs)
+    return play_and_judge(scenario, plan, outputs, virtual)
 
 
 def _planned(scenario: Scenario, seed: int) -> tuple[Scenario, Plan]:
@@ -126,9 +126,11 @@
     return captured_plan(scenario, seed)
 
 
-def play_and_judge(scenario: Scenario, plan: Plan, outputs: Outputs) -> int:
+def play_and_judge(scenario: Scenario, plan: Plan, outputs: Outputs, virtual: bool = False) -> int:
     """Play a plan against limiters of its own, judge it, write what was asked for; the exit code."""
     records = list[log.Record]()
+    if virtual:
+        return _play_in_virtual_time(scenario, plan, outputs)
 
     async def main() -> None:
         loop, playing = asyncio.get_running_loop(), asyncio.current_task()
@@ -144,11 +146,23 @@
         return _fail(str(error), BROKEN_KIT)
     except asyncio.CancelledError:
         return _interrupted(records)
-    if outputs.har is not None:
-        from cypresspulley.capture.har_writer import write_har
+    return _conclude(records, outputs)
+
 
-        with outputs.har.open("w", encoding="utf-8") as file:
-            write_har(records, file)
+def _play_in_virtual_time(scenario: Scenario, plan: Plan, outputs: Outputs) -> int:
+    from cypresspulley.rehearsal.virtual.play import digest, play_virtual
+
+    try:
+        with _Shown(scenario) as shown:
+            records = play_virtual(scenario, plan.seed, plan, shown)
+        if outputs.logs is not None:
+            outputs.logs.mkdir(parents=True, exist_ok=True)
+            keep(records, outputs.logs / "records.jsonl")
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    except (KitError, OSError) as error:
+        return _fail(str(error), BROKEN_KIT)
+    print(f"trace {digest(records)}")
     return _conclude(records, outputs)
 
 
@@ -181,6 +195,11 @@
     try:
         if outputs.json is not None:
             outputs.json.write_text(_json(verdict.as_json()), encoding="utf-8")
+        if outputs.har is not None:
+            from cypresspulley.capture.har_writer import write_har
+
+            with outputs.har.open("w", encoding="utf-8") as file:
+                write_har(records, file)
         if outputs.html is not None:
             from cypresspulley.rehearsal.page import render  # plots load slowly
 
--- a/cypresspulley/rehearsal/limiters.py
+++ b/cypresspulley/rehearsal/limiters.py
@@ -167,6 +167,10 @@
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
+    async def ended(self) -> int:
+        """Wait for its end, however long; its exit code."""
+        return await self.process.wait() if self.process is not None else 0
+
     async def gone(self) -> int:
         """Wait for its end, with SIGKILL for one that ignores SIGTERM; its exit code."""
         within = STOP_WITHIN
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -41,6 +41,7 @@
 CELL = 4  # servers of a cell
 DESCRIPTORS = 8192  # that the kit asks for itself; 64 a server and limiter are plenty
 PLAYS = count()
+MakeLimiter = Callable[[str, str], LimiterProcess]  # of a name and the host where it listens
 Progress = Callable[[float, "Director"], None]
 
 
@@ -69,9 +70,8 @@
 class Net:
     """Addresses in 127.0.0.0/8, and the links between halls."""
 
-    def __init__(self, scenario: Scenario) -> None:
-        # A range of its own for each run: two at once never meet, and no port is asked for by number.
-        self._base = f"127.{16 + (os.getpid() * 7 + next(PLAYS)) % 200}"
+    def __init__(self, scenario: Scenario, base: str) -> None:
+        self._base = base
         self._network = scenario.network
         self.links = list[tuple[Link, str, str]]()  # with the halls at both ends
 
@@ -103,18 +103,14 @@
     """All that is on the stage of one play."""
 
     def __init__(
-        self,
-        scenario: Scenario,
-        plan: Plan,
-        folder: Path,
-        command: list[str],
-        sink: Callable[[log.Record], None],
-    ) -> None:
+        self, scenario: Scenario, plan: Plan, limiter: MakeLimiter, sink: Callable[[log.Record], None],
+        base: str, clock: Callable[[], float] = time.monotonic, unix: Callable[[], float] = time.time,
+    ) -> None:  # fmt: skip
         classes = {c.name: c for c in scenario.classes}
         self.scenario, self.plan = scenario, plan
-        self.stage = Stage(sink, lambda id, cls: work_of(plan.seed, id, classes[cls]))
+        self.stage = Stage(sink, lambda id, cls: work_of(plan.seed, id, classes[cls]), clock, unix)
         self.stage.on_arrival = self._on_arrival
-        self.net = Net(scenario)
+        self.net = Net(scenario, base)
         self.day = describe(scenario, plan)
         self.halls = scenario.fleet.halls
         k = scenario.keeper
@@ -126,11 +122,7 @@
         self.servers = dict[str, BagServer]()
         self._memories = dict[tuple[str, int], RepeatMemory]()
         self.limiters = {
-            name: LimiterProcess(
-                name, (host, free_port(host)), folder, command, plan.seed, scenario.limiters.sockets
-            )
-            for i, name in enumerate(limiter_names(scenario))
-            for host in [self.net.host(250, i)]
+            name: limiter(name, self.net.host(250, i)) for i, name in enumerate(limiter_names(scenario))
         }
         self.front = Front(list(self.limiters))
         self.clients = ClientFleet(
@@ -231,9 +223,7 @@
         return Host(f"bag-gone-{number}", f"{host}:9", self.halls[0], 0, "ready")
 
     async def _watch_end(self, limiter: LimiterProcess) -> None:
-        process = limiter.process
-        assert process is not None
-        code = await process.wait()
+        code = await limiter.ended()
         what = "exited" if limiter.expected_end else "crashed"
         self.stage.record(log.LimiterState(self.stage.now(), limiter.name, what, code))
         notice = self._rng.uniform(*self.scenario.clients.notice)
@@ -435,10 +425,11 @@
 
     async def beat(self) -> None:
         """Watch the kit's own lateness and what the limiters use, until cancelled."""
-        due, sampled = time.monotonic() + BEAT, 0.0
+        clock = self.stage.clock
+        due, sampled = clock() + BEAT, 0.0
         while True:
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-            now = time.monotonic()
+            await asyncio.sleep(max(0.0, due - clock()))
+            now = clock()
             self.stage.record(log.Lateness(self.stage.now(), max(0.0, now - due)))
             due = max(due + BEAT, now)
             if now - sampled > SAMPLE:
@@ -526,7 +517,29 @@
     except OSError as error:
         raise KitError(f"cannot make {folder}: {error.strerror}") from None
     _raise_descriptors(scenario)
-    director = Director(scenario, plan, folder, command or SHIPPED_LIMITER, kept.append)
+
+    def limiter(name: str, host: str) -> LimiterProcess:
+        address, sockets = (host, free_port(host)), scenario.limiters.sockets
+        return LimiterProcess(name, address, folder, command or SHIPPED_LIMITER, plan.seed, sockets)
+
+    # A range of its own for each run: two at once never meet, and no port is asked for by number.
+    base = f"127.{16 + (os.getpid() * 7 + next(PLAYS)) % 200}"
+    director = Director(scenario, plan, limiter, kept.append, base)
+    try:
+        await play_day(director, progress)
+    except OSError as error:
+        raise KitError(f"{error.strerror or error}: the kit could not go on") from None
+    finally:
+        await director.close()
+        if logs is None:
+            shutil.rmtree(folder, ignore_errors=True)
+    if logs is not None:
+        keep(kept, folder / "records.jsonl")
+    return kept
+
+
+async def play_day(director: Director, progress: Progress | None) -> None:
+    """The day from its first limiter's start to its end, with the kit's own lateness watched."""
     day = asyncio.ensure_future(_day(director, progress))
     beat = asyncio.ensure_future(director.beat())
     failed = asyncio.ensure_future(director.failed.wait())
@@ -536,19 +549,11 @@
         director.check()
         await day
         director.stage.record(log.End(director.stage.now(), director.stage.unix_ms(0) / 1000))
-    except OSError as error:
-        raise KitError(f"{error.strerror or error}: the kit could not go on") from None
     finally:
         tasks = [task for task in (day, beat, failed, shown) if task is not None]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        await director.close()
-        if logs is None:
-            shutil.rmtree(folder, ignore_errors=True)
-    if logs is not None:
-        keep(kept, folder / "records.jsonl")
-    return kept
 
 
 def keep(records: list[log.Record], path: Path) -> None:
--- a/cypresspulley/rehearsal/standins/bagserver.py
+++ b/cypresspulley/rehearsal/standins/bagserver.py
@@ -10,7 +10,7 @@
 import httptools
 
 from cypresspulley.rehearsal import records as log
-from cypresspulley.rehearsal.standins.network import Link, LinkedProtocol, Listener
+from cypresspulley.rehearsal.standins.network import Link, LinkedProtocol, Listening, listen
 from cypresspulley.rehearsal.standins.processor import Job, Machine, Processor
 from cypresspulley.rehearsal.standins.stage import Known, Stage
 
@@ -118,9 +118,9 @@
         self._report_every, self._idle, self._cap = report_every, idle, connections
         self._stops_running = stops_running
         self._links = dict[str, Link]()
-        self._listeners = dict[str, Listener]()
+        self._listeners = dict[str, Listening]()
         self._hosts = dict[str, tuple[str, int]]()
-        self._connections = set[_Connection]()
+        self._connections = dict[_Connection, None]()
         self._attempts = dict[int, _Attempt]()
         self._timer: asyncio.TimerHandle | None = None
         self._sweeper: asyncio.TimerHandle | None = None
@@ -147,7 +147,7 @@
         self.cpu = Processor(self.machine, self.stage.now(), cold)
         self.born_ms = self.stage.unix_ms() if cold else 0
         for limiter, (host, port) in self._hosts.items():
-            listener = Listener(host, self._links[limiter], lambda link: _Connection(self, link), port)
+            listener = listen(host, self._links[limiter], lambda link: _Connection(self, link), port)
             self._listeners[limiter], self._hosts[limiter] = listener, (host, listener.port)
         self._sweep()
         self._state("started" if cold else "up")
@@ -200,11 +200,11 @@
 
     def opened(self, connection: _Connection) -> bool:
         """Count a connection in; False where it is beyond the cap."""
-        self._connections.add(connection)
+        self._connections[connection] = None
         return len(self._connections) <= self._cap
 
     def closed(self, connection: _Connection) -> None:
-        self._connections.discard(connection)
+        self._connections.pop(connection, None)
         if connection.attempt is not None:
             self._drop(connection.attempt)
             self._advance()
--- a/cypresspulley/rehearsal/standins/discovery.py
+++ b/cypresspulley/rehearsal/standins/discovery.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from cypresspulley.rehearsal import records as log
-from cypresspulley.rehearsal.standins.network import Link, LinkedProtocol, Listener
+from cypresspulley.rehearsal.standins.network import Link, LinkedProtocol, Listening, listen
 from cypresspulley.rehearsal.standins.stage import Stage
 
 EMPTY_LINE = 2.0  # seconds between two signs of life of a watch
@@ -50,7 +50,7 @@
             self.close()
 
     def ended(self) -> None:
-        self._agent.watchers.discard(self)
+        self._agent.watchers.pop(self, None)
 
     def chunk(self, line: bytes) -> None:
         self.send(b"%x\r\n%b\r\n" % (len(line), line))
@@ -66,9 +66,9 @@
         self.told = dict[str, Host]()  # what the limiter was told last: what it comes back with
         self.told_seq = 0
         self._changes = list[tuple[int, Host]]()
-        self.watchers = set[_Connection]()
+        self.watchers = dict[_Connection, None]()
         self._held = list[tuple[Host, ...]]()
-        self._listener: Listener | None = None
+        self._listener: Listening | None = None
         self._beat: asyncio.TimerHandle | None = None
         self.silent = False
 
@@ -79,7 +79,7 @@
         """Listen at a new address; the one before takes nobody new and ends its watches after 1.5 s."""
         old, leaving = self._listener, list(self.watchers)
         link = Link(self.limiter)
-        self._listener = Listener(host, link, lambda of: _Connection(self, of))
+        self._listener = listen(host, link, lambda of: _Connection(self, of))
         if old is not None:
             old.close()
             loop = asyncio.get_running_loop()
@@ -161,7 +161,7 @@
             connection.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             return self.heard(True, whole)
         connection.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self.watchers.add(connection)
+        self.watchers[connection] = None
         since = options.get("since", "")
         oldest = self._changes[0][0] if self._changes else self.seq + 1
         if since.isdigit() and oldest - 1 <= int(since) <= self.seq:
--- a/cypresspulley/rehearsal/standins/keeper.py
+++ b/cypresspulley/rehearsal/standins/keeper.py
@@ -8,7 +8,7 @@
 from zlib import crc32
 
 from cypresspulley.rehearsal import records as log
-from cypresspulley.rehearsal.standins.network import Link, LinkedProtocol, Listener
+from cypresspulley.rehearsal.standins.network import Link, LinkedProtocol, Listening, listen
 from cypresspulley.rehearsal.standins.stage import Stage
 
 MAX_LINE = 256
@@ -78,8 +78,8 @@
         self.stage = stage
         self._parts = [_Part() for _ in range(parts)]
         self._cost, self._waiting, self._call = parts / per_second, waiting, call
-        self._listeners = list[Listener]()
-        self._links = set[Link]()
+        self._listeners = list[Listening]()
+        self._links = dict[Link, None]()
         self._sweeper: asyncio.TimerHandle | None = None
         self.slow_by, self.stopped, self.begun = 0.0, False, False
 
@@ -87,10 +87,10 @@
         held = sum(len(part.counts) for part in self._parts)
         return f"<Keeper {len(self._parts)} parts, {held} counts{' stopped' * self.stopped}>"
 
-    def listen(self, link: Link, host: str) -> Listener:
-        listener = Listener(host, link, lambda of: _Connection(self, of))
+    def listen(self, link: Link, host: str) -> Listening:
+        listener = listen(host, link, lambda of: _Connection(self, of))
         self._listeners.append(listener)
-        self._links.add(link)
+        self._links[link] = None
         if self._sweeper is None:
             self._sweep()
         return listener
--- a/cypresspulley/rehearsal/standins/network.py
+++ b/cypresspulley/rehearsal/standins/network.py
@@ -13,7 +13,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 BACKLOG = 256
 FILLERS = 4  # connections that fill a listener's queue of one, with room for what the kernel counts otherwise
@@ -27,8 +27,8 @@
     def __init__(self, limiter: str, delay: float = 0.0) -> None:
         self.limiter, self.delay, self.is_cut = limiter, delay, False
         self.cut_at = 0.0
-        self.ends = set[LinkedProtocol]()
-        self.listeners = set[Listener]()
+        self.ends = dict[LinkedProtocol, None]()  # in the order of their coming, as all tables here
+        self.listeners = dict[Listening, None]()
 
     def __repr__(self) -> str:
         return (
@@ -38,7 +38,7 @@
     def cut(self, now: float) -> None:
         """Silence from ``now`` (seconds of the day) on."""
         self.is_cut, self.cut_at = True, now
-        for end in self.ends:
+        for end in list(self.ends):
             end.hold()
         for listener in self.listeners:
             listener.block()
@@ -72,7 +72,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        self.link.ends.add(self)
+        self.link.ends[self] = None
         if self.link.is_cut:
             self.hold()
         self.opened()
@@ -121,7 +121,7 @@
 
     def _hand(self, data: bytes | None) -> None:
         if data is None:
-            self.link.ends.discard(self)
+            self.link.ends.pop(self, None)
             self.ended()
         elif self.transport is not None:
             self.received(data)
@@ -159,6 +159,29 @@
 Factory = Callable[[Link], LinkedProtocol]
 
 
+class Listening(Protocol):
+    """What stands behind a link's addresses: a listener on sockets, or one in memory."""
+
+    host: str
+    port: int
+
+    @property
+    def address(self) -> str: ...
+
+    def block(self) -> None: ...
+
+    def unblock(self) -> None: ...
+
+    def close(self) -> None: ...
+
+
+def listen(host: str, link: Link, factory: Factory, port: int = 0) -> Listening:
+    """Listen with what the running loop listens with; OSError names an address that is taken."""
+    make = getattr(asyncio.get_running_loop(), "make_listener", None)
+    made: Listening = make(host, link, factory, port) if make else Listener(host, link, factory, port)
+    return made
+
+
 class Listener:
     """A listening socket behind a link; gives each accepted connection a protocol of the factory's."""
 
@@ -178,7 +201,7 @@
             raise OSError(error.errno, f"cannot listen on {host}:{port}: {error.strerror}") from None
         self.host, self.port = self._socket.getsockname()
         self._loop.add_reader(self._socket.fileno(), self._accept)
-        link.listeners.add(self)
+        link.listeners[self] = None
         if link.is_cut:
             self.block()
 
@@ -233,7 +256,7 @@
 
     def close(self) -> None:
         """From now on connections are refused; those that are open stay."""
-        self._link.listeners.discard(self)
+        self._link.listeners.pop(self, None)
         self._drop_fillers()
         if self._socket.fileno() >= 0:
             self._loop.remove_reader(self._socket.fileno())
--- a/cypresspulley/rehearsal/standins/stage.py
+++ b/cypresspulley/rehearsal/standins/stage.py
@@ -39,10 +39,11 @@
         sink: Callable[[Record], None],
         work: Callable[[str, str], float],
         clock: Callable[[], float] = time.monotonic,
+        unix: Callable[[], float] = time.time,
     ) -> None:
-        self._sink, self._clock, self.work = sink, clock, work
+        self._sink, self.clock, self.work = sink, clock, work
         self._start = clock()
-        self._unix = time.time() - self._start
+        self._unix = unix() - self._start
         self._known = dict[str, Known]()
         self._attempts = 0
         self.complaints = list[str]()
@@ -50,11 +51,11 @@
 
     def begin(self, after: float) -> None:
         """The day starts ``after`` seconds from now."""
-        self._start = self._clock() + after
+        self._start = self.clock() + after
 
     def now(self) -> float:
         """Seconds from the day's start."""
-        return self._clock() - self._start
+        return self.clock() - self._start
 
     def unix_ms(self, t: float | None = None) -> int:
         """Unix time in milliseconds of a time of the day, today's by default."""
--- a/cypresspulley/rehearsal/timeline.py
+++ b/cypresspulley/rehearsal/timeline.py
@@ -15,9 +15,17 @@
 
 RANK = {kind: rank for rank, kind in enumerate(log.KINDS.values())}
 FOREVER = float("inf")
+# Within a tick a limiter's end comes before its next start, and what ended it before that it has ended.
+STATES = ("killed", "crashed", "exited", "started", "ready", "reloaded", "stopping")
 TOLD_AFTER = 6.0  # seconds until what an agent has counts as told, whether or not it arrived
 
 
+def _place(r: log.Record) -> tuple[float, int, int, str]:
+    """Where a record stands: one order for any order of the lines."""
+    state = STATES.index(r.what) if isinstance(r, log.LimiterState) and r.what in STATES else len(STATES)
+    return r.t, RANK[type(r)], state, log.to_line(r)
+
+
 class JudgeError(ValueError):
     """A log that cannot be judged."""
 
@@ -77,7 +85,7 @@
     """What the rules and figures look things up in."""
 
     def __init__(self, records: Iterable[log.Record]) -> None:
-        self.records = sorted(records, key=lambda r: (r.t, RANK[type(r)], log.to_line(r)))
+        self.records = sorted(records, key=_place)
         days = [r for r in self.records if isinstance(r, log.Day)]
         if len(days) != 1:
             raise JudgeError(f"a log holds one day record; this one holds {len(days)}")
--- /dev/null
+++ b/cypresspulley/rehearsal/virtual/listener.py
@@ -0,0 +1,35 @@
+"""A stand-in's listener on the virtual network: what ``standins.network.Listener`` is on sockets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cypresspulley.rehearsal.standins.network import Factory, Link
+
+if TYPE_CHECKING:
+    from cypresspulley.rehearsal.virtual.network import VirtualNetwork
+
+
+class VirtualListener:
+    """Blocked, it answers no dial."""
+
+    def __init__(self, network: VirtualNetwork, host: str, link: Link, factory: Factory, port: int) -> None:
+        self._link = link
+        self._server = network.listen(lambda: factory(link), host, port)
+        self.host, self.port = self._server.address
+        link.listeners[self] = None
+        self._server.blocked = link.is_cut
+
+    @property
+    def address(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    def block(self) -> None:
+        self._server.blocked = True
+
+    def unblock(self) -> None:
+        self._server.blocked = False
+
+    def close(self) -> None:
+        self._link.listeners.pop(self, None)
+        self._server.close()
--- a/cypresspulley/rehearsal/virtual/network.py
+++ b/cypresspulley/rehearsal/virtual/network.py
@@ -13,11 +13,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable
+from contextvars import Context
 from random import Random
 from typing import TYPE_CHECKING, Any, cast
 
+from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
+
 if TYPE_CHECKING:
     from cypresspulley.rehearsal.virtual.loop import VirtualLoop
 
@@ -46,7 +50,7 @@
         """Deliver the next piece a little later, unless the reader rests, the way is cut or one is coming."""
         cut = self._network.is_cut(self._reader.address, self._reader.peer_address)
         if self._timer is None and self._under_way and not self._reader.paused and not cut:
-            self._timer = self._network.loop.call_later(self._network.delay(), self._deliver)
+            self._timer = self._network.later(self._network.delay(), self._deliver)
 
     def drop(self) -> None:
         self._under_way.clear()
@@ -86,6 +90,7 @@
         self._waiting = deque[bytes]()  # written, and not yet under way: the way is full
         self._waiting_size, self._high, self._low = 0, HIGH, HIGH // 4
         self._eof_sent = False
+        self.owner: Owner | None = None
         self.out: Path = cast(Path, None)
         self.other: VirtualTransport = cast(VirtualTransport, None)
 
@@ -96,7 +101,8 @@
     # What a program asks.
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
-        return {"peername": self.peer_address, "sockname": self.address}.get(name, default)
+        known = {"peername": self.peer_address, "sockname": self.address, "socket": self._network.bare_socket}
+        return known.get(name, default)
 
     def get_protocol(self) -> asyncio.BaseProtocol:
         return cast(asyncio.BaseProtocol, self._protocol)
@@ -148,7 +154,7 @@
             self._closing = True
             self.move_on()
             if not self._waiting:
-                self._network.loop.call_soon(self._lose, None)
+                self._network.later(0, self._lose, None)
 
     def abort(self) -> None:
         if self._lost:
@@ -157,9 +163,9 @@
         self._waiting.clear()
         self._waiting_size = 0
         self.out.drop()
-        self._network.loop.call_soon(self._lose, None)
+        self._network.later(0, self._lose, None)
         if not self.other._lost:
-            self._network.loop.call_later(self._network.delay(), self.other.reset_came)
+            self._network.later(self._network.delay(), self.other.reset_came)
 
     # What the way does.
 
@@ -177,26 +183,26 @@
             self._ended = True
             self.out.send(None)
             if self._closing:
-                self._network.loop.call_soon(self._lose, None)
+                self._network.later(0, self._lose, None)
         self._flow()
 
     def _flow(self) -> None:
         if not self._held and self._waiting_size > self._high:
             self._held = True
-            self._protocol.pause_writing()
+            self._tell(self._protocol.pause_writing)
         elif self._held and self._waiting_size <= self._low:
             self._held = False
-            self._protocol.resume_writing()
+            self._tell(self._protocol.resume_writing)
 
     def data_came(self, data: bytes) -> None:
         if not self._closing:
-            self._protocol.data_received(data)
+            self._tell(self._protocol.data_received, data)
         self.other.move_on()
 
     def end_came(self) -> None:
         if self._closing:
             return
-        if not self._protocol.eof_received():
+        if not self._tell(self._protocol.eof_received):
             self.close()
 
     def reset_came(self) -> None:
@@ -205,11 +211,28 @@
             self.out.drop()
             self._lose(ConnectionResetError(104, "Connection reset by peer"))
 
+    def _tell(self, callback: Callable[..., Any], *args: Any) -> Any:
+        """Call the protocol as its owner: what it asks of the loop ends with that owner."""
+        token = OWNER.set(self.owner)
+        try:
+            return callback(*args)
+        finally:
+            OWNER.reset(token)
+
+    def bury(self) -> None:
+        """Its process is gone: the machine resets the connection, the protocol is told nothing."""
+        self._lost = self._closing = True
+        self._waiting.clear()
+        self.out.drop()
+        self._network.open.pop(self, None)
+        if not self.other._lost:
+            self._network.later(self._network.delay(), self.other.reset_came)
+
     def _lose(self, error: Exception | None) -> None:
         if not self._lost:
             self._lost = True
-            self._network.open.discard(self)
-            self._protocol.connection_lost(error)
+            self._network.open.pop(self, None)
+            self._tell(self._protocol.connection_lost, error)
 
 
 class _Name:
@@ -227,6 +250,7 @@
 
     def __init__(self, network: VirtualNetwork, factory: Callable[[], Any], address: Address) -> None:
         self._network, self.factory, self.address, self.blocked = network, factory, address, False
+        self.owner = OWNER.get()
 
     def close(self) -> None:
         self._network.listeners.pop(self.address, None)
@@ -247,13 +271,28 @@
     def __init__(self, loop: VirtualLoop, seed: int, limit: int = 100_000) -> None:
         self.loop, self.rng, self.limit = loop, Random(seed), limit
         self.listeners = dict[Address, VirtualServer]()
-        self.open = set[VirtualTransport]()
+        # What a program may ask of a connection's socket (options, unread bytes): one that is never connected.
+        self.bare_socket = socket.socket()
+        self.open = dict[VirtualTransport, None]()
         self._cuts = set[frozenset[str]]()
         self._last_port = FIRST_PORT
 
     def __repr__(self) -> str:
         return f"<VirtualNetwork {len(self.listeners)} listeners, {len(self.open)} ends open>"
 
+    def later(self, seconds: float, callback: Callable[..., Any], *args: Any) -> asyncio.TimerHandle:
+        """What the network does belongs to no process: it happens also after one that caused it is gone."""
+        return self.loop.call_later(seconds, callback, *args, context=Context())
+
+    def bury(self, owner: Owner) -> None:
+        """A process is gone: its listeners refuse, its connections are reset."""
+        self.listeners = {a: s for a, s in self.listeners.items() if s.owner is not owner}
+        for end in [end for end in self.open if end.owner is owner]:
+            end.bury()
+
+    def close(self) -> None:
+        self.bare_socket.close()
+
     def delay(self) -> float:
         return self.rng.uniform(LEAST_DELAY, MOST_DELAY)
 
@@ -267,7 +306,7 @@
     def heal(self, one: str, other: str) -> None:
         """What was under way arrives."""
         self._cuts.discard(frozenset((one, other)))
-        for end in sorted(self.open, key=lambda e: (e.address, e.peer_address)):
+        for end in list(self.open):
             end.out.wake()
 
     def listen(self, factory: Callable[[], Any], host: str, port: int) -> VirtualServer:
@@ -294,12 +333,15 @@
         if server is None:
             raise ConnectionRefusedError(111, f"Connect call failed ('{host}', {port})")
         here, there = (source, self._port()), (host, port)
-        near_protocol, far_protocol = factory(), server.factory()
+        near_protocol, token = factory(), OWNER.set(server.owner)
+        far_protocol = server.factory()
+        OWNER.reset(token)
         near = VirtualTransport(self, near_protocol, here, there)
         far = VirtualTransport(self, far_protocol, there, here)
         near.other, far.other = far, near
         near.out, far.out = Path(self, far), Path(self, near)
-        self.open |= {near, far}
-        far_protocol.connection_made(far)
-        near_protocol.connection_made(near)
+        near.owner, far.owner = OWNER.get(), server.owner
+        self.open |= {near: None, far: None}
+        far._tell(far_protocol.connection_made, far)
+        near._tell(near_protocol.connection_made, near)
         return near, near_protocol
--- /dev/null
+++ b/cypresspulley/rehearsal/virtual/play.py
@@ -0,0 +1,152 @@
+"""One play of a scenario in virtual time: limiters and stand-ins on one loop, the same director and judge."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import signal
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from contextvars import copy_context
+from hashlib import blake2b
+from pathlib import Path
+from typing import Any
+
+from cypresspulley.__main__ import Config, config_from, serve
+from cypresspulley.operators import Operators
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.limiters import LimiterProcess
+from cypresspulley.rehearsal.plan import Plan, draw, random_for
+from cypresspulley.rehearsal.play import Director, play_day
+from cypresspulley.rehearsal.scenario import Scenario
+from cypresspulley.rehearsal.virtual.loop import VirtualLoop, run_virtual
+from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
+
+UNIX_START = 1_800_000_000.0  # of every virtual day: no wall clock
+PORT = 7000
+
+
+class VirtualLimiter(LimiterProcess):
+    """The shipped limiter as an owner on the loop: its start, its signals, its end."""
+
+    def __init__(self, name: str, address: tuple[str, int], loop: VirtualLoop, seed: int) -> None:
+        super().__init__(name, address, Path(), [], seed, 0)
+        self._loop, self._raw = loop, dict[str, Any]()
+        self._owner: Owner | None = None
+        self._end: asyncio.Future[int] = loop.create_future()
+
+    def __repr__(self) -> str:
+        return f"<VirtualLimiter {self.name} {self._owner!r}, life {self.lives}>"
+
+    @property
+    def running(self) -> bool:
+        return self._owner is not None and not self._owner.dead and not self._end.done()
+
+    def configure(self, raw: dict[str, Any]) -> None:
+        listen = f"{self.address[0]}:{self.address[1]}"
+        seed = f"{random_for(self._seed, 'limiter', self.name, self.lives).getrandbits(64):016x}"
+        self._raw = {"name": self.name, "listen": listen, "seed": seed, **raw}
+
+    def _config(self) -> Config:
+        return config_from(json.loads(json.dumps(self._raw)))
+
+    async def start(self) -> None:
+        self.lives += 1
+        self.expected_end = False
+        self._owner, self._end = Owner(f"{self.name}.{self.lives}"), self._loop.create_future()
+        context = copy_context()
+        context.run(OWNER.set, self._owner)
+        clock = self._clock
+        work = serve(self._config(), Operators(), clock=clock, reread=self._config)
+        task = self._loop.create_task(work, context=context)
+        task.add_done_callback(self._done)
+
+    def _clock(self) -> float:
+        return UNIX_START + self._loop.time()
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        if not self._end.done():
+            failed = task.cancelled() or task.exception() is not None
+            self._end.set_result(1 if failed else 0)
+
+    def signal(self, number: int) -> None:
+        self.expected_end |= number in (signal.SIGKILL, signal.SIGTERM)
+        if not self.running or self._owner is None:
+            return
+        if number == signal.SIGKILL:
+            self._loop.kill(self._owner)
+            self._end.set_result(-signal.SIGKILL)
+        else:
+            self._loop.deliver(self._owner, number)
+
+    async def ended(self) -> int:
+        return await asyncio.shield(self._end)
+
+    async def gone(self) -> int:
+        return await asyncio.shield(self._end)
+
+    def sample(self) -> None: ...  # its CPU and memory are the whole process's
+
+
+class _Errors(logging.Handler):
+    """An error in a limiter's log voids the run: it is what an operator would call a fault."""
+
+    def __init__(self, director: Director) -> None:
+        super().__init__(logging.ERROR)
+        self._director = director
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self._director.stage.complain(f"a limiter logged an error: {record.getMessage()[:200]}")
+
+
+@contextmanager
+def _logged(director: Director) -> Iterator[None]:
+    logger, handler = logging.getLogger("cypresspulley"), _Errors(director)
+    propagated, logger.propagate = logger.propagate, False
+    logger.addHandler(handler)
+    try:
+        yield
+    finally:
+        logger.removeHandler(handler)
+        logger.propagate = propagated
+
+
+def play_virtual(
+    scenario: Scenario,
+    seed: int,
+    plan: Plan | None = None,
+    progress: Callable[[float, Director], None] | None = None,
+) -> list[log.Record]:
+    """Play a day; the records of it. The same scenario, seed and plan give the same records, byte for byte."""
+    plan, kept = plan or draw(scenario, seed), list[log.Record]()
+
+    async def main(loop: VirtualLoop) -> None:
+        def limiter(name: str, host: str) -> LimiterProcess:
+            return VirtualLimiter(name, (host, PORT), loop, plan.seed)
+
+        director = Director(
+            scenario,
+            plan,
+            limiter,
+            kept.append,
+            clock=loop.time,
+            unix=lambda: UNIX_START + loop.time(),
+            base="127.1",
+        )
+        with _logged(director):
+            try:
+                await play_day(director, progress)
+            finally:
+                await director.close()
+
+    run_virtual(main, seed)
+    return kept
+
+
+def digest(records: list[log.Record]) -> str:
+    """16 hex digits over a whole trace, in its order."""
+    state = blake2b(digest_size=8)
+    for record in records:
+        state.update(log.to_line(record).encode() + b"\n")
+    return state.hexdigest()
--- a/tests/rehearsal/test_command.py
+++ b/tests/rehearsal/test_command.py
@@ -83,6 +83,17 @@
     assert children() == []
 
 
+def test_virtual_time_gives_one_trace_and_the_same_kind_of_verdict(tmp_path: Path) -> None:
+    done = [
+        fawnseam("rehearse", write_day(tmp_path), "--virtual", "--logs", str(tmp_path / "l"))
+        for _ in range(2)
+    ]
+    assert [one.returncode for one in done] == [0, 0] and done[0].stdout == done[1].stdout
+    assert done[0].stdout.startswith("trace ") and "PASSED" in done[0].stdout
+    again = fawnseam("judge", str(tmp_path / "l" / "records.jsonl"))
+    assert again.stdout == done[0].stdout.partition("\n")[2]
+
+
 def test_a_missed_goal_is_1(tmp_path: Path) -> None:
     done = fawnseam("rehearse", write_day(tmp_path, goal=1.0, extra=KILL))
     assert done.returncode == 1 and "is under 1.00" in done.stdout
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -77,6 +77,13 @@
     s.broke(2.5, s.sent(2.0))
 
 
+def killed_and_gone_and_back_in_one_tick(s: Story) -> None:
+    id = s.sent(2.0)
+    for what in ("started", "exited", "killed"):
+        s.limiter(2.5, "n0", what)
+    s.broke(2.5, id)
+
+
 def killed_too_late(s: Story) -> None:
     s.broke(2.5, s.sent(2.0))
     s.limiter(2.6, "n0", "killed")
@@ -279,7 +286,8 @@
     (unanswered, [LOST]), (left_first, []), (closed, [LOST]), (closed_on_a_new_connection, []),
     (closed_on_a_new_connection_after_sending_on, [LOST]), (closed_half_way, [LOST]), (crossed_and_sent_once_more, []),
     (sent_on_and_closed_and_sent_once_more, [LOST]), (killed, []),
-    (killed_too_late, [LOST]), (killed_just_before, []), (back_before_the_break, [LOST]),
+    (killed_too_late, [LOST]), (killed_and_gone_and_back_in_one_tick, []), (killed_just_before, []),
+    (back_before_the_break, [LOST]),
     (another_killed, [LOST]), (answered_in_the_slack, []),
     (answered_past_the_slack, [LOST]), (answered_twice, [LOST]), (bytes_behind, [LOST]),
     (another_ones_answer, [LOST]), (sent_on_after_the_answer, [LOST]), (sent_on_in_the_same_tick, []),
--- /dev/null
+++ b/tests/rehearsal/virtual/test_play.py
@@ -0,0 +1,85 @@
+"""Whole days in virtual time: one seed is one trace; kills, cuts and reloads keep the rules; broken ones are seen."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from typing import Any
+
+import pytest
+
+from cypresspulley.net.node import Node
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.judge import judge
+from cypresspulley.rehearsal.scenario import Scenario
+from cypresspulley.rehearsal.virtual.play import digest, play_virtual
+from tests.rehearsal.small import small
+
+FAULTS = [
+    {
+        "kind": "limiter-kill",
+        "at": 0.6,
+        "targets": ["limiter-0"],
+        "when": "handover-written",
+        "back_after": 1,
+    },
+    {"kind": "limiter-restart", "at": 2.0, "targets": ["limiter-1"], "back_after": 0.5},
+    {"kind": "limiter-reload", "at": 4.0, "count": 2},
+    {"kind": "hall-cut", "at": 1.0, "lasts": 1.5, "targets": ["west"]},
+    {"kind": "server-crash", "at": 3.0, "targets": ["bag-02"], "back_after": 0.3},
+    {"kind": "keeper-empty", "at": 2.5},
+    {"kind": "server-resets", "at": 0.5, "lasts": 4, "targets": ["bag-00"], "size": 0.3},
+]
+
+
+def rough(**changes: Any) -> Scenario:
+    return small(fault=FAULTS, **changes)
+
+
+def test_one_seed_is_one_trace_in_any_process_on_any_day() -> None:
+    text = (
+        "from tests.rehearsal.virtual.test_play import rough; from cypresspulley.rehearsal.virtual.play import *;"
+        "print(digest(play_virtual(rough(), 3)))"
+    )
+    found = {
+        subprocess.run(
+            [sys.executable, "-c", text], env={**os.environ, "PYTHONHASHSEED": seed, "TZ": zone}, check=True,
+            capture_output=True, text=True,
+        ).stdout.strip()
+        for seed, zone in (("1", "UTC"), ("2", "Asia/Kolkata"))
+    }  # fmt: skip
+    assert found == {digest(play_virtual(rough(), 3))}
+    assert digest(play_virtual(rough(), 4)) not in found
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_limiter_keeps_the_rules_through_kills_cuts_and_reloads(seed: int) -> None:
+    records = play_virtual(rough(), seed)
+    verdict = judge(records)
+    assert not verdict.void and not verdict.crash
+    assert [v for rule in verdict.rules for v in rule.violations] == []
+    states = [r.what for r in records if isinstance(r, log.LimiterState)]
+    assert {"killed", "stopping", "reloaded", "exited"} <= set(states) and states.count("ready") == 4
+    assert verdict.service.counts["served"] > 100
+
+
+def test_a_refusal_after_a_reset_is_seen(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A limiter that answers 429 where it ought to answer 502: patched in memory, convicted of rule 2."""
+    monkeypatch.setattr(Node, "_fail", lambda self, action: _refuse_in_place_of(self, action))
+    verdict = judge(play_virtual(rough(), 1))
+    assert [rule.rule for rule in verdict.rules if not rule.kept] == ["no effect twice"]
+
+
+def _refuse_in_place_of(node: Any, action: Any) -> None:
+    opened = node._close(action.id)
+    if opened is not None:
+        opened.request.respond(429, retry_after=0.1)
+
+
+def test_an_error_in_a_limiters_log_voids_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    def broken(node: Any, action: Any) -> None:
+        raise ValueError("broken on purpose")
+
+    monkeypatch.setattr(Node, "_refuse", broken)
+    assert "a limiter logged an error: an action failed" in judge(play_virtual(rough(), 1)).void
