--- a/cypresspulley/rehearsal/rules.py
+++ b/cypresspulley/rehearsal/rules.py
@@ -133,7 +133,9 @@
             if earlier and (why := _forbidden(line, cls, earlier[0], attempt)):
                 yield Violation(attempt.arrived.t, attempt.arrived.limiter, one.id, why)
         for answer in one.answers:
-            open_ = [a for a in ordered if a.arrived.t <= answer.t < a.proved_unrun]
+            sending = sum(sent.t <= answer.t for sent in one.sent)  # the one that it answers
+            open_ = [a for a in ordered if _sending(one, a) == sending]
+            open_ = [a for a in open_ if a.arrived.t <= answer.t < a.proved_unrun]
             if answer.status in REFUSALS and open_ and (cls.effect, cls.group) != ("keyed", "all"):
                 at = open_[0].arrived.server
                 text = f"refused with {answer.status} though it may have run at {at}"
--- a/tests/rehearsal/small.py
+++ b/tests/rehearsal/small.py
@@ -18,7 +18,7 @@
     """Five seconds, two limiters, four servers: one resets, one drains, one is cold; a ceiling is pressed."""
     raw: dict[str, Any] = {
         "name": "small", "about": "a test's day", "seconds": 5,
-        "fleet": {"servers": 4, "halls": ["east", "west"], "cold_share": 0.05, "cold_seconds": 20,
+        "fleet": {"servers": 4, "halls": ["east", "west"], "cold_share": 0.12, "cold_seconds": 20,
                   "fall_seconds": 0.5, "drain_grace": 0.5},
         "limiters": {"count": 2},
         "discovery": {"notice": [0.05, 0.1]},
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -68,6 +68,13 @@
     s.served(2.3, id=id, fresh=True)
 
 
+def sent_on_and_closed_and_refused_once_more(s: Story) -> None:
+    id = s.sent(2.0)
+    s.arrived(2.1, id)
+    s.broke(2.2, id)
+    s.answered(2.4, s.sent(2.3, id=id, fresh=True), 429)
+
+
 def closed_half_way(s: Story) -> None:
     s.broke(2.5, s.sent(2.0, fresh=True), begun=True)
 
@@ -285,7 +292,7 @@
     (lambda s: None, []),
     (unanswered, [LOST]), (left_first, []), (closed, [LOST]), (closed_on_a_new_connection, []),
     (closed_on_a_new_connection_after_sending_on, [LOST]), (closed_half_way, [LOST]), (crossed_and_sent_once_more, []),
-    (sent_on_and_closed_and_sent_once_more, [LOST]), (killed, []),
+    (sent_on_and_closed_and_sent_once_more, [LOST]), (sent_on_and_closed_and_refused_once_more, [LOST]), (killed, []),
     (killed_too_late, [LOST]), (killed_and_gone_and_back_in_one_tick, []), (killed_just_before, []),
     (back_before_the_break, [LOST]),
     (another_killed, [LOST]), (answered_in_the_slack, []),
