--- a/cypresspulley/rehearsal/limiters.py
+++ b/cypresspulley/rehearsal/limiters.py
@@ -9,6 +9,7 @@
 import resource
 import signal
 import subprocess
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, BinaryIO
 
@@ -61,6 +62,9 @@
     }  # fmt: skip
 
 
+Strike = Callable[[], object]
+
+
 class LimiterProcess:
     """One limiter: started from its configuration, ended by signals, followed until it is gone."""
 
@@ -193,3 +197,7 @@
             now = times.user + times.system
             self.cpu_seconds += max(0.0, now - self._cpu)
             self._cpu, self.memory_mb = max(self._cpu, now), max(self.memory_mb, memory)
+
+    def strike_after(self, when: str, count: int, strike: Strike) -> None:
+        """Call ``strike`` behind so many of its turns or writes. A process's cannot be seen from outside."""
+        raise KitError(f"a kill at a {when} is seen in virtual time only: play it --virtual")
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -17,6 +17,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 from itertools import count
 from pathlib import Path
 from typing import Any
@@ -24,7 +25,7 @@
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.limiters import KitError, LimiterProcess, wire_settings
 from cypresspulley.rehearsal.plan import Plan, PlannedFault, draw, random_for, work_of
-from cypresspulley.rehearsal.scenario import Scenario, limiter_names, server_names
+from cypresspulley.rehearsal.scenario import VIRTUAL_ONLY, Scenario, limiter_names, server_names
 from cypresspulley.rehearsal.standins.bagserver import BagServer, RepeatMemory
 from cypresspulley.rehearsal.standins.clients import ClientFleet, Front
 from cypresspulley.rehearsal.standins.discovery import Agent, Host
@@ -114,7 +115,8 @@
         self.day = describe(scenario, plan)
         self.halls = scenario.fleet.halls
         k = scenario.keeper
-        self.keeper = Keeper(self.stage, k.parts, k.calls_per_second, k.waiting_ms / 1000, k.call_ms / 1000)
+        self.keeper = Keeper(self.stage, k.parts, k.calls_per_second, k.waiting_ms / 1000, k.call_ms / 1000,
+                             random_for(plan.seed, "keeper"))  # fmt: skip
         self._keeper_links = dict[str, Link]()
         self._keeper_at = dict[str, str]()
         self.agents = {name: Agent(self.stage, name) for name in limiter_names(scenario)}
@@ -286,6 +288,20 @@
                 self.kill(name)  # now, not when the task has its turn
                 return
 
+    def _struck(self, name: str, fault: PlannedFault) -> None:
+        """A limiter reached the turn or the write behind which it dies: nothing of it runs from here on."""
+        limiter = self.limiters[name]
+        if limiter.running and not limiter.expected_end:
+            self._happened(fault, name)
+            self.kill(name)
+            self._spawn(self._kill_and_return(name, fault.spec.known, fault.spec.back_after))
+
+    def _pause(self, name: str, on: bool) -> None:
+        """Stopped and continued by signals: time goes on, its code does not. Its death or stop in between ends it."""
+        limiter = self.limiters[name]
+        if limiter.running and (on or not limiter.expected_end or name not in self.returning):
+            limiter.signal(signal.SIGSTOP if on else signal.SIGCONT)
+
     def _publish(self, server: BagServer, health: str) -> None:
         """Discovery learns of it and tells each agent, each at its own time."""
         loop = asyncio.get_running_loop()
@@ -354,6 +370,12 @@
         if fault.kind == "limiter-kill" and fault.spec.when == "handover-written":
             self._waiting_kills += [(name, fault) for name in fault.targets]
             return
+        if fault.kind == "limiter-kill" and fault.spec.when in VIRTUAL_ONLY:
+            for name in fault.targets:
+                self.limiters[name].strike_after(
+                    fault.spec.when, fault.spec.after, partial(self._struck, name, fault)
+                )
+            return
         for target in fault.targets or ("",):
             self._happened(fault, target)
         try:
@@ -373,6 +395,15 @@
             "server-errors": lambda n, on: setattr(self.servers[n], "error_share", spec.size if on else 0.0),
             "server-resets": lambda n, on: setattr(self.servers[n], "reset_share", spec.size if on else 0.0),
             "server-hang": lambda n, on: self.servers[n].hang(on),
+            "server-slow": lambda n, on: setattr(
+                self.servers[n], "slow_by", spec.add_ms / 1000 if on else 0.0
+            ),
+            "server-spoilt": lambda n, on: setattr(self.servers[n], "spoilt_share", spec.size if on else 0.0),
+            "server-doubled": lambda n, on: setattr(
+                self.servers[n], "doubled_share", spec.size if on else 0.0
+            ),
+            "limiter-pause": lambda n, on: self._pause(n, on),
+            "keeper-spoilt": lambda _n, on: setattr(self.keeper, "spoilt_share", spec.size if on else 0.0),
             "hall-cut": lambda hall, on: self.net.cut(hall, on, self.stage.now()),
             "keeper-slow": lambda _n, on: setattr(self.keeper, "slow_by", spec.add_ms / 1000 if on else 0.0),
             "keeper-stop": lambda _n, on: setattr(self.keeper, "stopped", on),
@@ -392,6 +423,8 @@
             self._spawn(self._replace_servers(fault))
         elif fault.kind == "keeper-empty":
             self.keeper.empty()
+        elif fault.kind == "keeper-break":
+            self.keeper.break_connections()
         # A flood or a surge is in the arrivals.
 
     def _silence(self, on: bool) -> None:
@@ -510,6 +543,11 @@
     ``records`` may be given so that a caller that is interrupted still has what was seen.
     Raises ``KitError`` where the kit cannot do its work; no process is left behind either way.
     """
+    for number, fault in enumerate(scenario.faults):
+        if fault.when in VIRTUAL_ONLY:
+            raise KitError(
+                f"fault.{number}: a kill at a {fault.when} is seen in virtual time only: play it --virtual"
+            )
     plan, kept = plan or draw(scenario, seed), records if records is not None else []
     folder = logs or Path(tempfile.mkdtemp(prefix="fawnseam-"))
     try:
--- a/cypresspulley/rehearsal/standins/bagserver.py
+++ b/cypresspulley/rehearsal/standins/bagserver.py
@@ -18,6 +18,13 @@
 NOT_PROCESSED = b"X-Not-Processed: 1\r\n"
 REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 500: b"Error", 503: b"Unavailable"}
 SWEEP = 0.5
+# Answers that are none: noise, a length that lies, one cut short that says so, a status out of range.
+SPOILT = (
+    b"\x00\xff\x00garbled\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -3\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{",
+    b"HTTP/1.1 99 Low\r\nContent-Length: 0\r\n\r\n",
+)
 QPS_SPAN = 2.0  # seconds that the reported rate is a mean of
 
 
@@ -128,7 +135,8 @@
         self._report, self._reported = b"", -1e9
         self._runs = 0
         self.cpu = Processor(machine, stage.now(), cold=False)
-        self.error_share = self.reset_share = 0.0
+        self.error_share = self.reset_share = self.spoilt_share = self.doubled_share = 0.0
+        self.slow_by = 0.0  # seconds that each answer comes later
         self.draining = False
         self.alive = False
         self.born_ms = 0
@@ -286,7 +294,20 @@
         spent = attempt.job.work if status == 200 and attempt.job.begun else 0.0
         text = body.decode("latin-1")
         self.stage.record(log.Replied(self.stage.now(), attempt.number, status, False, text, spent))
-        attempt.connection.answer(status, body, self._load_header())
+        headers = self._load_header()
+        if self.slow_by > 0:
+            asyncio.get_running_loop().call_later(
+                self.slow_by, self._write, attempt.connection, status, body, headers
+            )
+        else:
+            self._write(attempt.connection, status, body, headers)
+
+    def _write(self, connection: _Connection, status: int, body: bytes, headers: bytes) -> None:
+        if self.spoilt_share > 0 and self._rng.random() < self.spoilt_share:
+            return connection.send(SPOILT[self._rng.randrange(len(SPOILT))])
+        connection.answer(status, body, headers)
+        if self.doubled_share > 0 and self._rng.random() < self.doubled_share:
+            connection.answer(status, body, headers)
 
     def _advance(self) -> None:
         """Move the machine on; answer what is done, begin what has a slot, wake for the next."""
