--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -22,7 +22,7 @@
 from cypresspulley.net.discovery import Follower, Listing, listing_from
 from cypresspulley.net.frontend import Frontend
 from cypresspulley.net.http import split_address
-from cypresspulley.net.node import Node, unix_clock
+from cypresspulley.net.node import Decisions, Node, unix_clock
 from cypresspulley.net.upstream import Upstream
 from cypresspulley.operators import Operators, OperatorsError, load_operators
 from cypresspulley.settings import Timing, settings_from, timing_from
@@ -135,9 +135,11 @@
     operators: Operators,
     clock: Callable[[], float] | None = None,
     reread: Callable[[], Config] = configured,
+    watched: Callable[[Gateway], Decisions] | None = None,
 ) -> None:
     """Run one limiter until SIGTERM or SIGINT. All that it takes from the machine is the running loop, Unix time
-    from ``clock`` and, at SIGHUP, the configuration from ``reread``."""
+    from ``clock`` and, at SIGHUP, the configuration from ``reread``. ``watched`` may put something between the
+    decisions and the node that sees every event and action."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -155,7 +157,8 @@
         gateway = Gateway(config.settings, config.seed, clock())
     except ValueError as error:
         raise ConfigError(str(error)) from None
-    node, access_log = _node(config.settings, gateway, clock, upstream, counter, operators)
+    decisions = gateway if watched is None else watched(gateway)
+    node, access_log = _node(config.settings, decisions, clock, upstream, counter, operators)
     if config.known is not None:
         node.listed(config.known)
     frontend = Frontend(node, config.settings, clients)
@@ -188,7 +191,7 @@
 
 
 def _node(
-    settings: api.Settings, gateway: Gateway, clock: Callable[[], float], upstream: Upstream,
+    settings: api.Settings, gateway: Decisions, clock: Callable[[], float], upstream: Upstream,
     counter: CounterClient | None, operators: Operators,
 ) -> tuple[Node, LogFile | None]:  # fmt: skip
     """The node, with an access log where the operators want one; what is off is not even imported."""
--- a/cypresspulley/cli.py
+++ b/cypresspulley/cli.py
@@ -102,6 +102,63 @@
     sys.exit(command.judge_log(log, command.Outputs(json_file, html, None)))
 
 
+@main.command()
+@click.argument("scenario")
+@click.option(
+    "--seeds", type=click.IntRange(1, 10_000_000), default=1000, show_default=True, help="How many days."
+)
+@click.option("--first", type=click.IntRange(0, 2**62), default=0, show_default=True, help="The first seed.")
+@click.option(
+    "--jobs", type=click.IntRange(1, 256), default=1, show_default=True, help="Processes side by side."
+)
+@click.option(
+    "--minutes", type=click.FloatRange(0, 100_000), default=0.0, help="Stop after so long; 0: never."
+)
+@click.option("--seconds", type=click.FloatRange(1, 600), default=6.0, show_default=True, help="Of a day.")
+@click.option(
+    "--inside",
+    type=click.FloatRange(1, 5000),
+    default=30.0,
+    show_default=True,
+    help="Requests a second inside the quotas; servers and keeper shrink with it.",
+)
+@click.option("--keep-going", is_flag=True, help="Do not stop at the first find; one of each sort is shrunk.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path, file_okay=False),
+    default=Path("finds"),
+    show_default=True,
+    help="Where scenario files of finds go.",
+)
+@click.option(
+    "--json", "json_file", type=click.Path(path_type=Path), help="Write finds and coverage as JSON."
+)
+@click.option("--png", type=click.Path(path_type=Path), help="Write a picture of the coverage.")
+@click.option("--again", is_flag=True, help="Play SCENARIO once as it is, with all checks: a find again.")
+def explore(
+    scenario: str, seeds: int, first: int, jobs: int, minutes: float, seconds: float, inside: float,
+    keep_going: bool, out: Path, json_file: Path | None, png: Path | None, again: bool,
+) -> None:  # fmt: skip
+    """Search SCENARIO (a name, a TOML file, or all) in virtual time for a day that breaks a rule.
+
+    \b
+    Examples:
+      fawnseam explore wedding-weekend --seeds 2000 --jobs 8
+      fawnseam explore all --seeds 500 --jobs 8 --keep-going --png coverage.png
+      fawnseam explore finds/hall-cut-17-no-effect-twice.toml --again
+    \b
+    Exit codes: 0 nothing found; 1 something found (its scenario file is named);
+    2 bad input; 3 a file could not be written; 130 interrupted.
+    """
+    from cypresspulley.explore import command
+    from cypresspulley.explore.search import Wanted
+
+    if again:
+        sys.exit(command.again(scenario))
+    wanted = Wanted(seeds, first, jobs, minutes, seconds, inside, keep_going)
+    sys.exit(command.explore(scenario, wanted, command.Outputs(out, json_file, png)))
+
+
 def _inputs(function: Callable[..., None]) -> Callable[..., None]:
     """The options of everything that reads captures."""
     for option in reversed((
--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -84,6 +84,13 @@
             if getattr(s, key) < (1 if key in one else 1e-9 if key in above else 0):
                 raise ValueError(f"impossible setting: {key}")
 
+    @property
+    def held(self) -> dict[str, float]:
+        """What is left of requests: all 0 once each has had its answer."""
+        accounts = sum(a.open for a in self._accounts.values())
+        return {"requests": len(self._requests), "of accounts": accounts,
+                "work": sum(s.open for s in self._servers.values())}  # fmt: skip
+
     def handle(self, now: float, event: api.Event) -> list[Action]:
         self._out, ticked = [], event == api.TimerFired(self._timer)
         self._handlers[type(event)](now, event)
--- /dev/null
+++ b/cypresspulley/explore/command.py
@@ -0,0 +1,125 @@
+"""What ``fawnseam explore`` does; its exit codes."""
+
+from __future__ import annotations
+
+import json
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from rich.console import Console
+
+from cypresspulley.explore.examine import examine
+from cypresspulley.explore.search import Result, Wanted, search, write
+from cypresspulley.rehearsal.scenario import Scenario, ScenarioError, load_scenario, shipped
+
+NONE_FOUND, FOUND, BAD_INPUT, BROKEN_KIT, INTERRUPTED = 0, 1, 2, 3, 130
+NEVER_SHOWN = 12
+
+
+@dataclass(frozen=True, slots=True)
+class Outputs:
+    """Where to write; None for nowhere, finds go to ``out``."""
+
+    out: Path
+    json: Path | None = None
+    png: Path | None = None
+
+    def check(self) -> None:
+        for path in (self.json, self.png):
+            if path is not None and not path.parent.is_dir():
+                raise ScenarioError(
+                    f"{path}: its folder does not exist; expected a file in an existing folder"
+                )
+
+
+def _fail(error: object, code: int) -> int:
+    print(f"fawnseam: {error}", file=sys.stderr)
+    return code
+
+
+def explore(name: str, wanted: Wanted, outputs: Outputs) -> int:
+    """Search a scenario, or with ``all`` each shipped one; the exit code."""
+    results = list[Result]()
+    try:
+        outputs.check()
+        scenarios = [load_scenario(each) for each in (shipped() if name == "all" else [name])]
+        outputs.out.mkdir(parents=True, exist_ok=True)
+        for scenario in scenarios:
+            results.append(search(scenario, wanted, _shown))
+            _tell(results[-1], outputs.out)
+        _write(results, outputs)
+    except ValueError as error:
+        return _fail(error, BAD_INPUT)
+    except KeyboardInterrupt:
+        return _fail("interrupted; nothing is concluded", INTERRUPTED)
+    except OSError as error:
+        return _fail(f"cannot write {error.filename}: {error.strerror}", BROKEN_KIT)
+    return FOUND if any(result.found for result in results) else NONE_FOUND
+
+
+def again(name: str) -> int:
+    """Play one file as it is, with all checks of the search; the exit code."""
+    try:
+        scenario: Scenario = load_scenario(name)
+        seen = examine(scenario)
+    except ValueError as error:
+        return _fail(error, BAD_INPUT)
+    except KeyboardInterrupt:
+        return INTERRUPTED
+    for find in seen.finds:
+        print(f"{find.sort}: {find.text}")
+    print(f"trace {seen.digest}: {len(seen.finds) or 'nothing'} found in {seen.tries} tries")
+    return FOUND if seen.finds else NONE_FOUND
+
+
+def _shown(result: Result) -> None:
+    coverage = result.coverage.as_json()
+    text = (
+        f"{result.name}: {result.seeds} seeds, {result.tries} tries, {result.simulated:.0f} s simulated in "
+        f"{result.wall:.0f} s; {coverage['pairs_met']} of {coverage['pairs']} pairs met; {len(result.found)} found"
+    )
+    print(
+        f"\r{text}" if sys.stderr.isatty() else text, end="" if sys.stderr.isatty() else "\n", file=sys.stderr
+    )
+
+
+def _tell(result: Result, folder: Path) -> None:
+    console = Console(highlight=False, markup=False, soft_wrap=True)
+    print(file=sys.stderr)
+    console.print(
+        f"{result.name}: {result.seeds} seeds, {result.tries} tries, {result.simulated / max(1e-9, result.wall):.0f} "
+        f"simulated seconds a second"
+    )
+    for sort, count in sorted(result.sorts.items()):
+        console.print(f"  {sort}: on {count} of {result.seeds} seeds")
+    for found in result.found:
+        path = write(found, folder)
+        console.print(f"  FOUND {found.find.sort}, seed {found.seed}: {found.find.text}")
+        console.print(f"    shrunk by {found.plays} plays to {found.size}: {path}")
+    never = result.coverage.never()
+    if never:
+        shown = "; ".join(f"{name} x {kind}" for name, kind in never[:NEVER_SHOWN])
+        console.print(f"  never met, {len(never)} pairs: {shown}{' ...' * (len(never) > NEVER_SHOWN)}")
+    if not result.found:
+        console.print("  nothing found")
+
+
+def _write(results: list[Result], outputs: Outputs) -> None:
+    if outputs.json is not None:
+        outputs.json.write_text(json.dumps([_row(r) for r in results], indent=1) + "\n", encoding="utf-8")
+    if outputs.png is not None:
+        from cypresspulley.explore.picture import draw  # plots load slowly
+
+        draw([result.coverage for result in results], outputs.png)
+
+
+def _row(result: Result) -> dict[str, Any]:
+    return {
+        "scenario": result.name, "seeds": result.seeds, "tries": result.tries,
+        "simulated_seconds": round(result.simulated, 1), "wall_seconds": round(result.wall, 1),
+        "sorts": dict(result.sorts),
+        "found": [{"seed": f.seed, "sort": f.find.sort, "text": f.find.text, "size": f.size} for f in result.found],
+        "coverage": result.coverage.as_json(),
+    }  # fmt: skip
--- /dev/null
+++ b/cypresspulley/explore/examine.py
@@ -0,0 +1,168 @@
+"""One play in virtual time, all looked at: the rules by the judge, each step by the model, ends by what is left."""
+
+from __future__ import annotations
+
+import logging
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cypresspulley import interface as api
+from cypresspulley.decide import Gateway
+from cypresspulley.explore.coverage import NO_FAULT, Pair
+from cypresspulley.explore.lifecycle import Ceilings, Fleet, Offence, Watch
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.judge import judge
+from cypresspulley.rehearsal.limiters import KitError, wire_settings
+from cypresspulley.rehearsal.scenario import Scenario
+from cypresspulley.rehearsal.virtual.handle import VirtualHandle
+from cypresspulley.rehearsal.virtual.loop import NothingLeftError, StuckError, VirtualLoop
+from cypresspulley.rehearsal.virtual.owner import Owner
+from cypresspulley.rehearsal.virtual.play import Observer, digest, play_virtual
+from cypresspulley.settings import settings_from
+
+AFTERMATH = 2.0  # seconds past its end for which a fault counts as met
+MOST_TURNS = 3_000_000  # of the loop in one play: one that goes on and on is stuck
+MOST_SAID = 5
+# Timers that an exiting limiter may leave to the end of its process: each does nothing by then.
+LEFT_OVER = ("Node.feed", "Upstream._sweep", "Frontend._sweep", "VirtualTransport.close", "Owner.forget")
+
+
+@dataclass(frozen=True, slots=True)
+class Find:
+    """What is wrong with a day: its sort (what shrinking must keep) and it in words."""
+
+    sort: str
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Examined:
+    """One play: what was wrong, which pairs of transition and fault were met, and the trace's digest."""
+
+    seed: int
+    finds: tuple[Find, ...]
+    met: tuple[tuple[Pair, int], ...]
+    digest: str
+    seconds: float = 0.0
+    tries: int = 0
+
+    def has(self, sort: str) -> bool:
+        return any(find.sort == sort for find in self.finds)
+
+
+class _Between:
+    """The decisions of a limiter with its watch behind them."""
+
+    def __init__(self, gateway: Gateway, watch: Watch) -> None:
+        self._gateway, self._watch = gateway, watch
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        actions = self._gateway.handle(now, event)
+        self._watch.step(now, event, actions)
+        return actions
+
+
+@dataclass(slots=True)
+class _Eyes(Observer):
+    """What looks on during one play."""
+
+    scenario: Scenario
+    finds: list[Find] = field(default_factory=list)
+    met: Counter[Pair] = field(default_factory=Counter)
+    faults: list[tuple[float, float, str]] = field(default_factory=list)
+    now: Callable[[], float] = field(default=lambda: 0.0)
+    _watches: dict[str, tuple[Watch, Gateway]] = field(default_factory=dict)
+    _ceilings: Ceilings | None = None
+
+    def watched(self, name: str, gateway: Gateway) -> _Between:
+        settings = settings_from(wire_settings(self.scenario, 0, self.scenario.fleet.halls[0]))
+        if self._ceilings is None:
+            self._ceilings = Ceilings(settings.plans, settings.max_units)
+        fleet = self.scenario.fleet
+        facts = Fleet(
+            fleet.cores, {c.name: c.work_ms / 1000 for c in self.scenario.classes}, fleet.drain_grace
+        )
+        watch = Watch(name, settings, facts, self._ceilings, self._offended, self._met)
+        self._watches[name] = watch, gateway
+        return _Between(gateway, watch)
+
+    def record(self, record: log.Record) -> None:
+        if isinstance(record, log.Happened):
+            self.faults.append((record.t, record.until + AFTERMATH, record.kind))
+
+    def woke(self, name: str, now: float) -> None:
+        if name in self._watches:
+            self._watches[name][0].woke(now)
+
+    def exited(self, name: str, owner: Owner, loop: VirtualLoop) -> None:
+        """A limiter ended in order: nothing of its requests may be left."""
+        watch, gateway = self._watches.pop(name)
+        if left := {what: count for what, count in gateway.held.items() if count}:
+            self._find("leak", f"{name} ended with {left} still counted as open")
+        if lives := watch.open():
+            self._find("leak", f"{name} ended with {len(lives)} requests that had no end")
+        timers = Counter(called(handle) for handle in loop.waiting(owner))
+        if strange := {what: n for what, n in timers.items() if what not in LEFT_OVER}:
+            self._find("leak", f"{name} ended with timers left: {strange}")
+        tasks = [task for task in owner.tasks if not task.done()]
+        if tasks:
+            names = sorted(getattr(task.get_coro(), "__qualname__", "a task") for task in tasks)
+            self._find("leak", f"{name} ended with tasks left: {', '.join(names)}")
+
+    def _offended(self, offence: Offence) -> None:
+        self._find(offence.rule, f"{offence.limiter}: {offence.text}")
+
+    def _find(self, sort: str, text: str) -> None:
+        if len(self.finds) < 50:
+            self.finds.append(Find(sort, text))
+
+    def _met(self, transition: str) -> None:
+        now, kinds = self.now(), list[str]()
+        for begin, end, kind in self.faults:
+            if begin <= now <= end and kind not in kinds:
+                kinds.append(kind)
+        for kind in kinds or (NO_FAULT,):
+            self.met[transition, kind] += 1
+
+
+def called(handle: VirtualHandle) -> str:
+    """The name of what a handle would call."""
+    callback = handle.callback
+    while hasattr(callback, "func"):  # partials
+        callback = callback.func
+    return str(getattr(callback, "__qualname__", repr(callback)))
+
+
+def examine(scenario: Scenario) -> Examined:
+    """Play the scenario with its own seed and say all that is wrong with it. Deterministic."""
+    eyes, records = _Eyes(scenario), list[log.Record]()
+    try:
+        records = play_virtual(scenario, scenario.seed, observer=eyes, most_turns=MOST_TURNS)
+    except (NothingLeftError, StuckError) as error:
+        eyes.finds.append(Find("stuck", str(error)))
+    except KitError as error:
+        eyes.finds.append(Find("kit", str(error)))
+    except Exception as error:
+        logging.getLogger(__name__).debug("the play failed", exc_info=error)
+        eyes.finds.append(Find("kit", f"{type(error).__name__}: {error}"))
+    tries = 0
+    if any(isinstance(r, log.End) for r in records):
+        eyes.finds += _judged(records)
+        tries = sum(isinstance(r, log.Sent) for r in records)
+    met = tuple(sorted(eyes.met.items()))
+    return Examined(scenario.seed, tuple(eyes.finds), met, digest(records), scenario.seconds, tries)
+
+
+def _judged(records: list[log.Record]) -> list[Find]:
+    verdict, finds = judge(records), list[Find]()
+    if verdict.crash:
+        finds.append(Find("crash", verdict.crash))
+    if verdict.void:
+        finds.append(Find("log" if "logged an error" in verdict.void else "void", verdict.void))
+    for rule in verdict.rules:
+        finds += [
+            Find(rule.rule, f"{v.limiter} at {v.t:.3f} s, {v.request}: {v.text}")
+            for v in rule.violations[:MOST_SAID]
+        ]
+    return finds
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -243,6 +243,8 @@
             limiter.signal(signal.SIGKILL)
 
     async def _kill_and_return(self, name: str, spec_known: str, back_after: float) -> None:
+        if name in self.returning:
+            return  # it is away already, and is started once
         self.returning.add(name)
         self.kill(name)
         await self.limiters[name].gone()
@@ -252,6 +254,8 @@
 
     async def _restart(self, name: str, back_after: float) -> None:
         limiter = self.limiters[name]
+        if name in self.returning:
+            return
         self.returning.add(name)
         self.stage.record(log.LimiterState(self.stage.now(), name, "stopping"))
         limiter.signal(signal.SIGTERM)
--- a/cypresspulley/rehearsal/virtual/handle.py
+++ b/cypresspulley/rehearsal/virtual/handle.py
@@ -23,6 +23,10 @@
     def __repr__(self) -> str:
         return f"<VirtualHandle {self._callback!r} at {self._when:.6f} s of {self.owner!r}>"
 
+    @property
+    def callback(self) -> Any:
+        return self._callback
+
     def cancel(self) -> None:
         self._callback, self._args = None, ()
 
--- a/cypresspulley/rehearsal/virtual/loop.py
+++ b/cypresspulley/rehearsal/virtual/loop.py
@@ -22,6 +22,10 @@
 T = TypeVar("T")
 
 
+class StuckError(RuntimeError):
+    """The loop took more turns than a play may: something goes on and on."""
+
+
 class NothingLeftError(RuntimeError):
     """Everything waits and nothing will ever happen: a real loop would hang here."""
 
@@ -33,7 +37,7 @@
     owner = context.get(OWNER) if context is not None else OWNER.get()
     if owner is not None:
         owner.tasks[task] = None
-        task.add_done_callback(lambda done: owner.tasks.pop(done, None))
+        task.add_done_callback(owner.forget)
     return task
 
 
@@ -45,6 +49,7 @@
         self._virtual_now = 0.0
         self._soon = deque[VirtualHandle]()
         # By time and then by the order of asking: tuples compare without a line of Python.
+        self.turns_left = 0  # until the loop counts as stuck; 0: never
         self._timers, self._count = list[tuple[float, int, VirtualHandle]](), 0
         self.network = VirtualNetwork(self, seed)
         self._handlers = dict[tuple[Owner | None, int], Callable[[], object]]()
@@ -72,6 +77,11 @@
             self._virtual_now = max(self._virtual_now, timers[0][0])
         while timers and timers[0][0] <= self._virtual_now:
             soon.append(heappop(timers)[2])
+        if self.turns_left:
+            self.turns_left -= len(soon)
+            if self.turns_left <= 0:
+                self.turns_left = 0
+                raise StuckError(f"too many turns of the loop by {self._virtual_now:.6f} s")
         for _ in range(len(soon)):
             handle = soon.popleft()
             if handle._callback is not None:
@@ -136,7 +146,9 @@
     # What the dead ask for does not happen.
 
     def call_soon(self, callback: Any, *args: Any, context: Context | None = None) -> VirtualHandle:  # type: ignore[override]
-        handle = VirtualHandle(callback, args, context or copy_context(), self._virtual_now)
+        handle = VirtualHandle(
+            callback, args, copy_context() if context is None else context, self._virtual_now
+        )
         if handle.owner is not None and handle.owner.dead:
             handle.cancel()
         else:
@@ -151,7 +163,7 @@
     def call_at(  # type: ignore[override]
         self, when: float, callback: Any, *args: Any, context: Context | None = None
     ) -> VirtualHandle:
-        handle = VirtualHandle(callback, args, context or copy_context(), when)
+        handle = VirtualHandle(callback, args, copy_context() if context is None else context, when)
         if handle.owner is not None and handle.owner.dead:
             handle.cancel()
         else:
--- a/cypresspulley/rehearsal/virtual/owner.py
+++ b/cypresspulley/rehearsal/virtual/owner.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from contextvars import ContextVar
+from contextvars import Context, ContextVar
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
@@ -27,6 +27,9 @@
     def __repr__(self) -> str:
         return f"<Owner {self.name}{' dead' * self.dead}{' asleep' * self.asleep}, {len(self.tasks)} tasks>"
 
+    def forget(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.pop(task, None)
+
     def strike_after(self, turns: int, writes: int, strike: Callable[[], object]) -> None:
         """Call ``strike`` behind its n-th turn or its n-th write from now; the other number is 0."""
         self.turns_left, self.writes_left, self.strike = turns, writes, strike
@@ -35,13 +38,13 @@
         """One turn is over: every await that is reached ends one."""
         self.turns_left -= 1
         if self.turns_left == 0 and self.strike is not None:
-            self.strike()
+            Context().run(self.strike)  # what it starts is not this owner's
 
     def wrote(self) -> None:
         """One write has left for the machine, which delivers it whatever becomes of the process."""
         self.writes_left -= 1
         if self.writes_left == 0 and self.strike is not None:
-            self.strike()
+            Context().run(self.strike)
 
 
 OWNER: ContextVar[Owner | None] = ContextVar("owner", default=None)
