--- a/cypresspulley/explore/examine.py
+++ b/cypresspulley/explore/examine.py
@@ -25,7 +25,14 @@
 MOST_TURNS = 3_000_000  # of the loop in one play: one that goes on and on is stuck
 MOST_SAID = 5
 # Timers that an exiting limiter may leave to the end of its process: each does nothing by then.
-LEFT_OVER = ("Node.feed", "Upstream._sweep", "Frontend._sweep", "VirtualTransport.close", "Owner.forget")
+LEFT_OVER = (
+    "CounterClient._give_up",
+    "Node.feed",
+    "Upstream._sweep",
+    "Frontend._sweep",
+    "VirtualTransport.close",
+    "Owner.forget",
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -323,6 +323,8 @@
         server = self.servers[name]
         server.crash()
         await asyncio.sleep(back_after)
+        if server.gone or server.alive:
+            return  # another took its place meanwhile, or it is back from another crash
         server.start(cold=True)
         self._publish(server, "ready")
 
--- a/cypresspulley/rehearsal/standins/bagserver.py
+++ b/cypresspulley/rehearsal/standins/bagserver.py
@@ -137,7 +137,7 @@
         self.cpu = Processor(machine, stage.now(), cold=False)
         self.error_share = self.reset_share = self.spoilt_share = self.doubled_share = 0.0
         self.slow_by = 0.0  # seconds that each answer comes later
-        self.draining = False
+        self.draining = self.gone = False
         self.alive = False
         self.born_ms = 0
 
@@ -166,6 +166,7 @@
 
     def crash(self, what: str = "crashed") -> None:
         """The process dies: its connections are reset, new ones refused, its work is gone."""
+        self.gone = self.gone or what == "gone"
         if not self.alive:
             return
         self.alive = False
