--- a/cypresspulley/rehearsal/virtual/handle.py
+++ b/cypresspulley/rehearsal/virtual/handle.py
@@ -27,6 +27,10 @@
     def callback(self) -> Any:
         return self._callback
 
+    @property
+    def args(self) -> tuple[Any, ...]:
+        return self._args
+
     def cancel(self) -> None:
         self._callback, self._args = None, ()
 
--- /dev/null
+++ b/tests/explore/test_search.py
@@ -0,0 +1,143 @@
+"""The search: the same for any number of processes, steered by what was never met; finds shrink and play again."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from cypresspulley.cli import main
+from cypresspulley.explore.coverage import STEER, Coverage
+from cypresspulley.explore.examine import Examined, Find, examine
+from cypresspulley.explore.lifecycle import MET
+from cypresspulley.explore.schedule import KINDS, as_raw, drawn_day, small_day
+from cypresspulley.explore.search import Wanted, search, write
+from cypresspulley.explore.shrink import shrink
+from cypresspulley.rehearsal import records as log
+from cypresspulley.rehearsal.judge import judge
+from cypresspulley.rehearsal.plan import draw
+from cypresspulley.rehearsal.scenario import Scenario, load_scenario, parse_scenario, shipped
+from cypresspulley.rehearsal.virtual.play import digest, play_virtual
+from tests.explore.mutants import MUTANTS, Mutant, applied, scenario_of
+from tests.rehearsal.small import small
+
+EVEN = dict.fromkeys(KINDS, 1.0)
+# Days of each scenario that are played in CI, with every check; each is a second of a day and more.
+FIXED = [(name, seed) for name in sorted(shipped()) for seed in range(6)]
+
+
+@pytest.mark.parametrize(("name", "seed"), FIXED)
+def test_a_fixed_list_of_seeds_shows_nothing(name: str, seed: int) -> None:
+    day = drawn_day(small_day(load_scenario(name), 3.0, 15.0), seed, EVEN)
+    assert examine(day).finds == ()
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda m: m.name)
+def test_a_mutant_is_found_where_the_right_limiter_is_acquitted(mutant: Mutant) -> None:
+    day = small_day(scenario_of(mutant), 6.0, mutant.inside)
+    drawn = drawn_day(day, mutant.shown_by, EVEN)
+    with applied(mutant):
+        seen = examine(drawn)
+    assert any(find.sort in mutant.sorts for find in seen.finds), seen.finds
+    assert examine(drawn).finds == ()
+
+
+def test_the_days_do_not_depend_on_the_number_of_processes() -> None:
+    wanted = Wanted(seeds=6, seconds=1.5, inside=10.0)
+    one, two = search(small(), wanted), search(small(), replace(wanted, jobs=2))
+    assert one.coverage.met == two.coverage.met and one.tries == two.tries > 0
+    assert one.seeds == 6 and one.coverage.strange() == []
+
+
+def test_kinds_that_met_little_are_drawn_more_often() -> None:
+    coverage = Coverage(("a", "b"))
+    coverage.add([((name, "a"), 1) for name in MET])
+    assert coverage.weights() == {"a": 1.0, "b": 1.0 + STEER}
+    assert coverage.never() == [(name, "b") for name in MET]
+
+
+def test_a_drawn_day_says_all_that_it_plays(tmp_path: Path) -> None:
+    day = drawn_day(small_day(load_scenario("wedding-weekend"), 2.0, 10.0), 7, EVEN)
+    again = parse_scenario(as_raw(day), "again")
+    assert again == day and draw(again, again.seed).digest() == draw(day, day.seed).digest()
+    assert digest(play_virtual(again, 7)) == digest(play_virtual(day, 7))
+
+
+def _needs(scenario: Scenario) -> Examined:
+    """Wrong wherever the second limiter is killed."""
+    bad = any(f.kind == "limiter-kill" and "limiter-1" in f.targets for f in scenario.faults)
+    return Examined(scenario.seed, (Find("made up", "x"),) if bad else (), (), "")
+
+
+def test_shrinking_keeps_what_the_find_needs_and_drops_the_rest() -> None:
+    kill = {"kind": "limiter-kill", "at": 1.0, "targets": ["limiter-0", "limiter-1"]}
+    other = [{"kind": "keeper-stop", "at": t / 2, "lasts": 1} for t in range(5)]
+    scenario = small(fault=[*other, kill, *other])
+    least, plays = shrink(scenario, lambda s: _needs(s).has("made up"))
+    assert [f.kind for f in least.faults] == ["limiter-kill"] and least.limiters.count == 2
+    assert least.load.inside < 4 and 1.0 < least.seconds < 2 and plays <= 150
+    assert shrink(scenario, lambda s: True, plays=3)[1] == 3
+
+
+def test_a_find_is_written_so_that_it_plays_again(tmp_path: Path) -> None:
+    mutant = next(m for m in MUTANTS if m.name == "a timer not cancelled")
+    with applied(mutant):
+        result = search(small(), Wanted(seeds=2, seconds=2.0, inside=10.0))
+        found = result.found[0]
+        assert found.find.sort == "leak" and len(found.scenario.faults) == 0
+        path = write(found, tmp_path)
+        run = CliRunner().invoke(main, ["explore", str(path), "--again"])
+        assert run.exit_code == 1 and "leak:" in run.output
+    run = CliRunner().invoke(main, ["explore", str(path), "--again"])
+    assert run.exit_code == 0 and "nothing found" in run.output
+
+
+def test_the_command_searches_writes_and_says_what_is_wrong(tmp_path: Path) -> None:
+    arguments = [
+        "explore",
+        "calm-morning",
+        "--seeds",
+        "2",
+        "--seconds",
+        "1",
+        "--inside",
+        "5",
+        "--out",
+        str(tmp_path),
+    ]
+    picture, report = tmp_path / "c.png", tmp_path / "r.json"
+    run = CliRunner().invoke(main, [*arguments, "--png", str(picture), "--json", str(report)])
+    assert run.exit_code == 0, run.output
+    assert picture.read_bytes().startswith(b"\x89PNG") and '"pairs_met"' in report.read_text()
+    assert "nothing found" in run.output and "never met" in run.output
+    assert CliRunner().invoke(main, ["explore", "no-such"]).exit_code == 2
+    assert CliRunner().invoke(main, ["explore", "calm-morning", "--json", "/nowhere/x"]).exit_code == 2
+
+
+def test_a_kill_at_a_write_strikes_at_that_write() -> None:
+    """Each write of a limiter's first moments: what was written arrives, nothing more does."""
+    for after in range(1, 12):
+        kill = {"kind": "limiter-kill", "at": 0.0, "targets": ["limiter-0"], "when": "write", "after": after}
+        records = play_virtual(small(seconds=2, fault=[{**kill, "back_after": 0.2}]), 5)
+        killed = [r for r in records if isinstance(r, log.LimiterState) and r.what == "killed"]
+        verdict = judge(records)
+        assert len(killed) == 1 and verdict.kept and not verdict.void, after
+
+
+def test_an_hour_asleep_ends_no_rule_and_no_limiter() -> None:
+    """A limiter is stopped for an hour with requests out; what wakes up answers, and serves the new ones."""
+    scenario = small(
+        seconds=5, fault=[{"kind": "limiter-pause", "at": 2.0, "lasts": 3, "targets": ["limiter-0"]}]
+    )
+    plan = draw(scenario, 3)
+    late = [replace(a, t=a.t + 3600.0, number=a.number + 100_000) for a in plan.arrivals]
+    faults = [replace(f, until=f.at + 3600.0) for f in plan.faults]
+    long = scenario.model_copy(update={"seconds": 3606.0})
+    records = play_virtual(long, 3, replace(plan, arrivals=(*plan.arrivals, *late), faults=tuple(faults)))
+    verdict = judge(records)
+    assert verdict.kept and not verdict.void and not verdict.crash
+    sent = {r.id for r in records if isinstance(r, log.Sent) and r.limiter == "limiter-0" and r.t > 3603.0}
+    served = {r.id for r in records if isinstance(r, log.Answered) and r.status == 200}
+    assert sent and len(sent & served) > 0.8 * len(sent)
