--- /dev/null
+++ b/benchmarks/agreement.py
@@ -0,0 +1,91 @@
+"""Whether a day in virtual time is worth what the same day on sockets is: service and verdicts, by scenario and seed.
+
+    python -m benchmarks.agreement [--seconds 15] [--seeds 5] [--jobs 3] [--json FILE]
+
+Each scenario is played for ``--seconds`` (its faults at the same part of the day, its whole load) on sockets and in
+virtual time. A run on sockets that is void is played again, twice at most.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import multiprocessing
+from concurrent.futures import ProcessPoolExecutor
+from functools import partial
+from pathlib import Path
+from time import perf_counter, process_time
+from typing import Any
+
+import uvloop
+
+from cypresspulley.explore.schedule import as_raw
+from cypresspulley.rehearsal.judge import Verdict, judge
+from cypresspulley.rehearsal.play import play
+from cypresspulley.rehearsal.scenario import Scenario, load_scenario, parse_scenario, shipped
+from cypresspulley.rehearsal.virtual.play import play_virtual
+
+AGAIN = 2
+SCALED = ("at", "lasts", "back_after", "every")
+
+
+def shorter(scenario: Scenario, seconds: float) -> Scenario:
+    """The scenario in ``seconds``, its faults at the same part of the day."""
+    raw, part = as_raw(scenario), min(1.0, seconds / scenario.seconds)
+    raw["seconds"] = scenario.seconds * part
+    raw["fault"] = [{k: v * part if k in SCALED else v for k, v in fault.items()} for fault in raw["fault"]]
+    raw["discovery"]["notice"] = [t * part for t in scenario.discovery.notice]
+    raw["clients"]["notice"] = [t * part for t in scenario.clients.notice]
+    return parse_scenario(raw, scenario.name)
+
+
+def on_sockets(scenario: Scenario, seed: int) -> Verdict:
+    for _ in range(AGAIN + 1):
+        verdict = judge(uvloop.run(play(scenario, seed)))
+        if not verdict.void:
+            break
+    return verdict
+
+
+def compare(seconds: float, case: tuple[str, int]) -> dict[str, Any]:
+    name, seed = case
+    scenario = shorter(load_scenario(name), seconds)
+    real = on_sockets(scenario, seed)
+    wall, cpu = perf_counter(), process_time()
+    made = judge(play_virtual(scenario, seed))
+    wall, cpu = perf_counter() - wall, process_time() - cpu
+    broken = [[rule.rule for rule in verdict.rules if not rule.kept] for verdict in (real, made)]
+    return {
+        "scenario": name, "seed": seed, "sockets": round(real.service.service, 4),
+        "virtual": round(made.service.service, 4), "void": real.void or made.void, "broken": broken,
+        "apart": round(abs(real.service.service - made.service.service), 4), "speed": round(scenario.seconds / cpu, 1),
+    }  # fmt: skip
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--seeds", type=int, default=5)
+    parser.add_argument("--jobs", type=int, default=3)
+    parser.add_argument("--json", type=Path)
+    options = parser.parse_args()
+    cases = [(name, seed) for name in shipped() for seed in range(1, options.seeds + 1)]
+    rows = list[dict[str, Any]]()
+    with ProcessPoolExecutor(options.jobs, mp_context=multiprocessing.get_context("spawn")) as pool:
+        for row in pool.map(partial(compare, options.seconds), cases):
+            rows.append(row)
+            print(" ".join(f"{key} {value}" for key, value in row.items()), flush=True)
+    good = [row for row in rows if not row["void"]]
+    within = sum(row["apart"] <= 0.03 for row in good)
+    alike = sum(row["broken"][0] == row["broken"][1] for row in good)
+    mean = sum(row["virtual"] - row["sockets"] for row in good) / max(1, len(good))
+    print(f"{len(good)} of {len(rows)} pairs count: {within} within 0.03, {alike} with the same verdicts, "
+          f"virtual {mean:+.4f} in the mean")  # fmt: skip
+    if options.json:
+        options.json.write_text(json.dumps(rows, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
