--- a/cypresspulley/rehearsal/virtual/network.py
+++ b/cypresspulley/rehearsal/virtual/network.py
@@ -30,6 +30,7 @@
 HIGH = 64 * 1024  # bytes that a transport holds before it says pause_writing
 KERNEL = 128 * 1024  # bytes that lie between two ends while the reader reads nothing
 LEAST_DELAY, MOST_DELAY = 1e-4, 4e-4  # seconds one way
+BACKLOG = 128  # connections that a listener's process has not taken yet
 FIRST_PORT = 40_000
 Address = tuple[str, int]
 
@@ -41,7 +42,7 @@
         self._network, self._reader = network, reader
         self._under_way = deque[bytes | None]()  # None is the end
         self._timer: VirtualHandle | None = None
-        self.size = 0
+        self.size, self._pace = 0, 0.0
 
     def send(self, data: bytes | None) -> None:
         self._under_way.append(data)
@@ -52,7 +53,8 @@
         """Deliver the next piece a little later, unless the reader rests, the way is cut or one is coming."""
         cut = self._network.is_cut(self._reader.address, self._reader.peer_address)
         if self._timer is None and self._under_way and not self._reader.paused and not cut:
-            self._timer = self._network.later(self._network.delay(), self._deliver)
+            self._timer = self._network.later(self._network.delay() + self._pace, self._deliver)
+            self._pace = 0.0
 
     def drop(self) -> None:
         self._under_way.clear()
@@ -77,6 +79,8 @@
             self._under_way.appendleft(data[at:])
             data = data[:at]
         self.size -= len(data)
+        if self._network.bandwidth:
+            self._pace = len(data) / self._network.bandwidth  # the next piece comes behind this one
         self._reader.data_came(data)
         self.wake()
 
@@ -257,7 +261,7 @@
     def _lose(self, error: Exception | None) -> None:
         if not self._lost:
             self._lost = True
-            self._network.open.pop(self, None)
+            self._network.closed(self)
             self._tell(self._protocol.connection_lost, error)
 
 
@@ -285,11 +289,14 @@
 
 
 class VirtualServer:
-    """A listening address. Blocked, it answers no dial, as a machine that is cut off."""
+    """A listening address. Blocked, it answers no dial, as a machine that is cut off.
+
+    Connections that its process has no descriptor for wait in ``backlog``; once it is full, dials are not answered."""
 
     def __init__(self, network: VirtualNetwork, factory: Callable[[], Any], address: Address) -> None:
         self._network, self.factory, self.address, self.blocked = network, factory, address, False
         self.owner = OWNER.get()
+        self.backlog = deque[VirtualTransport]()
 
     def close(self) -> None:
         self._network.listeners.pop(self.address, None)
@@ -305,10 +312,10 @@
 
 
 class VirtualNetwork:
-    """All listeners and connections of one loop; ``limit`` is how many ends may be open at once."""
+    """All listeners and connections of one loop. ``bandwidth`` is bytes a second of each way; 0: no bound."""
 
-    def __init__(self, loop: VirtualLoop, seed: int, limit: int = 100_000) -> None:
-        self.loop, self.rng, self.limit = loop, Random(seed), limit
+    def __init__(self, loop: VirtualLoop, seed: int, bandwidth: float = 0.0) -> None:
+        self.loop, self.rng, self.bandwidth = loop, Random(seed), bandwidth
         self.listeners = dict[Address, VirtualServer]()
         # What a program may ask of a connection's socket (options, unread bytes): one that is never connected.
         self.bare_socket = socket.socket()
@@ -367,24 +374,59 @@
         self, factory: Callable[[], Any], host: str, port: int, source: str = "127.0.0.1"
     ) -> tuple[VirtualTransport, Any]:
         """Dial; ConnectionRefusedError where nobody listens, for ever silent where the way is cut."""
-        if len(self.open) + 2 > self.limit:
+        caller = OWNER.get()
+        if not self._room(caller):
             raise OSError(24, "Too many open files")
         await asyncio.sleep(2 * self.delay())
         server = self.listeners.get((host, port))
-        if self.is_cut((source, 0), (host, port)) or (server is not None and server.blocked):
+        full = server is not None and (server.blocked or len(server.backlog) >= BACKLOG)
+        if self.is_cut((source, 0), (host, port)) or full:
             await self.loop.create_future()
         if server is None:
             raise ConnectionRefusedError(111, f"Connect call failed ('{host}', {port})")
         here, there = (source, self._port()), (host, port)
-        near_protocol, token = factory(), OWNER.set(server.owner)
-        far_protocol = server.factory()
-        OWNER.reset(token)
+        near_protocol = factory()
         near = VirtualTransport(self, near_protocol, here, there)
-        far = VirtualTransport(self, far_protocol, there, here)
+        far = VirtualTransport(self, None, there, here)
         near.other, far.other = far, near
         near.out, far.out = Path(self, far), Path(self, near)
-        near.owner, far.owner = OWNER.get(), server.owner
-        self.open |= {near: None, far: None}
-        far.opened()
+        near.owner, far.owner = caller, server.owner
+        self._count_in(near)
+        far.paused = True  # until it is accepted
+        server.backlog.append(far)
+        self._accept(server)
         near.opened()
         return near, near_protocol
+
+    def _room(self, owner: Owner | None) -> bool:
+        """Whether a process has a descriptor left for one more connection."""
+        if owner is None or owner.descriptors == 0:
+            return True
+        return owner.connections < owner.descriptors
+
+    def _count_in(self, end: VirtualTransport) -> None:
+        self.open[end] = None
+        if end.owner is not None:
+            end.owner.connections += 1
+
+    def _accept(self, server: VirtualServer) -> None:
+        """Give the process the connections that wait, as far as it has descriptors."""
+        while server.backlog and self._room(server.owner):
+            far = server.backlog.popleft()
+            if far._lost:
+                continue  # the dialer has gone meanwhile
+            token = OWNER.set(server.owner)
+            far._protocol = server.factory()
+            OWNER.reset(token)
+            self._count_in(far)
+            far.opened()
+            far.resume_reading()
+
+    def closed(self, end: VirtualTransport) -> None:
+        """An end is gone: its process may have room for one that waits."""
+        known = self.open.pop(end, end) is None
+        if end.owner is not None and known:
+            end.owner.connections -= 1
+            for server in list(self.listeners.values()):
+                if server.owner is end.owner and server.backlog:
+                    self.later(0, self._accept, server)
--- a/cypresspulley/rehearsal/virtual/owner.py
+++ b/cypresspulley/rehearsal/virtual/owner.py
@@ -18,6 +18,7 @@
     def __init__(self, name: str) -> None:
         self.name, self.dead = name, False
         self.tasks = dict[asyncio.Task[Any], None]()
+        self.connections, self.descriptors = 0, 0  # that it has open, and may have; 0: no bound
         self.asleep = False  # stopped as SIGSTOP does: what is due waits here, in order
         self.held: deque[VirtualHandle] = deque()
         # What strikes after so many of its turns on the loop, or of its writes; 0 counts nothing.
--- a/cypresspulley/rehearsal/virtual/play.py
+++ b/cypresspulley/rehearsal/virtual/play.py
@@ -28,6 +28,7 @@
 
 UNIX_START = 1_800_000_000.0  # of every virtual day: no wall clock
 PORT = 7000
+NOT_CONNECTIONS = 16  # descriptors of a limiter that are none: its log, its loop's own, its listener
 
 
 class Observer:
@@ -57,9 +58,10 @@
         address: tuple[str, int],
         loop: VirtualLoop,
         seed: int,
+        sockets: int = 0,
         observer: Observer | None = None,
     ) -> None:
-        super().__init__(name, address, Path(), [], seed, 0)
+        super().__init__(name, address, Path(), [], seed, sockets)
         self._observer = observer
         self._loop, self._raw = loop, dict[str, Any]()
         self._owner: Owner | None = None
@@ -84,6 +86,7 @@
         self.lives += 1
         self.expected_end = False
         self._owner, self._end = Owner(f"{self.name}.{self.lives}"), self._loop.create_future()
+        self._owner.descriptors = max(0, self._sockets - NOT_CONNECTIONS)
         context = copy_context()
         context.run(OWNER.set, self._owner)
         clock = self._clock
@@ -178,7 +181,7 @@
 
     async def main(loop: VirtualLoop) -> None:
         def limiter(name: str, host: str) -> LimiterProcess:
-            return VirtualLimiter(name, (host, PORT), loop, plan.seed, observer)
+            return VirtualLimiter(name, (host, PORT), loop, plan.seed, scenario.limiters.sockets, observer)
 
         loop.turns_left = most_turns
 
--- a/tests/rehearsal/virtual/test_conformance.py
+++ b/tests/rehearsal/virtual/test_conformance.py
@@ -4,12 +4,15 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from contextvars import copy_context
 from typing import Any, cast
 
 import pytest
 import uvloop
 
 from cypresspulley.rehearsal.virtual.loop import NothingLeftError, VirtualLoop, run_virtual
+from cypresspulley.rehearsal.virtual.network import BACKLOG
+from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
 
 LOOPS = ("asyncio", "uvloop", "virtual")
 Pair = tuple["Seen", "Seen"]
@@ -256,15 +259,64 @@
     run_virtual(main)
 
 
-def test_descriptors_run_out() -> None:
+def test_a_process_without_descriptors_dials_no_more_until_one_is_closed() -> None:
     async def main(loop: VirtualLoop) -> None:
-        (near, _), server = await pair()
-        loop.network.limit = 2
+        _, server = await pair()
+        address = server.sockets[0].getsockname()
+        dialer = Owner("dialer")
+        dialer.descriptors = 1
+
+        async def dial() -> Seen:
+            return (await loop.create_connection(Seen, *address))[1]  # type: ignore[return-value]
+
+        context = copy_context()
+        context.run(OWNER.set, dialer)
+        first = await loop.create_task(dial(), context=context)
         with pytest.raises(OSError, match="Too many open files"):
-            await loop.create_connection(Seen, *server.sockets[0].getsockname())
-        near.transport.abort()
+            await loop.create_task(dial(), context=context)
+        assert first.transport is not None
+        first.transport.abort()
         await asyncio.sleep(1)
-        await loop.create_connection(Seen, *server.sockets[0].getsockname())
+        await loop.create_task(dial(), context=context)
+
+    run_virtual(main)
+
+
+def test_what_a_process_cannot_accept_waits_and_past_the_backlog_nothing_comes_up() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        process, accepted = Owner("server"), list[Seen]()
+        process.descriptors = 1
+
+        def factory() -> Seen:
+            accepted.append(Seen())
+            return accepted[-1]
+
+        context = copy_context()
+        context.run(OWNER.set, process)
+        server = await loop.create_task(loop.create_server(factory, "127.0.0.1", 0), context=context)
+        address = server.sockets[0].getsockname()
+        dialed = [(await loop.create_connection(Seen, *address))[0] for _ in range(BACKLOG + 1)]
+        dialed[1].write(b"early")
+        await asyncio.sleep(1)
+        assert len(accepted) == 1
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(5):
+                await loop.create_connection(Seen, *address)
+        dialed[0].close()
+        await asyncio.sleep(1)
+        assert len(accepted) == 2 and accepted[1].data == b"early"
+
+    run_virtual(main)
+
+
+def test_a_narrow_way_takes_its_time() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        (near, far), _ = await pair()
+        loop.network.bandwidth, start = 10_000.0, loop.time()
+        assert near.transport is not None
+        near.transport.write(b"x" * 50_000)
+        await far.until(lambda: len(far.data) == 50_000)
+        assert 2.0 < loop.time() - start < 6.0
 
     run_virtual(main)
 
