--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -442,3 +442,46 @@
     story.limiter(3.0, "n0", "crashed")
     verdict = judge(story.done())
     assert verdict.crash.startswith("n0 ended by itself") and not verdict.met
+
+
+def paused(story: Story, start: float, end: float, limiter: str = "n0") -> None:
+    story.records.append(log.Happened(start, end, "limiter-pause", limiter))
+
+
+def late_answer(story: Story) -> None:
+    id = story.sent(1.0)
+    number = story.arrived(1.1, id)
+    story.replied(1.2, number)
+    story.records.append(log.Answered(6.0, id, 200, None, "b"))  # it had until 4
+
+
+@pytest.mark.parametrize(("start", "end", "kept"), [(1.5, 5.9, True), (0.5, 1.0, True), (5.0, 5.9, False)])
+def test_an_answer_is_late_without_blame_only_where_the_limiter_was_stopped(
+    start: float, end: float, kept: bool
+) -> None:
+    story = Story()
+    late_answer(story)
+    paused(story, start, end)
+    assert judge(story.done()).rules[0].kept is kept
+    other = Story()
+    late_answer(other)
+    paused(other, start, end, "n1")
+    assert not judge(other.done()).rules[0].kept
+
+
+@pytest.mark.parametrize(("arrives", "kept"), [(7.0, True), (7.3, False)])
+def test_a_drain_told_in_a_pause_is_heard_at_its_end(arrives: float, kept: bool) -> None:
+    story = Story()
+    paused(story, 2.0, 5.0)
+    story.told(3.0, "n0", False, s1=("draining", -1e9))  # heard by 5.1, heeded by 7.1
+    story.replied(arrives + 0.1, story.arrived(arrives, story.sent(arrives - 0.1)))
+    assert judge(story.done()).rules[2].kept is kept
+
+
+def test_a_server_given_back_in_a_pause_is_no_longer_draining() -> None:
+    story = Story()
+    paused(story, 2.0, 9.0)
+    story.told(1.0, "n0", False, s1=("draining", -1e9))
+    story.told(8.0, "n0", False, s1=("ready", -1e9))
+    story.replied(9.1, story.arrived(9.02, story.sent(9.01)))
+    assert judge(story.done()).rules[2].kept
