--- a/tests/explore/test_search.py
+++ b/tests/explore/test_search.py
@@ -53,7 +53,16 @@
     scenario.write_text(tomli_w.dumps(as_raw(small())))
     # In a process of its own, which ends with the helpers that Python starts beside a pool.
     options = ["--seeds", "6", "--seconds", "1.5", "--inside", "10", "--jobs", "2", "--out", str(tmp_path)]
-    command = [sys.executable, "-m", "cypresspulley.cli", "explore", str(scenario), *options, "--json", str(report)]
+    command = [
+        sys.executable,
+        "-m",
+        "cypresspulley.cli",
+        "explore",
+        str(scenario),
+        *options,
+        "--json",
+        str(report),
+    ]
     subprocess.run(command, check=True, capture_output=True, timeout=60)
     one = search(small(), Wanted(seeds=6, seconds=1.5, inside=10.0))
     two = json.loads(report.read_text())[0]
