--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -11,7 +11,7 @@
 
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.judge import Verdict, judge
-from cypresspulley.rehearsal.timeline import JudgeError
+from cypresspulley.rehearsal.timeline import JudgeError, Timeline
 from tests.rehearsal.logs import Story, day
 
 LOST, TWICE, DRAINS, COLD, CEILINGS = range(5)
@@ -485,3 +485,24 @@
     story.told(8.0, "n0", False, s1=("ready", -1e9))
     story.replied(9.1, story.arrived(9.02, story.sent(9.01)))
     assert judge(story.done()).rules[2].kept
+
+
+def test_what_was_told_in_a_pause_stays_in_order() -> None:
+    story = Story()
+    paused(story, 2.0, 5.0)
+    story.told(3.0, "n0", False, s1=("draining", -1e9))
+    story.told(4.0, "n0", False, s1=("ready", -1e9))
+    story.told(4.5, "n0", False, s1=("draining", -1e9))
+    told = Timeline(story.done()).told_at("n0", "s1", 20.0)
+    assert [(one.t, one.health) for one in told] == [
+        (-0.4, "ready"), (4.0, "draining"), (4.0, "ready"), (5.1, "draining"),
+    ]  # fmt: skip
+
+
+@pytest.mark.parametrize(("limiter", "kept"), [("n0", True), ("n1", False)])
+def test_no_answer_is_owed_by_a_limiter_that_was_stopped(limiter: str, kept: bool) -> None:
+    story = Story()
+    id = story.sent(1.0)
+    story.left(4.2, id, "over")
+    paused(story, 1.5, 9.0, limiter)
+    assert judge(story.done()).rules[0].kept is kept
--- a/tests/rehearsal/virtual/test_play.py
+++ b/tests/rehearsal/virtual/test_play.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import subprocess
 import sys
+from contextvars import copy_context
 from typing import Any
 
 import pytest
@@ -13,6 +15,8 @@
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.judge import judge
 from cypresspulley.rehearsal.scenario import Scenario
+from cypresspulley.rehearsal.virtual.loop import VirtualLoop, run_virtual
+from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
 from cypresspulley.rehearsal.virtual.play import digest, play_virtual
 from tests.rehearsal.small import small
 
@@ -96,3 +100,56 @@
     assert verdict.kept and not verdict.void and not verdict.crash
     served = {r.server for r in records if isinstance(r, log.Arrived) and r.t > 1.2}
     assert served & {"bag-00", "bag-01"} and served & {"bag-04", "bag-05", "bag-06"}
+
+
+def test_a_limiter_killed_while_it_is_away_is_started_once() -> None:
+    faults = [
+        {"kind": "limiter-restart", "at": 1.0, "targets": ["limiter-0"], "back_after": 1.0},
+        {"kind": "limiter-kill", "at": 1.9, "targets": ["limiter-0"], "back_after": 0.1},
+        {"kind": "limiter-restart", "at": 2.0, "targets": ["limiter-0"], "back_after": 0.1},
+    ]
+    records = play_virtual(small(fault=faults), 1)
+    states = [r.what for r in records if isinstance(r, log.LimiterState) and r.limiter == "limiter-0"]
+    assert states.count("started") == 2 and states.count("exited") == 2 and not judge(records).crash
+
+
+def test_a_server_replaced_twice_while_it_is_down_gives_its_address_on_once() -> None:
+    replace = {"kind": "server-replace", "targets": ["bag-00"], "every": 0.1, "reuse_address": True}
+    crash = {"kind": "server-crash", "at": 0.7, "targets": ["bag-00"], "back_after": 2.5}
+    faults = [{**replace, "at": 0.5}, {**replace, "at": 0.6}, crash]
+    records = play_virtual(small(fault=faults), 1)
+    started = [r.server for r in records if isinstance(r, log.ServerState) and r.what == "started"]
+    assert started == ["bag-04"]
+
+
+def test_a_limiter_stopped_while_it_ends_wakes_and_ends() -> None:
+    faults = [
+        {"kind": "limiter-restart", "at": 1.0, "targets": ["limiter-0"], "back_after": 0.1},
+        {"kind": "limiter-pause", "at": 1.1, "targets": ["limiter-0"], "lasts": 0.8},
+    ]
+    records = play_virtual(small(fault=faults), 1)
+    ends = [r.t for r in records if isinstance(r, log.LimiterState) and r.what == "exited"]
+    assert len(ends) == 3 and 1.9 < ends[0] < 3.0 and not judge(records).crash
+
+
+def test_what_is_begun_in_the_turn_of_a_kill_never_runs_and_hangs_nothing() -> None:
+    ran = list[str]()
+
+    async def begun() -> None:
+        ran.append("begun")
+
+    async def main(loop: VirtualLoop) -> None:
+        process = Owner("limiter")
+
+        async def turn() -> None:
+            loop.kill(process)
+            loop.create_task(begun())  # its code goes on to the end of the turn
+            loop.call_later(1.0, ran.append, "timer")
+
+        context = copy_context()
+        context.run(OWNER.set, process)
+        loop.create_task(turn(), context=context)
+        await asyncio.sleep(5.0)
+
+    run_virtual(main)
+    assert ran == []
