One place for what commands say alike; reset what a dead process never accepted

Read again: errors and output checks stood in three commands, the shares of four server faults in four lambdas, the scaling of faults twice, one error text twice. A listener's unaccepted connections hung when its process died: they are reset now, with a test that was red without it.

--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -19,21 +19,20 @@
 
 import uvloop
 
-from cypresspulley.explore.schedule import as_raw
+from cypresspulley.explore.schedule import as_raw, sooner
 from cypresspulley.rehearsal.judge import Verdict, judge
 from cypresspulley.rehearsal.play import play
 from cypresspulley.rehearsal.scenario import Scenario, load_scenario, parse_scenario, shipped
 from cypresspulley.rehearsal.virtual.play import play_virtual
 
 AGAIN = 2
-SCALED = ("at", "lasts", "back_after", "every")
 
 
 def shorter(scenario: Scenario, seconds: float) -> Scenario:
     """The scenario in ``seconds``, its faults at the same part of the day."""
     raw, part = as_raw(scenario), min(1.0, seconds / scenario.seconds)
     raw["seconds"] = scenario.seconds * part
-    raw["fault"] = [{k: v * part if k in SCALED else v for k, v in fault.items()} for fault in raw["fault"]]
+    raw["fault"] = [sooner(fault, part) for fault in raw["fault"]]
     raw["discovery"]["notice"] = [t * part for t in scenario.discovery.notice]
     raw["clients"]["notice"] = [t * part for t in scenario.clients.notice]
     return parse_scenario(raw, scenario.name)
--- a/cypresspulley/capture/command.py
+++ b/cypresspulley/capture/command.py
@@ -26,6 +26,7 @@
 from cypresspulley.capture.scrub import KEY_BYTES, write
 from cypresspulley.capture.skew import Clock, merge
 from cypresspulley.capture.summary import Summary, summarise
+from cypresspulley.console import fail
 from cypresspulley.rehearsal import command as rehearsal
 from cypresspulley.rehearsal.plan import Plan, draw
 from cypresspulley.rehearsal.scenario import Goal, Load, Scenario, ScenarioError, load_scenario
@@ -54,11 +55,6 @@
     return entries, loaded, clocks
 
 
-def _fail(error: Exception, code: int = BAD_INPUT) -> int:
-    print(f"fawnseam: {error}", file=sys.stderr)
-    return code
-
-
 def inspect(what: Input, json_file: Path | None, html: Path | None) -> int:
     """Print what the files hold; the exit code."""
     try:
@@ -70,9 +66,9 @@
         if html is not None:
             html.write_text(page(summary), encoding="utf-8")
     except CaptureError as error:
-        return _fail(error)
+        return fail(error, BAD_INPUT)
     except OSError as error:
-        return _fail(error, BROKEN_TOOL)
+        return fail(error, BROKEN_TOOL)
     return GOOD
 
 
@@ -84,9 +80,9 @@
         with out.open("w", encoding="utf-8") as file:
             count = write(sorted(loaded.entries, key=lambda e: e.t), secret, file)
     except CaptureError as error:
-        return _fail(error)
+        return fail(error, BAD_INPUT)
     except OSError as error:
-        return _fail(error, BROKEN_TOOL)
+        return fail(error, BROKEN_TOOL)
     _tell_unread(loaded)
     print(f"{count} requests written to {out}", file=sys.stderr)
     return GOOD
@@ -218,13 +214,13 @@
         quiet = base.model_copy(update={"name": "replay", "load": Load(), "goal": Goal()})
         made, plan = plan_of(entries, quiet, stretch, seed)
     except (CaptureError, ScenarioError) as error:
-        return _fail(error)
+        return fail(error, BAD_INPUT)
     if not targets:
         return rehearsal.play_and_judge(made, plan, outputs)
     try:
         report = uvloop.run(against(made, plan, targets))
     except (CaptureError, OSError) as error:
-        return _fail(error, BROKEN_TOOL)
+        return fail(error, BROKEN_TOOL)
     except asyncio.CancelledError:
         return rehearsal.INTERRUPTED
     _print_report(report)
--- a/cypresspulley/explore/command.py
+++ b/cypresspulley/explore/command.py
@@ -10,9 +10,10 @@
 
 from rich.console import Console
 
+from cypresspulley.console import check_folders, fail
 from cypresspulley.explore.examine import examine
 from cypresspulley.explore.search import Result, Wanted, search, write
-from cypresspulley.rehearsal.scenario import Scenario, ScenarioError, load_scenario, shipped
+from cypresspulley.rehearsal.scenario import Scenario, load_scenario, shipped
 
 NONE_FOUND, FOUND, BAD_INPUT, BROKEN_KIT, INTERRUPTED = 0, 1, 2, 3, 130
 NEVER_SHOWN = 12
@@ -26,24 +27,12 @@
     json: Path | None = None
     png: Path | None = None
 
-    def check(self) -> None:
-        for path in (self.json, self.png):
-            if path is not None and not path.parent.is_dir():
-                raise ScenarioError(
-                    f"{path}: its folder does not exist; expected a file in an existing folder"
-                )
-
-
-def _fail(error: object, code: int) -> int:
-    print(f"fawnseam: {error}", file=sys.stderr)
-    return code
-
 
 def explore(name: str, wanted: Wanted, outputs: Outputs) -> int:
     """Search a scenario, or with ``all`` each shipped one; the exit code."""
     results = list[Result]()
     try:
-        outputs.check()
+        check_folders(outputs.json, outputs.png)
         scenarios = [load_scenario(each) for each in (shipped() if name == "all" else [name])]
         outputs.out.mkdir(parents=True, exist_ok=True)
         for scenario in scenarios:
@@ -51,11 +40,11 @@
             _tell(results[-1], outputs.out)
         _write(results, outputs)
     except ValueError as error:
-        return _fail(error, BAD_INPUT)
+        return fail(error, BAD_INPUT)
     except KeyboardInterrupt:
-        return _fail("interrupted; nothing is concluded", INTERRUPTED)
+        return fail("interrupted; nothing is concluded", INTERRUPTED)
     except OSError as error:
-        return _fail(f"cannot write {error.filename}: {error.strerror}", BROKEN_KIT)
+        return fail(f"cannot write {error.filename}: {error.strerror}", BROKEN_KIT)
     return FOUND if any(result.found for result in results) else NONE_FOUND
 
 
@@ -65,7 +54,7 @@
         scenario: Scenario = load_scenario(name)
         seen = examine(scenario)
     except ValueError as error:
-        return _fail(error, BAD_INPUT)
+        return fail(error, BAD_INPUT)
     except KeyboardInterrupt:
         return INTERRUPTED
     for find in seen.finds:
--- a/cypresspulley/explore/lifecycle.py
+++ b/cypresspulley/explore/lifecycle.py
@@ -282,7 +282,7 @@
         life.ended = True
 
     def _overdue(self, now: float) -> None:
-        """Requests come in the order of their taking; what has ended long ago is forgotten."""
+        """Say which requests are open past their time; forget those that ended with nothing out."""
         for id, life in list(self.lives.items()):
             if life.ended and not life.out:
                 del self.lives[id]
--- a/cypresspulley/explore/schedule.py
+++ b/cypresspulley/explore/schedule.py
@@ -35,11 +35,14 @@
     return parse_scenario(raw, scenario.name)
 
 
+def sooner(fault: Raw, part: float) -> Raw:
+    """A fault at the same place of a day that lasts that part as long."""
+    least = {"at": 0.0, "lasts": 0.05, "back_after": 0.05, "every": 0.05}
+    return {k: round(max(least[k], v * part), 3) if k in least else v for k, v in fault.items()}
+
+
 def _earlier(fault: Raw, part: float, servers: int) -> Raw:
-    changed = dict(fault)
-    for key in ("at", "lasts", "back_after", "every"):
-        if key in changed:
-            changed[key] = round(max(0.05 if key != "at" else 0.0, changed[key] * part), 3)
+    changed = sooner(fault, part)
     if fault["kind"].startswith("server-"):
         changed["count"] = min(servers, fault.get("count", 1))
         changed["targets"] = [
--- a/cypresspulley/rehearsal/command.py
+++ b/cypresspulley/rehearsal/command.py
@@ -14,6 +14,7 @@
 from rich.console import Console
 from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
+from cypresspulley.console import check_folders, fail
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.judge import judge_timeline
 from cypresspulley.rehearsal.limiters import KitError
@@ -38,16 +39,7 @@
 
     def check(self) -> None:
         """Fail before the day is played, not after it."""
-        for path in (self.json, self.html, self.har):
-            if path is not None and not path.parent.is_dir():
-                raise ScenarioError(
-                    f"{path}: its folder does not exist; expected a file in an existing folder"
-                )
-
-
-def _fail(text: str, code: int) -> int:
-    print(f"fawnseam: {text}", file=sys.stderr)
-    return code
+        check_folders(self.json, self.html, self.har)
 
 
 def list_scenarios() -> int:
@@ -58,7 +50,7 @@
             scenario = load_scenario(name)
             console.print(f"{name:22} {scenario.seconds:3.0f} s  {scenario.about}", markup=False)
     except ScenarioError as error:
-        return _fail(str(error), BAD_INPUT)
+        return fail(str(error), BAD_INPUT)
     return KEPT
 
 
@@ -68,7 +60,7 @@
         scenario = load_scenario(name)
         scenario, plan = _planned(scenario, scenario.seed)
     except ValueError as error:
-        return _fail(str(error), BAD_INPUT)
+        return fail(str(error), BAD_INPUT)
     print(f"{scenario.name}: good; {len(plan.arrivals)} requests of {len(plan.accounts)} accounts, "
           f"{len(plan.faults)} faults, plan {plan.digest()}")  # fmt: skip
     return KEPT
@@ -114,7 +106,7 @@
         seed = scenario.seed if seed is None else seed
         scenario, plan = _planned(scenario, seed)  # bad sizes are bad input, said before anything starts
     except ValueError as error:
-        return _fail(str(error), BAD_INPUT)
+        return fail(str(error), BAD_INPUT)
     return play_and_judge(scenario, plan, outputs, virtual)
 
 
@@ -143,7 +135,7 @@
     try:
         uvloop.run(main())
     except KitError as error:
-        return _fail(str(error), BROKEN_KIT)
+        return fail(str(error), BROKEN_KIT)
     except asyncio.CancelledError:
         return _interrupted(records)
     return _conclude(records, outputs)
@@ -161,7 +153,7 @@
     except KeyboardInterrupt:
         return INTERRUPTED
     except (KitError, OSError) as error:
-        return _fail(str(error), BROKEN_KIT)
+        return fail(str(error), BROKEN_KIT)
     print(f"trace {digest(records)}")
     return _conclude(records, outputs)
 
@@ -183,9 +175,9 @@
         with path.open(encoding="utf-8") as file:
             return _conclude(list(log.read_log(file, str(path))), outputs)
     except (OSError, UnicodeDecodeError) as error:
-        return _fail(f"{path}: not readable: {error}", BAD_INPUT)
+        return fail(f"{path}: not readable: {error}", BAD_INPUT)
     except ValueError as error:
-        return _fail(str(error), BAD_INPUT)
+        return fail(str(error), BAD_INPUT)
 
 
 def _conclude(records: list[log.Record], outputs: Outputs) -> int:
@@ -205,7 +197,7 @@
 
             outputs.html.write_text(render(line, verdict), encoding="utf-8")
     except OSError as error:
-        return _fail(f"cannot write {error.filename}: {error.strerror}", BROKEN_KIT)
+        return fail(f"cannot write {error.filename}: {error.strerror}", BROKEN_KIT)
     if verdict.void:
         return BROKEN_KIT
     return KEPT if verdict.met else MISSED
--- a/cypresspulley/rehearsal/limiters.py
+++ b/cypresspulley/rehearsal/limiters.py
@@ -62,6 +62,11 @@
     }  # fmt: skip
 
 
+def unseen(when: str) -> KitError:
+    """The error of a kill that only a loop in virtual time can see the moment of."""
+    return KitError(f"a limiter-kill with when = {when!r} can be played in virtual time only: add --virtual")
+
+
 Strike = Callable[[], object]
 
 
@@ -200,4 +205,4 @@
 
     def strike_after(self, when: str, count: int, strike: Strike) -> None:
         """Call ``strike`` behind so many of its turns or writes. A process's cannot be seen from outside."""
-        raise KitError(f"a kill at a {when} is seen in virtual time only: play it --virtual")
+        raise unseen(when)
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -23,7 +23,7 @@
 from typing import Any
 
 from cypresspulley.rehearsal import records as log
-from cypresspulley.rehearsal.limiters import KitError, LimiterProcess, wire_settings
+from cypresspulley.rehearsal.limiters import KitError, LimiterProcess, unseen, wire_settings
 from cypresspulley.rehearsal.plan import Plan, PlannedFault, draw, random_for, work_of
 from cypresspulley.rehearsal.scenario import VIRTUAL_ONLY, Scenario, limiter_names, server_names
 from cypresspulley.rehearsal.standins.bagserver import BagServer, RepeatMemory
@@ -42,6 +42,13 @@
 CELL = 4  # servers of a cell
 DESCRIPTORS = 8192  # that the kit asks for itself; 64 a server and limiter are plenty
 PLAYS = count()
+# What each fault sets, to its size and back to 0: the share of a server's requests that it strikes.
+SERVER_SHARES = {
+    "server-errors": "error_share",
+    "server-resets": "reset_share",
+    "server-spoilt": "spoilt_share",
+    "server-doubled": "doubled_share",
+}
 MakeLimiter = Callable[[str, str], LimiterProcess]  # of a name and the host where it listens
 Progress = Callable[[float, "Director"], None]
 
@@ -415,16 +422,8 @@
             "server-drain": lambda name: self._drain_server(name, lasts),
         }
         spells: dict[str, Callable[[str, bool], None]] = {
-            "server-errors": lambda n, on: setattr(self.servers[n], "error_share", spec.size if on else 0.0),
-            "server-resets": lambda n, on: setattr(self.servers[n], "reset_share", spec.size if on else 0.0),
             "server-hang": lambda n, on: self.servers[n].hang(on),
-            "server-slow": lambda n, on: setattr(
-                self.servers[n], "slow_by", spec.add_ms / 1000 if on else 0.0
-            ),
-            "server-spoilt": lambda n, on: setattr(self.servers[n], "spoilt_share", spec.size if on else 0.0),
-            "server-doubled": lambda n, on: setattr(
-                self.servers[n], "doubled_share", spec.size if on else 0.0
-            ),
+            "server-slow": lambda n, on: setattr(self.servers[n], "slow_by", spec.add_ms / 1000 * on),
             "limiter-pause": lambda n, on: self._pause(n, on),
             "keeper-spoilt": lambda _n, on: setattr(self.keeper, "spoilt_share", spec.size if on else 0.0),
             "hall-cut": lambda hall, on: self.net.cut(hall, on, self.stage.now()),
@@ -435,6 +434,11 @@
         if fault.kind in each:
             for target in fault.targets:
                 self._spawn(each[fault.kind](target))
+        elif fault.kind in SERVER_SHARES:
+            share = SERVER_SHARES[fault.kind]
+            for server in (self.servers[target] for target in fault.targets):
+                setattr(server, share, spec.size)
+                asyncio.get_running_loop().call_later(lasts, setattr, server, share, 0.0)
         elif fault.kind in spells:
             for target in fault.targets or ("",):
                 spells[fault.kind](target, True)
@@ -566,11 +570,9 @@
     ``records`` may be given so that a caller that is interrupted still has what was seen.
     Raises ``KitError`` where the kit cannot do its work; no process is left behind either way.
     """
-    for number, fault in enumerate(scenario.faults):
+    for fault in scenario.faults:
         if fault.when in VIRTUAL_ONLY:
-            raise KitError(
-                f"fault.{number}: a kill at a {fault.when} is seen in virtual time only: play it --virtual"
-            )
+            raise unseen(fault.when)
     plan, kept = plan or draw(scenario, seed), records if records is not None else []
     folder = logs or Path(tempfile.mkdtemp(prefix="fawnseam-"))
     try:
--- a/cypresspulley/rehearsal/virtual/network.py
+++ b/cypresspulley/rehearsal/virtual/network.py
@@ -300,6 +300,12 @@
 
     def close(self) -> None:
         self._network.listeners.pop(self.address, None)
+        self.reset_waiting()
+
+    def reset_waiting(self) -> None:
+        """Nobody will accept them any more: the machine resets them."""
+        while self.backlog:
+            self.backlog.popleft().bury()
 
     async def wait_closed(self) -> None: ...
 
@@ -336,7 +342,8 @@
 
     def bury(self, owner: Owner) -> None:
         """A process is gone: its listeners refuse, its connections are reset."""
-        self.listeners = {a: s for a, s in self.listeners.items() if s.owner is not owner}
+        for server in [server for server in self.listeners.values() if server.owner is owner]:
+            server.close()
         for end in [end for end in self.open if end.owner is owner]:
             end.bury()
 
--- a/tests/rehearsal/virtual/test_conformance.py
+++ b/tests/rehearsal/virtual/test_conformance.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from contextvars import copy_context
 from typing import Any, cast
@@ -309,6 +310,44 @@
     run_virtual(main)
 
 
+def test_what_a_process_never_accepted_is_reset_when_it_dies() -> None:
+    async def main(loop: VirtualLoop) -> None:
+        process = Owner("server")
+        process.descriptors = 1
+        context = copy_context()
+        context.run(OWNER.set, process)
+        server = await loop.create_task(loop.create_server(Seen, "127.0.0.1", 0), context=context)
+        dialed = [(await loop.create_connection(Seen, *server.sockets[0].getsockname()))[1] for _ in range(3)]
+        loop.kill(process)
+        for end in dialed:
+            await cast(Seen, end).until(lambda end=end: "lost" in " ".join(end.events))  # type: ignore[misc]
+
+    run_virtual(main)
+
+
+@pytest.mark.parametrize("unread", [False, True])
+@pytest.mark.parametrize("lingers", [False, True])
+def test_an_abort_delivers_what_was_written_unless_it_resets(lingers: bool, unread: bool) -> None:
+    async def main(loop: VirtualLoop) -> None:
+        (near, far), _ = await pair()
+        assert near.transport is not None and far.transport is not None
+        if unread:
+            near.transport.pause_reading()
+            far.transport.write(b"never read")
+            await asyncio.sleep(1)
+        if lingers:
+            near.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"")
+        near.transport.write(b"written")
+        near.transport.abort()
+        await asyncio.sleep(1)
+        if lingers or unread:
+            assert far.data == b"" and far.events[-1] == "lost ConnectionResetError"
+        else:
+            assert far.data == b"written" and far.events[-2:] == ["eof", "lost"]
+
+    run_virtual(main)
+
+
 def test_a_narrow_way_takes_its_time() -> None:
     async def main(loop: VirtualLoop) -> None:
         (near, far), _ = await pair()
