--- a/cypresspulley/capture/command.py
+++ b/cypresspulley/capture/command.py
@@ -141,7 +141,8 @@
 <p>{{ s.tries }} tries of {{ s.requests }} requests, {{ s.retries }} retries, {{ s.accounts }} accounts,
 {{ "%.1f" | format(s.last - s.first) }} s.</p>{{ chart | safe }}
 <div class="side">{% for title, table in tables %}<div><h2>{{ title }}</h2><table>
-{% for name, n in table.items() %}<tr><td>{{ name }}</td><td>{{ n }}</td></tr>{% endfor %}</table></div>
+{% for name, n in table.items() %}<tr><td>{{ name }}</td><td>{{ n }}</td></tr>
+{% else %}<tr><td>nothing</td></tr>{% endfor %}</table></div>
 {% endfor %}</div>
 {% if s.clocks | length > 1 %}<h2>Clocks, against {{ s.clocks[0].source }}</h2><table>
 <tr><th>source</th><th>add, s</th><th>error, ms</th><th>drift, ppm</th></tr>{% for c in s.clocks[1:] %}
--- a/cypresspulley/rehearsal/judge.py
+++ b/cypresspulley/rehearsal/judge.py
@@ -64,8 +64,9 @@
             ],
             "counts": {**self.service.counts, "lost": self.lost},
             "faults": [asdict(fault) for fault in self.faults],
-            "limiters": {u.limiter: {"cpu_seconds": round(u.cpu_seconds, 3),
-                         "memory_mb": round(u.memory_mb, 1), "restarts": u.restarts} for u in self.limiters},
+            "limiters": {u.limiter: {"cpu_seconds": round(u.cpu_seconds, 3) if u.measured else None,
+                                     "memory_mb": round(u.memory_mb, 1) if u.measured else None,
+                                     "restarts": u.restarts} for u in self.limiters},
             "kit": {"late_p99_ms": round(self.late_p99 * 1000, 1),
                     "late_max_ms": round(self.late_max * 1000, 1), "gaps": list(self.gaps)},
         }  # fmt: skip
--- a/cypresspulley/rehearsal/page.py
+++ b/cypresspulley/rehearsal/page.py
@@ -103,6 +103,7 @@
             [s + 0.5 for s in range(count)], values, 1.0, bottom=floor, color=color, label=outcome, zorder=2
         )
         floor = [a + b for a, b in zip(floor, values, strict=True)]
+    axis.set_ylim(0, 1.25 * max(1.0, *floor))  # room for the legend above the bars
     axis.set_ylabel("requests a second,\nby how they ended")
     axis.legend(ncols=len(COLORS), fontsize=8, loc="upper left")
 
--- a/cypresspulley/rehearsal/records.py
+++ b/cypresspulley/rehearsal/records.py
@@ -252,7 +252,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """What a limiter's processes used over the day; memory is the largest seen."""
+    """What a limiter's processes used over the day; memory is the largest seen. Without a process of its own, as in
+    virtual time, nothing was measured and both are 0."""
 
     t: float
     limiter: str
@@ -260,6 +261,14 @@
     memory_mb: float
     restarts: int
 
+    @property
+    def measured(self) -> bool:
+        return self.memory_mb > 0
+
+    def shown(self) -> tuple[str, str]:
+        """CPU seconds and MB for people."""
+        return (f"{self.cpu_seconds:.2f}", f"{self.memory_mb:.0f}") if self.measured else ("-", "-")
+
 
 @dataclass(frozen=True, slots=True)
 class End:
--- a/cypresspulley/rehearsal/report.py
+++ b/cypresspulley/rehearsal/report.py
@@ -61,5 +61,5 @@
 def _limiters(verdict: Verdict) -> Table:
     table = Table("limiter", "CPU s", "memory MB", "restarts", box=None, pad_edge=False)
     for u in verdict.limiters:
-        table.add_row(u.limiter, f"{u.cpu_seconds:.2f}", f"{u.memory_mb:.0f}", str(u.restarts))
+        table.add_row(u.limiter, *u.shown(), str(u.restarts))
     return table
--- a/tests/rehearsal/virtual/test_play.py
+++ b/tests/rehearsal/virtual/test_play.py
@@ -153,3 +153,11 @@
 
     run_virtual(main)
     assert ran == []
+
+
+def test_what_was_not_measured_is_not_shown_as_zero() -> None:
+    verdict = judge(play_virtual(small(seconds=1, fault=[]), 1))
+    used = verdict.as_json()["limiters"]["limiter-0"]
+    assert used == {"cpu_seconds": None, "memory_mb": None, "restarts": 0}
+    assert {usage.shown() for usage in verdict.limiters} == {("-", "-")}
+    assert log.Usage(1.0, "n", 0.0, 20.4, 0).shown() == ("0.00", "20")
