Serve a second deployment: messages between limiters, true units, one queue's bound

A probe that counted which bound of decide._pick refuses showed 'fleet' for deposit-take in all windows: each class filled the one queue to its own aim and left none for the class of the shortest. Work was taken to be the same for 1 and for 8 units. Change: gateways tell each other their use in datagrams (quota.Tells, net/peers.py), with their age, so that one that is back does not take stores for full; the meter stands in where messages are not allowed; X-Units-Charged settles the quota; work grows with units by a learned slope; the queue's bound is the shortest aim's plus twice the request's longer work. A keyed class needs its Idempotency-Key, others must have none.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -29,6 +29,7 @@
 
 if TYPE_CHECKING:
     from cypresspulley.accesslog import LogFile
+    from cypresspulley.net.peers import Peers
 
 log = logging.getLogger("cypresspulley")
 
@@ -40,6 +41,15 @@
 LOGS_A_SECOND = 20
 
 
+@dataclass(frozen=True, slots=True)
+class PeerAddresses:
+    """Where messages of other limiters come in, from whom, and where one goes to reach all of them."""
+
+    listen: tuple[str, int]
+    peers: tuple[str, ...]
+    everyone: str
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     listen: tuple[str, int]
@@ -48,6 +58,7 @@
     seed: int
     sockets: int
     known: Listing | None
+    peers: PeerAddresses | None
     settings: api.Settings
     timing: Timing
 
@@ -85,6 +96,7 @@
             seed=int(str(raw.get("seed") or "0"), 16),
             sockets=int(limits.get("sockets") or 1024),
             known=listing_from(raw["known"]) if raw.get("known") else None,
+            peers=_peers_from(raw),
             settings=settings_from(raw["settings"]),
             timing=timing_from(raw["settings"]),
         )
@@ -92,6 +104,17 @@
         raise ConfigError(str(error)) from None
 
 
+def _peers_from(raw: dict[str, Any]) -> PeerAddresses | None:
+    if not raw.get("peer_listen") or not raw.get("peers_all"):
+        return None
+    peers = raw.get("peers") or []
+    if not isinstance(peers, list) or not all(isinstance(peer, str) for peer in peers):
+        raise ConfigError("peers: expected a list of addresses")
+    for address in (*peers, raw["peers_all"]):
+        split_address(str(address))
+    return PeerAddresses(split_address(str(raw["peer_listen"])), tuple(peers), str(raw["peers_all"]))
+
+
 def load_config(path: str | None) -> Config:
     if not path:
         raise ConfigError("LB_CONFIG is not set")
@@ -161,6 +184,7 @@
     node, access_log = _node(config.settings, decisions, clock, upstream, counter, operators)
     if config.known is not None:
         node.listed(config.known)
+    peers = await _peers(config, node)
     frontend = Frontend(node, config.settings, clients)
     try:
         await frontend.listen(*config.listen)
@@ -189,10 +213,31 @@
     upstream.close()
     if counter is not None:
         counter.close()
+    if peers is not None:
+        peers.close()
     if access_log is not None:
         access_log.close()
 
 
+async def _peers(config: Config, node: Node) -> Peers | None:
+    """The way to the other limiters, where the settings allow messages and the configuration names one."""
+    if config.peers is None or not config.settings.may_tell:
+        return None
+    from cypresspulley.net.peers import Peers
+
+    peers = Peers(
+        list(config.peers.peers),
+        config.peers.everyone,
+        lambda sender, text: node.feed(api.Heard(sender, text)),
+    )
+    try:
+        await peers.listen(*config.peers.listen)
+    except OSError as error:
+        raise ConfigError(f"cannot listen for messages of limiters: {error}") from None
+    node.tell = peers.tell
+    return peers
+
+
 def _node(
     settings: api.Settings, gateway: Decisions, clock: Callable[[], float], upstream: Upstream,
     counter: CounterClient | None, operators: Operators,
--- a/cypresspulley/benchlink.py
+++ b/cypresspulley/benchlink.py
@@ -122,9 +122,14 @@
         )  # fmt: skip
     if message == "resolved":
         status = _word(STATUS, message, v[3])
-        return api.Outcome(v[0], v[1], v[2], status, v[4] or 0.0, bool(v[5]), _report(v[8]))
+        used = (v[6] - 1) / 100 if v[6] else None
+        return api.Outcome(
+            v[0], v[1], v[2], status, v[4] or 0.0, bool(v[5]), _report(v[8]), used, v[7] or None
+        )
     if message == "count_result":
         return api.Counted(v[1], _word(STATUS, message, v[3]), v[2] or 0.0)
+    if message == "peer":
+        return api.Heard(v[0], v[1] or "")
     if message == "timeout_fired":
         return api.TimerFired(v[0])
     if message == "left":
@@ -146,6 +151,7 @@
     api.Fail: lambda a: ["give_up", a.id],
     api.Cancel: lambda a: ["call_off", a.id, a.attempt],
     api.Count: lambda a: ["bump", a.name, a.lifetime, a.amount],
+    api.Tell: lambda a: ["write_peer", "all", a.text],
     api.Probe: lambda a: ["check", a.server],
     api.SetTimer: lambda a: ["sleep", a.delay, a.token],
     api.Log: lambda a: ["journal_line", a.text],
--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -9,7 +9,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Effect, Status
-from cypresspulley.quota import Account, Calls
+from cypresspulley.quota import KEY_DIGITS, Account, Calls, Tells
 
 REFERENCE, GAIN, RESET, INTERVAL, STALL = 0.8, 20.0, 2.8, 1.0, 2.5  # the design's loop; intervals of a stall
 AIM_SHARE, PLAIN_ROOM = 0.5, 0.5  # latency / aim that reads as the reference; load / reference of plain room
@@ -17,6 +17,8 @@
 DEPTH, RESERVE = 1.0, 0.6  # seconds of u that the gate holds; share kept from the least worthy work
 THIN, TRICKLE = 3.0, 0.1  # requests that a thin gate holds; share of the arrivals let in for readings
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
+LONGER = 2.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
+DEAF = 3.0  # seconds with no message of another gateway after which the even share alone counts
 COLD = 0.45  # of a load that fells a cold server
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.DROPPED, Status.NOT_SENT)
@@ -38,15 +40,41 @@
         self.open = left if (left := self.open - work) > 1e-9 else 0.0
 
 
+class _Sizes:
+    """How the work of a request grows with its units: a straight line through the mean, its slope learned.
+
+    The slope is that of a least-squares fit of the latency, as a share of its class's, on the units, as a share
+    of their mean. Queueing adds to all alike and does not bend it; where every request counts one it stays 0.
+    """
+
+    def __init__(self) -> None:
+        self.mean, self.slope, self._spread, self._common, self._latency = 1.0, 0.0, 0.0, 0.0, 1.0
+        self._seen = 0
+
+    def factor(self, units: float) -> float:
+        return max(0.2, 1 + self.slope * (units / self.mean - 1))
+
+    def learn(self, units: float, latency: float) -> None:
+        self._seen += 1
+        part = max(0.005, 1 / self._seen)
+        self.mean += part * (units - self.mean)
+        self._latency += part * (min(latency, 10.0) - self._latency)
+        off = units / self.mean - 1
+        self._spread += part * (off * off - self._spread)
+        self._common += part * (off * (min(latency, 10.0) / self._latency - 1) - self._common)
+        if self._seen > 20 and self._spread > 1e-3:
+            self.slope = min(1.0, max(0.0, self._common / self._spread))
+
+
 class _Request:
     __slots__ = (
-        "account", "born", "cls", "deadline", "due", "id", "out", "ran", "rank", "repeat", "tries", "units",
-        "work",
+        "account", "born", "cls", "deadline", "due", "id", "inside", "out", "ran", "rank", "repeat", "tries",
+        "units", "work",
     )  # fmt: skip
 
     def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account) -> None:
         self.id, self.cls, self.account, self.units = ev.id, cls, acct, ev.units
-        self.deadline, self.born, self.repeat = now + ev.ttl, now, ev.repeat
+        self.deadline, self.born, self.repeat, self.inside = now + ev.ttl, now, ev.repeat, False
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
         self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
         self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
@@ -63,20 +91,26 @@
         self._servers, self._requests = dict[str, _Server](), dict[int, _Request]()
         self._ring, self._mine, self._out = list[_Server](), list[_Server](), list[Action]()
         self._accounts, self._names = dict[tuple[str, str], Account](), dict[int, Account]()
+        many = settings.may_tell and settings.inbox > 0 and settings.gateways > 1 and not settings.has_counter
+        self._tells = Tells(now, settings.gateways, settings.inbox) if many else None
+        self._keys = dict[int, Account]()  # by the part of a name that messages carry
         self._base, self._why = dict[str, float](), dict[str, int]()  # idle latency of a class; causes to log
         self._sum: float | None = None  # the controller's sum; None: fresh, admits freely
         self._u = self._tokens = self._reading = self._tries = self._admitted = self._done_rate = 0.0
         self._arrivals, self._held, self._timer = 0.0, 0, 0  # first tries a second; age of the readings
+        self._sizes = _Sizes()
         self._mean, self._retries = 0.0, 10.0  # mean work of a request; further attempts that may be made
         self._filled = self._ticked = now
         self._calls = Calls(now, settings.gateways, self._rng.random())
         self._seen, self._ranks, self._load = deque[float](maxlen=300), list[float](), list[float]()
         self._handlers: dict[type, Callable[[float, Any], None]] = {
             api.Request: self._arrive, api.Outcome: self._outcome, api.Counted: self._counted,
-            api.ServerList: self._listed, api.Probed: self._probed, api.TimerFired: lambda _now, _ev: None,
-            api.Departed: lambda _now, ev: self._forget(ev.id),
+            api.ServerList: self._listed, api.Probed: self._probed, api.Heard: self._heard,
+            api.TimerFired: lambda _now, _ev: None, api.Departed: lambda _now, ev: self._forget(ev.id),
         }  # fmt: skip
-        self._patience = AIM_SHARE * min((c.aim for c in settings.classes), default=1.0)
+        shortest = min(settings.classes, key=lambda c: c.aim, default=None)
+        self._tightest = shortest.name if shortest else ""
+        self._patience = AIM_SHARE * (shortest.aim if shortest else 1.0)
 
     def _check(self, s: api.Settings) -> None:
         one, above = ("gateways", "max_attempts"), ("cold_share", "fall_window")
@@ -148,12 +182,14 @@
             busy = {s.place for r in self._requests.values() for s in r.out.values()}
             self._servers = {n: s for n, s in self._servers.items() if not s.gone or s.place in busy}
         self._choose(now)
+        self._tell(now)
         self._ranks = sorted(self._seen)
         for key, a in list(self._accounts.items()):
             # A ceiling is full before it is forgotten: a new account would start with more than was left.
             full = a.ceiling * a.share + a.plan.ceiling_rate * (now - a.at) >= a.plan.ceiling_burst
             if now - a.at > FORGET and not a.open and full:
                 del self._names[a.name], self._accounts[key]
+                self._keys.pop(a.name % 64**KEY_DIGITS, None)
             elif abs(a.pending) > 1e-9 and now - a.asked > 1.0 and a.level < 0.7 * a.plan.burst:
                 self._count(now, a)
 
@@ -172,10 +208,15 @@
             plan = self._plans.get(ev.plan, api.Plan(ev.plan))
             a = self._accounts[key] = Account(now, ev, plan, self._born, self._set.max_units)
             self._names[a.name] = a
+            if self._tells is not None:
+                self._keys[a.name % 64**KEY_DIGITS] = a
+                self._tells.met(now, a)
+                a.heard = now
         a.refill(now)
         self._tries += not ev.repeat
+        self._tell(now)
         r = self._requests[ev.id] = _Request(now, ev, cls, a)
-        r.work = self._base.setdefault(cls.name, cls.aim * 0.1)
+        r.work = self._base.setdefault(cls.name, cls.aim * 0.1) * self._sizes.factor(ev.units)
         self._mean += (r.work - self._mean) * (0.02 if self._mean else 1)
         value = cls.worth * a.plan.price * r.units / r.work
         self._seen.append(value)
@@ -199,6 +240,8 @@
         chance *= 0.3 if calm else 1.0
         if many or plan.rate <= 0:
             inside = not many
+        elif self._tells is not None and now - self._tells.heard_at < DEAF:
+            inside = a.level >= r.units
         elif not self._set.has_counter or now < self._calls.silent_until:
             inside = expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()  # even share
         elif a.level < r.units or (plain and not a.thin):
@@ -228,7 +271,15 @@
             a.floor = max(-r.units, a.floor - r.units)
             a.level = max(0.0, a.level - (0.0 if counted else r.units))
             a.pending += r.units * (counted is None)
-            if counted is None and a.pending >= 0.3 * min(a.level, plan.burst) / a.share and a.share > 1:
+            a.mine, r.inside = a.mine + r.units, True
+            if self._tells is not None:
+                self._tells.owed[a.name] = a
+            if (
+                counted is None
+                and self._set.has_counter
+                and a.pending >= 0.3 * min(a.level, plan.burst) / a.share
+                and a.share > 1
+            ):
                 self._count(now, a)
 
     def _count(self, now: float, a: Account, held: int | None = None, own: float = 0) -> None:
@@ -267,6 +318,41 @@
             self._count(now, a)
         a.level = max(a.level, 0.0)
 
+    def _tell(self, now: float) -> None:
+        if self._tells is not None and self._tells.due(now):
+            self._out.append(api.Tell(self._tells.write(now)))
+
+    def _heard(self, now: float, ev: api.Heard) -> None:
+        if self._tells is None or ev.sender == self._set.index:
+            return
+        known = self._tells.late
+        rows = self._tells.read(now, ev.text)
+        if self._tells.late and not known:
+            for account in self._accounts.values():
+                account.refill(now)
+                self._tells.doubt(now, account)
+        for key, units in rows:
+            if (a := self._keys.get(key)) is not None:
+                a.heard_of(now, units)
+            else:
+                self._tells.keep(now, key, units)
+
+    def _settle(self, now: float, r: _Request, ev: api.Outcome) -> None:
+        """What an answer tells of its customer: the request's true units, and the use of all gateways."""
+        a = r.account
+        if (
+            ev.units is not None
+            and ev.status is Status.OK
+            and r.inside
+            and 0 <= ev.units <= self._set.max_units
+        ):
+            a.level, a.floor = a.level - (ev.units - r.units), a.floor - (ev.units - r.units)
+            a.pending, a.mine = a.pending + ev.units - r.units, max(0.0, a.mine + ev.units - r.units)
+            if self._tells is not None:
+                self._tells.owed[a.name] = a
+        if ev.used is not None and a.plan.rate > 0 and self._tells is None and not self._set.has_counter:
+            a.metered(now, ev.used * a.plan.rate)
+
     def _probed(self, now: float, ev: api.Probed) -> None:
         if ev.status is Status.OK and (s := self._servers.get(ev.server)) and s.lost:
             s.out_until, s.quiet, s.lost, s.cold_at, s.budget_at = now, None, False, now, now
@@ -296,10 +382,19 @@
             if want <= 0:
                 break
 
+    def _stay(self, cls: api.RequestClass) -> float:
+        """The stay at a server that work of a class may bring about, in seconds.
+
+        One queue serves all classes. Where each filled it to its own aim, those of long aims left no room for
+        the class of the shortest. A longer request may fill it by what it is longer, being most of it itself.
+        """
+        longer = self._base.get(cls.name, 0.0) - self._base.get(self._tightest, 0.0)
+        return min(cls.aim * AIM_SHARE, self._patience + LONGER * max(0.0, longer))
+
     def _pick(self, now: float, r: _Request) -> _Server | None:
         # By Little's law: work out is the finished work a second times the stay that is wanted; four a server
         # over all gates at least. Quick answers give a thin gate three more, a load the chance of one.
-        up, stay, part = self._mine, r.cls.aim * AIM_SHARE, 1 - RESERVE * 0.5 * (1 - r.rank)
+        up, stay, part = self._mine, self._stay(r.cls), 1 - RESERVE * 0.5 * (1 - r.rank)
         total, least = stay * sum(s.rate for s in up), 4.0 * len(self._ring) / self._set.gateways
         slack = max(self._rng.random(), 3.0 - 2.5 * self._reading / REFERENCE) * (least < 3)
         fleet = max(total, self._mean * least) + self._mean * slack
@@ -359,6 +454,7 @@
             if ev.status not in (Status.TIMEOUT, Status.CANCELLED, Status.UNREACHABLE):
                 s.quiet = now if s.open > 1e-9 else None
             self._learn(now, r, s, ev)
+            self._settle(now, r, ev)
             if s.open <= 1e-9:
                 s.quiet = None  # with nothing out it owes no answer, and none could ever end its silence
         if ev.status not in NEVER_RAN and r.ran is None and ev.attempt < len(r.tries):
@@ -374,9 +470,11 @@
     def _learn(self, now: float, r: _Request, s: _Server, ev: api.Outcome) -> None:
         if ev.status is Status.OK:
             s.done += r.work
-            base = self._base[r.cls.name]
-            self._base[r.cls.name] = base + (ev.elapsed - base) * (0.01 if ev.elapsed > base else 0.02)
-            s.slow += (0.1 if s.slow else 1.0) * (ev.elapsed / base - s.slow)
+            base, size = self._base[r.cls.name], self._sizes.factor(r.units)
+            own = ev.elapsed / size
+            self._base[r.cls.name] = base + (own - base) * (0.01 if own > base else 0.02)
+            s.slow += (0.1 if s.slow else 1.0) * (own / base - s.slow)
+            self._sizes.learn(r.units, ev.elapsed / base)
             self._load.append(min(1.0, ev.elapsed / r.cls.aim * REFERENCE / AIM_SHARE))
         elif ev.status in (Status.FULL, Status.TIMEOUT):
             self._load.append(1.0)
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -95,6 +95,9 @@
     warm_after: float = 0.0
     fall_multiple: float = 1.0
     fall_window: float = 1.0
+    may_tell: bool = False  # gateways may send each other messages
+    inbox: float = 0.0  # messages a second that one gateway takes in
+    meter: float = 0.0  # seconds of the periods over which a customer's use is told; 0: it is not
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +141,8 @@
     elapsed: float
     finished: bool
     report: Mapping[str, float]
+    used: float | None = None  # the customer's use over all gateways, a share of its rate, in a period past
+    units: float | None = None  # the true units of the request, where a guess came with it
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +167,14 @@
     report: Mapping[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A message of another gateway; whoever can write to the address may have sent it."""
+
+    sender: int
+    text: str
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     token: int
@@ -202,6 +215,13 @@
     amount: float
 
 
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Send a message of at most 256 bytes to all other gateways; it may be lost."""
+
+    text: str
+
+
 @dataclass(frozen=True, slots=True)
 class Probe:
     server: str
@@ -218,5 +238,5 @@
     text: str
 
 
-Event = ServerList | Request | Outcome | Departed | Counted | Probed | TimerFired
-Action = Send | Refuse | Fail | Cancel | Count | Probe | SetTimer | Log
+Event = ServerList | Request | Outcome | Departed | Counted | Probed | Heard | TimerFired
+Action = Send | Refuse | Fail | Cancel | Count | Tell | Probe | SetTimer | Log
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -38,8 +38,8 @@
 }  # fmt: skip
 STATUS_LINES = {code: b"HTTP/1.1 %d %b\r\n" % (code, reason) for code, reason in REASONS.items()}
 REQUEST_ID, CLASS, PLAN = b"x-request-id", b"x-priority-class", b"x-plan"
-TIMEOUT, QUOTA, RETRIED = b"x-timeout-ms", b"x-quota", b"x-retried"
-READ = frozenset((REQUEST_ID, CLASS, PLAN, TIMEOUT, QUOTA, RETRIED))
+TIMEOUT, QUOTA, RETRIED, KEY = b"x-timeout-ms", b"x-quota", b"x-retried", b"idempotency-key"
+READ = frozenset((REQUEST_ID, CLASS, PLAN, TIMEOUT, QUOTA, RETRIED, KEY))
 ID = re.compile(rb"[0-9a-fA-F]{16}")
 ACCOUNT = re.compile(r"account=([0-9a-fA-F]{16})")
 ACCOUNTS = 2**33
@@ -113,6 +113,10 @@
         # The method follows from the class, and a GET with a body could hide another request in it.
         if (method == b"GET") is not (self._classes[name] is api.Effect.SAFE):
             raise BadRequestError(405, "method")
+        # Servers drop a repeat by its key: one sent again without would run twice. The class alone decides on
+        # further attempts, so a key on a class that has none is another client's mistake, and not passed on.
+        if bool(fields.get(KEY)) is not (self._classes[name] is api.Effect.KEYED):
+            raise BadRequestError(400, "idempotency-key is missing, or stands where none belongs")
         if not ID.fullmatch(fields[REQUEST_ID]):
             raise BadRequestError(400, "x-request-id is wrong")
         plan = fields[PLAN].decode("latin-1")
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -67,10 +67,12 @@
         self._loop = asyncio.get_running_loop()
         self._open = dict[int, _Open]()
         self._events = deque[api.Event]()
+        self.tell: Callable[[str], None] | None = None  # sends to the other limiters, where there is a way
         self._busy = False
         self._actions: dict[type, Callable[[Any], None]] = {
             api.Send: self._send, api.Refuse: self._refuse, api.Fail: self._fail, api.Cancel: self._cancel,
-            api.Count: self._count, api.Probe: self._probe, api.SetTimer: self._set_timer, api.Log: self._log,
+            api.Count: self._count, api.Tell: self._tell, api.Probe: self._probe,
+            api.SetTimer: self._set_timer, api.Log: self._log,
         }  # fmt: skip
 
     @property
@@ -171,9 +173,8 @@
         if attempt.status is api.Status.OK and (opened := self._close(id)) is not None:
             opened.request.respond(200, attempt.answer, attempt.answer_headers)
         finished = id not in self._open
-        self.feed(
-            api.Outcome(id, number, attempt.server, attempt.status, attempt.elapsed, finished, attempt.report)
-        )
+        told = attempt.report, attempt.used, attempt.units
+        self.feed(api.Outcome(id, number, attempt.server, attempt.status, attempt.elapsed, finished, *told))
 
     def _refuse(self, action: api.Refuse) -> None:
         if (opened := self._close(action.id)) is not None:
@@ -200,6 +201,10 @@
                 lambda status, total: self.feed(api.Counted(name, status, total)),
             )
 
+    def _tell(self, action: api.Tell) -> None:
+        if self.tell is not None:
+            self.tell(action.text)
+
     def _probe(self, action: api.Probe) -> None:
         path = b"/load" if self._settings.load_on_probe else b"/healthz"
         head = b"GET %b HTTP/1.1\r\nHost: %b\r\n" % (path, action.server.encode())
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -39,6 +39,8 @@
 MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # all bytes of an answer: interim ones, chunk sizes and trailers too
 LENGTH = re.compile(rb"[0-9]{1,9}")
 LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
+USED, CHARGED = b"x-quota-used", b"x-units-charged"
+FIGURE = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 Clock = Callable[[], float]
 
 
@@ -58,6 +60,14 @@
     return report
 
 
+def _figure(text: bytes) -> float | None:
+    """A number of a header; None where it cannot be read: the answer is good all the same."""
+    if FIGURE.fullmatch(text):
+        return float(text)
+    log.warning("passed over a figure on use that cannot be read: %.40r", text)
+    return None
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """One request on its way to one server, and what came of it."""
@@ -75,6 +85,8 @@
     answer_headers: bytes = b""
     answer: bytes = b""
     report: dict[str, float] = field(default_factory=dict)
+    used: float | None = None  # the customer's use, a share of its rate
+    units: float | None = None  # the request's true units
     connection: _Connection | None = None
     timer: asyncio.TimerHandle | None = None
 
@@ -108,6 +120,7 @@
         self._headers, self._body = list[bytes](), list[bytes]()
         self._head_size = self._size = self._received = 0
         self._load: bytes | None = None
+        self._used = self._charged = b""
         self._length: int | None = None
         self._chunked = False
         self._not_processed = self._surplus = False
@@ -218,6 +231,10 @@
             self._chunked = True
         elif key == LOAD:
             self._load = value
+        elif key == USED:
+            self._used = value
+        elif key == CHARGED:
+            self._charged = value
         elif key == NOT_PROCESSED:
             self._not_processed = value == b"1"
         elif key not in NOT_FORWARDED:
@@ -257,6 +274,10 @@
         exchange.answer_headers, exchange.answer = b"".join(self._headers), b"".join(self._body)
         if self._load is not None:
             exchange.report = load_report(self._load.decode("latin-1"))
+        if self._used and (used := _figure(self._used)) is not None:
+            exchange.used = used / 100
+        if self._charged and code == 200:
+            exchange.units = _figure(self._charged)
         # Bytes behind the answer, or of a request not yet out whole, must not meet the next request.
         self._upstream.release(self, self._keep_alive and not self._surplus and not self._unwritten)
         self._upstream.end(exchange, self._outcome(code))
--- a/cypresspulley/settings.py
+++ b/cypresspulley/settings.py
@@ -107,6 +107,9 @@
         warm_after=_number(contract, "warm_after_s"),
         fall_multiple=_number(contract, "fall_multiple", 1.0),
         fall_window=_number(contract, "fall_s", 1.0),
+        may_tell=bool(limits.get("peers")),
+        inbox=_number(specifics, "inbox_per_s"),
+        meter=_number(specifics, "meter_s"),
     )
 
 
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,284 @@
+"""Quotas shared by messages: what gateways tell each other, what is lost, and datagrams nobody should send."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import replace
+from random import Random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from cypresspulley import interface as api
+from cypresspulley.__main__ import ConfigError, config_from
+from cypresspulley.net.peers import MAX_MESSAGE, Peers
+from cypresspulley.quota import DIGITS, HEARD_AT_MOST, STEP, Account, Tells
+from tests import world as w
+from tests.loopback import Limiter, Origin, Script, ask, listening, run, send_on
+from tests.test_program import config
+
+PLAN = api.Plan("small", rate=2.0, burst=8.0, over_cost=0.5)
+
+
+def told(**changes: object) -> api.Settings:
+    settings = w.settings(plans=(PLAN,), has_counter=False, may_tell=True, inbox=40.0)
+    return replace(settings, **changes)  # type: ignore[arg-type]
+
+
+class Telling(w.World):
+    """A world that keeps the messages of its gateway."""
+
+    def __init__(self, config: api.Settings, seed: int = 1, now: float = 100.0) -> None:
+        self.texts = list[str]()
+        super().__init__(config, seed, now)
+
+    def take(self) -> list[str]:
+        texts, self.texts = self.texts, []
+        return texts
+
+    def _check(self, action: api.Action) -> None:
+        if isinstance(action, api.Tell):
+            self.texts.append(action.text)
+        super()._check(action)
+
+
+class Fleet:
+    """Gateways whose messages reach each other late by ``delay`` seconds, or are lost."""
+
+    def __init__(self, loss: float = 0.0, seed: int = 1, config: api.Settings | None = None) -> None:
+        base = config or told()
+        self.rng, self.loss = Random(seed), loss
+        self.worlds = [Telling(replace(base, index=i), seed + i) for i in range(base.gateways)]
+        for world in self.worlds:
+            world.feed(w.servers("s0", "s1", "s2", "s3"))
+
+    def ask(self, at: int, now: float, id: int, units: float = 1.0, settle: float | None = None) -> bool:
+        """One request through gateway ``at``, answered at once; whether it was sent on."""
+        world = self.worlds[at]
+        world.advance(now)
+        before = len(world.sends)
+        world.feed(w.request(id, "read", "small", "hotel", 3.0, units))
+        for index, each in enumerate(self.worlds):
+            each.advance(now)
+            for text in each.take():
+                self._tell(index, now, text)
+        for (asked, attempt), (server, _) in list(world.out.items()):
+            event = w.outcome(asked, attempt, server, api.Status.OK)
+            world.feed(replace(event, units=settle))
+        return len(world.sends) > before
+
+    def _tell(self, at: int, now: float, text: str) -> None:
+        assert len(text.encode()) <= MAX_MESSAGE
+        for index, world in enumerate(self.worlds):
+            if index != at and self.rng.random() >= self.loss:
+                world.advance(now)
+                world.feed(api.Heard(at, text))
+
+
+def play(fleet: Fleet, seconds: float, shares: tuple[float, ...], every: float = 0.05) -> float:
+    """Units sent on while every request of an account that asks far beyond its quota comes in unevenly."""
+    sent, now, id = 0.0, 100.0, 0
+    while now < 100.0 + seconds:
+        at = fleet.rng.choices(range(len(shares)), shares)[0]
+        sent += fleet.ask(at, now, id := id + 1)
+        now += every
+    return sent
+
+
+@pytest.mark.parametrize("shares", [(1, 1, 1), (8, 1, 1), (1, 0, 0)])
+@pytest.mark.parametrize("loss", [0.0, 0.05])
+def test_what_all_send_on_stays_near_the_quota_however_uneven(shares: tuple[float, ...], loss: float) -> None:
+    quota = PLAN.burst + PLAN.rate * 30
+    assert 0.8 * quota < play(Fleet(loss), 30, shares) < 1.25 * quota
+
+
+def test_with_no_messages_the_even_share_is_what_is_left() -> None:
+    sent = play(Fleet(loss=1.0), 30, (1, 0, 0))
+    assert sent < 0.6 * (PLAN.burst + PLAN.rate * 30)
+
+
+def test_the_true_units_settle_the_quota_at_every_gateway() -> None:
+    dear, cheap = Fleet(), Fleet()
+    for fleet, units in ((dear, 4.0), (cheap, 0.25)):
+        for id in range(8):
+            fleet.ask(0, 100.0 + 0.01 * id, id, 1.0, units)
+        fleet.ask(0, 100.3, 8, 1.0, units)  # tells the others
+    assert [len(fleet.worlds[0].sends) for fleet in (dear, cheap)] == [2, 9]
+    assert not dear.ask(1, 100.31, 99) and cheap.ask(1, 100.31, 99)
+
+
+@pytest.mark.parametrize("units", [-1.0, 1e9, float("nan")])
+def test_absurd_units_settle_nothing(units: float) -> None:
+    fleet = Fleet()
+    assert fleet.ask(0, 100.0, 1, 1.0, units)
+    account = next(iter(fleet.worlds[0].gateway._accounts.values()))
+    assert account.level == pytest.approx(PLAN.burst - 1)
+
+
+def test_a_customer_met_later_starts_with_what_others_told_of_it() -> None:
+    fleet = Fleet()
+    for id in range(8):
+        assert fleet.ask(0, 100.0 + 0.01 * id, id)
+    fleet.ask(0, 100.4, 8)  # tells the rest
+    assert not any(fleet.ask(1, 100.5, 20 + n) for n in range(2, 5))
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=200)
+@hypothesis.given(st.one_of(st.text(max_size=300), st.text(DIGITS, max_size=256)))
+def test_any_text_may_come_as_a_message(text: str) -> None:
+    fleet = Fleet()
+    fleet.ask(0, 100.0, 1)
+    fleet.worlds[0].feed(api.Heard(1, text))
+    account = next(iter(fleet.worlds[0].gateway._accounts.values()))
+    assert -2 * PLAN.burst <= account.level <= PLAN.burst
+
+
+def test_a_gateway_that_is_back_does_not_take_the_stores_for_full() -> None:
+    """Its account's store was emptied before it was killed; the others, which are older, say that it is back."""
+    fleet = Fleet()
+    for id in range(100):
+        fleet.ask(0, 100.0 + 0.05 * id, id)
+    now = 105.0
+    fleet.worlds[0] = Telling(replace(told(), index=0), 9, now)
+    fleet.worlds[0].feed(w.servers("s0", "s1", "s2", "s3"))
+    for world in fleet.worlds[1:]:
+        world.advance(now + 1.1)
+        for text in world.take():
+            fleet.worlds[0].advance(now + 1.1)
+            fleet.worlds[0].feed(api.Heard(1, text))
+    sent = sum(fleet.ask(0, now + 1.2 + 0.01 * n, 200 + n) for n in range(8))
+    assert sent <= PLAN.burst / 3 + PLAN.rate * 1.3
+
+
+def test_messages_of_customers_nobody_meets_do_not_pile_up() -> None:
+    tells = Tells(0.0, 3, 40.0)
+    for key in range(HEARD_AT_MOST + 500):
+        tells.keep(0.0, key, 1.0)
+    assert len(tells.strange) == HEARD_AT_MOST
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(st.lists(st.floats(-100, 100), min_size=1, max_size=50))
+def test_what_is_written_is_read_and_the_rest_is_kept(amounts: list[float]) -> None:
+    accounts = [
+        Account(0.0, api.Request(n, "read", "small", 1.0, f"{n}", 1.0, 3), PLAN, 0.0, 4.0)
+        for n in range(len(amounts))
+    ]
+    for account, amount in zip(accounts, amounts, strict=True):
+        account.pending = amount
+    tells, heard = Tells(0.0, 3, 40.0), dict[int, float]()
+    for now in (1.0, 2.0):
+        tells.owed = {a.name: a for a in accounts}
+        for key, units in tells.read(now, tells.write(now)):
+            heard[key] = heard.get(key, 0.0) + units
+    for account, amount in zip(accounts, amounts, strict=True):
+        assert heard.get(account.name % 64**6, 0.0) + account.pending == pytest.approx(amount)
+        assert abs(account.pending) <= STEP
+
+
+def test_messages_are_no_more_than_an_inbox_takes() -> None:
+    few, many = Tells(0.0, 3, 40.0), Tells(0.0, 300, 40.0)
+    assert few.every == 0.25 and 299 / many.every < 40.0
+
+
+def test_the_meter_alone_tells_of_the_others() -> None:
+    """Where gateways cannot send messages, answers that tell the use of all stand in for them."""
+    world = w.World(told(may_tell=False, meter=1.0))
+    world.feed(w.servers("s0", "s1"))
+    sent = 0
+    for id in range(100):
+        world.advance(100.0 + 0.1 * id)
+        before = len(world.sends)
+        world.feed(w.request(id, "read", "small", "hotel"))
+        sent += len(world.sends) - before
+        for (asked, attempt), (server, _) in list(world.out.items()):
+            world.feed(replace(w.outcome(asked, attempt, server, api.Status.OK), used=0.95))
+    assert sent <= PLAN.burst + PLAN.rate * 10
+
+
+# On sockets.
+
+
+def test_datagrams_come_from_known_addresses_only_and_whole() -> None:
+    async def main() -> None:
+        heard, came = list[tuple[int, str]](), asyncio.Event()
+
+        def hear(sender: int, text: str) -> None:
+            heard.append((sender, text))
+            came.set()
+
+        with (
+            socket.socket(type=socket.SOCK_DGRAM) as known,
+            socket.socket(type=socket.SOCK_DGRAM) as stranger,
+        ):
+            for peer in (known, stranger):
+                peer.bind(("127.0.0.1", 0))
+            with socket.socket(type=socket.SOCK_DGRAM) as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            here, there = f"127.0.0.1:{port}", "{}:{}".format(*known.getsockname())
+            peers = Peers([here, there], there, hear)
+            await peers.listen("127.0.0.1", port)
+            stranger.sendto(b"AAAAAAgg", ("127.0.0.1", port))
+            for data in (b"x" * 257, b"", b"\xff" * 8, b"good"):
+                known.sendto(data, ("127.0.0.1", port))
+            await came.wait()
+            assert heard == [(1, "good")]
+            known.setblocking(False)
+            peers.tell("y" * 300)  # said in the log, not sent
+            peers.tell("hello")
+            assert await asyncio.get_running_loop().sock_recv(known, 500) == b"hello"
+            peers.close()
+            peers.tell("nobody")
+
+    run(main())
+
+
+def test_a_limiter_sends_what_the_decisions_tell() -> None:
+    async def main() -> None:
+        sent = list[str]()
+        script = Script(lambda event: [api.Tell("AAAAAAgg")] if isinstance(event, api.Request) else [])
+        async with Limiter(script, {}) as limiter:
+            await limiter.fetch(ask(ttl=50))  # with no way to the others it is dropped
+            limiter.node.tell = sent.append
+            await limiter.fetch(ask(ttl=50))
+        assert sent == ["AAAAAAgg"]
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "headers, used, units",
+    [
+        (b"X-Quota-Used: 130\r\nX-Units-Charged: 3\r\n", 1.3, 3.0),
+        (b"X-Quota-Used: what\r\nX-Units-Charged: -1\r\n", None, None),
+        (b"X-Units-Charged: 99999999999999\r\nX-Quota-Used: 0\r\n", 0.0, None),
+        (b"", None, None),
+    ],
+)
+def test_answers_tell_use_and_true_units_and_odd_ones_are_passed_over(
+    headers: bytes, used: float | None, units: float | None
+) -> None:
+    async def main() -> None:
+        origin = Origin(lambda _n: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n%b\r\nhi" % headers)
+        script = Script(send_on)
+        async with listening(origin.talk) as dial, Limiter(script, {"s1": dial}) as limiter:
+            assert (await limiter.fetch(ask()))[2] == b"hi"
+            (outcome,) = await script.until(api.Outcome)
+            assert (outcome.used, outcome.units) == (used, units)
+
+    run(main())
+
+
+def test_a_configuration_without_peers_has_none_and_a_wrong_one_says_so() -> None:
+    raw = config("127.0.0.1:1")
+    assert config_from(raw).peers is None
+    peers = {"peer_listen": "127.0.0.1:7946", "peers_all": "127.0.0.1:7947", "peers": ["127.0.0.1:7948"]}
+    found = config_from(raw | peers).peers
+    assert found is not None and found.listen == ("127.0.0.1", 7946)
+    with pytest.raises(ConfigError, match="not an address"):
+        config_from(raw | peers | {"peers": ["nowhere"]})
+    with pytest.raises(ConfigError, match="list of addresses"):
+        config_from(raw | peers | {"peers": "127.0.0.1:1"})
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway
+from cypresspulley.decide import Gateway, _Sizes
 from tests import world as w
 
 
@@ -347,3 +349,39 @@
     world.serve()
     run(world, 30, 20, 1)
     assert all(s.quiet is None for s in world.gateway._servers.values())
+
+
+def test_long_aims_leave_room_for_the_class_of_the_shortest() -> None:
+    """One queue serves all: filled to what the longer aim bears, nothing of the shorter one was ever sent."""
+    hasty = api.RequestClass("hasty", 0.5, 4.0, api.Effect.UNSAFE)
+    patient = api.RequestClass("patient", 2.0, 1.0, api.Effect.SAFE)
+    world = w.World(w.settings(classes=(hasty, patient), plans=(api.Plan("free"),), gateways=1))
+    world.feed(w.servers("s0", "s1", "s2", "s3"))
+    gateway = world.gateway
+    gateway._base, gateway._mean, gateway._reading = {"hasty": 0.1, "patient": 0.1}, 0.1, 0.4
+    for server in gateway._mine:  # 0.25 s of what they do is 2.5; 2.6 is out
+        server.rate, server.open = 2.5, 0.65
+    world.feed(w.request(1, "patient"))
+    assert world.answered[1] == "refused"
+    for server in gateway._mine:
+        server.open = 0.5
+    world.feed(w.request(2, "hasty"))
+    assert (2, 0) in world.out
+
+
+def test_work_grows_with_units_where_latency_does_and_not_elsewhere() -> None:
+    rng, growing, flat = Random(3), _Sizes(), _Sizes()
+    for _ in range(500):
+        units = rng.choice((1.0, 2.0, 4.0, 8.0))
+        noise = rng.uniform(0.7, 1.3)
+        growing.learn(units, noise * units / 3.75)
+        flat.learn(units, noise)
+    assert growing.slope > 0.8 and growing.factor(8.0) > 4 * growing.factor(1.0)
+    assert flat.slope < 0.15
+
+
+def test_where_each_request_counts_one_its_units_change_nothing() -> None:
+    sizes, rng = _Sizes(), Random(4)
+    for _ in range(500):
+        sizes.learn(1.0, rng.expovariate(1.0))
+    assert sizes.factor(1.0) == 1.0 and sizes.slope == 0.0
