--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -20,7 +20,7 @@
 from cypresspulley.decide import Gateway
 from cypresspulley.net.counter import CounterClient
 from cypresspulley.net.discovery import Follower, Listing, listing_from
-from cypresspulley.net.frontend import Frontend
+from cypresspulley.net.frontend import Frontend, OtherFront
 from cypresspulley.net.http import split_address
 from cypresspulley.net.node import Decisions, Node, unix_clock
 from cypresspulley.net.upstream import Upstream
@@ -185,7 +185,7 @@
     if config.known is not None:
         node.listed(config.known)
     peers = await _peers(config, node)
-    frontend = Frontend(node, config.settings, clients)
+    frontend = Frontend(node, config.settings, clients, _other_front(config.settings, operators, clock))
     try:
         await frontend.listen(*config.listen)
     except OSError as error:
@@ -219,6 +219,27 @@
         access_log.close()
 
 
+def _other_front(
+    settings: api.Settings, operators: Operators, clock: Callable[[], float]
+) -> OtherFront | None:
+    """GraphQL's way in, where the operators want it; what is off is not even imported."""
+    if operators.graphql is None:
+        return None
+    try:
+        from cypresspulley.graphql.front import GraphQLFront
+        from cypresspulley.graphql.options import load_documents, options_from
+    except ImportError as error:
+        raise ConfigError(
+            f"graphql needs its extra: pip install 'cypresspulley[graphql]' ({error})"
+        ) from None
+    path, table = operators.graphql
+    try:
+        options = options_from(table, path)
+        return GraphQLFront(settings, options, load_documents(options), clock)
+    except ValueError as error:
+        raise ConfigError(str(error)) from None
+
+
 async def _peers(config: Config, node: Node) -> Peers | None:
     """The way to the other limiters, where the settings allow messages and the configuration names one."""
     if config.peers is None or not config.settings.may_tell:
--- a/cypresspulley/cli.py
+++ b/cypresspulley/cli.py
@@ -277,5 +277,47 @@
     )  # fmt: skip
 
 
+@main.command(name="graphql-cost")
+@click.argument("schema")
+@click.argument("query", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option("--operation", metavar="NAME", help="Which operation of the document.")
+@click.option(
+    "--variables", type=click.Path(path_type=Path, exists=True, dir_okay=False), help="A JSON object."
+)
+@click.option("--json", "as_json", is_flag=True, help="JSON in place of a table.")
+def graphql_cost(
+    schema: str, query: Path, operation: str | None, variables: Path | None, as_json: bool
+) -> None:
+    """Print where the price of QUERY comes from, field by field. SCHEMA: SDL, or an operators' file (.toml).
+
+    \b
+    Example:
+      fawnseam graphql-cost deploy/graphql.toml examples/graphql/floor.query.graphql --variables values.json
+    Exit codes: 0 priced; 1 such a query is refused; 2 bad input.
+    """
+    from cypresspulley.graphql import command
+
+    sys.exit(command.cost(schema, query, operation, variables, as_json))
+
+
+@main.command(name="graphql-learn")
+@click.argument("schema")
+@click.argument("capture", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option(
+    "--out", type=click.Path(path_type=Path), help="Write what `learned` in an operators' file names."
+)
+def graphql_learn(schema: str, capture: Path, out: Path | None) -> None:
+    """Fit expected prices to CAPTURE (JSON lines of query, variables, actual; or HAR) and say how sure each is.
+
+    \b
+    Example:
+      fawnseam graphql-learn deploy/graphql.toml examples/graphql/costs.jsonl --out shares.json
+    Exit codes: 0 fitted; 2 bad input, or too little of it.
+    """
+    from cypresspulley.graphql import command
+
+    sys.exit(command.learn_from(schema, capture, out))
+
+
 if __name__ == "__main__":
     main()
--- a/cypresspulley/decide.py
+++ b/cypresspulley/decide.py
@@ -68,12 +68,13 @@
 
 class _Request:
     __slots__ = (
-        "account", "born", "cls", "deadline", "due", "id", "inside", "out", "ran", "rank", "repeat", "tries",
-        "units", "work",
+        "account", "born", "bound", "cls", "deadline", "due", "id", "inside", "most", "out", "ran", "rank",
+        "repeat", "tries", "units", "work",
     )  # fmt: skip
 
     def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, acct: Account) -> None:
         self.id, self.cls, self.account, self.units = ev.id, cls, acct, ev.units
+        self.bound, self.most = ev.bound, max(ev.units, ev.bound)  # a ceiling is held against the most
         self.deadline, self.born, self.repeat, self.inside = now + ev.ttl, now, ev.repeat, False
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
         self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
@@ -221,13 +222,22 @@
         value = cls.worth * a.plan.price * r.units / r.work
         self._seen.append(value)
         r.rank = bisect_left(self._ranks, value) / len(self._ranks) if self._ranks else 1.0
-        if a.plan.ceiling_rate > 0 and a.ceiling < r.units:
+        if r.bound and self._too_dear(r):
+            self._end(now, r, "too dear")
+        elif a.plan.ceiling_rate > 0 and a.ceiling < r.most:
             self._end(now, r, "ceiling")
         elif self._gate(now, r, RESERVE * (1 - r.rank)):
             self._quota(now, r)
         else:
             self._end(now, r, "gate")
 
+    @staticmethod
+    def _too_dear(r: _Request) -> bool:
+        """Whether no store of the plan could ever hold it here: waiting for one would be in vain."""
+        plan, share = r.account.plan, r.account.share
+        capped = plan.ceiling_rate > 0 and r.most > plan.ceiling_burst / share + 1e-9
+        return capped or (plan.rate > 0 and r.units > plan.burst + 1e-9)
+
     def _quota(self, now: float, r: _Request) -> None:
         a, plan = r.account, r.account.plan
         expected = min(plan.burst, a.level - a.others * (now - a.synced))
@@ -260,13 +270,13 @@
         if not (inside or (plan.over_worth > plan.over_cost and 0 < self._reading < 0.6 * REFERENCE)):
             return self._end(now, r, "quota")
         # Requests held for the counter must not draw on the ceiling together.
-        if (plan.ceiling_rate > 0 and a.ceiling < r.units) or not self._send(now, r):
+        if (plan.ceiling_rate > 0 and a.ceiling < r.most) or not self._send(now, r):
             if counted:
                 self._count(now, a, own=-counted)
             return self._end(now, r, "no server")
         self._tokens -= r.work / self._mean if self._sum is not None else float("-inf")  # full when fresh
         self._admitted, self._retries = self._admitted + 1, min(10.0, self._retries + 0.1)
-        a.ceiling -= r.units if plan.ceiling_rate > 0 else 0.0
+        a.ceiling -= r.most if plan.ceiling_rate > 0 else 0.0
         if inside:
             a.floor = max(-r.units, a.floor - r.units)
             a.level = max(0.0, a.level - (0.0 if counted else r.units))
@@ -340,14 +350,13 @@
     def _settle(self, now: float, r: _Request, ev: api.Outcome) -> None:
         """What an answer tells of its customer: the request's true units, and the use of all gateways."""
         a = r.account
-        if (
-            ev.units is not None
-            and ev.status is Status.OK
-            and r.inside
-            and 0 <= ev.units <= self._set.max_units
-        ):
-            a.level, a.floor = a.level - (ev.units - r.units), a.floor - (ev.units - r.units)
-            a.pending, a.mine = a.pending + ev.units - r.units, max(0.0, a.mine + ev.units - r.units)
+        # A figure that cannot be true settles nothing: what was taken stays taken, the ceiling's bound as well.
+        true = ev.units if ev.status is Status.OK and ev.units is not None else -1.0
+        known = 0 <= true <= max(self._set.max_units, r.most)
+        if known and r.bound and a.plan.ceiling_rate > 0:
+            a.ceiling = min(a.plan.ceiling_burst / a.share, a.ceiling + r.most - true)
+        if known and r.inside:
+            a.settled(true - r.units)
             if self._tells is not None:
                 self._tells.owed[a.name] = a
         if ev.used is not None and a.plan.rate > 0 and self._tells is None and not self._set.has_counter:
@@ -523,7 +532,8 @@
         a, effect = r.account, r.cls.effect
         if r.ran is None or effect is Effect.SAFE or (effect, r.cls.scope) == (Effect.KEYED, api.Scope.ALL):
             short = max(0.1, (r.units - a.level) / a.plan.rate if a.plan.rate else 0.0)
-            self._out.append(api.Refuse(r.id, min(self._set.max_retry_after, short), why))
+            left = max(0.0, a.level) if a.plan.rate > 0 else -1.0
+            self._out.append(api.Refuse(r.id, min(self._set.max_retry_after, short), why, left))
         else:
             self._out.append(api.Fail(r.id, why))
         self._forget(r.id)
--- /dev/null
+++ b/cypresspulley/graphql/command.py
@@ -0,0 +1,175 @@
+"""What ``fawnseam graphql-cost`` and ``graphql-learn`` do; their exit codes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Generator, Iterator
+from pathlib import Path
+from typing import Any, TypeVar
+
+from rich.console import Console
+from rich.table import Table
+
+from cypresspulley.console import check_folders, fail
+from cypresspulley.graphql.document import Ask, Documents, Priced, priced_request
+from cypresspulley.graphql.errors import GraphQLRefusedError
+from cypresspulley.graphql.learn import Fit, LearnError, learn
+from cypresspulley.graphql.options import OptionsError, load_documents, load_options
+from cypresspulley.graphql.price import Price
+from cypresspulley.graphql.scan import Bounds
+from cypresspulley.graphql.schema import SchemaError, read_schema
+
+DONE, REFUSED, BAD_INPUT = 0, 1, 2
+Result = TypeVar("Result")
+
+
+def finished(steps: Generator[None, None, Result]) -> Result:
+    """Run a reading to its end, with nothing in between."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            result: Result = done.value
+            return result
+
+
+def _documents(schema: str, bounds: Bounds | None = None) -> Documents:
+    """SCHEMA is an operators' file (.toml) or SDL."""
+    if schema.endswith(".toml"):
+        return load_documents(load_options(schema))
+    try:
+        text = Path(schema).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise OptionsError(f"{schema}: cannot be read: {error}") from None
+    return Documents(read_schema(text, schema), bounds or Bounds())
+
+
+def cost(schema: str, query: Path, operation: str | None, variables: Path | None, as_json: bool) -> int:
+    """Print where the price of a query comes from; the exit code."""
+    try:
+        documents = _documents(schema)
+        values = json.loads(variables.read_text(encoding="utf-8")) if variables is not None else {}
+        if not isinstance(values, dict):
+            raise OptionsError(f"{variables}: expected an object of variables")
+        ask = Ask(query.read_text(encoding="utf-8"), operation=operation, variables=values)
+        priced = finished(priced_request(documents, [ask], explain=True))
+    except GraphQLRefusedError as error:
+        return fail(f"{query}: {error}", REFUSED)
+    except (OptionsError, SchemaError, ValueError, OSError) as error:
+        return fail(error, BAD_INPUT)
+    if as_json:
+        print(json.dumps(_as_json(priced), indent=1))
+    else:
+        Console().print(_table(priced))
+    return DONE
+
+
+def _as_json(priced: Priced) -> dict[str, Any]:
+    price = priced.price
+    keys = ("path", "place", "times", "each", "bound", "expected")
+    rows = [{key: getattr(row, key) for key in keys} for row in price.rows]
+    return {"bound": price.bound, "expected": price.expected, "effect": priced.effect.value, "fields": rows}
+
+
+def _table(priced: Priced) -> Table:
+    price = priced.price
+    table = Table(
+        "field", "times", "points each", "at most", "expected", caption="fields without points are left out"
+    )
+    for column in table.columns[1:]:
+        column.justify = "right"
+    for row in price.rows:
+        if row.bound > 0:
+            table.add_row(
+                row.path, f"{row.times:g}", f"{row.each:g}", f"{row.bound:g}", f"{row.expected:.4g}"
+            )
+    table.add_section()
+    table.add_row(priced.effect.value, "", "", f"{price.bound:g}", f"{price.expected:.4g}", style="bold")
+    return table
+
+
+# Learning.
+
+
+def learn_from(schema: str, capture: Path, out: Path | None) -> int:
+    """Fit shares from a capture; the exit code."""
+    try:
+        check_folders(out)
+        documents = _documents(schema)
+        samples, skipped = _samples(documents, capture)
+        fit = learn(samples)
+    except (OptionsError, SchemaError, LearnError, ValueError, OSError) as error:
+        return fail(error, BAD_INPUT)
+    _tell(fit, skipped)
+    if out is not None:
+        out.write_text(json.dumps(fit.shares(), indent=1) + "\n", encoding="utf-8")
+    return DONE
+
+
+def _samples(documents: Documents, capture: Path) -> tuple[list[tuple[Price, float]], dict[str, int]]:
+    samples, skipped = list[tuple[Price, float]](), dict[str, int]()
+    for ask, true in _rows(capture):
+        if true is None:
+            skipped["no true cost"] = skipped.get("no true cost", 0) + 1
+            continue
+        try:
+            samples.append((finished(priced_request(documents, [ask], explain=True)).price, true))
+        except GraphQLRefusedError as error:
+            skipped[error.code.word] = skipped.get(error.code.word, 0) + 1
+    return samples, skipped
+
+
+def _rows(capture: Path) -> Iterator[tuple[Ask, float | None]]:
+    """Rows of a HAR file (POST bodies, ``extensions.cost.actual`` of the answers), or JSON lines of
+    ``query``, ``variables``, ``operationName`` and ``actual``."""
+    text = capture.read_text(encoding="utf-8")
+    if capture.suffix == ".har":
+        entries = json.loads(text).get("log", {}).get("entries", [])
+        for entry in entries:
+            body = entry.get("request", {}).get("postData", {}).get("text")
+            answer = entry.get("response", {}).get("content", {}).get("text")
+            if body:
+                yield _row(json.loads(body), _told(answer), capture, 0)
+        return
+    for number, line in enumerate(text.splitlines(), 1):
+        if line.strip():
+            try:
+                raw = json.loads(line)
+            except ValueError as error:
+                raise OptionsError(f"{capture}:{number}: not JSON: {error}") from None
+            yield _row(raw, raw.get("actual") if isinstance(raw, dict) else None, capture, number)
+
+
+def _told(answer: str | None) -> float | None:
+    try:
+        found: Any = json.loads(answer or "{}")
+    except ValueError:
+        return None
+    for key in ("extensions", "cost", "actual"):
+        found = found.get(key) if isinstance(found, dict) else None
+    return float(found) if isinstance(found, int | float) else None
+
+
+def _row(raw: Any, true: Any, capture: Path, number: int) -> tuple[Ask, float | None]:
+    if not isinstance(raw, dict) or not isinstance(raw.get("query"), str):
+        raise OptionsError(f"{capture}:{number}: expected an object with query, variables and actual")
+    if true is not None and (isinstance(true, bool) or not isinstance(true, int | float)):
+        raise OptionsError(f"{capture}:{number}: actual: {true!r:.40}; expected points, a number")
+    return Ask(raw["query"], operation=raw.get("operationName"), variables=raw.get("variables")), true
+
+
+def _tell(fit: Fit, skipped: dict[str, int]) -> None:
+    table = Table("field", "queries", "share of its bound", "90 % interval")
+    for column in table.columns[1:]:
+        column.justify = "right"
+    for each in fit.fields:
+        table.add_row(
+            each.place, str(each.queries), f"{each.share:.2f}", f"{each.low:.2f} to {each.high:.2f}"
+        )
+    console = Console()
+    console.print(table)
+    console.print(
+        f"{fit.queries} queries; expected price off by {fit.mean_error:.0%} in the mean, {fit.mean_before:.0%} before"
+    )
+    for why, count in sorted(skipped.items()):
+        console.print(f"left out: {count} ({why})")
--- /dev/null
+++ b/cypresspulley/graphql/document.py
@@ -0,0 +1,275 @@
+"""From a request's text to a priced operation, in short steps; the cache of documents; free of I/O and clocks.
+
+Reading a document is a generator: each step is bounded by the scan before it, so that whoever drives it (the
+limiter's loop, a test) can do other things in between. What one document costs is kept by its hash (SHA-256), so
+that nobody can make two texts meet; the cache is bounded in bytes of text and parsed form.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Generator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from hashlib import sha256
+from typing import Any
+
+from graphql import (
+    ASTValidationRule,
+    DocumentNode,
+    FragmentDefinitionNode,
+    GraphQLError,
+    GraphQLSyntaxError,
+    OperationDefinitionNode,
+    OperationType,
+    ParallelVisitor,
+    TypeInfo,
+    TypeInfoVisitor,
+    ValidationContext,
+    parse,
+    specified_rules,
+    visit,
+)
+from graphql.execution.values import VariableValues, get_variable_values
+
+from cypresspulley.graphql.errors import Code, GraphQLRefusedError
+from cypresspulley.graphql.price import Counts, Price, Pricer, keyed_values
+from cypresspulley.graphql.scan import Bounds, scan
+from cypresspulley.graphql.schema import PricedSchema
+
+# Bytes that a parsed document takes for each byte of its text, rounded up (benchmarks/graphql_cost.py measures it).
+PARSED_TIMES = 60
+KEPT_ERRORS = 3
+TOKENS_A_WALK = 400  # tokens times rules that one step of validation may walk
+
+
+class Effect(Enum):
+    """What an operation may do on a second run."""
+
+    QUERY = "query"
+    KEYED = "keyed"
+    MUTATION = "mutation"
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A document that is valid for the schema, by its hash."""
+
+    hash: str
+    text: str
+    operations: Mapping[str, OperationDefinitionNode]
+    fragments: Mapping[str, FragmentDefinitionNode]
+    size: int  # bytes that it counts in the cache
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """One operation of a request as it came."""
+
+    text: str | None
+    hash: str | None = None
+    operation: str | None = None
+    variables: Mapping[str, Any] | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Priced:
+    """A whole request: one operation, or a batch. ``key`` is of a keyed mutation."""
+
+    price: Price
+    effect: Effect
+    key: str | None = None
+
+
+def hash_of(text: str) -> str:
+    return sha256(text.encode()).hexdigest()
+
+
+class Documents:
+    """Documents that were read, the least recently used giving way; persisted ones stay for good.
+
+    ``persisted`` is the operators' allow-list (hash to text); with ``only_persisted`` nothing else is taken.
+    """
+
+    def __init__(
+        self, priced: PricedSchema, bounds: Bounds, most_bytes: int = 4 << 20,
+        persisted: Mapping[str, str] | None = None, only_persisted: bool = False,
+    ) -> None:  # fmt: skip
+        self.priced, self.bounds = priced, bounds
+        self._most, self._used = most_bytes, 0
+        self._kept = OrderedDict[str, Document]()
+        self._persisted, self._only = dict(persisted or {}), only_persisted
+        self.hits = self.misses = 0
+
+    def __repr__(self) -> str:
+        return f"<Documents {len(self._kept)} kept, {self._used} of {self._most} bytes, {self.hits} hits>"
+
+    @property
+    def used(self) -> int:
+        return self._used
+
+    def text_of(self, ask: Ask) -> str:
+        """The text that a request means; ``GraphQLRefusedError`` where its hash and text do not belong together."""
+        if ask.text is None:
+            if ask.hash is None:
+                raise GraphQLRefusedError(Code.BAD_REQUEST, "query is missing")
+            known = self._persisted.get(ask.hash)
+            if known is None and not self._only and ask.hash in self._kept:
+                known = self._kept[ask.hash].text
+            if known is None:
+                raise GraphQLRefusedError(Code.PERSISTED_UNKNOWN, "no document of this hash is known here")
+            return known
+        if ask.hash is not None and hash_of(ask.text) != ask.hash:
+            raise GraphQLRefusedError(Code.PERSISTED_MISMATCH, "the text is not the one of the hash")
+        if self._only and hash_of(ask.text) not in self._persisted:
+            raise GraphQLRefusedError(Code.PERSISTED_ONLY, "only persisted documents are taken here")
+        return ask.text
+
+    def find(self, text: str) -> Document | None:
+        """A document that is in the cache."""
+        found = self._kept.get(key := hash_of(text))
+        if found is not None:
+            self._kept.move_to_end(key)
+            self.hits += 1
+        return found
+
+    def read(self, text: str) -> Generator[None, None, Document]:
+        """Scan, parse and validate, with a pause after each step; ``GraphQLRefusedError`` ends it."""
+        if (found := self.find(text)) is not None:
+            return found
+        self.misses += 1
+        tokens = scan(text, self.bounds)
+        yield
+        try:
+            tree = parse(text, max_tokens=self.bounds.tokens)
+        except (GraphQLSyntaxError, RecursionError) as error:
+            raise GraphQLRefusedError(Code.PARSE_FAILED, _text(error)) from None
+        yield
+        _same_keys(tree, self.bounds)
+        yield from validated(self.priced, tree, tokens)
+        document = _document(text, tree)
+        self._keep(document)
+        return document
+
+    def _keep(self, document: Document) -> None:
+        if document.size > self._most:
+            return
+        self._kept[document.hash] = document
+        self._used += document.size
+        while self._used > self._most:
+            _, gone = self._kept.popitem(last=False)
+            self._used -= gone.size
+
+
+def _document(text: str, tree: DocumentNode) -> Document:
+    operations = dict[str, OperationDefinitionNode]()
+    fragments = dict[str, FragmentDefinitionNode]()
+    for node in tree.definitions:
+        if isinstance(node, OperationDefinitionNode):
+            operations[node.name.value if node.name else ""] = node
+        elif isinstance(node, FragmentDefinitionNode):
+            fragments[node.name.value] = node
+    return Document(hash_of(text), text, operations, fragments, len(text.encode()) * PARSED_TIMES)
+
+
+def _text(error: BaseException) -> str:
+    return error.message if isinstance(error, GraphQLError) else "nested too deeply"
+
+
+def _same_keys(tree: DocumentNode, bounds: Bounds) -> None:
+    """One rule of the validator compares all pairs of one response key: a floor under its squares."""
+    for node in tree.definitions:
+        stack: list[Any] = [node]
+        while stack:
+            selection = getattr(stack.pop(), "selection_set", None)
+            if selection is None:
+                continue
+            keys = dict[str, int]()
+            for each in selection.selections:
+                stack.append(each)
+                name = getattr(each, "alias", None) or getattr(each, "name", None)
+                if name is not None:
+                    keys[name.value] = keys.get(name.value, 0) + 1
+            if max(keys.values(), default=0) > bounds.roots:
+                raise GraphQLRefusedError(
+                    Code.TOO_COMPLEX, f"one field more than {bounds.roots} times in one place"
+                )
+
+
+def validated(priced: PricedSchema, tree: DocumentNode, tokens: int) -> Generator[None, None, None]:
+    """The specification's rules, a few in each walk with a pause behind it: the longest holds the loop, not all.
+
+    A walk costs per token and rule; a short document is through in two or three, one at the bound takes a rule each.
+    """
+    info, errors = TypeInfo(priced.schema), list[GraphQLError]()
+    context = ValidationContext(priced.schema, tree, info, errors.append)
+    together = max(1, TOKENS_A_WALK // max(1, tokens))
+    for first in range(0, len(specified_rules), together):
+        rules: list[ASTValidationRule] = [rule(context) for rule in specified_rules[first : first + together]]
+        try:
+            visit(tree, TypeInfoVisitor(info, ParallelVisitor(rules)))
+        except RecursionError:
+            raise GraphQLRefusedError(Code.TOO_COMPLEX, "nested too deeply") from None
+        if errors:
+            said = "; ".join(error.message for error in errors[:KEPT_ERRORS])
+            raise GraphQLRefusedError(Code.VALIDATION_FAILED, said)
+        yield
+
+
+def select(document: Document, name: str | None) -> OperationDefinitionNode:
+    """The operation that a request means (GraphQL specification, 6.1): only this one counts."""
+    if not document.operations:
+        raise GraphQLRefusedError(Code.OPERATION_UNKNOWN, "the document holds no operation")
+    if name is None:
+        if len(document.operations) > 1:
+            raise GraphQLRefusedError(
+                Code.OPERATION_UNKNOWN, "operationName is needed: there are several operations"
+            )
+        return next(iter(document.operations.values()))
+    if name not in document.operations or not name:
+        raise GraphQLRefusedError(Code.OPERATION_UNKNOWN, f"no operation {name[:60]!r} in the document")
+    return document.operations[name]
+
+
+def priced_operation(
+    documents: Documents, document: Document, ask: Ask, counts: Counts,
+    introspection: bool = True, explain: bool = False,
+) -> Priced:  # fmt: skip
+    """The price and effect of one operation with its variables."""
+    node = select(document, ask.operation)
+    priced = documents.priced
+    values = get_variable_values(priced.schema, node.variable_definitions or (), dict(ask.variables or {}))
+    if not isinstance(values, VariableValues):
+        raise GraphQLRefusedError(Code.VARIABLES_WRONG, "; ".join(e.message for e in values[:KEPT_ERRORS]))
+    price = Pricer(priced, document.fragments, values, counts, introspection, explain).operation(node)
+    if node.operation is not OperationType.MUTATION:
+        return Priced(price, Effect.QUERY)
+    keys = list(keyed_values(priced, node, document.fragments, values, counts))
+    if keys and all(key is not None for key in keys):
+        return Priced(price, Effect.KEYED, "/".join(map(str, keys)))
+    return Priced(price, Effect.MUTATION)
+
+
+def priced_request(
+    documents: Documents, asks: list[Ask], introspection: bool = True, explain: bool = False
+) -> Generator[None, None, Priced]:
+    """A request's operations priced as a sum; one mutation among several makes the whole unsafe.
+
+    Keys are not joined over a batch: servers drop repeats of one operation, not of a row of them.
+    """
+    if len(asks) > documents.bounds.batch:
+        raise GraphQLRefusedError(
+            Code.TOO_COMPLEX, f"more than {documents.bounds.batch} operations in a batch"
+        )
+    counts, whole = Counts(documents.bounds), list[Priced]()
+    for ask in asks:
+        document = yield from documents.read(documents.text_of(ask))
+        whole.append(priced_operation(documents, document, ask, counts, introspection, explain))
+        yield
+    price = sum((each.price for each in whole), Price(0.0, 0.0))
+    effects = {each.effect for each in whole}
+    if effects == {Effect.QUERY}:
+        return Priced(price, Effect.QUERY)
+    if len(whole) == 1:
+        return Priced(price, whole[0].effect, whole[0].key)
+    return Priced(price, Effect.MUTATION)
--- /dev/null
+++ b/cypresspulley/graphql/front.py
@@ -0,0 +1,235 @@
+"""The way in: GraphQL requests on the limiter's own listener, priced and handed to the decisions.
+
+Nothing is decided here: prices come from ``document``, time for reading from ``budget``, and whether, where and how
+often a request is sent on from the policy, which gets it as any other request with its units and its class.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Generator
+from dataclasses import dataclass
+from hashlib import sha256
+
+from cypresspulley import interface as api
+from cypresspulley.graphql.answers import believed, read_answer
+from cypresspulley.graphql.budget import ReadingBudget
+from cypresspulley.graphql.document import Ask, Documents, Effect, Priced, priced_request
+from cypresspulley.graphql.errors import Code, GraphQLRefusedError
+from cypresspulley.graphql.options import Options, OptionsError
+from cypresspulley.graphql.request import RESPONSE, Asked, error_body, read_get, read_post
+from cypresspulley.net.frontend import Came, ClientRequest, Customer
+from cypresspulley.net.upstream import Exchange
+
+log = logging.getLogger(__name__)
+
+ACCEPT, CONTENT_TYPE = b"accept", b"content-type"
+TURN = (
+    0.001  # seconds that reading may hold the loop before others have their turn (one step may take longer)
+)
+CODES = {429: Code.REFUSED, 502: Code.FAILED, 504: Code.TIMED_OUT, 500: Code.BROKEN, 405: Code.METHOD}
+TEXTS = {
+    Code.REFUSED: "turned away; trying again later is harmless",
+    Code.TOO_DEAR: "its upper bound is more than this account's ceiling or quota can ever hold here",
+    Code.FAILED: "failed; it may have run",
+    Code.TIMED_OUT: "no answer in time; it may have run",
+    Code.BROKEN: "a fault of the limiter",
+    Code.METHOD: "mutations need POST",
+    Code.BUSY: "too many unknown documents at once; known ones are taken",
+}
+BUSY_RETRY = 1.0  # seconds until the next budget
+
+
+class Dialect:
+    """How one request's client is spoken to, and what its server's answer means."""
+
+    __slots__ = ("_options", "media", "priced")
+
+    def __init__(self, options: Options) -> None:
+        self._options, self.media = options, RESPONSE
+        self.priced: Priced | None = None
+
+    def error(
+        self, status: int, retry_after: float | None, why: str, left: float
+    ) -> tuple[int, bytes, bytes, float | None]:
+        """Status, headers, body and ``Retry-After`` of an answer that is not a server's."""
+        code = Code.TOO_DEAR if why == "too dear" else CODES.get(status, Code.BAD_REQUEST)
+        if code is Code.TOO_DEAR:
+            retry_after = None  # it would never be taken
+        extensions = dict[str, object]()
+        if self.priced is not None:
+            price = self.priced.price
+            extensions["cost"] = {"expected": round(price.expected, 3), "bound": round(price.bound, 3)}
+            if code is Code.REFUSED and left >= 0:
+                extensions["left"] = round(left * self._options.points_per_unit, 3)
+        if retry_after is not None:
+            extensions["retryAfter"] = round(retry_after, 3)
+        return self._answer(
+            code, status if code is not Code.TOO_DEAR else code.status, extensions, "", retry_after
+        )
+
+    def refused(self, error: GraphQLRefusedError) -> tuple[int, bytes, bytes, float | None]:
+        retry = BUSY_RETRY if error.code is Code.BUSY else None
+        return self._answer(error.code, error.code.status, {}, error.text, retry)
+
+    def _answer(
+        self, code: Code, status: int, extensions: dict[str, object], text: str, retry_after: float | None
+    ) -> tuple[int, bytes, bytes, float | None]:
+        headers = f"Content-Type: {self.media}; charset=utf-8\r\n".encode()
+        if code is Code.METHOD:
+            headers += b"Allow: POST\r\n"
+        return (
+            status,
+            headers,
+            error_body(code, text or TEXTS.get(code, "not a GraphQL request"), extensions),
+            retry_after,
+        )
+
+    def answered(self, exchange: Exchange) -> None:
+        """Read a server's 200: its cost becomes units, and what is proved not to have run is no answer."""
+        assert self.priced is not None
+        points = self._options.points_per_unit
+        most = max(self.priced.price.bound, self._options.minimum_points)
+        inside = self._options.cost == "extensions"
+        if inside or self._options.never_ran_codes:
+            told = read_answer(exchange.answer, frozenset(self._options.never_ran_codes), most, inside)
+            if told.never_ran:
+                exchange.status, exchange.units = api.Status.FULL, None
+                return
+            if inside:
+                exchange.units = None if told.cost is None else told.cost / points
+        if not inside:
+            exchange.units = believed(exchange.units, most / points)
+
+
+@dataclass(slots=True)
+class _Reading:
+    request: ClientRequest
+    dialect: Dialect
+    customer: Customer
+    came: Came
+    asked: Asked
+    steps: Generator[None, None, Priced]
+    since: float
+
+
+class GraphQLFront:
+    """Takes what comes to the options' path. ``headers``: those that it reads beside the protocol's."""
+
+    headers = frozenset((ACCEPT, CONTENT_TYPE))
+
+    def __init__(
+        self, settings: api.Settings, options: Options, documents: Documents, clock: Callable[[], float]
+    ) -> None:
+        self.path, self._options, self._documents = options.path, options, documents
+        self._clock, self._budget = clock, ReadingBudget(options.reading)
+        self._classes = _classes(settings, options)
+        self._ids = 0
+        self._loop = asyncio.get_running_loop()
+        self.longest = 0.0  # seconds that one turn of reading held the loop
+        _warm(documents)
+
+    def take(self, request: ClientRequest, came: Came) -> None:
+        """A request has come whole. It gets its answer here, or goes on to the decisions, maybe some turns later."""
+        request.dialect = dialect = Dialect(self._options)
+        customer = came.reader.customer(came.query, came.fields)
+        came.claim(request)
+        try:
+            asked = self._asked(came, request)
+            dialect.media = asked.media
+            self._afford(customer, asked)
+        except GraphQLRefusedError as error:
+            return request.answer_with(*dialect.refused(error))
+        steps = priced_request(self._documents, list(asked.asks), self._options.introspection)
+        self._go_on(_Reading(request, dialect, customer, came, asked, steps, self._clock()))
+
+    def _asked(self, came: Came, request: ClientRequest) -> Asked:
+        accept = came.fields.get(ACCEPT, b"").decode("latin-1")
+        if came.method == b"GET":
+            asked = read_get(came.query, accept)
+        else:
+            asked = read_post(came.fields.get(CONTENT_TYPE, b"").decode("latin-1"), accept, request.body)
+        if asked.batch and self._options.batch == "refuse":
+            raise GraphQLRefusedError(Code.BATCH_OFF, "one operation a request")
+        return asked
+
+    def _afford(self, customer: Customer, asked: Asked) -> None:
+        """Time for the documents that are not known yet."""
+        if len(asked.asks) > self._options.bounds.batch:
+            raise GraphQLRefusedError(
+                Code.TOO_COMPLEX, f"more than {self._options.bounds.batch} operations in a batch"
+            )
+        seconds = 0.0
+        for ask in asked.asks:
+            text = self._documents.text_of(ask)
+            if self._documents.find(text) is None:
+                seconds += self._budget.estimate(len(text), self._options.bounds.tokens)
+        if seconds and not self._budget.take(self._clock(), customer.account, seconds):
+            raise GraphQLRefusedError(Code.BUSY, TEXTS[Code.BUSY])
+
+    def _go_on(self, reading: _Reading) -> None:
+        """Some steps of reading; then others' turn."""
+        request = reading.request
+        if request.left:
+            return reading.steps.close()
+        began = self._loop.time()
+        try:
+            while self._loop.time() - began < TURN:
+                next(reading.steps)
+        except StopIteration as done:
+            self._priced(reading, done.value)
+        except GraphQLRefusedError as error:
+            request.answer_with(*reading.dialect.refused(error))
+        except Exception:
+            log.exception("a GraphQL request could not be read")
+            request.respond(500)
+        else:
+            self._loop.call_soon(self._go_on, reading)
+        self.longest = max(self.longest, self._loop.time() - began)
+
+    def _priced(self, reading: _Reading, priced: Priced) -> None:
+        request, customer, came = reading.request, reading.customer, reading.came
+        reading.dialect.priced = priced
+        if came.method == b"GET" and priced.effect is not Effect.QUERY:
+            return request.respond(405)
+        ttl = customer.ttl - (self._clock() - reading.since)
+        if ttl <= 0:
+            return request.respond(504)
+        name = self._classes[priced.effect]
+        bound = max(priced.price.bound, self._options.minimum_points) / self._options.points_per_unit
+        units = max(priced.price.expected, self._options.minimum_points) / self._options.points_per_unit
+        request.event = api.Request(
+            came.reader.next_id(), name, customer.plan, ttl, customer.account, min(units, bound), customer.spread,
+            customer.repeat, bound,
+        )  # fmt: skip
+        request.head = came.head_for(name, self._key(priced, customer))
+        came.arrived(request)
+        return None
+
+    def _key(self, priced: Priced, customer: Customer) -> bytes | None:
+        """Of a keyed mutation: the same for the same key of the same account, whichever limiter it comes through."""
+        if priced.effect is not Effect.KEYED or not self._options.keyed:
+            return None
+        return sha256(f"{customer.account}/{priced.key}".encode()).hexdigest()[:32].encode()
+
+
+def _classes(settings: api.Settings, options: Options) -> dict[Effect, str]:
+    """The settings' class for each effect; OptionsError where the file's word is none, or of another effect."""
+    effects = {c.name: c.effect for c in settings.classes}
+    wanted = [("query", options.query, api.Effect.SAFE), ("mutation", options.mutation, api.Effect.UNSAFE)]
+    if options.keyed:
+        wanted.append(("keyed", options.keyed, api.Effect.KEYED))
+    for key, name, effect in wanted:
+        if effects.get(name) is not effect:
+            fit = ", ".join(n for n, e in effects.items() if e is effect) or "none there is"
+            raise OptionsError(f"graphql.{key}: {name!r} is no class that is {effect.value}; expected {fit}")
+    keyed = options.keyed or options.mutation
+    return {Effect.QUERY: options.query, Effect.KEYED: keyed, Effect.MUTATION: options.mutation}
+
+
+def _warm(documents: Documents) -> None:
+    """The first document of a schema pays for tables that the library makes once: not a client's."""
+    steps = priced_request(documents, [Ask("{__typename}")])
+    while next(steps, StopIteration) is not StopIteration:
+        pass
--- /dev/null
+++ b/cypresspulley/graphql/price.py
@@ -0,0 +1,375 @@
+"""What a GraphQL operation costs, before it is sent: an upper bound and an expected price; free of I/O.
+
+For each field that is selected: ``count x (weight + arguments + what is selected below)``, where count is how often
+its parent's objects are there and, for a list, how long it is at most. The expected price takes of each field's own
+part of the bound the share that was learned (``graphql-learn``; 1 before). Fields of
+one response key are merged first, as execution does (GraphQL specification, 6.3.2), so that a fragment spread twice
+is not charged twice; two aliases are two fields. An interface or union costs what its dearest type does.
+
+Soundness: as long as the servers keep the list sizes that the schema states, and count one ``weight`` for each
+object that a field gives, the true cost is at most the bound.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from graphql import (
+    FieldNode,
+    FragmentDefinitionNode,
+    FragmentSpreadNode,
+    GraphQLError,
+    GraphQLInputObjectType,
+    GraphQLInterfaceType,
+    GraphQLList,
+    GraphQLNonNull,
+    GraphQLObjectType,
+    GraphQLUnionType,
+    InlineFragmentNode,
+    OperationDefinitionNode,
+    OperationType,
+    SelectionSetNode,
+    get_named_type,
+)
+from graphql.execution.values import VariableValues, get_argument_values, get_directive_values
+from graphql.type import GraphQLIncludeDirective, GraphQLSkipDirective
+
+from cypresspulley.graphql.errors import Code, GraphQLRefusedError
+from cypresspulley.graphql.scan import Bounds
+from cypresspulley.graphql.schema import Composite, FieldPrice, PricedSchema
+
+MOST = 1e9  # points: a bound past it is only "too dear", and no float can lose units in it
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One field of the table of a price. ``times``: how often it is evaluated at most."""
+
+    path: str
+    place: str  # Type.field
+    times: float
+    each: float  # points of one, without what is below
+    bound: float  # points of all, without what is below
+    expected: float
+
+
+@dataclass(frozen=True, slots=True)
+class Price:
+    """Points. ``bound`` is never passed by a true cost; ``expected`` is the mean; 0 <= expected <= bound."""
+
+    bound: float
+    expected: float
+    rows: tuple[Row, ...] = ()
+
+    def __add__(self, other: Price) -> Price:
+        return Price(
+            min(MOST, self.bound + other.bound),
+            min(MOST, self.expected + other.expected),
+            self.rows + other.rows,
+        )
+
+
+@dataclass(slots=True)
+class Counts:
+    """What a walk met, held against the bounds as it goes."""
+
+    bounds: Bounds
+    steps: int = 0
+    aliases: int = 0
+    roots: int = 0
+    seen: set[int] = field(default_factory=set)  # ids of field nodes whose alias is counted
+
+    def step(self) -> None:
+        self.steps += 1
+        _within("fields once fragments are spread", self.steps, self.bounds.steps)
+
+    def field(self, node: FieldNode, depth: int) -> None:
+        self.step()
+        _within("levels of fields", depth, self.bounds.depth)
+        if node.alias is not None and id(node) not in self.seen:
+            self.seen.add(id(node))
+            self.aliases += 1
+            _within("aliases", self.aliases, self.bounds.aliases)
+
+    def root(self, count: int) -> None:
+        self.roots += count
+        _within("fields at the root", self.roots, self.bounds.roots)
+
+
+def _within(what: str, count: int, most: int) -> None:
+    if count > most:
+        raise GraphQLRefusedError(Code.TOO_COMPLEX, f"more than {most} {what}")
+
+
+Grouped = dict[str, list[FieldNode]]
+Points = tuple[float, float]  # at most, in the mean
+
+
+class Pricer:
+    """Prices one operation with its variables. The bounds of ``counts`` are over a whole request."""
+
+    def __init__(
+        self, priced: PricedSchema, fragments: Mapping[str, FragmentDefinitionNode], variables: VariableValues,
+        counts: Counts, introspection: bool = True, explain: bool = False,
+    ) -> None:  # fmt: skip
+        self._priced, self._fragments, self._variables = priced, fragments, variables
+        self._counts, self._introspection, self._explain = counts, introspection, explain
+        self._rows = list[Row]()
+
+    def operation(self, node: OperationDefinitionNode) -> Price:
+        """The price of a whole operation; ``GraphQLRefusedError`` where it cannot be priced."""
+        root = self._priced.schema.get_root_type(node.operation)
+        if root is None:
+            raise GraphQLRefusedError(Code.VALIDATION_FAILED, f"the schema has no {node.operation.value}")
+        if node.operation is OperationType.SUBSCRIPTION:
+            raise GraphQLRefusedError(Code.VALIDATION_FAILED, "subscriptions are not passed on")
+        grouped = self._collect(root, [node.selection_set])
+        self._counts.root(len(grouped))
+        bound, expected = self._fields(root, grouped, 1.0, {}, "", 1)
+        if node.operation is OperationType.MUTATION:
+            bound, expected = bound + self._priced.mutation, expected + self._priced.mutation
+            self._row("mutation", "mutation", 1.0, self._priced.mutation, self._priced.mutation)
+        return Price(min(MOST, bound), min(MOST, expected), tuple(self._rows))
+
+    def _row(self, path: str, place: str, times: float, bound: float, expected: float) -> None:
+        if self._explain:
+            self._rows.append(Row(path, place, times, bound / times if times else 0.0, bound, expected))
+
+    # Collecting: which fields a type has in a selection, by response key.
+
+    def _collect(self, kind: GraphQLObjectType, sets: list[SelectionSetNode]) -> Grouped:
+        grouped, visited = Grouped(), set[str]()
+        for selection_set in sets:
+            self._gather(kind, selection_set, grouped, visited)
+        return grouped
+
+    def _gather(
+        self, kind: GraphQLObjectType, selection_set: SelectionSetNode, grouped: Grouped, visited: set[str]
+    ) -> None:
+        for node in selection_set.selections:
+            self._counts.step()
+            if not self._included(node):
+                continue
+            if isinstance(node, FieldNode):
+                grouped.setdefault(node.alias.value if node.alias else node.name.value, []).append(node)
+            elif isinstance(node, InlineFragmentNode):
+                if node.type_condition is None or self._applies(node.type_condition.name.value, kind):
+                    self._gather(kind, node.selection_set, grouped, visited)
+            elif isinstance(node, FragmentSpreadNode) and node.name.value not in visited:
+                visited.add(node.name.value)  # cycles end here, too
+                found = self._fragments.get(node.name.value)
+                if found is None:
+                    raise GraphQLRefusedError(Code.VALIDATION_FAILED, f"no fragment {node.name.value}")
+                if self._applies(found.type_condition.name.value, kind):
+                    self._gather(kind, found.selection_set, grouped, visited)
+
+    def _applies(self, condition: str, kind: GraphQLObjectType) -> bool:
+        known = self._priced.schema.type_map.get(condition)
+        if known is kind:
+            return True
+        if isinstance(known, GraphQLInterfaceType | GraphQLUnionType):
+            return self._priced.schema.is_sub_type(known, kind)
+        if known is None:
+            raise GraphQLRefusedError(Code.VALIDATION_FAILED, f"no type {condition}")
+        return False
+
+    def _included(self, node: Any) -> bool:
+        if not node.directives:
+            return True
+        try:
+            skip = get_directive_values(GraphQLSkipDirective, node, self._variables)
+            include = get_directive_values(GraphQLIncludeDirective, node, self._variables)
+        except GraphQLError as error:
+            raise GraphQLRefusedError(Code.VARIABLES_WRONG, error.message) from None
+        return not (skip and skip["if"]) and not (include is not None and not include["if"])
+
+    # Pricing.
+
+    def _fields(
+        self,
+        kind: Composite,
+        grouped: Grouped,
+        times: float,
+        sized: Mapping[str, float],
+        path: str,
+        depth: int,
+    ) -> Points:
+        bound = expected = 0.0
+        for key, nodes in grouped.items():
+            most, mean = self._field(
+                kind, nodes, times, sized.get(nodes[0].name.value), f"{path}.{key}", depth
+            )
+            bound, expected = bound + most, expected + mean
+        return bound, expected
+
+    def _field(
+        self,
+        kind: Composite,
+        nodes: list[FieldNode],
+        times: float,
+        given: float | None,
+        path: str,
+        depth: int,
+    ) -> Points:
+        node = nodes[0]
+        self._counts.field(node, depth)
+        name = node.name.value
+        if any(other.name.value != name for other in nodes):
+            raise GraphQLRefusedError(Code.VALIDATION_FAILED, f"{path[1:]}: one key for two fields")
+        if name.startswith("__"):
+            return self._introspected(name, path)
+        found = kind.fields.get(name) if isinstance(kind, GraphQLObjectType | GraphQLInterfaceType) else None
+        if found is None:
+            raise GraphQLRefusedError(Code.VALIDATION_FAILED, f"{path[1:]}: {kind} has no field {name}")
+        price = self._priced.price(str(kind), name)
+        values = self._arguments(kind, node, path)
+        size = given if given is not None and price.is_list else self._length(price, values, path)
+        count = min(MOST, times * size)
+        points = self._points(price, found.args, values)
+        below = self._below(
+            get_named_type(found.type), nodes, count, self._sized(price, values, path), path, depth
+        )
+        bound = count * price.weight + times * points
+        self._row(path[1:], f"{kind}.{name}", count, bound, bound * price.share)
+        return min(MOST, bound + below[0]), min(MOST, bound * price.share + below[1])
+
+    def _introspected(self, name: str, path: str) -> Points:
+        if name == "__typename":
+            return 0.0, 0.0
+        if not self._introspection:
+            raise GraphQLRefusedError(Code.INTROSPECTION_OFF, f"{path[1:]}: introspection is not open here")
+        points = self._priced.introspection
+        self._row(path[1:], name, 1.0, points, points)
+        return points, points
+
+    def _arguments(self, kind: Composite, node: FieldNode, path: str) -> dict[str, Any]:
+        assert isinstance(kind, GraphQLObjectType | GraphQLInterfaceType)
+        found = kind.fields[node.name.value]
+        for argument in node.arguments or ():
+            if argument.name.value not in found.args:
+                raise GraphQLRefusedError(
+                    Code.VALIDATION_FAILED, f"{path[1:]}: no argument {argument.name.value}"
+                )
+        try:
+            return get_argument_values(found, node, self._variables)
+        except GraphQLError as error:
+            raise GraphQLRefusedError(Code.VARIABLES_WRONG, f"{path[1:]}: {error.message}") from None
+
+    def _below(
+        self,
+        inner: Any,
+        nodes: list[FieldNode],
+        count: float,
+        sized: Mapping[str, float],
+        path: str,
+        depth: int,
+    ) -> Points:
+        sets = [node.selection_set for node in nodes if node.selection_set is not None]
+        if isinstance(inner, GraphQLObjectType | GraphQLInterfaceType | GraphQLUnionType):
+            if not sets:
+                raise GraphQLRefusedError(Code.VALIDATION_FAILED, f"{path[1:]}: needs fields of {inner}")
+            return self._composite(inner, sets, count, sized, path, depth + 1)
+        if sets:
+            raise GraphQLRefusedError(Code.VALIDATION_FAILED, f"{path[1:]}: {inner} has no fields")
+        return 0.0, 0.0
+
+    def _composite(
+        self, inner: Composite, sets: list[SelectionSetNode], count: float, sized: Mapping[str, float],
+        path: str, depth: int,
+    ) -> Points:  # fmt: skip
+        """The dearest type that it may be: each object is of one of them."""
+        if isinstance(inner, GraphQLObjectType):
+            return self._fields(inner, self._collect(inner, sets), count, sized, path, depth)
+        kept, best, best_rows = len(self._rows), (0.0, 0.0), list[Row]()
+        for kind in self._priced.schema.get_possible_types(inner):
+            cost = self._fields(kind, self._collect(kind, sets), count, sized, f"{path}<{kind}>", depth)
+            rows = self._rows[kept:]
+            del self._rows[kept:]
+            if cost[0] >= best[0]:
+                best_rows = rows
+            best = max(best[0], cost[0]), max(best[1], cost[1])
+        self._rows += best_rows
+        return best
+
+    # List sizes and arguments.
+
+    def _length(self, price: FieldPrice, values: Mapping[str, Any], path: str) -> float:
+        return self._sliced(price, values, path) if price.is_list else 1.0
+
+    def _sized(self, price: FieldPrice, values: Mapping[str, Any], path: str) -> dict[str, float]:
+        """Lengths that a field states for lists of its objects (a connection's edges)."""
+        if price.size is None or not price.size.sized:
+            return {}
+        return dict.fromkeys(price.size.sized, self._sliced(price, values, path))
+
+    def _sliced(self, price: FieldPrice, values: Mapping[str, Any], path: str) -> float:
+        size = price.size
+        if size is None:
+            return float(self._priced.longest)
+        given = [v for argument in size.slicing if (v := _at(values, argument)) is not None]
+        numbers = [v for v in given if isinstance(v, int) and not isinstance(v, bool)]
+        if len(numbers) != len(given) or any(n < 0 for n in numbers):
+            raise GraphQLRefusedError(
+                Code.VARIABLES_WRONG, f"{path[1:]}: a list size below 0, or no whole number"
+            )
+        if size.require_one and len(numbers) != 1 and (numbers or size.assumed is None):
+            raise GraphQLRefusedError(
+                Code.VALIDATION_FAILED, f"{path[1:]}: exactly one of {', '.join(size.slicing)} is needed"
+            )
+        if numbers:
+            return float(max(numbers))
+        return float(self._priced.longest if size.assumed is None else size.assumed)
+
+    def _points(self, price: FieldPrice, known: Mapping[str, Any], values: Mapping[str, Any]) -> float:
+        """Points of the arguments that are given, and of the input fields inside them."""
+        points = sum(each for name, each in price.arguments.items() if values.get(name) is not None)
+        return points + sum(_input_points(known[name].type, value) for name, value in values.items())
+
+
+def _at(values: Mapping[str, Any], path: str) -> Any:
+    """A slicing argument may lie in an input object: ``page.first``."""
+    found: Any = values
+    for part in path.split("."):
+        found = found.get(part) if isinstance(found, Mapping) else None
+    return found
+
+
+def _input_points(kind: Any, value: Any) -> float:
+    while isinstance(kind, GraphQLNonNull):
+        kind = kind.of_type
+    if value is None:
+        return 0.0
+    if isinstance(kind, GraphQLList):
+        items = value if isinstance(value, list) else [value]
+        return sum(_input_points(kind.of_type, item) for item in items)
+    if not isinstance(kind, GraphQLInputObjectType) or not isinstance(value, Mapping):
+        return 0.0
+    return sum(
+        _cost_of(each.ast_node) + _input_points(each.type, value.get(name))
+        for name, each in kind.fields.items()
+        if value.get(name) is not None
+    )
+
+
+def _cost_of(node: Any) -> float:
+    for each in (node.directives or ()) if node is not None else ():
+        if each.name.value == "cost":
+            return float(each.arguments[0].value.value)
+    return 0.0
+
+
+def keyed_values(
+    priced: PricedSchema, node: OperationDefinitionNode, fragments: Mapping[str, FragmentDefinitionNode],
+    variables: VariableValues, counts: Counts,
+) -> Iterator[object | None]:  # fmt: skip
+    """For each field at the root of a mutation: the value of its key, or None where it is not keyed."""
+    root = priced.schema.mutation_type
+    assert root is not None
+    pricer = Pricer(priced, fragments, variables, counts)
+    for nodes in pricer._collect(root, [node.selection_set]).values():
+        if nodes[0].name.value == "__typename":
+            continue
+        by = priced.price(str(root), nodes[0].name.value).keyed_by
+        yield None if by is None else pricer._arguments(root, nodes[0], "." + nodes[0].name.value).get(by)
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -130,6 +130,7 @@
     units: float = 1.0
     gateways: int = 1
     repeat: bool = False
+    bound: float = 0.0  # most units that it can come to, where units are a guess; 0: what units says
 
 
 @dataclass(frozen=True, slots=True)
@@ -192,6 +193,7 @@
     id: int
     retry_after: float
     why: str = ""
+    left: float = -1.0  # units of the quota that seem to be left; below 0: it has none
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -7,13 +7,16 @@
 import logging
 import re
 from collections import deque
-from typing import Protocol, cast
+from typing import TYPE_CHECKING, NamedTuple, Protocol, cast
 
 import httptools
 
 from cypresspulley import interface as api
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED
 
+if TYPE_CHECKING:
+    from cypresspulley.net.upstream import Exchange
+
 log = logging.getLogger(__name__)
 
 MAX_PIPELINE = 8  # unanswered requests of one connection: clients send one at a time
@@ -32,8 +35,9 @@
 CROWDED = 0.5
 MAX_TIMEOUT_MS = 60_000
 REASONS = {
-    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
-    409: b"Conflict", 413: b"Content Too Large", 429: b"Too Many Requests", 500: b"Internal Server Error",
+    200: b"OK", 400: b"Bad Request", 403: b"Forbidden", 404: b"Not Found", 405: b"Method Not Allowed",
+    406: b"Not Acceptable", 408: b"Request Timeout", 409: b"Conflict", 413: b"Content Too Large",
+    415: b"Unsupported Media Type", 429: b"Too Many Requests", 500: b"Internal Server Error",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
 STATUS_LINES = {code: b"HTTP/1.1 %d %b\r\n" % (code, reason) for code, reason in REASONS.items()}
@@ -56,10 +60,24 @@
         self.status = status
 
 
+class Dialect(Protocol):
+    """How a request's client is spoken to where it is not by the plain protocol."""
+
+    def error(
+        self, status: int, retry_after: float | None, why: str, left: float
+    ) -> tuple[int, bytes, bytes, float | None]:
+        """Status, headers, body and Retry-After of an answer that no server gave."""
+        ...
+
+    def answered(self, exchange: Exchange) -> None:
+        """A server's 200 has come: it may become another outcome, and tell the true units."""
+        ...
+
+
 class ClientRequest:
     """One try of a client, and the place in its connection where the answer goes."""
 
-    __slots__ = ("_client", "answer", "body", "event", "head", "id", "keep_alive")
+    __slots__ = ("_client", "answer", "body", "dialect", "event", "head", "id", "keep_alive")
 
     @property
     def took(self) -> float:
@@ -69,13 +87,26 @@
     def __init__(self, client: _Client, keep_alive: bool) -> None:
         self._client, self.keep_alive = client, keep_alive
         self.event: api.Request | None = None
+        self.dialect: Dialect | None = None
         self.id = self.head = self.body = b""
         self.answer: tuple[bytes, bytes] | None = None
 
+    @property
+    def left(self) -> bool:
+        """Whether its client has gone away."""
+        return self._client.gone
+
     def respond(
-        self, status: int, body: bytes = b"", headers: bytes = b"", retry_after: float | None = None
-    ) -> None:
+        self, status: int, body: bytes = b"", headers: bytes = b"", retry_after: float | None = None,
+        why: str = "", left: float = -1.0,
+    ) -> None:  # fmt: skip
         """Give the one final answer; the connection writes it when its turn has come."""
+        if self.dialect is not None and status != 200:
+            status, headers, body, retry_after = self.dialect.error(status, retry_after, why, left)
+        self.answer_with(status, headers, body, retry_after)
+
+    def answer_with(self, status: int, headers: bytes, body: bytes, retry_after: float | None) -> None:
+        """The one final answer, as it is."""
         if self.answer is not None:
             raise RuntimeError("a request was answered twice")
         self._client.frontend.open_ids.discard(self.id)
@@ -93,6 +124,17 @@
     def departed(self, request: ClientRequest) -> None: ...
 
 
+class Customer(NamedTuple):
+    """Whose request it is, for how long its client waits, and its share of the quota's limiters."""
+
+    account: str
+    plan: str
+    ttl: float
+    units: float
+    spread: int
+    repeat: bool
+
+
 class RequestReader:
     """Turns a request's headers and target into the event that the decisions want."""
 
@@ -107,9 +149,8 @@
         name = path[1:].partition("/")[0]
         if name not in self._classes:
             raise BadRequestError(404, "unknown path")
-        for header in (REQUEST_ID, CLASS, PLAN, TIMEOUT, QUOTA):
-            if not fields.get(header):
-                raise BadRequestError(400, f"{header.decode()} is missing")
+        if not fields.get(CLASS):
+            raise BadRequestError(400, "x-priority-class is missing")
         # The method follows from the class, and a GET with a body could hide another request in it.
         if (method == b"GET") is not (self._classes[name] is api.Effect.SAFE):
             raise BadRequestError(405, "method")
@@ -117,11 +158,26 @@
         # further attempts, so a key on a class that has none is another client's mistake, and not passed on.
         if bool(fields.get(KEY)) is not (self._classes[name] is api.Effect.KEYED):
             raise BadRequestError(400, "idempotency-key is missing, or stands where none belongs")
+        if fields[CLASS].decode("latin-1") != name:
+            raise BadRequestError(400, "the class is not the path's")
+        account, plan, ttl, units, spread, repeat = self.customer(query, fields)
+        return api.Request(self.next_id(), name, plan, ttl, account, units, spread, repeat)
+
+    def next_id(self) -> int:
+        """A number that no request of this limiter has had."""
+        self._last_id += 1
+        return self._last_id
+
+    def customer(self, query: str, fields: dict[bytes, bytes]) -> Customer:
+        """What each request tells of its customer; BadRequestError where it does not."""
+        for header in (REQUEST_ID, PLAN, TIMEOUT, QUOTA):
+            if not fields.get(header):
+                raise BadRequestError(400, f"{header.decode()} is missing")
         if not ID.fullmatch(fields[REQUEST_ID]):
             raise BadRequestError(400, "x-request-id is wrong")
         plan = fields[PLAN].decode("latin-1")
-        if fields[CLASS].decode("latin-1") != name or plan not in self._plans:
-            raise BadRequestError(400, "unknown class or plan")
+        if plan not in self._plans:
+            raise BadRequestError(400, "unknown plan")
         # Given twice, this side and the server might each take another one for the customer.
         accounts = [part for part in query.split("&") if part.partition("=")[0].lower() == "account"]
         account = ACCOUNT.fullmatch(accounts[0]) if len(accounts) == 1 else None
@@ -130,9 +186,8 @@
         if not WHOLE.fullmatch(fields[TIMEOUT]) or not 0 < int(fields[TIMEOUT]) <= MAX_TIMEOUT_MS:
             raise BadRequestError(400, "x-timeout-ms is wrong")
         units, spread = self._quota(fields[QUOTA])
-        self._last_id += 1
-        ttl, repeat = int(fields[TIMEOUT]) / 1000, fields.get(RETRIED) == b"1"
-        return api.Request(self._last_id, name, plan, ttl, account[1].lower(), units, spread, repeat)
+        ttl = int(fields[TIMEOUT]) / 1000
+        return Customer(account[1].lower(), plan, ttl, units, spread, fields.get(RETRIED) == b"1")
 
     def _quota(self, text: bytes) -> tuple[float, int]:
         form = QUOTA_FORM.fullmatch(text)
@@ -145,11 +200,51 @@
         return units, spread
 
 
+class Came(NamedTuple):
+    """A whole request at another front's path, and what that front may do with it."""
+
+    frontend: Frontend
+    method: bytes
+    target: bytes
+    query: str
+    fields: dict[bytes, bytes]
+    lines: list[bytes]  # of its head, as they are passed on
+
+    @property
+    def reader(self) -> RequestReader:
+        return self.frontend.reader
+
+    def claim(self, request: ClientRequest) -> None:
+        """Its id is in use from now on until its answer; BadRequestError where it is already."""
+        self.frontend.claim(request, self.fields[REQUEST_ID].lower())
+
+    def head_for(self, name: str, key: bytes | None) -> bytes:
+        """The head to pass on: its class and key are the front's word, whatever the client's said."""
+        own = (CLASS + b":", KEY + b":")
+        lines = [line for line in self.lines if not line.lower().startswith(own)]
+        lines.append(b"X-Priority-Class: %b\r\n" % name.encode("latin-1"))
+        if key is not None:
+            lines.append(b"Idempotency-Key: %b\r\n" % key)
+        return b"%b %b HTTP/1.1\r\n%b" % (self.method, self.target, b"".join(lines))
+
+    def arrived(self, request: ClientRequest) -> None:
+        self.frontend.handler.arrived(request)
+
+
+class OtherFront(Protocol):
+    """Takes requests at a path of its own."""
+
+    path: str
+    headers: frozenset[bytes]  # that it reads beside the protocol's
+
+    def take(self, request: ClientRequest, came: Came) -> None: ...
+
+
 class _Client(asyncio.Protocol):
     """One client connection: parses requests, keeps their answers in order."""
 
     def __init__(self, frontend: Frontend) -> None:
-        self.frontend = frontend
+        self.frontend, self._reads = frontend, frontend.reads
         self._transport: asyncio.Transport | None = None
         self._lingering: asyncio.Transport | None = None  # it is being closed
         self._parser = httptools.HttpRequestParser(self)
@@ -164,6 +259,10 @@
         self.since = frontend.clock()  # of the last thing that counts: coming, a request's begin, an answer
         self._drained = 0
 
+    @property
+    def gone(self) -> bool:
+        return self._transport is None and self._lingering is None
+
     @property
     def idle(self) -> bool:
         return not self._waiting and not self._reading
@@ -249,7 +348,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         key = name.lower()
         self._size += len(name) + len(value)
-        if key in READ:
+        if key in self._reads:
             if key in self._fields:
                 raise BadRequestError(400, "a header stands twice")
             self._fields[key] = value
@@ -308,12 +407,13 @@
             self._head.append(b"Content-Length: %d\r\n" % len(request.body))
         elif request.body:
             raise BadRequestError(400, "a body where none belongs")
+        if (other := self.frontend.other) is not None and target.partition("?")[0] == other.path:
+            query = target.partition("?")[2]
+            came = Came(self.frontend, method, self._target, query, self._fields, self._head)
+            return other.take(request, came)
         event = self.frontend.reader.read(method, target, self._fields)
-        # One that is open here belongs to another: answers and outcomes must not meet the wrong one.
-        if (id := self._fields[REQUEST_ID].lower()) in self.frontend.open_ids:
-            raise BadRequestError(409, "the request id is in use")
-        self.frontend.open_ids.add(id)
-        request.id, request.event = id, event
+        self.frontend.claim(request, self._fields[REQUEST_ID].lower())
+        request.event = event
         request.head = b"%b %b HTTP/1.1\r\n%b" % (method, self._target, b"".join(self._head))
         self.frontend.handler.arrived(request)
 
@@ -401,8 +501,11 @@
 class Frontend:
     """The listener and its connections."""
 
-    def __init__(self, handler: Handler, settings: api.Settings, max_connections: int) -> None:
-        self.handler, self.reader = handler, RequestReader(settings)
+    def __init__(
+        self, handler: Handler, settings: api.Settings, max_connections: int, other: OtherFront | None = None
+    ) -> None:
+        self.handler, self.reader, self.other = handler, RequestReader(settings), other
+        self.reads = READ if other is None else READ | other.headers
         self.draining = False
         self.clock = asyncio.get_running_loop().time
         self.open_ids = set[bytes]()
@@ -429,6 +532,13 @@
                 log.warning("out of client connections")
         self._clients[client] = None
 
+    def claim(self, request: ClientRequest, id: bytes) -> None:
+        """One that is open here belongs to another: answers and outcomes must not meet the wrong one."""
+        if id in self.open_ids:
+            raise BadRequestError(409, "the request id is in use")
+        self.open_ids.add(id)
+        request.id = id
+
     def _sweep(self) -> None:
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
         now = self.clock()
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -161,7 +161,8 @@
         number = len(opened.attempts)
         request, wait = opened.request, action.timeout or float("inf")
         expires = min(opened.deadline, self._clock() + wait)
-        done = partial(self._attempted, action.id, number)
+        told = self._attempted if request.dialect is None else self._answered
+        done = partial(told, action.id, number)
         attempt = Exchange(action.server, request.head, request.body, expires, done)
         opened.attempts.append(attempt)
         if number < self._settings.max_attempts:
@@ -169,6 +170,16 @@
         else:
             self._upstream.end(attempt, api.Status.NOT_SENT)
 
+    def _answered(self, id: int, number: int, attempt: Exchange) -> None:
+        """An attempt of a request with a dialect: its answer may say more than its status does."""
+        opened = self._open.get(id)
+        if opened is not None and opened.request.dialect is not None and attempt.status is api.Status.OK:
+            try:
+                opened.request.dialect.answered(attempt)
+            except Exception:
+                log.exception("an answer was passed on unread")
+        self._attempted(id, number, attempt)
+
     def _attempted(self, id: int, number: int, attempt: Exchange) -> None:
         if attempt.status is api.Status.OK and (opened := self._close(id)) is not None:
             opened.request.respond(200, attempt.answer, attempt.answer_headers)
@@ -178,7 +189,8 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         if (opened := self._close(action.id)) is not None:
-            opened.request.respond(429, retry_after=max(0.0, action.retry_after))
+            wait = max(0.0, action.retry_after)
+            opened.request.respond(429, retry_after=wait, why=action.why, left=action.left)
 
     def _fail(self, action: api.Fail) -> None:
         if (opened := self._close(action.id)) is not None:
--- a/cypresspulley/operators.py
+++ b/cypresspulley/operators.py
@@ -11,6 +11,9 @@
 from typing import Any
 
 TABLES = {"access_log": {"path": str}}
+OWN_CHECK = (
+    "graphql",
+)  # tables that the tool behind them checks, which is imported only where they are there
 
 
 class OperatorsError(ValueError):
@@ -22,6 +25,7 @@
     """What is on. ``access_log`` is the path of the access log, None for none; ``{name}`` in it is LB_NAME."""
 
     access_log: str | None = None
+    graphql: tuple[str, dict[str, Any]] | None = None  # the file that it stands in, and the table
 
 
 def load_operators(path: str) -> Operators:
@@ -35,12 +39,16 @@
         _check(path, table, keys)
     access_log = raw.get("access_log", {}).get("path")
     name = os.environ.get("LB_NAME", "limiter")
-    return Operators(access_log=access_log.replace("{name}", name) if access_log else None)
+    graphql = (path, raw["graphql"]) if "graphql" in raw else None
+    return Operators(access_log.replace("{name}", name) if access_log else None, graphql)
 
 
 def _check(path: str, table: str, keys: Any) -> None:
-    if table not in TABLES or not isinstance(keys, dict):
-        raise OperatorsError(f"{path}: {table}: expected a table, one of {', '.join(TABLES)}")
+    known = (*TABLES, *OWN_CHECK)
+    if table not in known or not isinstance(keys, dict):
+        raise OperatorsError(f"{path}: {table}: expected a table, one of {', '.join(known)}")
+    if table in OWN_CHECK:
+        return
     for key, kind in TABLES[table].items():
         if not isinstance(keys.get(key), kind) or not keys[key]:
             raise OperatorsError(
--- a/cypresspulley/quota.py
+++ b/cypresspulley/quota.py
@@ -48,7 +48,7 @@
     """A customer's quota as this gateway knows it; many come once only, so it is kept small."""
 
     __slots__ = (
-        "asked", "at", "calls", "ceiling", "floor", "floor_cap", "guessed", "heard", "level", "mine", "name",
+        "asked", "at", "calls", "ceiling", "debt", "floor", "floor_cap", "guessed", "heard", "level", "mine", "name",
         "open", "others", "pending", "plan", "share", "synced", "thin", "total",
     )  # fmt: skip
 
@@ -67,6 +67,7 @@
         self.pending, self.open = 0.0, 0  # own use that the others have not been told; attempts out
         # Without a counter: the others' use taken off the level and not yet told; own use a second; since when.
         self.guessed, self.mine, self.heard = 0.0, 0.0, 0.0
+        self.debt = 0.0  # units that turned out to be due when the store held none: the next ones pay them
         self.calls = list[tuple[float, int | None, float, float]]()  # amount, who waits, its units, when
 
     def refill(self, now: float) -> None:
@@ -74,7 +75,10 @@
         if self.heard:
             self._extrapolate(dt)
         else:
-            self.level = min(plan.burst + plan.rate * (now - self.synced), self.level + plan.rate * dt)
+            paid = min(self.debt, plan.rate * dt)
+            self.debt -= paid
+            gain = plan.rate * dt - paid
+            self.level = min(plan.burst + plan.rate * (now - self.synced), self.level + gain)
         self.floor = min(self.floor_cap, self.floor + plan.rate / self.share * dt)
         whole = self.ceiling * self.share + plan.ceiling_rate * dt
         self.ceiling = min(plan.ceiling_burst, whole) / self.share
@@ -87,6 +91,15 @@
         self.guessed += use
         self.level = min(self.plan.burst, self.level + self.plan.rate * dt - use)
 
+    def settled(self, units: float) -> None:
+        """A request inside the quota truly cost so many units more than was taken for it (below 0: less)."""
+        paid = min(self.debt, max(0.0, -units))
+        self.debt -= paid
+        self.level, self.floor = self.level - units - paid, self.floor - units
+        self.pending, self.mine = self.pending + units, max(0.0, self.mine + units)
+        if not self.heard and self.level < 0:
+            self.level, self.debt = 0.0, self.debt - self.level
+
     def heard_of(self, now: float, units: float) -> None:
         """Another gateway tells what it sent on since it last told (below 0: what it gives back)."""
         if not self.heard:  # from now on the level is of the whole store, and no longer grows past it
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -48,7 +48,29 @@
     "server-resets": "reset_share",
     "server-spoilt": "spoilt_share",
     "server-doubled": "doubled_share",
+    "server-lies": "lie_share",
 }
+
+
+def points_per_unit(scenario: Scenario) -> float:
+    """Of a GraphQL day, as the operators' file of its limiters says; 0 on a plain day."""
+    if scenario.graphql is None:
+        return 0.0
+    from cypresspulley.graphql.options import load_options
+    from cypresspulley.rehearsal.standins.graphql import OPERATORS
+
+    return load_options(str(OPERATORS)).points_per_unit
+
+
+def operators_of(scenario: Scenario) -> str | None:
+    """The operators' file of a day's limiters, where there is one."""
+    if scenario.graphql is None:
+        return None
+    from cypresspulley.rehearsal.standins.graphql import OPERATORS
+
+    return str(OPERATORS)
+
+
 MakeLimiter = Callable[[str, str], LimiterProcess]  # of a name and the host where it listens
 Progress = Callable[[float, "Director"], None]
 
@@ -136,7 +158,7 @@
         self.front = Front(list(self.limiters))
         self.clients = ClientFleet(
             self.stage, self.front, lambda name: self.limiters[name].address, scenario.clients, classes,
-            plan.seed, scenario.seconds,
+            plan.seed, scenario.seconds, points_per_unit(scenario),
         )  # fmt: skip
         self._rng = random_for(plan.seed, "director")
         self._tasks = set[asyncio.Task[None]]()
@@ -461,6 +483,19 @@
             else:
                 agent.wake()
 
+    def abuse(self) -> asyncio.Task[None] | None:
+        """Abusive clients beside the usual ones, where the scenario has them."""
+        graphql = self.scenario.graphql
+        if graphql is None or graphql.abuse <= 0:
+            return None
+        from cypresspulley.rehearsal.standins.rude import Abusers
+
+        self.abusers = Abusers(
+            self.stage, self.front, lambda name: self.limiters[name].address, self.plan.seed, graphql.abuse,
+            self.scenario.seconds, self.scenario.plans[0].name,
+        )  # fmt: skip
+        return asyncio.get_running_loop().create_task(self.abusers.play())
+
     # Running.
 
     def _spawn(self, work: Awaitable[None]) -> None:
@@ -522,9 +557,12 @@
     director.stage.begin(WARM_UP)
     director.keeper.begun = True
     director.schedule()
+    abuse = director.abuse()
     await director.clients.play(director.plan.arrivals)
     await asyncio.sleep(max(0.0, director.scenario.seconds - director.stage.now()))
     await director.clients.finish(AFTER)
+    if abuse is not None:
+        await abuse
     await _stop_limiters(director)
 
 
@@ -583,7 +621,10 @@
 
     def limiter(name: str, host: str) -> LimiterProcess:
         address, sockets = (host, free_port(host)), scenario.limiters.sockets
-        return LimiterProcess(name, address, folder, command or SHIPPED_LIMITER, plan.seed, sockets)
+        words = list(command or SHIPPED_LIMITER)
+        if (operators := operators_of(scenario)) is not None:
+            words += ["--operators", operators]
+        return LimiterProcess(name, address, folder, words, plan.seed, sockets)
 
     # A range of its own for each run: two at once never meet, and no port is asked for by number.
     base = f"127.{16 + (os.getpid() * 7 + next(PLAYS)) % 200}"
--- a/cypresspulley/rehearsal/scenario.py
+++ b/cypresspulley/rehearsal/scenario.py
@@ -30,6 +30,7 @@
     "server-slow": frozenset(("targets", "count", "lasts", "add_ms")),
     "server-spoilt": frozenset(("targets", "count", "lasts", "size")),
     "server-doubled": frozenset(("targets", "count", "lasts", "size")),
+    "server-lies": frozenset(("targets", "count", "lasts", "size")),
     "server-crash": frozenset(("targets", "count", "back_after")),
     "server-move": frozenset(("targets", "count", "back_after")),
     "server-drain": frozenset(("targets", "count", "lasts")),
@@ -156,6 +157,12 @@
     )
 
 
+class GraphQL(_Strict):
+    """Clients ask GraphQL: safe classes queries, unsafe ones mutations; units are true costs."""
+
+    abuse: NotNegative = Field(0.0, description="abusive requests a second beside them", le=200)
+
+
 class Fault(_Strict):
     kind: str
     at: NotNegative
@@ -214,6 +221,7 @@
     discovery: DiscoverySection = DiscoverySection()
     clients: Clients = Clients()
     load: Load = Load()
+    graphql: GraphQL | None = None
     classes: tuple[ClassRow, ...] = Field(CLASSES, alias="class", min_length=1)
     plans: tuple[PlanRow, ...] = Field(PLANS, alias="plan", min_length=1)
     faults: tuple[Fault, ...] = Field((), alias="fault")
@@ -238,6 +246,10 @@
                 )
             if names and not fault.targets and fault.count > len(names):
                 raise ValueError(f"fault.{number}.count: {fault.count}; expected at most {len(names)}")
+        if self.graphql is not None and {c.effect for c in self.classes} != {"safe", "unsafe"}:
+            raise ValueError("graphql: expected classes that are safe and unsafe, for queries and mutations")
+        if self.graphql is not None and self.load.capture is not None:
+            raise ValueError("graphql: expected drawn arrivals, not load.capture")
         low, high = self.load.spread
         if not 1 <= low <= high <= self.limiters.count:
             raise ValueError(f"load.spread: {low}..{high}; expected 1 <= low <= high <= limiters.count")
--- a/cypresspulley/rehearsal/standins/bagserver.py
+++ b/cypresspulley/rehearsal/standins/bagserver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -25,6 +26,8 @@
     b"HTTP/1.1 200 OK\r\nContent-Length: 400\r\n\r\n{",
     b"HTTP/1.1 99 Low\r\nContent-Length: 0\r\n\r\n",
 )
+SHOWN = 400  # characters of an answer that records keep; what makes it its server's own stands in front
+LIES: tuple[object, ...] = (-5, 1_000_000_000, "many", None, 1e308)  # absurd costs, in turn
 QPS_SPAN = 2.0  # seconds that the reported rate is a mean of
 
 
@@ -135,7 +138,7 @@
         self._report, self._reported = b"", -1e9
         self._runs = 0
         self.cpu = Processor(machine, stage.now(), cold=False)
-        self.error_share = self.reset_share = self.spoilt_share = self.doubled_share = 0.0
+        self.error_share = self.reset_share = self.spoilt_share = self.doubled_share = self.lie_share = 0.0
         self.slow_by = 0.0  # seconds that each answer comes later
         self.draining = self.gone = False
         self.alive = False
@@ -255,7 +258,7 @@
             # An id that no client sent in this form: answered, and told to whoever reads the report.
             self.stage.complain(f"{limiter} sent {self.name} a request that no client made: {id or 'no id'}")
             return connection.answer(400 if id else 404, b"", close=True)
-        work = self.stage.work(id, known.cls)
+        work = self.stage.work(id, known.cls) * known.units
         number = self.stage.next_attempt()
         self.stage.record(log.Arrived(now, number, self.name, limiter, id, work, began))
         self._recent.append(now)
@@ -297,7 +300,7 @@
 
     def _reply(self, attempt: _Attempt, status: int, body: bytes) -> None:
         spent = attempt.job.work if status == 200 and attempt.job.begun else 0.0
-        text = body.decode("latin-1")
+        text = body.decode("latin-1")[:SHOWN]
         self.stage.record(log.Replied(self.stage.now(), attempt.number, status, False, text, spent))
         headers = self._load_header()
         if self.slow_by > 0:
@@ -337,10 +340,28 @@
         attempt.connection.quiet_since = now
         self._runs += 1
         body = f'{{"id":"{attempt.id}","server":"{self.name}","run":{self._runs}}}'
+        if attempt.known.reply:
+            body = self._graphql_body(attempt.known, body)
         if attempt.known.effect == "keyed":
             self._memory.keep(now + attempt.known.window, attempt.id, body)
         self._reply(attempt, 200, body.encode())
 
+    def _graphql_body(self, known: Known, who: str) -> str:
+        """Its data and its true cost, or a lie about it; who made it stands in front, for the judge."""
+        cost: object = known.points
+        if self.lie_share > 0 and self._rng.random() < self.lie_share:
+            cost = LIES[self._runs % len(LIES)]
+        made = f'{{"made":{who},"cost":{{"actual":{json.dumps(cost)}}}}}'
+        if known.reply.startswith("["):  # of a batch the first tells the whole
+            answers = json.loads(known.reply)
+            parts = [made] + ['{"cost":{"actual":0}}'] * (len(answers) - 1)
+            rows = (
+                f'{{"extensions":{e},"data":{json.dumps(a.get("data"))}}}'
+                for e, a in zip(parts, answers, strict=True)
+            )
+            return f"[{','.join(rows)}]"
+        return f'{{"extensions":{made},{known.reply[1:]}'
+
     def load_report(self) -> bytes:
         """The fields queue, qps and inflight, refreshed every ``report_every`` seconds."""
         now = self.stage.now()
--- a/cypresspulley/rehearsal/standins/clients.py
+++ b/cypresspulley/rehearsal/standins/clients.py
@@ -131,6 +131,10 @@
     def down(self, limiter: str) -> None:
         self._up.discard(limiter)
 
+    @property
+    def up_now(self) -> set[str]:
+        return self._up
+
     def choose(self, seed: int, arrival: Arrival, now: float, attempt: int) -> str:
         """A member of the account's set, unevenly, the uneven shares changing every ``SHIFT`` seconds."""
         count = len(self._limiters)
@@ -151,11 +155,12 @@
 
     def __init__(
         self, stage: Stage, front: Front, address: Dialer, options: Clients,
-        classes: dict[str, ClassRow], seed: int, seconds: float,
+        classes: dict[str, ClassRow], seed: int, seconds: float, points_per_unit: float = 0.0,
     ) -> None:  # fmt: skip
         self._stage, self.front, self._address = stage, front, address
         self._options, self._classes = options, classes
         self._seed, self._seconds = seed, seconds
+        self._points_per_unit = points_per_unit  # of GraphQL requests; 0: plain ones
         self._idle = defaultdict[str, list[_Connection]](list)
         self._open = set[asyncio.Task[None]]()
         self.late = list[float]()  # seconds by which each arrival was sent late
@@ -237,7 +242,7 @@
             self._stage.record(
                 log.Sent(
                     self._stage.now(), id, first, attempt, limiter, arrival.account, arrival.plan, cls.name,
-                    arrival.units, ttl / 1000, not kept,
+                    known.units if self._points_per_unit else arrival.units, ttl / 1000, not kept,
                 )
             )  # fmt: skip
             outcome = await self._wait(connection, id, head, ttl / 1000, leave)
@@ -294,6 +299,8 @@
     def _request_bytes(
         self, arrival: Arrival, cls: ClassRow, id: str, attempt: int, ttl: int
     ) -> tuple[bytes, Known]:
+        if self._points_per_unit:
+            return self._graphql_bytes(arrival, cls, id, attempt, ttl)
         target = f"/{cls.name}?account={arrival.account}"
         method, body = ("GET", b"") if cls.effect == "safe" else ("POST", self._body(arrival))
         head = (
@@ -302,10 +309,40 @@
             f"X-Quota: units={arrival.units:g},spread={arrival.spread},first={arrival.first}\r\n"
         )
         head += "X-Retried: 1\r\n" if attempt else ""
+        head += f"Idempotency-Key: {id}{id}\r\n" if cls.effect == "keyed" else ""
         head += f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
         known = Known(id, method, target, body, cls.name, cls.effect, cls.window)
         return f"{head}\r\n".encode() + body, known
 
+    def _graphql_bytes(
+        self, arrival: Arrival, cls: ClassRow, id: str, attempt: int, ttl: int
+    ) -> tuple[bytes, Known]:
+        from cypresspulley.rehearsal.standins.graphql import asking  # an extra that plain days do not need
+
+        asked = asking(self._seed, arrival, cls.effect == "unsafe")
+        target = f"/graphql?account={arrival.account}"
+        head = (
+            f"POST {target} HTTP/1.1\r\nHost: bags.internal\r\nX-Request-ID: {id}\r\nX-Plan: {arrival.plan}\r\n"
+            f"X-Timeout-Ms: {ttl}\r\nX-Quota: units=1,spread={arrival.spread},first={arrival.first}\r\n"
+            "Content-Type: application/json\r\nAccept: application/graphql-response+json\r\n"
+            f"Content-Length: {len(asked.body)}\r\n"
+        )
+        head += "X-Retried: 1\r\n" if attempt else ""
+        units = max(asked.points, 1.0) / self._points_per_unit
+        known = Known(
+            id,
+            "POST",
+            target,
+            asked.body,
+            cls.name,
+            cls.effect,
+            cls.window,
+            units,
+            asked.answer,
+            asked.points,
+        )
+        return f"{head}\r\n".encode() + asked.body, known
+
     def _body(self, arrival: Arrival) -> bytes:
         rng = random_for(self._seed, "body", arrival.number)
         return rng.randbytes(rng.randint(*LENGTHS)).hex().encode()
--- /dev/null
+++ b/cypresspulley/rehearsal/standins/rude.py
@@ -0,0 +1,69 @@
+"""Clients that mean no good: abusive GraphQL bodies at a steady rate, each owed an error at once."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from cypresspulley.rehearsal.plan import random_for, request_id
+from cypresspulley.rehearsal.standins.clients import Dialer, Front
+from cypresspulley.rehearsal.standins.graphql import abuses
+from cypresspulley.rehearsal.standins.stage import Stage
+
+OWED_WITHIN = 3.0  # seconds until an error or a close
+FIRST_NUMBER = 1 << 40  # of a request: no usual client has one so high
+
+
+class Abusers:
+    """``rate`` bodies a second for ``seconds``, drawn from the seed. ``answered`` counts statuses by abuse."""
+
+    def __init__(
+        self, stage: Stage, front: Front, address: Dialer, seed: int, rate: float, seconds: float, plan: str
+    ) -> None:
+        self._stage, self._front, self._address = stage, front, address
+        self._seed, self._rate, self._seconds, self._plan = seed, rate, seconds, plan
+        self._bodies = sorted(abuses().items())
+        self._open = set[asyncio.Task[None]]()
+        self.answered = Counter[tuple[str, int]]()
+
+    async def play(self) -> None:
+        rng, loop, number = random_for(self._seed, "abuse"), asyncio.get_running_loop(), 0
+        while (wait := rng.expovariate(self._rate)) + self._stage.now() < self._seconds:
+            await asyncio.sleep(wait)
+            name, body = rng.choice(self._bodies)
+            task = loop.create_task(self._one(name, body, number := number + 1))
+            self._open.add(task)
+            task.add_done_callback(self._open.discard)
+        if self._open:
+            await asyncio.wait(self._open)
+
+    async def _one(self, name: str, body: bytes, number: int) -> None:
+        """Send one and see its error; a limiter that dies or is dead owes nothing."""
+        names = sorted(self._front.up_now) or None
+        if names is None:
+            return
+        limiter = names[number % len(names)]
+        head = (
+            f"POST /graphql?account={1 + number % 7:016x} HTTP/1.1\r\nHost: x\r\n"
+            f"X-Request-ID: {request_id(self._seed, FIRST_NUMBER + number, 0)}\r\nX-Plan: {self._plan}\r\n"
+            "X-Timeout-Ms: 4000\r\nX-Quota: units=1,spread=2,first=0\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        )
+        try:
+            async with asyncio.timeout(OWED_WITHIN):
+                reader, writer = await asyncio.open_connection(*self._address(limiter))
+                try:
+                    writer.write(head.encode() + body)
+                    line = await reader.readline()
+                finally:
+                    writer.transport.abort()
+        except TimeoutError:
+            if limiter in self._front.up_now:
+                self._stage.complain(f"{limiter} left {name!r} without an error for {OWED_WITHIN} s")
+            return
+        except OSError:
+            return
+        status = int(line.split()[1]) if line.startswith(b"HTTP/1.1 ") else 0
+        self.answered[name, status] += 1
+        if status and not 400 <= status < 500:
+            self._stage.complain(f"{limiter} answered {name!r} with {status}; expected a 4xx")
--- a/cypresspulley/rehearsal/standins/stage.py
+++ b/cypresspulley/rehearsal/standins/stage.py
@@ -23,6 +23,9 @@
     cls: str
     effect: str
     window: float  # seconds for which a server's group drops keyed repeats
+    units: float = 1.0  # what it truly costs, in units of the quota; work grows with them
+    reply: str = ""  # what a GraphQL server answers it, without the cost; "": the plain answer
+    points: float = 0.0  # its true cost as a GraphQL server tells it
 
 
 class ArrivalHook(Protocol):
--- a/cypresspulley/rehearsal/virtual/play.py
+++ b/cypresspulley/rehearsal/virtual/play.py
@@ -18,11 +18,11 @@
 from cypresspulley.__main__ import Config, config_from, serve
 from cypresspulley.decide import Gateway
 from cypresspulley.net.node import Decisions
-from cypresspulley.operators import Operators
+from cypresspulley.operators import Operators, load_operators
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.limiters import LimiterProcess, Strike
 from cypresspulley.rehearsal.plan import Plan, draw, random_for
-from cypresspulley.rehearsal.play import Director, play_day
+from cypresspulley.rehearsal.play import Director, operators_of, play_day
 from cypresspulley.rehearsal.scenario import Scenario
 from cypresspulley.rehearsal.virtual.loop import VirtualLoop, run_virtual
 from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
@@ -62,8 +62,10 @@
         seed: int,
         sockets: int = 0,
         observer: Observer | None = None,
+        operators: str | None = None,
     ) -> None:
         super().__init__(name, address, Path(), [], seed, sockets)
+        self._operators = load_operators(operators) if operators else Operators()
         self._observer = observer
         self._loop, self._raw = loop, dict[str, Any]()
         self._owner: Owner | None = None
@@ -94,7 +96,7 @@
         clock = self._clock
         observer = self._observer
         watched = partial(observer.watched, self.name) if observer is not None else None
-        work = serve(self._config(), Operators(), clock=clock, reread=self._config, watched=watched)
+        work = serve(self._config(), self._operators, clock=clock, reread=self._config, watched=watched)
         task = self._loop.create_task(work, context=context)
         task.add_done_callback(self._done)
 
@@ -194,7 +196,8 @@
 
     async def main(loop: VirtualLoop) -> None:
         def limiter(name: str, host: str) -> LimiterProcess:
-            return VirtualLimiter(name, (host, PORT), loop, plan.seed, scenario.limiters.sockets, observer)
+            sockets, operators = scenario.limiters.sockets, operators_of(scenario)
+            return VirtualLimiter(name, (host, PORT), loop, plan.seed, sockets, observer, operators)
 
         loop.turns_left = most_turns
 
--- /dev/null
+++ b/tests/graphql/test_front.py
@@ -0,0 +1,310 @@
+"""GraphQL's way in over loopback sockets: media types, codes, classes, charging, and what is off."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cypresspulley import interface as api
+from cypresspulley.graphql.budget import ReadingBudget
+from cypresspulley.graphql.front import GraphQLFront
+from cypresspulley.graphql.options import Options, OptionsError, load_documents, load_options, options_from
+from cypresspulley.net.frontend import Frontend
+from cypresspulley.net.node import unix_clock
+from cypresspulley.rehearsal.standins.graphql import OPERATORS, SCHEMA, abuses
+from tests.loopback import SETTINGS, Limiter, Origin, Script, ask, listening, read_message, run, send_on
+
+LOOK, GIVE = "{bag(id:1){id}}", 'mutation{handover(bag:1,to:"x"){id}}'
+LONG = "{bag(id:1){" + " ".join(f"a{n}:floor{{id}}" for n in range(25)) + "}}"
+RESPONSE = "application/graphql-response+json"
+
+
+def options(**changes: Any) -> Options:
+    return options_from(
+        {"schema": str(SCHEMA), "query": "lookup", "mutation": "post", **changes}, "test.toml"
+    )
+
+
+class GraphQLLimiter(Limiter):
+    """The limiter of the loopback tests with GraphQL on."""
+
+    def __init__(self, script: Script, dials: dict[str, str], **changes: Any) -> None:
+        super().__init__(script, dials)
+        chosen = options(**changes)
+        self.graphql = GraphQLFront(SETTINGS, chosen, load_documents(chosen), unix_clock())
+        self.frontend = Frontend(self.node, SETTINGS, 64, self.graphql)
+
+
+def post(body: object, content: str = "application/json", **headers: str) -> bytes:
+    data = body if isinstance(body, bytes) else json.dumps(body).encode()
+    more: dict[str, Any] = {"Content_Type": content, "X_Priority_Class": "", **headers}
+    return ask("/graphql?account=00000000b4d65521", data, **more)
+
+
+def answer_of(cost: object = 3, data: str = '{"bag":{"id":"b1"}}') -> bytes:
+    body = b'{"extensions":{"cost":{"actual":%b}},"data":%b}' % (json.dumps(cost).encode(), data.encode())
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def played(
+    work: Callable[[GraphQLLimiter, Origin, Script], Any], reply: Callable[[int], bytes | None] | None = None,
+    script: Script | None = None, **changes: Any,
+) -> None:  # fmt: skip
+    async def main() -> None:
+        origin, decisions = Origin(reply or (lambda _n: answer_of())), script or Script(send_on)
+        async with (
+            listening(origin.talk) as dial,
+            GraphQLLimiter(decisions, {"s1": dial}, **changes) as limiter,
+        ):
+            await work(limiter, origin, decisions)
+
+    run(main())
+
+
+def test_a_query_is_priced_and_goes_on_unchanged_as_its_class() -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        request = post({"query": LOOK}, Accept=RESPONSE)
+        first, _, body = await limiter.fetch(request)
+        assert " 200 " in first and json.loads(body)["data"] == {"bag": {"id": "b1"}}
+        (event,) = await script.until(api.Request)
+        assert (event.request_class, event.units, event.bound) == ("lookup", 0.1, 0.1)
+        line, fields, sent = origin.seen[0]
+        assert (
+            line == "POST /graphql?account=00000000b4d65521 HTTP/1.1"
+            and sent == json.dumps({"query": LOOK}).encode()
+        )
+        assert fields["x-priority-class"] == "lookup" and "idempotency-key" not in fields
+
+    played(work)
+
+
+@pytest.mark.parametrize(
+    "body, name",
+    [
+        ({"query": GIVE}, "post"),
+        ({"query": f"query A{LOOK} mutation B{GIVE[8:]}", "operationName": "B"}, "post"),
+        ({"query": f"query A{LOOK} mutation B{GIVE[8:]}", "operationName": "A"}, "lookup"),
+        ({"query": 'mutation{...M} fragment M on Mutation{handover(bag:1,to:"x"){id}}'}, "post"),
+        ([{"query": LOOK}, {"query": GIVE}], "post"),
+        ([{"query": LOOK}, {"query": LOOK}], "lookup"),
+    ],
+)
+def test_the_class_follows_from_what_is_selected(body: object, name: str) -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        # Whatever class the client claims: a handover is not to pass for a look-up.
+        await limiter.fetch(post(body, X_Priority_Class="lookup"))
+        (event,) = await script.until(api.Request)
+        assert event.request_class == name and origin.seen[0][1]["x-priority-class"] == name
+
+    played(work)
+
+
+@pytest.mark.parametrize(
+    "request_bytes, status, code",
+    [
+        (post({"query": "{"}), 400, "GRAPHQL_PARSE_FAILED"),
+        (post({"query": "{nothing}"}), 400, "GRAPHQL_VALIDATION_FAILED"),
+        (post({"query": LOOK, "operationName": "X"}), 400, "OPERATION_UNKNOWN"),
+        (post({"query": LOOK}, "text/plain"), 415, "UNSUPPORTED_MEDIA_TYPE"),
+        (post({"query": LOOK}, "application/json; charset=latin-1"), 415, "UNSUPPORTED_MEDIA_TYPE"),
+        (post({"query": LOOK}, Accept="text/html"), 406, "NOT_ACCEPTABLE"),
+        (post(b'{"query":"{a}","query":"{b}"}'), 400, "BAD_REQUEST"),
+        (post([{"query": LOOK}] * 11), 400, "QUERY_TOO_COMPLEX"),
+        (post({}), 400, "BAD_REQUEST"),
+        (ask("/graphql?account=00000000b4d65521&query=" + GIVE, X_Priority_Class=""), 405, "METHOD_NOT_ALLOWED"),
+        (ask("/graphql?account=00000000b4d65521&query={}&query={}", X_Priority_Class=""), 400, "BAD_REQUEST"),
+    ],
+)  # fmt: skip
+def test_what_is_no_request_gets_its_code_and_reaches_nobody(
+    request_bytes: bytes, status: int, code: str
+) -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        first, headers, body = await limiter.fetch(request_bytes)
+        assert f" {status} " in first and headers["content-type"].startswith("application/")
+        (error,) = json.loads(body)["errors"]
+        assert error["extensions"]["code"] == code and error["message"]
+        assert not origin.seen and not any(isinstance(e, api.Request) for e in script.events)
+        assert " 200 " in (await limiter.fetch(post({"query": LOOK})))[0]
+
+    played(work)
+
+
+@pytest.mark.parametrize("name", abuses())
+def test_abuse_gets_an_error_at_once(name: str) -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        first, _, body = await limiter.fetch(post(abuses()[name]))
+        assert first.split()[1] in ("400", "404", "429") and "data" not in json.loads(body)
+        assert not origin.seen
+
+    script = Script(
+        lambda event: [api.Refuse(event.id, 1.0, "too dear")] if isinstance(event, api.Request) else []
+    )
+    played(work, script=script)
+
+
+def test_a_query_by_get_is_taken_and_its_query_string_kept() -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        target = (
+            "/graphql?account=00000000b4d65521&query=query($b:ID!){bag(id:$b){id}}&variables=%7B%22b%22:1%7D"
+        )
+        assert " 200 " in (await limiter.fetch(ask(target, X_Priority_Class="")))[0]
+        assert origin.seen[0][0] == f"GET {target} HTTP/1.1"
+
+    played(work)
+
+
+def test_a_refusal_tells_cost_and_what_is_left_and_when_to_come_back() -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        first, headers, body = await limiter.fetch(post({"query": LOOK}, Accept="application/json"))
+        assert " 429 " in first and float(headers["retry-after"]) == 0.5
+        assert headers["content-type"] == "application/json; charset=utf-8"
+        extensions = json.loads(body)["errors"][0]["extensions"]
+        assert extensions == {
+            "code": "COST_LIMITED", "cost": {"expected": 1, "bound": 1}, "left": 20.0, "retryAfter": 0.5,
+        }  # fmt: skip
+
+    script = Script(
+        lambda event: [api.Refuse(event.id, 0.5, "quota", 2.0)] if isinstance(event, api.Request) else []
+    )
+    played(work, script=script)
+
+
+@pytest.mark.parametrize(
+    "cost, units",
+    [(1, 0.1), (0, 0.0), (0.5, 0.05), (-1, None), (1e9, None), ("many", None), (None, None), (True, None)],
+)
+def test_the_true_cost_settles_and_an_absurd_one_does_not(cost: object, units: float | None) -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        assert " 200 " in (await limiter.fetch(post({"query": LOOK})))[0]
+        (outcome,) = await script.until(api.Outcome)
+        assert outcome.units == units and outcome.status is api.Status.OK
+
+    played(work, lambda _n: answer_of(cost))
+
+
+@pytest.mark.parametrize(
+    "body, status",
+    [
+        ({"errors": [{"message": "x", "extensions": {"code": "NOT_EXECUTED"}}]}, api.Status.FULL),
+        ({"errors": [{"message": "x", "extensions": {"code": "OTHER"}}]}, api.Status.OK),
+        ({"errors": [{"message": "x"}, {"extensions": {"code": "NOT_EXECUTED"}}]}, api.Status.OK),
+        ({"data": {"bag": None}, "errors": [{"extensions": {"code": "NOT_EXECUTED"}}]}, api.Status.OK),
+    ],
+)
+def test_errors_without_data_never_ran_only_where_the_file_names_the_code(
+    body: object, status: api.Status
+) -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        _, _, said = await limiter.fetch(post({"query": GIVE}))
+        (outcome,) = await script.until(api.Outcome)
+        assert outcome.status is status and outcome.finished is (status is api.Status.OK)
+        assert (json.loads(said) == body) is (status is api.Status.OK)
+
+    data = json.dumps(body).encode()
+    reply = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(data), data)
+    played(work, lambda _n: reply, never_ran_codes=["NOT_EXECUTED"])
+
+
+def test_unknown_documents_are_read_only_as_the_budget_allows_and_known_ones_always() -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        assert " 200 " in (await limiter.fetch(post({"query": LOOK})))[0]
+        texts = [f"{{a{n}:bag(id:1){{id grams floor{{id name}}}}}}" for n in range(20)]
+        answers = [await limiter.fetch(post({"query": text})) for text in texts]
+        busy = [headers for first, headers, _ in answers if " 429 " in first]
+        assert busy and all(float(headers["retry-after"]) == 1.0 for headers in busy)
+        assert " 200 " in (await limiter.fetch(post({"query": LOOK})))[0]
+
+    played(work, reading=0.003)
+
+
+def test_the_budget_leaves_room_for_others_and_begins_anew_each_second() -> None:
+    budget = ReadingBudget(0.1)
+    taken = [budget.take(5.0, "one", 0.02) for _ in range(10)]
+    assert taken == [True] * 2 + [False] * 8
+    assert [budget.take(5.5, f"other {n}", 0.02) for n in range(5)] == [True] * 3 + [False] * 2
+    assert budget.take(6.0, "one", 5.0) and not budget.take(6.1, "two", 0.02)
+    assert ReadingBudget.estimate(1_000_000, 250) == ReadingBudget.estimate(1000, 250)
+
+
+def test_a_client_that_leaves_while_its_document_is_read_is_not_sent_on() -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        _, writer = await limiter.connect()
+        writer.write(post({"query": LONG}))
+        writer.transport.abort()
+        assert " 200 " in (await limiter.fetch(post({"query": LOOK})))[0]
+        while limiter.frontend.open_ids:
+            await asyncio.sleep(0.01)
+        assert limiter.node.open_requests == 0
+
+    played(work)
+
+
+def test_answers_keep_their_order_while_documents_are_read() -> None:
+    async def work(limiter: GraphQLLimiter, origin: Origin, script: Script) -> None:
+        reader, writer = await limiter.connect()
+        slow = post({"query": LONG})
+        writer.write(slow + post({"query": "{"}))
+        assert " 200 " in (await read_message(reader))[0]
+        assert " 400 " in (await read_message(reader))[0]
+
+    played(work)
+
+
+def test_plain_requests_are_as_before_and_graphql_is_not_there_when_off() -> None:
+    async def main() -> None:
+        async with listening(Origin().talk) as dial, GraphQLLimiter(Script(send_on), {"s1": dial}) as on:
+            assert (await on.fetch(ask()))[2] == b"hi"
+        async with listening(Origin().talk) as dial, Limiter(Script(send_on), {"s1": dial}) as off:
+            assert " 404 " in (await off.fetch(post({"query": LOOK}, X_Priority_Class="graphql")))[0]
+
+    run(main())
+
+
+def test_off_imports_nothing_of_it() -> None:
+    code = "import sys, cypresspulley.__main__; print([m for m in sys.modules if 'graphql' in m])"
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+# The operators' file.
+
+
+@pytest.mark.parametrize(
+    "key, value, said",
+    [
+        ("shema", "x", "graphql.shema: unknown"),
+        ("points_per_unit", 0, "above 0"),
+        ("points_per_unit", "many", "a number"),
+        ("longest_list", 1.5, "a whole number"),
+        ("batch", "maybe", "one of price, refuse"),
+        ("never_ran_codes", "X", "a list of texts"),
+        ("introspection", 1, "true or false"),
+        ("bounds", {"tokens": 0}, "graphql.bounds.tokens"),
+        ("bounds", {"tokn": 5}, "graphql.bounds.tokn: unknown"),
+        ("path", "graphql", "a path like /graphql"),
+        ("schema", "", "graphql.schema: missing"),
+    ],
+)
+def test_a_wrong_key_is_named_with_what_was_expected(key: str, value: object, said: str) -> None:
+    with pytest.raises(OptionsError, match=said):
+        options(**{key: value})
+
+
+def test_shipped_files_load_and_classes_must_fit() -> None:
+    for path in (str(OPERATORS), str(Path(__file__).parents[2] / "deploy" / "graphql.toml")):
+        load_documents(load_options(path))
+
+    async def main() -> None:
+        for key, name in (("query", "post"), ("mutation", "lookup"), ("keyed", "post")):
+            chosen = options(**{key: name})
+            with pytest.raises(OptionsError, match=f"graphql.{key}"):
+                GraphQLFront(SETTINGS, chosen, load_documents(chosen), unix_clock())
+
+    run(main())
