--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -17,7 +17,6 @@
 import uvloop
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway
 from cypresspulley.net.counter import CounterClient
 from cypresspulley.net.discovery import Follower, Listing, listing_from
 from cypresspulley.net.frontend import Frontend, OtherFront
@@ -25,6 +24,7 @@
 from cypresspulley.net.node import Decisions, Node, unix_clock
 from cypresspulley.net.upstream import Upstream
 from cypresspulley.operators import Operators, OperatorsError, load_operators
+from cypresspulley.policy.gateway import Gateway
 from cypresspulley.settings import Timing, settings_from, timing_from
 
 if TYPE_CHECKING:
--- a/cypresspulley/benchlink.py
+++ b/cypresspulley/benchlink.py
@@ -1,4 +1,4 @@
-"""Adapter between the bench's wire and ``decide.Gateway``: translation only."""
+"""Adapter between the bench's wire and ``policy.gateway.Gateway``: translation only."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from typing import Any, NoReturn, TextIO, TypeVar
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway
+from cypresspulley.policy.gateway import Gateway
 from cypresspulley.settings import SettingsError, settings_from
 
 STATUS = {
--- a/cypresspulley/explore/examine.py
+++ b/cypresspulley/explore/examine.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass, field
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway
 from cypresspulley.explore.coverage import NO_FAULT, Pair
 from cypresspulley.explore.lifecycle import Ceilings, Fleet, Offence, Watch
+from cypresspulley.policy.gateway import Gateway
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.judge import judge
 from cypresspulley.rehearsal.limiters import KitError, wire_settings
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -1,6 +1,6 @@
 """Settings, events and actions of the gateway: plain typed records, no logic.
 
-Times are seconds, rates are per second.  ``decide.Gateway`` takes ``Settings``
+Times are seconds, rates are per second.  ``policy.gateway.Gateway`` takes ``Settings``
 and one event at a time and answers with a list of actions.
 """
 
--- a/cypresspulley/net/__init__.py
+++ b/cypresspulley/net/__init__.py
@@ -1,1 +1,1 @@
-"""The real limiter's sockets, round the decisions of ``cypresspulley.decide``."""
+"""The real limiter's sockets, round the decisions of ``cypresspulley.policy``."""
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -35,7 +35,7 @@
 
 
 class Decisions(Protocol):
-    """What answers events with actions: ``decide.Gateway``."""
+    """What answers events with actions: ``policy.gateway.Gateway``."""
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]: ...
 
--- /dev/null
+++ b/cypresspulley/policy/fleet.py
@@ -0,0 +1,212 @@
+"""The fleet as this gateway knows it: which servers there are, how they do, and which one a request goes to."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from random import Random
+
+from cypresspulley import interface as api
+from cypresspulley.interface import Effect, Status
+from cypresspulley.policy.gate import AIM_SHARE, INTERVAL, PLAIN_ROOM, REFERENCE, RESERVE, Gate
+from cypresspulley.policy.request import Request
+
+FEW = 8  # servers that a thin gate keeps to
+LONGER = 2.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
+COLD = 0.45  # of a load that fells a cold server
+ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
+
+
+class Server:
+    def __init__(self, entry: api.ServerEntry) -> None:
+        self.entry, self.up, self.place = entry, True, blake2b(entry.name.encode(), digest_size=8).digest()
+        self.open = self.done = self.rate = 0.0  # own work: out, since the last tick, a second
+        self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
+        self.out_until = self.out_for = self.budget = self.budget_at = 0.0
+        self.trial = self.lost = self.gone = False
+        self.row, self.broke = 0, 0.0  # breaks with no answer in between; when the last came
+        self.quiet: float | None = None  # since when it owes answers and gives none
+        self.cold_at: float | None = None
+
+    def ended(self, work: float) -> None:
+        # Floating sums leave a remainder, and a server on trial that seems to have work out is asked no more.
+        self.open = left if (left := self.open - work) > 1e-9 else 0.0
+
+
+class Sizes:
+    """How the work of a request grows with its units: a straight line through the mean, its slope learned.
+
+    The slope is that of a least-squares fit of the latency, as a share of its class's, on the units, as a share
+    of their mean. Queueing adds to all alike and does not bend it; where every request counts one it stays 0.
+    """
+
+    def __init__(self) -> None:
+        self.mean, self.slope, self._spread, self._common, self._latency = 1.0, 0.0, 0.0, 0.0, 1.0
+        self._seen = 0
+
+    def factor(self, units: float) -> float:
+        return max(0.2, 1 + self.slope * (units / self.mean - 1))
+
+    def learn(self, units: float, latency: float) -> None:
+        self._seen += 1
+        part = max(0.005, 1 / self._seen)
+        self.mean += part * (units - self.mean)
+        self._latency += part * (min(latency, 10.0) - self._latency)
+        off = units / self.mean - 1
+        self._spread += part * (off * off - self._spread)
+        self._common += part * (off * (min(latency, 10.0) / self._latency - 1) - self._common)
+        if self._seen > 20 and self._spread > 1e-3:
+            self.slope = min(1.0, max(0.0, self._common / self._spread))
+
+
+class Fleet:
+    """Servers by name, all gateways' ring of them, and the part of it that this gateway uses."""
+
+    def __init__(self, settings: api.Settings, rng: Random, gate: Gate) -> None:
+        self._set, self._rng, self._gate = settings, rng, gate
+        self.servers, self.ring, self.mine = dict[str, Server](), list[Server](), list[Server]()
+        self.base, self.sizes, self._done_rate = dict[str, float](), Sizes(), 0.0  # idle latency of a class
+        shortest = min(settings.classes, key=lambda c: c.aim, default=None)
+        self._tightest = shortest.name if shortest else ""
+        self._patience = AIM_SHARE * (shortest.aim if shortest else 1.0)
+
+    def expected(self, cls: api.RequestClass, units: float) -> float:
+        """Seconds that a request's work is likely to take an idle server."""
+        return self.base.setdefault(cls.name, cls.aim * 0.1) * self.sizes.factor(units)
+
+    def tick(self, now: float, dt: float, open_: Iterable[Request]) -> list[api.Action]:
+        """Once an interval: rates, trials of lost servers, those that are gone."""
+        probes = list[api.Action]()
+        # By what was finished: by what was sent, overdriven servers would pass for able ones.
+        done = sum(s.done for s in self.servers.values()) / dt / max(1, len(self.mine)) - self._done_rate
+        # What cold ones are let do says nothing of what a warm one bears. Where it counted, each cold server
+        # cut the budget of the others, and a fleet that looked cold stood still for good.
+        if done > 0 or sum(s.cold_at is None for s in self.mine) > len(self.mine) / 2:
+            self._done_rate += 0.3 * done
+        for s in self.servers.values():
+            s.rate, s.done = s.rate + 0.3 * (s.done / dt - s.rate), 0.0
+            if s.up and s.lost and s.trial and self._set.may_probe:
+                probes.append(api.Probe(s.entry.name))  # a probe is a cheaper trial than a request
+                s.out_until = max(s.out_until, now + 1.5 * INTERVAL)
+        if any(s.gone for s in self.servers.values()):
+            # Ids are ever new: one that is gone is forgotten once nothing is out there.
+            busy = {s.place for r in open_ for s in r.out.values()}
+            self.servers = {n: s for n, s in self.servers.items() if not s.gone or s.place in busy}
+        self._choose(now)
+        return probes
+
+    def probed(self, now: float, ev: api.Probed) -> None:
+        if ev.status is Status.OK and (s := self.servers.get(ev.server)) and s.lost:
+            s.out_until, s.quiet, s.lost, s.cold_at, s.budget_at = now, None, False, now, now
+
+    def listed(self, now: float, ev: api.ServerList) -> None:
+        for old in self.servers.values():
+            old.up, old.gone = old.up and not ev.complete, old.gone or ev.complete
+        for e in ev.entries:
+            s = self.servers.setdefault(e.name, Server(e))
+            restarted = e.born > (s.entry.born + 1e-6 if s.entry is not e else 0.0)
+            s.entry, s.up, s.gone = e, e.health is api.Health.UP, e.health is api.Health.GONE
+            if s.up and restarted and now - e.born < self._set.warm_after:
+                s.cold_at, s.budget, s.budget_at, s.slow = e.born, 0.0, now, 0.0
+                s.out_until = min(s.out_until, now)
+        # All gateways see one ring of servers, each from a place of its own: parts of it add up evenly.
+        ring = sorted((s for s in self.servers.values() if s.up), key=lambda s: s.place)
+        start = self._set.index * len(ring) // self._set.gateways
+        self.ring = ring[start:] + ring[:start]
+        self._choose(now)
+
+    def _choose(self, now: float) -> None:
+        """A thin gate keeps to few: of hundreds it meets each once a minute and learns each failure anew."""
+        want, self.mine = max(FEW, -(-5 * len(self.ring) // self._set.gateways)), list[Server]()
+        for s in self.ring:
+            want -= s.out_until <= now and (s.quiet is None or now - s.quiet <= self._patience)
+            self.mine.append(s)
+            if want <= 0:
+                break
+
+    def _stay(self, cls: api.RequestClass) -> float:
+        """The stay at a server that work of a class may bring about, in seconds.
+
+        One queue serves all classes. Where each filled it to its own aim, those of long aims left no room for
+        the class of the shortest. A longer request may fill it by what it is longer, being most of it itself.
+        """
+        longer = self.base.get(cls.name, 0.0) - self.base.get(self._tightest, 0.0)
+        return min(cls.aim * AIM_SHARE, self._patience + LONGER * max(0.0, longer))
+
+    def pick(self, now: float, r: Request) -> Server | None:
+        # By Little's law: work out is the finished work a second times the stay that is wanted; four a server
+        # over all gates at least. Quick answers give a thin gate three more, a load the chance of one.
+        up, stay, part = self.mine, self._stay(r.cls), 1 - RESERVE * 0.5 * (1 - r.rank)
+        total, least = stay * sum(s.rate for s in up), 4.0 * len(self.ring) / self._set.gateways
+        slack = max(self._rng.random(), 3.0 - 2.5 * self._gate.reading / REFERENCE) * (least < 3)
+        fleet = max(total, self._gate.mean * least) + self._gate.mean * slack
+        # Rates are a mean of seconds and lag; where answers are quick a burst may have twice the work out.
+        fleet *= 1 + max(0.0, 1 - self._gate.reading / (PLAIN_ROOM * REFERENCE)) * (
+            self._gate.sum is not None
+        )
+        # Where answers are owed for long nothing new goes: a cut, hung or lost server. All alike is slowness.
+        quiet = [s for s in up if s.quiet is not None and now - s.quiet > self._patience]
+        quiet = quiet if len(quiet) <= len(up) / 2 else []
+        if sum(s.open for s in up if s not in quiet and s.out_until <= now) + 0.5 * r.work > fleet * part:
+            return None
+        least = max(0.5 * total / max(1, len(up)), 3.5 * self._gate.mean)
+        group, first = up, r.ran[0].entry if r.ran else None
+        if first and r.cls.effect is Effect.KEYED and r.cls.scope is not api.Scope.ALL:  # it may have run
+            group = [s for s in self.ring if s.entry.zone == first.zone]
+            group = [s for s in group if r.cls.scope is not api.Scope.CELL or s.entry.cell == first.cell]
+        pool = [s for s in group if s not in [x for x, _ in r.tries]] or group
+        well = [s for s in pool if s.out_until <= now and not (s.trial and s.open > 0) and s not in quiet]
+        well = pool if all(s.out_until > now for s in up) else well  # every server is out: any beats none
+        fit = [s for s in well if s.open + r.work * 0.5 <= max(stay * s.rate, least) * part]
+        fit = [s for s in fit if s.cold_at is None or self._cold_room(now, s, r)]
+        fit = self._rng.sample(fit, 2) if len(fit) > 2 else fit
+        costs = {s.place: max(1.0, s.slow) * (s.open + r.work) / max(0.05, 1 - s.fails) ** 2 for s in fit}
+        return min(fit, key=lambda s: costs[s.place], default=None)
+
+    def _cold_room(self, now: float, s: Server, r: Request) -> bool:
+        low, age = self._set.cold_share, max(0.0, now - (s.cold_at or 0.0))
+        warmth = low + (1 - low) * age / max(1e-9, self._set.warm_after)
+        s.cold_at = s.cold_at if warmth < 1 else None
+        fill = COLD * self._set.fall_multiple * min(1.0, warmth) * self._done_rate
+        s.budget += fill * (now - s.budget_at)
+        s.budget, s.budget_at = min(fill * self._set.fall_window * 0.5, s.budget), now
+        # One request at each of hundreds of gates pushes it over: it passes as often as its part is there.
+        return s.budget > r.work * self._rng.random()
+
+    def learn(self, now: float, r: Request, s: Server, ev: api.Outcome) -> None:
+        if ev.status is Status.OK:
+            s.done += r.work
+            base, size = self.base[r.cls.name], self.sizes.factor(r.units)
+            own = ev.elapsed / size
+            self.base[r.cls.name] = base + (own - base) * (0.01 if own > base else 0.02)
+            s.slow += (0.1 if s.slow else 1.0) * (own / base - s.slow)
+            self.sizes.learn(r.units, ev.elapsed / base)
+        mute = ev.status is Status.TIMEOUT and s.quiet is not None and now - s.quiet >= ev.elapsed - 1e-6
+        # One connection that breaks is no dead server: more must, one behind the other (what was out together
+        # breaks together), with no answer in between, in a row that is as long as breaks are usual. Where the
+        # whole fleet breaks so often, a server that is dead but takes connections is found some tries later.
+        snapped, up = ev.status in (Status.UNREACHABLE, Status.DROPPED, Status.BROKEN), self.mine or [s]
+        usual, outs = sorted(x.fails for x in up)[len(up) // 2], sum(x.out_until > now for x in up)
+        vain = ev.status is Status.UNREACHABLE  # each such dial is a sign of its own
+        if snapped:
+            s.row, s.broke = s.row + (vain or ev.elapsed <= now - s.broke), now
+        elif ev.status in ANSWERED:
+            s.row = 0
+        dead = mute or (snapped and s.row > 1 and (vain or max(0.05, usual) ** s.row < 0.005))
+        bad = dead or snapped or ev.status is Status.ERROR
+        if ev.status not in (Status.CANCELLED, Status.NOT_SENT, Status.FULL, Status.REJECTED):
+            s.fails += (0.4 if dead else 0.2) * (bad - s.fails)
+        if ev.status is Status.OK:
+            s.cold_at = now if s.lost and s.cold_at is None else s.cold_at  # it may have restarted unseen
+            s.lost, s.trial, s.out_for = False, False, s.out_for * (s.fails >= max(0.05, usual))
+        # Lost, it may come back restarted and cold: that takes dials in vain. Who takes one and breaks it is
+        # there, and one that keeps its connections and is silent hangs or is slow. A restart between two
+        # requests is not seen so; such a server is cold only once the list tells its birth.
+        s.lost = s.lost or (dead and vain)
+        if (
+            bad
+            and s.out_until <= now
+            and s.fails > usual * (2 - dead) + 0.25
+            and (dead or outs < len(up) / 2)
+        ):
+            s.out_for = min(10.0, max(1.5, s.out_for * 2))
+            s.out_until, s.trial, s.fails = now + s.out_for, True, 0.2
+            self._choose(now)
--- /dev/null
+++ b/cypresspulley/policy/gate.py
@@ -0,0 +1,83 @@
+"""The admission gate: the PI loop on inferred load each second, and the token bucket that it fills."""
+
+from cypresspulley import interface as api
+from cypresspulley.interface import Status
+
+REFERENCE, GAIN, RESET, INTERVAL, STALL = 0.8, 20.0, 2.8, 1.0, 2.5  # the design's loop; intervals of a stall
+AIM_SHARE, PLAIN_ROOM = 0.5, 0.5  # latency / aim that reads as the reference; load / reference of plain room
+DEPTH, RESERVE = 1.0, 0.6  # seconds of u that the gate holds; share kept from the least worthy work
+THIN, TRICKLE = 3.0, 0.1  # requests that a thin gate holds; share of the arrivals let in for readings
+
+
+class Gate:
+    """Readings of load go in, tokens come out. ``sum`` is the controller's; None: fresh, admits freely."""
+
+    def __init__(self, now: float) -> None:
+        self.sum: float | None = None
+        self.u = self.reading = self.mean = 0.0  # admit rate a second; last load; mean work of a request
+        self.tries = self.admitted = 0.0  # since the last tick
+        self._tokens = self._arrivals = 0.0  # first tries a second
+        self._filled = self._ticked = now
+        self._load, self._held = list[float](), 0  # readings since they last counted; ticks since
+
+    def __repr__(self) -> str:
+        state = "fresh" if self.sum is None else f"sum {self.sum:.1f}"
+        return f"<Gate u {self.u:.1f}/s, load {self.reading:.2f}, {state}>"
+
+    def arrived(self, work: float, first: bool) -> None:
+        """A try has come, with its expected work."""
+        self.tries += first
+        self.mean += (work - self.mean) * (0.02 if self.mean else 1)
+
+    def overdue(self) -> None:
+        """An answer overdue is a reading before it comes."""
+        self._load.append(1.0)
+
+    def read(self, cls: api.RequestClass, status: Status, elapsed: float) -> None:
+        """An attempt's end: latency against the class's aim, or a refusal as full."""
+        if status is Status.OK:
+            self._load.append(min(1.0, elapsed / cls.aim * REFERENCE / AIM_SHARE))
+        elif status in (Status.FULL, Status.TIMEOUT):
+            self._load.append(1.0)
+
+    def since(self, now: float) -> float:
+        """Seconds since the last tick; a tick begins."""
+        dt, self._ticked = max(1e-3, now - self._ticked), now
+        return dt
+
+    def tick(self, dt: float) -> None:
+        """The control law, once an interval."""
+        arrivals, admitted = self.tries / dt, self.admitted / dt
+        self._arrivals += (0.3 if self._arrivals else 1.0) * (arrivals - self._arrivals)
+        arrivals, self._held = max(arrivals, self._arrivals), self._held + 1
+        # Where a gate sees one request a second its few readings wait for each other, or it would never move.
+        enough = len(self._load) >= 3 or (self._held >= 4 and self._load)
+        load = sum(self._load) / len(self._load) if enough else None
+        # K is made for a stream of its size: at hundreds of thin gates whole ones add up to on and off.
+        gain, self.tries, self.admitted = min(GAIN, self._arrivals), 0.0, 0.0
+        if dt > STALL * INTERVAL:
+            self.sum = None  # a stall: the sum belongs to a load that is gone
+        elif load is not None:
+            error, self.reading = REFERENCE - load, load
+            self.u = gain * error + (admitted if self.sum is None else self.sum)
+            self.sum = self.u - gain * error
+            if load < PLAIN_ROOM * REFERENCE and self.u < arrivals:
+                self.sum, self.u = arrivals - gain * error, arrivals
+            if error < 0 or self.u <= arrivals:
+                self.sum = max(0.0, self.sum + gain / RESET * error)
+        if load is not None or dt > STALL * INTERVAL:
+            self._load, self._held = [], 0
+
+    def passes(self, now: float, work: float, reserve: float) -> bool:
+        """Whether the bucket lets work in, keeping ``reserve`` (a share of its depth) for what is worth more."""
+        # A shut gate reads nothing and would stay shut; a full bucket lets any one request pass, into debt.
+        rate, dt, self._filled = max(TRICKLE * self._arrivals, self.u), now - self._filled, now
+        depth = max(THIN, rate * DEPTH)
+        self._tokens = min(depth, self._tokens + rate * dt)
+        need = work / self.mean + reserve * max(0, depth - 2)
+        return self.sum is None or self._tokens >= min(depth, need)
+
+    def admit(self, work: float) -> None:
+        """A request has been sent on: it pays its tokens."""
+        self._tokens -= work / self.mean if self.sum is not None else float("-inf")  # full when fresh
+        self.admitted += 1
--- /dev/null
+++ b/cypresspulley/policy/gateway.py
@@ -0,0 +1,183 @@
+"""The gateway that joins gate, quotas and fleet: one event in, a list of actions out. See ``interface.py``."""
+
+from bisect import bisect_left
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from cypresspulley import interface as api
+from cypresspulley.interface import Action, Effect, Status
+from cypresspulley.policy.fleet import Fleet
+from cypresspulley.policy.gate import AIM_SHARE, INTERVAL, REFERENCE, RESERVE, Gate
+from cypresspulley.policy.quota import Quotas, Verdict
+from cypresspulley.policy.request import Request
+
+SPLIT = 0.7  # share of the aim until a second attempt
+NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.DROPPED, Status.NOT_SENT)
+
+
+class Gateway:
+    """All that one limiter decides: what is let in, where it goes, whether it is tried again, what is answered."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
+        self._check(settings)
+        self._set, self._out = settings, list[Action]()
+        rng = Random(seed)
+        self.gate = Gate(now)
+        self.fleet = Fleet(settings, rng, self.gate)
+        self.quotas = Quotas(settings, rng, now, lambda action: self._out.append(action))
+        self._classes = {c.name: c for c in settings.classes}
+        self._requests, self.why = dict[int, Request](), dict[str, int]()  # open ones; causes to log
+        self._timer, self._retries = 0, 10.0  # further attempts that may be made
+        self._seen, self._ranks = deque[float](maxlen=300), list[float]()  # worth per work of the recent
+        self._handlers: dict[type, Callable[[float, Any], None]] = {
+            api.Request: self._arrive, api.Outcome: self._outcome, api.Counted: self._counted,
+            api.ServerList: self.fleet.listed, api.Probed: self.fleet.probed, api.Heard: self.quotas.heard,
+            api.TimerFired: lambda _now, _ev: None, api.Departed: lambda _now, ev: self._forget(ev.id),
+        }  # fmt: skip
+
+    def _check(self, s: api.Settings) -> None:
+        one, above = ("gateways", "max_attempts"), ("cold_share", "fall_window")
+        for key in (*one, *above, "warm_after", "counter_timeout"):
+            if getattr(s, key) < (1 if key in one else 1e-9 if key in above else 0):
+                raise ValueError(f"impossible setting: {key}")
+
+    @property
+    def held(self) -> dict[str, float]:
+        """What is left of requests: all 0 once each has had its answer."""
+        accounts = sum(a.open for a in self.quotas.accounts.values())
+        return {"requests": len(self._requests), "of accounts": accounts,
+                "work": sum(s.open for s in self.fleet.servers.values())}  # fmt: skip
+
+    def handle(self, now: float, event: api.Event) -> list[Action]:
+        self._out, ticked = [], event == api.TimerFired(self._timer)
+        self._handlers[type(event)](now, event)
+        if ticked:
+            self._tick(now)
+        if ticked or not self._timer:
+            self._timer += 1
+            self._out.append(api.SetTimer(INTERVAL, self._timer))
+        return self._out
+
+    def _tick(self, now: float) -> None:
+        dt = self.gate.since(now)
+        for r in list(self._requests.values()):
+            if now >= r.deadline and not r.out:
+                self._end(now, r)
+            elif r.out and now - r.born > r.cls.aim * AIM_SHARE / REFERENCE:
+                self.gate.overdue()
+        self.gate.tick(dt)
+        if self._timer % 10 == 0 and self.why:
+            text = (
+                ", ".join(f"{k} {n}" for k, n in sorted(self.why.items())) + f"; load {self.gate.reading:.2f}"
+            )
+            text += f", u {self.gate.u:.0f}/s{', counter silent' * (now < self.quotas.calls.silent_until)}"
+            self._out.append(api.Log(f"turned away: {text}"))
+            self.why = {}
+        self._out += self.fleet.tick(now, dt, self._requests.values())
+        self.quotas.tell(now)
+        self._ranks = sorted(self._seen)
+        self.quotas.tick(now)
+
+    def _arrive(self, now: float, ev: api.Request) -> None:
+        unknown = api.RequestClass(ev.request_class, max(ev.ttl, 0.01), 1.0, Effect.UNSAFE)
+        cls = self._classes.get(ev.request_class, unknown)
+        a = self.quotas.account(now, ev)
+        self.quotas.tell(now)
+        r = self._requests[ev.id] = Request(now, ev, cls, a)
+        r.work = self.fleet.expected(cls, ev.units)
+        self.gate.arrived(r.work, not ev.repeat)
+        value = cls.worth * a.plan.price * r.units / r.work
+        self._seen.append(value)
+        r.rank = bisect_left(self._ranks, value) / len(self._ranks) if self._ranks else 1.0
+        if r.bound and self.quotas.too_dear(r):
+            self._end(now, r, "too dear")
+        elif not self.quotas.under_ceiling(r):
+            self._end(now, r, "ceiling")
+        elif not self.gate.passes(now, r.work, RESERVE * (1 - r.rank)):
+            self._end(now, r, "gate")
+        elif (verdict := self.quotas.judge(now, r)) is not None:
+            self._launch(now, r, verdict)
+
+    def _counted(self, now: float, ev: api.Counted) -> None:
+        self.quotas.counted(now, ev, self._requests, self._launch)
+
+    def _launch(self, now: float, r: Request, verdict: Verdict) -> None:
+        plan = r.account.plan
+        earns = plan.over_worth > plan.over_cost and 0 < self.gate.reading < 0.6 * REFERENCE
+        if not (verdict.inside or earns):
+            return self._end(now, r, "quota")
+        # Requests held for the counter must not draw on the ceiling together.
+        if not self.quotas.under_ceiling(r) or not self._send(now, r):
+            if verdict.counted:
+                self.quotas.count(now, r.account, own=-verdict.counted)
+            return self._end(now, r, "no server")
+        self.gate.admit(r.work)
+        self._retries = min(10.0, self._retries + 0.1)
+        self.quotas.sent(now, r, verdict)
+
+    def _send(self, now: float, r: Request) -> bool:
+        wait = r.due - now
+        s = self.fleet.pick(now, r) if wait > 0 else None
+        if s is None:
+            return False
+        if r.cls.effect is not Effect.UNSAFE and len(r.tries) + 1 < self._set.max_attempts:
+            wait = min(wait, max(SPLIT * r.cls.aim, 4 * max(1.0, s.slow) * r.work))
+        r.out[len(r.tries)] = s
+        r.tries.append((s, now))
+        r.account.open += 1
+        s.open, s.quiet = s.open + r.work, now if s.quiet is None else s.quiet
+        s.budget -= r.work if s.cold_at is not None else 0.0  # warm, it owes nothing when unsure again
+        self._out.append(api.Send(r.id, s.entry.name, wait))
+        return True
+
+    def _outcome(self, now: float, ev: api.Outcome) -> None:
+        r, s = self._requests.get(ev.id), self.fleet.servers.get(ev.server)
+        if s is None or r is None:
+            return
+        if r.out.pop(ev.attempt, None) is not None:
+            s.ended(r.work)
+            r.account.open -= 1
+            if ev.status not in (Status.TIMEOUT, Status.CANCELLED, Status.UNREACHABLE):
+                s.quiet = now if s.open > 1e-9 else None
+            self.gate.read(r.cls, ev.status, ev.elapsed)
+            self.fleet.learn(now, r, s, ev)
+            self.quotas.settle(now, r, ev)
+            if s.open <= 1e-9:
+                s.quiet = None  # with nothing out it owes no answer, and none could ever end its silence
+        if ev.status not in NEVER_RAN and r.ran is None and ev.attempt < len(r.tries):
+            r.ran = r.tries[ev.attempt]
+        if ev.status is Status.REJECTED and not ev.finished:
+            self._out.append(api.Fail(r.id))  # no other server would take it either
+            self._forget(r.id)
+        elif ev.finished:
+            self._forget(ev.id)
+        elif not r.out:
+            self._again(now, r, ev.status)
+
+    def _again(self, now: float, r: Request, status: Status) -> None:
+        allowed = len(r.tries) < self._set.max_attempts and r.due - now > r.work and self._retries >= 1
+        if r.ran is not None and r.cls.effect is not Effect.SAFE:
+            allowed = allowed and r.cls.effect is Effect.KEYED and now - r.ran[1] < 0.95 * r.cls.window
+        if not allowed or not self._send(now, r):
+            return self._end(now, r)
+        self._retries -= status not in (Status.UNREACHABLE, Status.DROPPED)
+
+    def _end(self, now: float, r: Request, why: str = "attempts") -> None:
+        self.why[why] = self.why.get(why, 0) + 1
+        a, effect = r.account, r.cls.effect
+        if r.ran is None or effect is Effect.SAFE or (effect, r.cls.scope) == (Effect.KEYED, api.Scope.ALL):
+            short = max(0.1, (r.units - a.level) / a.plan.rate if a.plan.rate else 0.0)
+            left = max(0.0, min(a.level, a.plan.burst)) if a.plan.rate > 0 else -1.0
+            self._out.append(api.Refuse(r.id, min(self._set.max_retry_after, short), why, left))
+        else:
+            self._out.append(api.Fail(r.id, why))
+        self._forget(r.id)
+
+    def _forget(self, request: int) -> None:
+        if r := self._requests.pop(request, None):
+            for s in r.out.values():
+                s.ended(r.work)
+                r.account.open -= 1
+                s.quiet = s.quiet if s.open > 1e-9 else None  # nobody waits: it owes nothing any more
--- /dev/null
+++ b/cypresspulley/policy/quota.py
@@ -0,0 +1,200 @@
+"""Quotas and what gateways tell each other of them: the accounts, the counter's calls, the messages."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from cypresspulley import interface as api
+from cypresspulley.interface import Action, Status
+from cypresspulley.policy.account import Account, Calls
+from cypresspulley.policy.request import Request
+from cypresspulley.policy.tells import KEY_DIGITS, Tells
+
+FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
+DEAF = 3.0  # seconds with no message of another gateway after which the even share alone counts
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a try is inside its quota. ``counted``: what the counter was told of it already, None for nothing."""
+
+    inside: bool
+    counted: float | None = None
+
+
+class Quotas:
+    """``emit`` takes the actions; they are this gateway's alone, and so are all accounts here."""
+
+    def __init__(
+        self, settings: api.Settings, rng: Random, now: float, emit: Callable[[Action], None]
+    ) -> None:
+        self._set, self._rng, self._born, self._emit = settings, rng, now, emit
+        self._plans = {p.name: p for p in settings.plans}
+        self.accounts, self.names = dict[tuple[str, str], Account](), dict[int, Account]()
+        many = settings.may_tell and settings.inbox > 0 and settings.gateways > 1 and not settings.has_counter
+        self.tells = Tells(now, settings.gateways, settings.inbox) if many else None
+        self._keys = dict[int, Account]()  # by the part of a name that messages carry
+        self.calls = Calls(now, settings.gateways, rng.random())
+
+    def account(self, now: float, ev: api.Request) -> Account:
+        """The account that a try is of, refilled to now."""
+        key = ev.plan, ev.account
+        if (a := self.accounts.get(key)) is None:
+            plan = self._plans.get(ev.plan, api.Plan(ev.plan))
+            a = self.accounts[key] = Account(now, ev, plan, self._born, self._set.max_units)
+            self.names[a.name] = a
+            if self.tells is not None:
+                self._keys[a.name % 64**KEY_DIGITS] = a
+                self.tells.met(now, a)
+                a.heard = now
+        a.refill(now)
+        return a
+
+    def tick(self, now: float) -> None:
+        """Once an interval: idle accounts go, what is owed to the counter is told."""
+        for key, a in list(self.accounts.items()):
+            # A ceiling is full before it is forgotten: a new account would start with more than was left.
+            full = a.ceiling * a.share + a.plan.ceiling_rate * (now - a.at) >= a.plan.ceiling_burst
+            if now - a.at > FORGET and not a.open and full:
+                del self.names[a.name], self.accounts[key]
+                self._keys.pop(a.name % 64**KEY_DIGITS, None)
+            elif abs(a.pending) > 1e-9 and now - a.asked > 1.0 and a.level < 0.7 * a.plan.burst:
+                self.count(now, a)
+
+    @staticmethod
+    def too_dear(r: Request) -> bool:
+        """Whether no store of the plan could ever hold it here: waiting for one would be in vain."""
+        plan, share = r.account.plan, r.account.share
+        capped = plan.ceiling_rate > 0 and r.most > plan.ceiling_burst / share + 1e-9
+        return capped or (plan.rate > 0 and r.units > plan.burst + 1e-9)
+
+    @staticmethod
+    def under_ceiling(r: Request) -> bool:
+        return r.account.plan.ceiling_rate <= 0 or r.account.ceiling >= r.most
+
+    def judge(self, now: float, r: Request) -> Verdict | None:
+        """Whether a try is inside its quota; None where the counter is asked first and the try waits."""
+        a, plan = r.account, r.account.plan
+        expected = min(plan.burst, a.level - a.others * (now - a.synced))
+        worst = min(0.9 * plan.burst * (1 - 1 / a.share), max(a.others, plan.rate) * (now - a.synced))
+        plain = expected - worst - 0.1 * plan.burst >= r.units or a.share <= 1
+        many = plan.open_limit > 0 and a.open >= -(-plan.open_limit // a.share)  # past the even share
+        # The fleet shares the counter: with few calls left one request in so many asks, and counts for all.
+        chance = min(1.0, self.calls.left(now) / 2)
+        calm = a.thin and expected - 0.3 * plan.rate * (now - a.synced) > 0.6 * plan.burst  # not long ago
+        chance *= 0.3 if calm else 1.0
+        if many or plan.rate <= 0:
+            return Verdict(not many)
+        if self.tells is not None and now - self.tells.heard_at < DEAF:
+            return Verdict(a.level >= r.units)
+        if not self._set.has_counter or now < self.calls.silent_until:
+            return Verdict(
+                expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()
+            )  # even share
+        if a.level < r.units or (plain and not a.thin):
+            return Verdict(a.level >= r.units)
+        if r.deadline - now < 3 * self._set.counter_timeout or chance < max(0.05, self._rng.random()):
+            # Unasked, what comes again or often to this one gateway is most likely beyond its quota.
+            likely = expected >= r.units and (calm or not (a.thin and (r.repeat or a.floor < r.units)))
+            return Verdict(likely, 0.0 if a.thin else None)
+        # Near the quota the counter is asked first, with the units where they will likely be granted.
+        step = 0.0 if r.repeat and a.thin else r.units / (max(0.4, chance) if a.thin else 1.0)
+        self.count(now, a, r.id, step)
+        return None
+
+    def sent(self, now: float, r: Request, verdict: Verdict) -> None:
+        """A try was sent on: it takes its units."""
+        a, plan = r.account, r.account.plan
+        a.ceiling -= r.most if plan.ceiling_rate > 0 else 0.0
+        if not verdict.inside:
+            return
+        counted, r.inside = verdict.counted, True
+        a.floor = max(-r.units, a.floor - r.units)
+        a.level = max(0.0, a.level - (0.0 if counted else r.units))
+        a.pending += r.units * (counted is None)
+        a.mine += r.units
+        if self.tells is not None:
+            self.tells.owed[a.name] = a
+        due = a.pending >= 0.3 * min(a.level, plan.burst) / a.share
+        if counted is None and self._set.has_counter and due and a.share > 1:
+            self.count(now, a)
+
+    def count(self, now: float, a: Account, held: int | None = None, own: float = 0) -> None:
+        """Tell the counter what is owed and ``own`` more, with the try that waits for its answer."""
+        a.pending, a.level = a.pending + own, a.level - own
+        room = held is not None or own != 0 or self.calls.left(now) >= 1  # what is owed cannot wait
+        if room and self._set.has_counter and a.plan.rate > 0:
+            a.calls.append((a.pending, held, own if held is not None else 0.0, now))
+            self._emit(api.Count(a.name, LIFETIME, a.pending))
+            self.calls.room, a.pending, a.asked = self.calls.room - 1, 0.0, now
+
+    def counted(
+        self,
+        now: float,
+        ev: api.Counted,
+        open_: dict[int, Request],
+        launch: Callable[[float, Request, Verdict], None],
+    ) -> None:
+        """The counter's answer; a try that waited for it is launched."""
+        a = self.names.get(ev.name)
+        if a is None or not a.calls:
+            return
+        step, held, units, made = a.calls.pop(0)
+        a.refill(now)
+        self.calls.ended(now, ev.status, made)
+        if ev.status is Status.OK:
+            a.told(now, ev.total, step, units)
+        else:
+            # What may have been added is taken for added: told twice it would be used twice.
+            maybe = ev.status in (Status.TIMEOUT, Status.BROKEN, Status.SPOILT)
+            a.pending += 0.0 if maybe else step
+        r = open_.get(-1 if held is None else held)
+        own = r.units if r else 0.0
+        left = a.level + units - own - (0 if ev.status is Status.OK else a.others * (now - a.synced))
+        if held is not None:
+            # Where the guess in the step was wrong the count gets the units back, or gets them at all.
+            used = own if left >= -1e-6 else 0.0
+            right = used if units == 0 else -units * (used == 0)
+            if right:
+                self.count(now, a, own=right)
+            if r is not None:
+                launch(now, r, Verdict(used > 0, (units or right) if used else 0.0))
+        if a.pending > 0.25 * a.plan.burst and ev.status is Status.OK:
+            self.count(now, a)
+        a.level = max(a.level, 0.0)
+
+    def tell(self, now: float) -> None:
+        """A message to the others, where one is due."""
+        if self.tells is not None and self.tells.due(now):
+            self._emit(api.Tell(self.tells.write(now)))
+
+    def heard(self, now: float, ev: api.Heard) -> None:
+        """Another gateway's message."""
+        if self.tells is None or ev.sender == self._set.index:
+            return
+        known = self.tells.late
+        rows = self.tells.read(now, ev.text)
+        if self.tells.late and not known:
+            for account in self.accounts.values():
+                account.refill(now)
+                self.tells.doubt(now, account)
+        for key, units in rows:
+            if (a := self._keys.get(key)) is not None:
+                a.heard_of(now, units)
+            else:
+                self.tells.keep(now, key, units)
+
+    def settle(self, now: float, r: Request, ev: api.Outcome) -> None:
+        """What an answer tells of its customer: the request's true units, and the use of all gateways."""
+        a = r.account
+        # A figure that cannot be true settles nothing: what was taken stays taken, the ceiling's bound as well.
+        true = ev.units if ev.status is Status.OK and ev.units is not None else -1.0
+        known = 0 <= true <= max(self._set.max_units, r.most)
+        if known and r.bound and a.plan.ceiling_rate > 0:
+            a.ceiling = min(a.plan.ceiling_burst / a.share, a.ceiling + r.most - true)
+        if known and r.inside:
+            a.settled(true - r.units)
+            if self.tells is not None:
+                self.tells.owed[a.name] = a
+        if ev.used is not None and a.plan.rate > 0 and self.tells is None and not self._set.has_counter:
+            a.metered(now, ev.used * a.plan.rate)
--- /dev/null
+++ b/cypresspulley/policy/request.py
@@ -0,0 +1,33 @@
+"""A client's try while it is open, as all parts of the policy see it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cypresspulley import interface as api
+
+if TYPE_CHECKING:
+    from cypresspulley.policy.account import Account
+    from cypresspulley.policy.fleet import Server
+
+
+class Request:
+    """Times are of the gateway's clock; ``work`` in seconds of an idle server."""
+
+    __slots__ = (
+        "account", "born", "bound", "cls", "deadline", "due", "id", "inside", "most", "out", "ran", "rank",
+        "repeat", "tries", "units", "work",
+    )  # fmt: skip
+
+    def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, account: Account) -> None:
+        self.id, self.cls, self.account, self.units = ev.id, cls, account, ev.units
+        self.bound, self.most = ev.bound, max(ev.units, ev.bound)  # a ceiling is held against the most
+        self.deadline, self.born, self.repeat, self.inside = now + ev.ttl, now, ev.repeat, False
+        # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
+        self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
+        self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
+        self.tries, self.out = list["tuple[Server, float]"](), dict[int, "Server"]()
+        self.ran: tuple[Server, float] | None = None  # first attempt that may have run
+
+    def __repr__(self) -> str:
+        return f"<Request {self.id} {self.cls.name}, {len(self.tries)} sent, {len(self.out)} out, ran {self.ran}>"
--- a/cypresspulley/rehearsal/virtual/play.py
+++ b/cypresspulley/rehearsal/virtual/play.py
@@ -16,9 +16,9 @@
 from typing import Any
 
 from cypresspulley.__main__ import Config, config_from, serve
-from cypresspulley.decide import Gateway
 from cypresspulley.net.node import Decisions
 from cypresspulley.operators import Operators, load_operators
+from cypresspulley.policy.gateway import Gateway
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.limiters import LimiterProcess, Strike
 from cypresspulley.rehearsal.plan import Plan, draw, random_for
--- a/tests/explore/mutants.py
+++ b/tests/explore/mutants.py
@@ -14,11 +14,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cypresspulley.decide import Gateway
 from cypresspulley.net.frontend import RequestReader
 from cypresspulley.net.node import Node
 from cypresspulley.net.upstream import Upstream
-from cypresspulley.quota import Account
+from cypresspulley.policy.account import Account
+from cypresspulley.policy.fleet import Fleet
+from cypresspulley.policy.gateway import Gateway
 from cypresspulley.rehearsal.scenario import Scenario, load_scenario
 from tests.rehearsal.small import small
 
@@ -69,7 +70,7 @@
         "fast-errors", ("no request lost", "leak"),
     ),
     Mutant(
-        "an id reused", RequestReader, "read",
+        "an id reused", RequestReader, "next_id",
         "self._last_id += 1", "self._last_id = (self._last_id + 1) % 4",
         "calm-morning", ("no request lost", "no effect twice", "leak", "log"),
     ),
@@ -89,7 +90,7 @@
         "slow", ("no request lost", "no effect twice", "log"),
     ),
     Mutant(
-        "a budget that forgets a restart", Gateway, "_cold_room",
+        "a budget that forgets a restart", Fleet, "_cold_room",
         "return s.budget > r.work * self._rng.random()", "return True",
         "cold", ("no cold server pushed over",),
         inside=100.0,
--- a/tests/graphql/test_charging.py
+++ b/tests/graphql/test_charging.py
@@ -11,7 +11,8 @@
 from hypothesis import strategies as st
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway
+from cypresspulley.policy.gateway import Gateway
+from cypresspulley.policy.quota import Quotas
 from tests import world as w
 
 PLAN = api.Plan("capped", 1.0, 6.0, 20.0, ceiling_rate=8.0, ceiling_burst=30.0)
@@ -42,7 +43,7 @@
 
 
 def account(world: w.World) -> Any:
-    return next(iter(world.gateway._accounts.values()))
+    return next(iter(world.gateway.quotas.accounts.values()))
 
 
 def use_of_true_costs(seed: int) -> float:
@@ -90,7 +91,8 @@
 
 
 def _patched(monkeypatch: pytest.MonkeyPatch, name: str, make: Callable[[Any], Any]) -> None:
-    monkeypatch.setattr(Gateway, name, make(getattr(Gateway, name)))
+    owner = Gateway if hasattr(Gateway, name) else Quotas
+    monkeypatch.setattr(owner, name, make(getattr(owner, name)))
 
 
 def _expected_only(launch: Any) -> Any:
@@ -102,7 +104,7 @@
 
 
 def _negative_believed(settle: Any) -> Any:
-    def mutant(self: Gateway, now: float, r: Any, ev: api.Outcome) -> None:
+    def mutant(self: Quotas, now: float, r: Any, ev: api.Outcome) -> None:
         if ev.units is not None and ev.units < 0:
             r.account.ceiling += r.most - ev.units
         else:
@@ -112,7 +114,7 @@
 
 
 def _given_back_on_a_lost_answer(settle: Any) -> Any:
-    def mutant(self: Gateway, now: float, r: Any, ev: api.Outcome) -> None:
+    def mutant(self: Quotas, now: float, r: Any, ev: api.Outcome) -> None:
         if ev.status is not api.Status.OK:
             r.account.ceiling += r.most
         settle(self, now, r, ev)
@@ -121,7 +123,7 @@
 
 
 def _settled_twice(settle: Any) -> Any:
-    def mutant(self: Gateway, now: float, r: Any, ev: api.Outcome) -> None:
+    def mutant(self: Quotas, now: float, r: Any, ev: api.Outcome) -> None:
         settle(self, now, r, ev)
         settle(self, now, r, ev)
 
@@ -131,8 +133,8 @@
 @pytest.mark.parametrize(
     "name, mutant",
     [
-        ("_launch", _expected_only), ("_settle", _negative_believed), ("_settle", _given_back_on_a_lost_answer),
-        ("_settle", _settled_twice),
+        ("_launch", _expected_only), ("settle", _negative_believed), ("settle", _given_back_on_a_lost_answer),
+        ("settle", _settled_twice),
     ],
 )  # fmt: skip
 def test_wrong_accounting_is_convicted(monkeypatch: pytest.MonkeyPatch, name: str, mutant: Any) -> None:
@@ -198,4 +200,4 @@
 def test_a_plain_request_is_never_too_dear() -> None:
     world = capped()
     world.feed(api.Request(1, "read", "small", 3.0, "acct", 9.0, 3))
-    assert world.answered.get(1) != "too dear" and world.gateway._why.get("too dear", 0) == 0
+    assert world.answered.get(1) != "too dear" and world.gateway.why.get("too dear", 0) == 0
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -9,8 +9,8 @@
 import pytest
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway
 from cypresspulley.net.node import unix_clock
+from cypresspulley.policy.gateway import Gateway
 from tests.loopback import (
     OK,
     SETTINGS,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,7 +14,8 @@
 from cypresspulley import interface as api
 from cypresspulley.__main__ import ConfigError, config_from
 from cypresspulley.net.peers import MAX_MESSAGE, Peers
-from cypresspulley.quota import DIGITS, HEARD_AT_MOST, STEP, Account, Tells
+from cypresspulley.policy.account import Account
+from cypresspulley.policy.tells import DIGITS, HEARD_AT_MOST, STEP, Tells
 from tests import world as w
 from tests.loopback import Limiter, Origin, Script, ask, listening, run, send_on
 from tests.test_program import config
@@ -113,7 +114,7 @@
 def test_absurd_units_settle_nothing(units: float) -> None:
     fleet = Fleet()
     assert fleet.ask(0, 100.0, 1, 1.0, units)
-    account = next(iter(fleet.worlds[0].gateway._accounts.values()))
+    account = next(iter(fleet.worlds[0].gateway.quotas.accounts.values()))
     assert account.level == pytest.approx(PLAN.burst - 1)
 
 
@@ -131,7 +132,7 @@
     fleet = Fleet()
     fleet.ask(0, 100.0, 1)
     fleet.worlds[0].feed(api.Heard(1, text))
-    account = next(iter(fleet.worlds[0].gateway._accounts.values()))
+    account = next(iter(fleet.worlds[0].gateway.quotas.accounts.values()))
     assert -2 * PLAN.burst <= account.level <= PLAN.burst
 
 
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -7,7 +7,8 @@
 import pytest
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway, _Sizes
+from cypresspulley.policy.fleet import Sizes
+from cypresspulley.policy.gateway import Gateway
 from tests import world as w
 
 
@@ -84,7 +85,7 @@
             if server == "s0":
                 world.feed(w.outcome(rid, attempt, server, api.Status.UNREACHABLE))
     world.serve()
-    assert world.gateway._servers["s0"].out_until > world.now
+    assert world.gateway.fleet.servers["s0"].out_until > world.now
     probes: list[api.Action] = []
     for _ in range(3):
         at, token = world.timers.pop(0)
@@ -173,19 +174,19 @@
         world.feed(w.request(id, "read", "small" if id % 2 else "free", f"once{id}"))
         world.answer_counts()
         world.serve()
-    assert len(world.gateway._accounts) == 500
+    assert len(world.gateway.quotas.accounts) == 500
     world.advance(world.now + 70)
-    assert not world.gateway._accounts and not world.gateway._names
+    assert not world.gateway.quotas.accounts and not world.gateway.quotas.names
 
 
 def test_a_stall_starts_the_loop_afresh() -> None:
     world = w.World(w.settings())
     world.feed(w.servers("s0", "s1", "s2"))
     run(world, 4, 40, 0)
-    assert world.gateway._sum is not None
+    assert world.gateway.gate.sum is not None
     world.now += 30
     world.feed(api.TimerFired(world.timers.pop(0)[1]))
-    assert world.gateway._sum is None
+    assert world.gateway.gate.sum is None
 
 
 def test_attempts_end_at_the_aim_where_a_late_answer_earns_nothing() -> None:
@@ -233,7 +234,7 @@
     world = w.World(w.settings(gateways=300))
     world.feed(w.servers("s0", "s1", "s2"))
     next_id = run(world, 60, 1, 0, elapsed=0.99)
-    assert world.gateway._u < 0.5
+    assert world.gateway.gate.u < 0.5
     next_id = run(world, 60, 1, next_id, elapsed=0.02)
     late = [world.answered[i] for i in range(next_id - 20, next_id)]
     assert late.count("served") > 15
@@ -297,10 +298,10 @@
         world.advance(world.now + 0.02)
         world.feed(w.servers(f"s{round}"))
     world.advance(world.now + 1.1)
-    assert set(world.gateway._servers) == {"s0", "s49"}
+    assert set(world.gateway.fleet.servers) == {"s0", "s49"}
     world.serve()
     world.advance(world.now + 1.1)
-    assert set(world.gateway._servers) == {"s49"}
+    assert set(world.gateway.fleet.servers) == {"s49"}
     world.feed(w.servers("s0", "s49"))  # it may come back, as a new one
     run(world, 3, 20, 100)
     assert {server for _, server, _ in world.sends[-30:]} == {"s0", "s49"}
@@ -335,7 +336,7 @@
         world.advance(world.now + 0.05)
         world.feed(w.request(id))
         world.serve(api.Status.BROKEN if id % 10 < 3 else api.Status.OK)
-    assert not any(server.cold_at or server.lost for server in world.gateway._servers.values())
+    assert not any(server.cold_at or server.lost for server in world.gateway.fleet.servers.values())
 
 
 @pytest.mark.parametrize("status", [api.Status.UNREACHABLE, api.Status.TIMEOUT])
@@ -348,7 +349,7 @@
     world.feed(w.outcome(0, 0, server, status, 0.05))
     world.serve()
     run(world, 30, 20, 1)
-    assert all(s.quiet is None for s in world.gateway._servers.values())
+    assert all(s.quiet is None for s in world.gateway.fleet.servers.values())
 
 
 def test_long_aims_leave_room_for_the_class_of_the_shortest() -> None:
@@ -358,19 +359,19 @@
     world = w.World(w.settings(classes=(hasty, patient), plans=(api.Plan("free"),), gateways=1))
     world.feed(w.servers("s0", "s1", "s2", "s3"))
     gateway = world.gateway
-    gateway._base, gateway._mean, gateway._reading = {"hasty": 0.1, "patient": 0.1}, 0.1, 0.4
-    for server in gateway._mine:  # 0.25 s of what they do is 2.5; 2.6 is out
+    gateway.fleet.base, gateway.gate.mean, gateway.gate.reading = {"hasty": 0.1, "patient": 0.1}, 0.1, 0.4
+    for server in gateway.fleet.mine:  # 0.25 s of what they do is 2.5; 2.6 is out
         server.rate, server.open = 2.5, 0.65
     world.feed(w.request(1, "patient"))
     assert world.answered[1] == "refused"
-    for server in gateway._mine:
+    for server in gateway.fleet.mine:
         server.open = 0.5
     world.feed(w.request(2, "hasty"))
     assert (2, 0) in world.out
 
 
 def test_work_grows_with_units_where_latency_does_and_not_elsewhere() -> None:
-    rng, growing, flat = Random(3), _Sizes(), _Sizes()
+    rng, growing, flat = Random(3), Sizes(), Sizes()
     for _ in range(500):
         units = rng.choice((1.0, 2.0, 4.0, 8.0))
         noise = rng.uniform(0.7, 1.3)
@@ -381,7 +382,7 @@
 
 
 def test_where_each_request_counts_one_its_units_change_nothing() -> None:
-    sizes, rng = _Sizes(), Random(4)
+    sizes, rng = Sizes(), Random(4)
     for _ in range(500):
         sizes.learn(1.0, rng.expovariate(1.0))
     assert sizes.factor(1.0) == 1.0 and sizes.slope == 0.0
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from cypresspulley import interface as api
-from cypresspulley.decide import Gateway
+from cypresspulley.policy.gateway import Gateway
 
 NEVER_RAN = {api.Status.FULL, api.Status.UNREACHABLE, api.Status.DROPPED, api.Status.NOT_SENT}
 SAFE = api.RequestClass("read", 1.0, 1.0, api.Effect.SAFE)
