--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -10,7 +10,7 @@
 from cypresspulley.policy.request import Request
 
 FEW = 8  # servers that a thin gate keeps to
-LONGER = 2.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
+LONGER = 3.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
 COLD = 0.45  # of a load that fells a cold server
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 
