--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -551,6 +551,7 @@
 
 async def _day(director: Director, progress: Progress | None) -> None:
     """From the first limiter's start to the last one's end."""
+    director.clients.prepare(director.plan.arrivals)
     director.build()
     director.stage.record(director.day)
     await asyncio.gather(*(director.start_limiter(name) for name in director.limiters))
--- a/cypresspulley/rehearsal/standins/clients.py
+++ b/cypresspulley/rehearsal/standins/clients.py
@@ -169,6 +169,15 @@
     def open(self) -> int:
         return len(self._open)
 
+    def prepare(self, arrivals: tuple[Arrival, ...]) -> None:
+        """Make what GraphQL clients will ask and get before the day: executing it on the way made the kit late."""
+        if not self._points_per_unit:
+            return
+        from cypresspulley.rehearsal.standins.graphql import asking  # an extra that plain days do not need
+
+        for arrival in arrivals:
+            asking(self._seed, arrival, self._classes[arrival.cls].effect == "unsafe")
+
     async def play(self, arrivals: tuple[Arrival, ...]) -> None:
         loop = asyncio.get_running_loop()
         for arrival in arrivals:
