Start first lives with full ceiling shares, and send to the least reported load

Seen: of 25 s, 3502 tries of ceilinged accounts were refused 'ceiling' though their stores held them; 48 sends of theirs in all were beyond. Least p50 of a server 0.2 s, of its neighbour 1 s, at the same number of sends. The counter bears some 200 calls a second over all (10 ms each; 35 in 100 ms end in time-outs), while 320 first tries a second wanted one. At fault: policy/account.py, the ceiling of an even share that fills from each birth (25 units over 12 limiters: 2.7 s until the first); policy/quota.py judge, which asks the counter for what the even share holds; policy/fleet.py pick, which tells servers apart by own work out, of which a thin gate has two at eight servers, and never read the load reports. Change: policy/windows.py: a life of a limiter that the counter vouches for starts with its share full; ceilings whose even share holds less than two requests are kept in windows by the counter. Even shares go unasked. The server of the least reported load, faded with its age; three out a server over all gates instead of four.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -179,7 +179,11 @@
         gateway = Gateway(config.settings, config.seed, clock())
     except ValueError as error:
         raise ConfigError(str(error)) from None
-    decisions = gateway if watched is None else watched(gateway)
+    decisions: Decisions = gateway if watched is None else watched(gateway)
+    if operators.tally is not None:
+        from cypresspulley.tally import Tally
+
+        decisions = Tally(decisions, operators.tally, config.settings.warm_after, lambda: upstream.dials)
     node, access_log = _node(config.settings, decisions, clock, upstream, counter, operators)
     if config.known is not None:
         node.listed(config.known)
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -298,7 +298,7 @@
         self._clock, self._dial_timeout, self._max = clock, dial_timeout, max_connections
         self._idle_for = conn_idle * IDLE_SHARE
         self._servers = dict[str, _Server]()
-        self._open = 0
+        self._open = self.dials = 0  # connections; dials begun so far
         self._dials = set[asyncio.Task[None]]()
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
@@ -345,7 +345,7 @@
             return self._write(connection, exchange)
         if server.open >= PER_SERVER or (self._open >= self._max and not self._make_room()):
             return self.end(exchange, Status.FULL)
-        server.open, self._open = server.open + 1, self._open + 1
+        server.open, self._open, self.dials = server.open + 1, self._open + 1, self.dials + 1
         dial = loop.create_task(self._dial(server, exchange))
         self._dials.add(dial)
         dial.add_done_callback(self._dials.discard)
--- a/cypresspulley/operators.py
+++ b/cypresspulley/operators.py
@@ -10,7 +10,12 @@
 from dataclasses import dataclass
 from typing import Any
 
-TABLES = {"access_log": {"path": str}, "keeper": {"url": str}}
+TABLES: dict[str, dict[str, type]] = {
+    "access_log": {"path": str},
+    "keeper": {"url": str},
+    "tally": {"every": float},
+}
+LEAST_TALLY = 0.1  # seconds
 OWN_CHECK = (
     "graphql",
 )  # tables that the tool behind them checks, which is imported only where they are there
@@ -27,6 +32,7 @@
     access_log: str | None = None
     keeper: str | None = None  # the URL of an engine that holds the shared counts
     graphql: tuple[str, dict[str, Any]] | None = None  # the file that it stands in, and the table
+    tally: float | None = None  # seconds of the spells by which events and actions are counted
 
 
 def load_operators(path: str) -> Operators:
@@ -42,7 +48,10 @@
     name = os.environ.get("LB_NAME", "limiter")
     graphql = (path, raw["graphql"]) if "graphql" in raw else None
     keeper = raw.get("keeper", {}).get("url")
-    return Operators(access_log.replace("{name}", name) if access_log else None, keeper, graphql)
+    tally = raw.get("tally", {}).get("every")
+    if tally is not None and tally < LEAST_TALLY:
+        raise OperatorsError(f"{path}: tally.every: expected at least {LEAST_TALLY:g} seconds, got {tally:g}")
+    return Operators(access_log.replace("{name}", name) if access_log else None, keeper, graphql, tally)
 
 
 def _check(path: str, table: str, keys: Any) -> None:
--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -5,6 +5,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Status
+from cypresspulley.policy.windows import Windows, kept_alone
 
 RECENT = 1.0  # seconds over which the others' use, told by messages, is taken for what they go on using
 CALLS = 300.0  # calls a second to the counter, thought possible at first by all, and at most by one
@@ -48,21 +49,26 @@
     """A customer's quota as this gateway knows it; many come once only, so it is kept small."""
 
     __slots__ = (
-        "asked", "at", "calls", "ceiling", "debt", "floor", "floor_cap", "guessed", "heard", "level", "mine", "name",
-        "open", "others", "pending", "plan", "share", "synced", "thin", "total",
+        "asked", "at", "calls", "ceiling", "debt", "drawn", "floor", "floor_cap", "guessed", "heard", "keep", "level",
+        "mine", "name", "open", "others", "pending", "plan", "share", "synced", "thin", "total", "windows",
     )  # fmt: skip
 
-    def __init__(self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float) -> None:
+    def __init__(
+        self, now: float, ev: api.Request, plan: api.Plan, born: float, most: float, counter: bool
+    ) -> None:
         self.plan, self.at, self.asked, self.synced = plan, now, now, born
         self.share = share = max(1, ev.gateways)
-        label = f"{ev.plan} {ev.account}".encode()
-        self.name = int.from_bytes(blake2b(label, digest_size=8).digest(), "big") >> 1
+        label = f"{ev.plan} {ev.account}"
+        self.name = int.from_bytes(blake2b(label.encode(), digest_size=8).digest(), "big") >> 1
         # Of the whole store; a reading cuts it. Where nobody else draws on it, it is simply full.
         self.level = plan.burst + plan.rate * (now - born) * (share > 1)
         self.thin = plan.burst < 2 * share  # the even share holds next to nothing
         self.floor = self.floor_cap = max(plan.burst / share, min(most, plan.burst) * self.thin)
         # A restart finds the ceiling's store used, so the share fills from this instance's birth.
-        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - born)) / share
+        self.keep = kept_alone(plan, share, most, counter)
+        self.windows = Windows(label, plan, 1 - self.keep) if self.keep < 1 else None
+        self.ceiling = self.keep * min(plan.ceiling_burst, plan.ceiling_rate * (now - born)) / share
+        self.drawn = 0.0  # units taken from it
         self.total: float | None = None
         self.others = plan.rate * (share - 1) / share * 0.3  # their use a second
         self.pending, self.open = 0.0, 0  # own use that the others have not been told; attempts out
@@ -82,8 +88,16 @@
             unread = plan.rate * (now - self.synced) * (self.share > 1)
             self.level = min(plan.burst + unread, self.level + gain)
         self.floor = min(self.floor_cap, self.floor + plan.rate / self.share * dt)
-        whole = self.ceiling * self.share + plan.ceiling_rate * dt
-        self.ceiling = min(plan.ceiling_burst, whole) / self.share
+        whole = self.ceiling * self.share + self.keep * plan.ceiling_rate * dt
+        self.ceiling = min(self.keep * plan.ceiling_burst, whole) / self.share
+
+    def vouched(self) -> None:
+        """No earlier life of this gateway drew on the even share: it was full when this one began."""
+        self.ceiling = max(self.ceiling, self.keep * self.plan.ceiling_burst / self.share - self.drawn)
+
+    def ceiling_back(self, units: float) -> None:
+        """Units that were taken from the even share of the ceiling and not used."""
+        self.ceiling = min(self.keep * self.plan.ceiling_burst / self.share, self.ceiling + units)
 
     def _extrapolate(self, dt: float) -> None:
         """Between two messages the others go on as they did, ever less surely."""
--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -1,5 +1,6 @@
 """The fleet as this gateway knows it: which servers there are, how they do, and which one a request goes to."""
 
+import math
 from collections.abc import Iterable
 from hashlib import blake2b
 from random import Random
@@ -11,6 +12,7 @@
 
 FEW = 8  # servers that a thin gate keeps to
 LONGER = 3.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
+FADE, FADED = 2.0, 8.0  # seconds in which a report fades, and is gone
 COLD = 0.45  # of a load that fells a cold server
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 
@@ -22,6 +24,11 @@
         self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
         self.out_until = self.out_for = self.budget = self.budget_at = 0.0
         self.trial = self.lost = self.gone = False
+        self.told, self.told_at, self.since = (
+            0.0,
+            -1e9,
+            0,
+        )  # requests in hand by its last report; when; sent since
         self.row, self.broke = 0, 0.0  # breaks with no answer in between; when the last came
         self.quiet: float | None = None  # since when it owes answers and gives none
         self.cold_at: float | None = None
@@ -135,7 +142,7 @@
         # By Little's law: work out is the finished work a second times the stay that is wanted; four a server
         # over all gates at least. Quick answers give a thin gate three more, a load the chance of one.
         up, stay, part = self.mine, self._stay(r.cls), 1 - RESERVE * 0.5 * (1 - r.rank)
-        total, least = stay * sum(s.rate for s in up), 4.0 * len(self.ring) / self._set.gateways
+        total, least = stay * sum(s.rate for s in up), 3.0 * len(self.ring) / self._set.gateways
         slack = max(self._rng.random(), 3.0 - 2.5 * self._gate.reading / REFERENCE) * (least < 3)
         fleet = max(total, self._gate.mean * least) + self._gate.mean * slack
         # Rates are a mean of seconds and lag; where answers are quick a burst may have twice the work out.
@@ -157,8 +164,23 @@
         well = pool if all(s.out_until > now for s in up) else well  # every server is out: any beats none
         fit = [s for s in well if s.open + r.work * 0.5 <= max(stay * s.rate, least) * part]
         fit = [s for s in fit if s.cold_at is None or self._cold_room(now, s, r)]
-        fit = self._rng.sample(fit, 2) if len(fit) > 2 else fit
-        costs = {s.place: max(1.0, s.slow) * (s.open + r.work) / max(0.05, 1 - s.fails) ** 2 for s in fit}
+        return self._least(now, fit, r)
+
+    def _least(self, now: float, fit: list[Server], r: Request) -> Server | None:
+        """The server of the least expected wait, by its own reports where there are any.
+
+        A report is of a moment past: it fades into the mean of the others', and what was sent since counts on top.
+        """
+        told = [s for s in self.mine if now - s.told_at < FADED]
+        if len(told) * 2 < len(self.mine) or not told:
+            fit = self._rng.sample(fit, 2) if len(fit) > 2 else fit
+            costs = {s.place: max(1.0, s.slow) * (s.open + r.work) / max(0.05, 1 - s.fails) ** 2 for s in fit}
+            return min(fit, key=lambda s: costs[s.place], default=None)
+        mean = sum(s.told for s in told) / len(told)
+        costs = {}
+        for s in fit:
+            held = mean + (s.told - mean) * math.exp((s.told_at - now) / FADE) + s.since + 1
+            costs[s.place] = held / max(0.05, 1 - s.fails) ** 2 * (1 + 0.2 * self._rng.random())
         return min(fit, key=lambda s: costs[s.place], default=None)
 
     def _cold_room(self, now: float, s: Server, r: Request) -> bool:
@@ -172,6 +194,8 @@
         return s.budget > r.work * self._rng.random()
 
     def learn(self, now: float, r: Request, s: Server, ev: api.Outcome) -> None:
+        if (held := ev.report.get("inflight")) is not None:
+            s.told, s.told_at, s.since = max(0.0, held), now, 0
         if ev.status is Status.OK:
             s.done += r.work
             base, size = self.base[r.cls.name], self.sizes.factor(r.units)
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -93,7 +93,7 @@
         r.rank = bisect_left(self._ranks, value) / len(self._ranks) if self._ranks else 1.0
         if r.bound and self.quotas.too_dear(r):
             self._end(now, r, "too dear")
-        elif not self.quotas.under_ceiling(r):
+        elif not (self.quotas.under_ceiling(r) or self.quotas.may_ask(now, r)):
             self._end(now, r, "ceiling")
         elif not self.gate.passes(now, r.work, RESERVE * (1 - r.rank)):
             self._end(now, r, "gate")
@@ -107,7 +107,7 @@
         plan = r.account.plan
         earns = plan.over_worth > plan.over_cost and 0 < self.gate.reading < 0.6 * REFERENCE
         if not (verdict.inside or earns):
-            return self._end(now, r, "quota")
+            return self._end(now, r, verdict.why)
         # Requests held for the counter must not draw on the ceiling together.
         if not self.quotas.under_ceiling(r) or not self._send(now, r):
             if verdict.counted:
@@ -127,6 +127,7 @@
         r.out[len(r.tries)] = s
         r.tries.append((s, now))
         r.account.open += 1
+        s.since += 1
         s.open, s.quiet = s.open + r.work, now if s.quiet is None else s.quiet
         s.budget -= r.work if s.cold_at is not None else 0.0  # warm, it owes nothing when unsure again
         self._out.append(api.Send(r.id, s.entry.name, wait))
@@ -167,6 +168,8 @@
     def _end(self, now: float, r: Request, why: str = "attempts") -> None:
         self.why[why] = self.why.get(why, 0) + 1
         a, effect = r.account, r.cls.effect
+        if not r.tries:
+            self.quotas.give_back(now, r)
         if r.ran is None or effect is Effect.SAFE or (effect, r.cls.scope) == (Effect.KEYED, api.Scope.ALL):
             short = max(0.1, (r.units - a.level) / a.plan.rate if a.plan.rate else 0.0)
             left = max(0.0, min(a.level, a.plan.burst)) if a.plan.rate > 0 else -1.0
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -1,5 +1,6 @@
 """Quotas and what gateways tell each other of them: the accounts, the counter's calls, the messages."""
 
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -9,6 +10,7 @@
 from cypresspulley.policy.account import Account, Calls
 from cypresspulley.policy.request import Request
 from cypresspulley.policy.tells import KEY_DIGITS, Tells
+from cypresspulley.policy.windows import Life, Windows
 
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
 DEAF = 3.0  # seconds with no message of another gateway after which the even share alone counts
@@ -20,6 +22,7 @@
 
     inside: bool
     counted: float | None = None
+    why: str = "quota"  # what it is refused for where it is not
 
 
 class Quotas:
@@ -35,26 +38,41 @@
         self.tells = Tells(now, settings.gateways, settings.inbox) if many else None
         self._keys = dict[int, Account]()  # by the part of a name that messages carry
         self.calls = Calls(now, settings.gateways, rng.random())
+        self._life = Life(settings, rng, now)
+        # Tries that wait for their window's count, by its name: the account, the window, the try, when it was asked.
+        self._asked = dict[int, deque[tuple[Account, int, Request, float]]]()
 
     def account(self, now: float, ev: api.Request) -> Account:
         """The account that a try is of, refilled to now."""
         key = ev.plan, ev.account
         if (a := self.accounts.get(key)) is None:
             plan = self._plans.get(ev.plan, api.Plan(ev.plan))
-            a = self.accounts[key] = Account(now, ev, plan, self._born, self._set.max_units)
+            a = self.accounts[key] = Account(
+                now, ev, plan, self._born, self._set.max_units, self._set.has_counter
+            )
             self.names[a.name] = a
+            if self._life.vouched:
+                a.vouched()
             if self.tells is not None:
                 self._keys[a.name % 64**KEY_DIGITS] = a
                 self.tells.met(now, a)
                 a.heard = now
         a.refill(now)
+        self.live(now)
         return a
 
+    def live(self, now: float) -> None:
+        """The counter is asked whether this gateway was there before, when that is due."""
+        if (call := self._life.call(now)) is not None:
+            self._emit(call)
+
     def tick(self, now: float) -> None:
         """Once an interval: idle accounts go, what is owed to the counter is told."""
+        self.live(now)
         for key, a in list(self.accounts.items()):
             # A ceiling is full before it is forgotten: a new account would start with more than was left.
-            full = a.ceiling * a.share + a.plan.ceiling_rate * (now - a.at) >= a.plan.ceiling_burst
+            grown = a.ceiling * a.share + a.keep * a.plan.ceiling_rate * (now - a.at)
+            full = grown >= a.keep * a.plan.ceiling_burst
             if now - a.at > FORGET and not a.open and full:
                 del self.names[a.name], self.accounts[key]
                 self._keys.pop(a.name % 64**KEY_DIGITS, None)
@@ -64,17 +82,72 @@
     @staticmethod
     def too_dear(r: Request) -> bool:
         """Whether no store of the plan could ever hold it here: waiting for one would be in vain."""
-        plan, share = r.account.plan, r.account.share
-        capped = plan.ceiling_rate > 0 and r.most > plan.ceiling_burst / share + 1e-9
+        a, plan = r.account, r.account.plan
+        most = max(a.keep * plan.ceiling_burst / a.share, a.windows.most if a.windows else 0.0)
+        capped = plan.ceiling_rate > 0 and r.most > most + 1e-9
         return capped or (plan.rate > 0 and r.units > plan.burst + 1e-9)
 
     @staticmethod
     def under_ceiling(r: Request) -> bool:
-        return r.account.plan.ceiling_rate <= 0 or r.account.ceiling >= r.most
+        """Whether the even share of the ceiling holds it, or a window that was asked."""
+        return r.account.plan.ceiling_rate <= 0 or r.granted is not None or r.account.ceiling >= r.most
+
+    def may_ask(self, now: float, r: Request) -> bool:
+        """Whether its window may hold what the even share does not, and the counter can be asked."""
+        w, in_time = r.account.windows, r.deadline - now >= 3 * self._set.counter_timeout
+        return w is not None and in_time and w.room(now, r.most) and self.calls.left(now) >= 1
+
+    def _ask(self, now: float, r: Request, windows: Windows) -> None:
+        name = windows.name(windows.index)
+        self._asked.setdefault(name, deque()).append((r.account, windows.index, r, now))
+        self.calls.room -= 1
+        self._emit(api.Count(name, 2 * windows.length + 1, r.most))
+
+    def give_back(self, now: float, r: Request) -> None:
+        """What a window holds for a try that was not sent on."""
+        windows = r.account.windows
+        if r.granted is not None and windows is not None and int(now // windows.length) == r.granted:
+            self._emit(api.Count(windows.name(r.granted), 2 * windows.length + 1, -r.most))
+        r.granted = None
+
+    def _window_answered(
+        self, now: float, ev: api.Counted, open_: dict[int, Request],
+        launch: Callable[[float, Request, Verdict], None],
+    ) -> None:  # fmt: skip
+        waiting = self._asked[ev.name]
+        a, index, r, made = waiting.popleft()
+        if not waiting:
+            del self._asked[ev.name]
+        a.refill(now)
+        self.calls.ended(now, ev.status, made)
+        back, windows = 0.0, a.windows
+        if ev.status is Status.OK and windows is not None:
+            fits, back = windows.granted(index, ev.total, r.most)
+            r.granted = index if fits else None
+        if open_.get(r.id) is not r:
+            self.give_back(now, r)  # its client left meanwhile
+        elif r.granted is not None:
+            launch(now, r, self._plainly(now, r))
+        else:
+            launch(now, r, Verdict(False, why="ceiling"))
+        if back and windows is not None:
+            self._emit(api.Count(windows.name(index), 2 * windows.length + 1, -back))
+
+    @staticmethod
+    def _plainly(now: float, r: Request) -> Verdict:
+        """Inside its quota as far as is known here. A ceiling kept by its windows bounds what passes a quota
+        unseen, and calls are few: a second one for each try would be one too many."""
+        a = r.account
+        return Verdict(min(a.plan.burst, a.level - a.others * (now - a.synced)) >= r.units, 0.0)
 
     def judge(self, now: float, r: Request) -> Verdict | None:
         """Whether a try is inside its quota; None where the counter is asked first and the try waits."""
         a, plan = r.account, r.account.plan
+        if a.windows is not None or (a.thin and plan.ceiling_rate > 0 and self._set.has_counter):
+            if a.windows is None or self.under_ceiling(r):
+                return self._plainly(now, r)
+            self._ask(now, r, a.windows)
+            return None
         expected = min(plan.burst, a.level - a.others * (now - a.synced))
         worst = min(0.9 * plan.burst * (1 - 1 / a.share), max(a.others, plan.rate) * (now - a.synced))
         plain = expected - worst - 0.1 * plan.burst >= r.units or a.share <= 1
@@ -85,6 +158,8 @@
         chance *= 0.3 if calm else 1.0
         if many or plan.rate <= 0:
             return Verdict(not many)
+        if a.thin and self.tells is None and plan.open_limit == 0 and a.floor >= r.units:
+            return Verdict(True, 0.0)
         if self.tells is not None and now - self.tells.heard_at < DEAF:
             return Verdict(a.level >= r.units)
         if not self._set.has_counter or now < self.calls.silent_until:
@@ -105,7 +180,8 @@
     def sent(self, now: float, r: Request, verdict: Verdict) -> None:
         """A try was sent on: it takes its units."""
         a, plan = r.account, r.account.plan
-        a.ceiling -= r.most if plan.ceiling_rate > 0 else 0.0
+        if plan.ceiling_rate > 0 and r.granted is None:
+            a.ceiling, a.drawn = a.ceiling - r.most, a.drawn + r.most
         if not verdict.inside:
             return
         counted, r.inside = verdict.counted, True
@@ -136,6 +212,13 @@
         launch: Callable[[float, Request, Verdict], None],
     ) -> None:
         """The counter's answer; a try that waited for it is launched."""
+        if self._life.mine(ev.name):
+            if self._life.told(now, ev):
+                for account in self.accounts.values():
+                    account.vouched()
+            return None
+        if ev.name in self._asked:
+            return self._window_answered(now, ev, open_, launch)
         a = self.names.get(ev.name)
         if a is None or not a.calls:
             return
@@ -190,8 +273,8 @@
         # A figure that cannot be true settles nothing: what was taken stays taken, the ceiling's bound as well.
         true = ev.units if ev.status is Status.OK and ev.units is not None else -1.0
         known = 0 <= true <= max(self._set.max_units, r.most)
-        if known and r.bound and a.plan.ceiling_rate > 0:
-            a.ceiling = min(a.plan.ceiling_burst / a.share, a.ceiling + r.most - true)
+        if known and r.bound and a.plan.ceiling_rate > 0 and r.granted is None:
+            a.ceiling_back(r.most - true)
         if known and r.inside:
             a.settled(true - r.units)
             if self.tells is not None:
--- a/cypresspulley/policy/request.py
+++ b/cypresspulley/policy/request.py
@@ -15,7 +15,7 @@
     """Times are of the gateway's clock; ``work`` in seconds of an idle server."""
 
     __slots__ = (
-        "account", "born", "bound", "cls", "deadline", "due", "id", "inside", "most", "out", "ran", "rank",
+        "account", "born", "bound", "cls", "deadline", "due", "granted", "id", "inside", "most", "out", "ran", "rank",
         "repeat", "tries", "units", "work",
     )  # fmt: skip
 
@@ -25,6 +25,9 @@
         self.deadline, self.born, self.repeat, self.inside = now + ev.ttl, now, ev.repeat, False
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
         self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
+        self.granted: int | None = (
+            None  # the window of the ceiling that holds it, where the even share does not
+        )
         self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
         self.tries, self.out = list["tuple[Server, float]"](), dict[int, "Server"]()
         self.ran: tuple[Server, float] | None = None  # first attempt that may have run
--- /dev/null
+++ b/cypresspulley/policy/windows.py
@@ -0,0 +1,148 @@
+"""A customer's ceiling that all gateways keep by the shared counter, in windows of time that every clock names alike.
+
+An even share over many gateways is next to nothing: 25 units over 12 gateways are 2 each, filled at one in 3 s, and a
+gateway that starts has none. Here each window of length B / 2R has a count of its own, which starts at nothing, so that
+a gateway that knows nothing of the past reads from one answer all that was granted: what brings the count to B / 2 at
+most may go. A span of time that touches n windows is n - 2 of them long at least, and
+n (B / 2) <= B + R (n - 2) B / 2R: the store never falls below nothing, whoever sends, restarts or asks late. Counts
+that are lost add one window's units.
+"""
+
+from hashlib import blake2b
+from itertools import combinations
+from random import Random
+
+from cypresspulley import interface as api
+from cypresspulley.interface import Status
+
+THICK = 2.0  # of the largest request: an even share that holds so much is kept alone, without the counter
+SPELL, MARKS, AFTER = (
+    30.0,
+    4,
+    0.4,
+)  # seconds of a spell of lives; marks that a life makes; seconds between two
+
+
+def count_name(label: str, index: int) -> int:
+    """A count's name: the same at all gateways, for one thing in one spell of time."""
+    return int.from_bytes(blake2b(f"{label} {index}".encode(), digest_size=8).digest(), "big") >> 1
+
+
+def kept_alone(plan: api.Plan, share: int, largest: float, counter: bool) -> float:
+    """The part of a ceiling that gateways keep in even shares; the rest goes by windows. Alike at all of them."""
+    if not counter or plan.ceiling_rate <= 0 or plan.ceiling_burst >= THICK * share * largest:
+        return 1.0
+    keep = 0.5 if plan.ceiling_burst / 2 / share >= largest else 0.0
+    return keep if (1 - keep) * plan.ceiling_burst / 2 >= largest else 1.0
+
+
+class Windows:
+    """``part`` of the ceiling of one customer, as one gateway draws on it."""
+
+    __slots__ = ("_label", "_own", "_spent", "index", "length", "most")
+
+    def __init__(self, label: str, plan: api.Plan, part: float) -> None:
+        self.length, self.most = plan.ceiling_burst / (2 * plan.ceiling_rate), part * plan.ceiling_burst / 2
+        self._label, self.index, self._own, self._spent = label, -1, 0.0, False
+
+    def __repr__(self) -> str:
+        return f"<Windows {self.index}, own {self._own:.1f} of {self.most:.1f}{', spent' * self._spent}>"
+
+    def name(self, index: int) -> int:
+        return count_name(f"ceiling {self._label}", index)
+
+    def room(self, now: float, units: float) -> bool:
+        """Whether the window of ``now`` may still hold so much, as far as is known here."""
+        if (index := int(now // self.length)) != self.index:
+            self.index, self._own, self._spent = index, 0.0, False
+        return not self._spent and units <= self.most
+
+    def rest(self, now: float) -> float:
+        """Seconds until the next window."""
+        return self.length - now % self.length
+
+    def granted(self, index: int, total: float, units: float) -> tuple[bool, float]:
+        """The count's answer to ``units`` more: whether they may go, and what to take off the count again."""
+        if index != self.index:
+            self._own, self._spent, self.index = 0.0, False, index
+        # A count below what was granted here has been lost, with what others were granted.
+        self._spent = self._spent or total < self._own + units - 1e-6
+        if not self._spent and total <= self.most + 1e-6:
+            self._own += units
+            return True, 0.0
+        left = self.most - (total - units)
+        self._spent = self._spent or left < min(1.0, units) - 1e-6
+        return False, 0.0 if self._spent else units
+
+
+class Life:
+    """Whether this gateway is the first of its place for so long that all its stores are full.
+
+    A restart must take its even share of a ceiling for used. A fresh fleet need not: the counter tells the two apart.
+    Each life adds a random amount to the count of its place in this spell of time, and does so in each spell. Where
+    the count is the life's own, there was none before since the spell began. Lost answers do no harm: the count is
+    then the sum of some of its own amounts. A counter that lost its counts between two lives of a place vouches
+    wrongly, for as much as one even share at that place.
+    """
+
+    def __init__(self, settings: api.Settings, rng: Random, now: float) -> None:
+        full = [p.ceiling_burst / p.ceiling_rate for p in settings.plans if p.ceiling_rate > 0]
+        self.wanted = settings.has_counter and bool(full) and max(full) <= SPELL
+        self._back = max(full, default=0.0)  # seconds for which there must have been no other
+        self._place, self._rng = settings.index, rng
+        self._due, self._spell = now + rng.random() * AFTER, -1
+        self._own, self._out = (
+            list[tuple[int, float]](),
+            dict[int, int](),
+        )  # amounts by spell; calls out, by name
+        self._clear = set[int]()
+        self.vouched = False
+
+    def __repr__(self) -> str:
+        return f"<Life {'vouched for' if self.vouched else 'unsure'}, marks {self._own}>"
+
+    def call(self, now: float) -> api.Count | None:
+        """The call that is due: all gateways start at once, so each waits for a part of a second of its own."""
+        spell = int(now // SPELL)
+        if not self.wanted or now < self._due or self._out or (spell == self._spell and self._settled(spell)):
+            return None
+        if spell != self._spell:
+            self._spell, self._own = spell, [mark for mark in self._own if mark[0] == spell - 1]
+        # Soon after a spell's begin, the one before must be empty as well.
+        asked = spell - 1 if self._early(now, spell) and spell - 1 not in self._clear else spell
+        amount = float(self._rng.randint(1, 9999)) if asked == spell else 0.0
+        if amount:
+            self._own.append((spell, amount))
+        name = count_name(f"life {self._place}", asked)
+        self._out[name] = asked
+        return api.Count(name, 2 * SPELL, amount)
+
+    def _early(self, now: float, spell: int) -> bool:
+        return not self.vouched and not self._clear and now - spell * SPELL < self._back
+
+    def _settled(self, spell: int) -> bool:
+        return spell in self._clear or sum(at == spell for at, _ in self._own) >= MARKS
+
+    def mine(self, name: int) -> bool:
+        return name in self._out
+
+    def told(self, now: float, ev: api.Counted) -> bool:
+        """The counter's answer; whether this life is vouched for from now on."""
+        spell = self._out.pop(ev.name)
+        self._due = now + AFTER * self._rng.random()
+        if ev.status is not Status.OK:
+            if (
+                ev.status in (Status.FULL, Status.UNREACHABLE, Status.ERROR)
+                and spell == self._spell
+                and self._own
+            ):
+                self._own.pop()  # nothing was added
+            return False
+        amounts = [amount for at, amount in self._own if at == spell]
+        sums = {sum(some) for n in range(len(amounts) + 1) for some in combinations(amounts, n)}
+        if min(abs(ev.total - s) for s in sums) > 1e-3:
+            self._own += [(self._spell, 0.0)] * MARKS  # another life: nothing more to learn here
+            return False
+        self._clear.add(spell)
+        first, self.vouched = not self.vouched and spell == self._spell, self.vouched or spell == self._spell
+        return first
