Believe load reports only where a limiter meets each server seldom

At fault: policy/fleet.py _least: with three limiters, who all have each report and many sendings to each server between two, all went to the one reported least. Change: reports choose where this limiter has fewer than two answers a second of each server. The even share goes unasked only where few calls may be made at once.

--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -12,6 +12,7 @@
 
 FEW = 8  # servers that a thin gate keeps to
 LONGER = 3.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
+SELDOM = 2.0  # answers a second of a server, below which its reports tell more than they do
 FADE, FADED = 2.0, 8.0  # seconds in which a report fades, and is gone
 COLD = 0.45  # of a load that fells a cold server
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
@@ -167,12 +168,15 @@
         return self._least(now, fit, r)
 
     def _least(self, now: float, fit: list[Server], r: Request) -> Server | None:
-        """The server of the least expected wait, by its own reports where there are any.
+        """The server of the least expected wait, by its own reports where this gateway meets each seldom.
 
         A report is of a moment past: it fades into the mean of the others', and what was sent since counts on top.
+        Whose own answers come more often than reports are renewed knows more than these tell: with three gateways
+        that believed them all, each report drew all of them to one server.
         """
         told = [s for s in self.mine if now - s.told_at < FADED]
-        if len(told) * 2 < len(self.mine) or not told:
+        often = sum(s.rate for s in self.mine) > SELDOM * self._gate.mean * len(self.mine)
+        if often or len(told) * 2 < len(self.mine) or not told:
             fit = self._rng.sample(fit, 2) if len(fit) > 2 else fit
             costs = {s.place: max(1.0, s.slow) * (s.open + r.work) / max(0.05, 1 - s.fails) ** 2 for s in fit}
             return min(fit, key=lambda s: costs[s.place], default=None)
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -12,6 +12,7 @@
 from cypresspulley.policy.tells import KEY_DIGITS, Tells
 from cypresspulley.policy.windows import Life, Windows
 
+FEW_CALLS = 4.0  # to the counter, that may be made at once
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
 DEAF = 3.0  # seconds with no message of another gateway after which the even share alone counts
 
@@ -158,7 +159,8 @@
         chance *= 0.3 if calm else 1.0
         if many or plan.rate <= 0:
             return Verdict(not many)
-        if a.thin and self.tells is None and plan.open_limit == 0 and a.floor >= r.units:
+        # Where calls are few the even share goes unasked, and they are left for what is beyond it.
+        if a.thin and plan.open_limit == 0 and a.floor >= r.units and self.calls.left(now) < FEW_CALLS:
             return Verdict(True, 0.0)
         if self.tells is not None and now - self.tells.heard_at < DEAF:
             return Verdict(a.level >= r.units)
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,54 @@
+"""Load reports in the choice of a server: believed where a gateway meets each server seldom, and there only."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from cypresspulley import interface as api
+from tests import world as w
+
+NAMES = [f"s{n}" for n in range(8)]
+
+
+def chosen(answers: int, tries: int = 40, reported: bool = True, pause: float = 0.0) -> dict[str, int]:
+    """Where tries go, once each server has answered so often within a second; s3 alone reported little in hand."""
+    world = w.World(replace(w.settings(), gateways=40))
+    world.feed(w.servers(*NAMES))
+    id = 0
+    for _ in range(answers * len(NAMES)):
+        world.advance(world.now + 1.0 / (answers * len(NAMES)))
+        id += 1
+        world.feed(w.request(id, "read", "basic", f"{id}", 3.0))
+        for (out, attempt), (server, _) in list(world.out.items()):
+            report = {"inflight": 1.0 if server == "s3" else 9.0} if reported else {}
+            world.feed(api.Outcome(out, attempt, server, api.Status.OK, 0.1, True, report))
+    world.advance(world.now + 1.0 + pause)
+    before = len(world.sends)
+    for _ in range(tries):
+        id += 1
+        world.feed(w.request(id, "read", "basic", f"{id}", 3.0))
+        for (out, attempt), (server, _) in list(world.out.items()):
+            world.feed(api.Outcome(out, attempt, server, api.Status.OK, 0.1, True, {}))
+    counts = dict.fromkeys(NAMES, 0)
+    for _, server, _ in world.sends[before:]:
+        counts[server] += 1
+    return counts
+
+
+def test_a_gateway_that_meets_servers_seldom_believes_their_reports() -> None:
+    counts = chosen(3, tries=6)
+    assert counts["s3"] >= 4, counts
+    assert chosen(3)["s3"] < 20, "what was sent since the report counts on top"
+
+
+def test_without_reports_all_are_alike() -> None:
+    assert max(chosen(3, reported=False).values()) < 20
+
+
+def test_a_report_fades() -> None:
+    assert max(chosen(3, pause=30.0).values()) < 20
+
+
+def test_a_gateway_that_meets_servers_often_goes_by_its_own_answers() -> None:
+    counts = chosen(40, tries=6)
+    assert counts["s3"] < 4, counts
