Begin a broken watch on discovery after longer and longer waits, each limiter apart

At fault: net/discovery.py, the fixed RETRY, and the version dropped at any refusal. Change: waits double from 0.25 s to 4 s, each give or take a half by the limiter's own seed; a busy answer (429, 5xx) keeps the version.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from random import Random
 from typing import TYPE_CHECKING, Any
 
 import uvloop
@@ -194,7 +195,7 @@
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
     since = config.known.version if config.known else None
-    follower = Follower(node.listed)
+    follower = Follower(node.listed, Random(config.seed).random)
     follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -17,7 +17,12 @@
 log = logging.getLogger(__name__)
 
 SILENCE = 5.0  # an empty line comes every 2 s: past this the watch is dead, whatever the socket says
-RETRY = 0.25
+# Seconds until a watch is begun anew: the first time, and at most after a row of failures, each give or take a half.
+# A fixed time had a restarted fleet ask a busy discovery for whole lists together, 100 times a second, and get none.
+RETRY, RETRY_MOST = 0.25, 4.0
+BUSY = frozenset(
+    (429, 500, 502, 503, 504)
+)  # of discovery itself; any other refusal may be of the version asked for
 MAX_LINE = 4 * 1024 * 1024
 HEALTH = {"ready": api.Health.UP, "draining": api.Health.DRAINING, "gone": api.Health.GONE}
 
@@ -52,8 +57,12 @@
 class Discovery:
     """Follows the watch for ever; a broken or silent one is begun anew and the list kept."""
 
-    def __init__(self, host: str, port: int, since: int | None, tell: Callable[[Listing], None]) -> None:
+    def __init__(
+        self, host: str, port: int, since: int | None, tell: Callable[[Listing], None],
+        draw: Callable[[], float] = lambda: 0.5,
+    ) -> None:  # fmt: skip
         self._host, self._port, self._since, self._tell = host, port, since, tell
+        self._draw, self._wait = draw, RETRY
         self._buffer, self._failing = b"", False
 
     async def follow(self) -> None:
@@ -62,11 +71,16 @@
                 await self._watch()
             except (OSError, TimeoutError, httptools.HttpParserError) as error:
                 if not self._failing:  # once for a row of failures
-                    log.warning("the watch on discovery ended: %r", error)
+                    log.warning("the watch on discovery ended: %r", error.__context__ or error)
                 self._failing = True
             except Exception:
                 log.exception("the watch on discovery failed")
-            await asyncio.sleep(RETRY)
+            await asyncio.sleep(self.pause())
+
+    def pause(self) -> float:
+        """Seconds until the next try: longer after each failure, and not those of other limiters."""
+        wait, self._wait = self._wait, min(RETRY_MOST, 2 * self._wait)
+        return wait * (0.5 + self._draw())
 
     async def _watch(self) -> None:
         async with asyncio.timeout(SILENCE):
@@ -90,7 +104,8 @@
 
     def on_headers_complete(self) -> None:
         if (code := self._parser.get_status_code()) != 200:
-            self._since = None  # it may be the version that is not taken
+            if code not in BUSY:
+                self._since = None  # it may be the version that is not taken
             raise ConnectionError(f"status {code}")
 
     def on_body(self, body: bytes) -> None:
@@ -112,15 +127,16 @@
         except ValueError as error:
             log.warning("dropped an unreadable line of discovery: %s", error)
             return
-        self._since, self._failing = listing.version, False
+        self._since, self._failing, self._wait = listing.version, False, RETRY
         self._tell(listing)
 
 
 class Follower:
     """Follows discovery at the newest address; the one before is followed until the newest has spoken."""
 
-    def __init__(self, tell: Callable[[Listing], None]) -> None:
-        self._tell = tell
+    def __init__(self, tell: Callable[[Listing], None], draw: Callable[[], float] = lambda: 0.5) -> None:
+        """``draw`` gives numbers from 0 to 1 of the limiter's own, so that many do not ask together."""
+        self._tell, self._draw = tell, draw
         self._heard: asyncio.Task[None] | None = None  # the watch that has spoken last
         self._coming: asyncio.Task[None] | None = None
         self._address: tuple[str, int] | None = None
@@ -132,7 +148,7 @@
         if self._coming is not None:
             self._coming.cancel()  # told to move again before it said anything
         # Without a version another discovery tells the whole list: its numbers need not be the old one's.
-        watch = Discovery(host, port, since, lambda listing: self._said(task, listing))
+        watch = Discovery(host, port, since, lambda listing: self._said(task, listing), self._draw)
         task = self._coming = asyncio.get_running_loop().create_task(watch.follow())
 
     def close(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import json
+from random import Random
 from typing import Any
 
 import pytest
 
 from cypresspulley import interface as api
 from cypresspulley.net import discovery
-from cypresspulley.net.discovery import Discovery, Follower, Listing, listing_from
+from cypresspulley.net.discovery import RETRY, RETRY_MOST, Discovery, Follower, Listing, listing_from
 from tests.loopback import listening, run
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -119,6 +120,32 @@
     run(main())
 
 
+def test_a_busy_discovery_is_asked_for_the_same_version_again() -> None:
+    async def main() -> None:
+        agent = Agent(
+            [b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"], [HEAD, chunk(message(1))]
+        )
+        await follow(agent, 1, 2)
+        assert agent.asked[1].endswith("since=41"), (
+            "a whole list costs a busy discovery more than what changed"
+        )
+
+    run(main())
+
+
+def test_each_try_waits_longer_than_the_one_before_and_apart_from_other_limiters() -> None:
+    def pauses(seed: int) -> list[float]:
+        watch = Discovery("127.0.0.1", 1, 41, lambda _: None, Random(seed).random)
+        return [watch.pause() for _ in range(9)]
+
+    each = [pauses(seed) for seed in range(40)]
+    assert sum(first[0] for first in each) / 40 == pytest.approx(RETRY, rel=0.2)
+    assert all(RETRY_MOST / 2 <= last[-1] <= 1.5 * RETRY_MOST for last in each)
+    # What 40 limiters ask together in the busiest tenth of a second, at their fifth try.
+    at = sorted(sum(waits[:5]) for waits in each)
+    assert max(sum(t <= other < t + 0.1 for other in at) for t in at) <= 10
+
+
 def test_a_move_follows_the_old_until_the_new_has_spoken() -> None:
     async def main() -> None:
         speak, versions, heard = asyncio.Event(), list[int](), asyncio.Event()
