Ask an overbooked discovery again after four times as long each time, 16 s at most

Seen: with waits that double to 4 s restarted limiters still got 503 for the rest of herd+vast, plain list calls as well as watches (280 refusals of 24 limiters in 11 s). Ruled out: the version asked for, and the watch against the plain list: both are refused alike. So it is the number of calls. At fault: net/discovery.py, RETRY_MOST and its growth. Change: 0.25 s, 1 s, 4 s, then 16 s, each give or take a half.

--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -19,7 +19,7 @@
 SILENCE = 5.0  # an empty line comes every 2 s: past this the watch is dead, whatever the socket says
 # Seconds until a watch is begun anew: the first time, and at most after a row of failures, each give or take a half.
 # A fixed time had a restarted fleet ask a busy discovery for whole lists together, 100 times a second, and get none.
-RETRY, RETRY_MOST = 0.25, 4.0
+RETRY, RETRY_MOST = 0.25, 16.0
 BUSY = frozenset(
     (429, 500, 502, 503, 504)
 )  # of discovery itself; any other refusal may be of the version asked for
@@ -79,7 +79,7 @@
 
     def pause(self) -> float:
         """Seconds until the next try: longer after each failure, and not those of other limiters."""
-        wait, self._wait = self._wait, min(RETRY_MOST, 2 * self._wait)
+        wait, self._wait = self._wait, min(RETRY_MOST, 4 * self._wait)
         return wait * (0.5 + self._draw())
 
     async def _watch(self) -> None:
