Keep the answer to units given back apart from the next try's answer

Cause: policy/quota.py give_back emitted a call under a window's name that nobody waited for; where a try asked the same name next, it took that answer for its own, one too low, and could pass the ceiling by its units. Found on reading the change again. Change: given back units stand in the line of a name too. Test: tests/test_windows.py, red without the line.

--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -41,7 +41,8 @@
         self.calls = Calls(now, settings.gateways, rng.random())
         self._life = Life(settings, rng, now)
         # Tries that wait for their window's count, by its name: the account, the window, the try, when it was asked.
-        self._asked = dict[int, deque[tuple[Account, int, Request, float]]]()
+        # None stands for units that are given back: their answers come in turn too, and answer no try.
+        self._asked = dict[int, deque[tuple[Account, int, Request, float] | None]]()
 
     def account(self, now: float, ev: api.Request) -> Account:
         """The account that a try is of, refilled to now."""
@@ -108,17 +109,25 @@
         """What a window holds for a try that was not sent on."""
         windows = r.account.windows
         if r.granted is not None and windows is not None and int(now // windows.length) == r.granted:
-            self._emit(api.Count(windows.name(r.granted), 2 * windows.length + 1, -r.most))
+            self._take_off(windows, r.granted, r.most)
         r.granted = None
 
+    def _take_off(self, windows: Windows, index: int, units: float) -> None:
+        name = windows.name(index)
+        self._asked.setdefault(name, deque()).append(None)
+        self._emit(api.Count(name, 2 * windows.length + 1, -units))
+
     def _window_answered(
         self, now: float, ev: api.Counted, open_: dict[int, Request],
         launch: Callable[[float, Request, Verdict], None],
     ) -> None:  # fmt: skip
         waiting = self._asked[ev.name]
-        a, index, r, made = waiting.popleft()
+        asked = waiting.popleft()
         if not waiting:
             del self._asked[ev.name]
+        if asked is None:
+            return
+        a, index, r, made = asked
         a.refill(now)
         self.calls.ended(now, ev.status, made)
         back, windows = 0.0, a.windows
@@ -132,7 +141,7 @@
         else:
             launch(now, r, Verdict(False, why="ceiling"))
         if back and windows is not None:
-            self._emit(api.Count(windows.name(index), 2 * windows.length + 1, -back))
+            self._take_off(windows, index, back)
 
     @staticmethod
     def _plainly(now: float, r: Request) -> Verdict:
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -165,3 +165,22 @@
 def test_a_fresh_fleet_serves_what_a_restarted_one_must_refuse() -> None:
     assert served_by_forty(restart=False) >= 12
     assert served_by_forty(restart=True) == 0
+
+
+def test_the_answer_to_units_given_back_is_no_answer_to_the_next_try() -> None:
+    world = w.World(replace(SETTINGS, gateways=40), 1, 315.0)
+
+    def ask(id: int) -> None:
+        world.feed(replace(w.request(id, "read", "capped", "acct", 3.0, 1.0), gateways=40))
+
+    ask(1)  # no server is known: what its window grants is given back
+    (first,) = [call for call in world.counts if call.amount == 1.0]
+    world.counts.clear()
+    world.feed(api.Counted(first.name, api.Status.OK, 12.0))
+    assert [call.amount for call in world.counts if call.name == first.name] == [-1.0]
+    world.feed(w.servers("s0", "s1"))
+    ask(2)
+    world.feed(api.Counted(first.name, api.Status.OK, 11.0))  # of what was given back
+    assert not world.sends
+    world.feed(api.Counted(first.name, api.Status.OK, 13.0))  # of the try: another took the last unit
+    assert not world.sends and world.answered[2] == "refused"
