Make the test of given back units ask the counter a second time

It was not: no call was left for the second try, which was refused unasked. Now time passes in the same window, the call is asserted, and without the line the test fails.

--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -179,7 +179,9 @@
     world.feed(api.Counted(first.name, api.Status.OK, 12.0))
     assert [call.amount for call in world.counts if call.name == first.name] == [-1.0]
     world.feed(w.servers("s0", "s1"))
+    world.advance(316.5)  # the same window, and calls are left again
     ask(2)
+    assert [call.amount for call in world.counts if call.name == first.name] == [-1.0, 1.0]
     world.feed(api.Counted(first.name, api.Status.OK, 11.0))  # of what was given back
     assert not world.sends
     world.feed(api.Counted(first.name, api.Status.OK, 13.0))  # of the try: another took the last unit
