--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -30,6 +30,7 @@
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.service import Service
 from cypresspulley.settings import Timing, settings_from, timing_from
+from cypresspulley.takeover.channel import Folder
 
 if TYPE_CHECKING:
     from cypresspulley.accesslog import LogFile
@@ -182,27 +183,30 @@
     # Usual clients hold a third of all at most; what silent ones hold beyond gives way to them.
     spare = SPARE_SOCKETS + (DOOR_SOCKETS if config.operator else 0)
     clients = servers = max(8, (config.sockets - spare) // 2)
-    service = Service(Lifecycle())
+    service = Service(Lifecycle(), _folder(config))
     door = await _door(config, service)
     timing = config.timing
     upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, servers)
     counter = _counter(config, operators)
-    try:
-        gateway = Gateway(config.settings, config.seed, clock())
-    except ValueError as error:
-        raise ConfigError(str(error)) from None
+    gateway = _gateway(config, clock)
+    offer = await service.offered()
+    if offer is not None and not service.adopt(gateway, clock(), offer, upstream):
+        gateway, offer = _gateway(config, clock), None
     decisions: Decisions = gateway if watched is None else watched(gateway)
     if operators.tally is not None:
         from cypresspulley.tally import Tally
 
         decisions = Tally(decisions, operators.tally, config.settings.warm_after, lambda: upstream.dials)
     node, access_log = _node(config.settings, decisions, clock, upstream, counter, operators)
-    if config.known is not None:
+    if config.known is not None and offer is None:
         node.listed(config.known)
     peers = await _peers(config, node)
     frontend = Frontend(node, config.settings, clients, _other_front(config.settings, operators, clock))
     try:
-        await frontend.listen(*config.listen)
+        if config.operator is None:
+            await frontend.listen(*config.listen)
+        else:
+            await frontend.listen_shared(*config.listen, None if offer is None else offer.listener)
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
     since = config.known.version if config.known else None
@@ -216,15 +220,16 @@
     ):  # in a process of its own; where many limiters share one, what one freezes stays for good
         gc.collect()
         gc.freeze()  # what is here now stays: the collector need not walk it again
-    service.serve(node, frontend)
+    service.serve(node, frontend, gateway, upstream, clock, offer is not None)
     log.info("ready")
     await stop.wait()
     log.info("stopping")
-    service.leave()
-    await asyncio.sleep(ACCEPT_FOR)  # clients do not know yet: what they still open is taken and answered
+    if not service.leave():
+        await asyncio.sleep(ACCEPT_FOR)  # clients do not know yet: what they still open is taken and answered
     await frontend.close(ANSWER_WITHIN)
     node.abandon_all()
     await frontend.close(FLUSH_WITHIN)
+    service.close()
     if door is not None:
         door.close()
     follower.close()
@@ -237,6 +242,25 @@
         access_log.close()
 
 
+def _gateway(config: Config, clock: Callable[[], float]) -> Gateway:
+    try:
+        return Gateway(config.settings, config.seed, clock())
+    except ValueError as error:
+        raise ConfigError(str(error)) from None
+
+
+def _folder(config: Config) -> Folder | None:
+    """Where a successor finds this process: there is one where operators have a door."""
+    path = os.environ.get("TMPDIR")
+    if config.operator is None or not path:
+        return None
+    try:
+        return Folder(path, f"{config.listen[0]}-{config.listen[1]}")
+    except OSError as error:
+        log.error("takeover: no folder to meet a successor in: %s", error)
+        return None
+
+
 async def _door(config: Config, service: Service) -> Door | None:
     """The operators' way in, where the configuration names one: before anything slow, so that it says no meanwhile."""
     if config.operator is None:
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -5,8 +5,11 @@
 import asyncio
 import contextlib
 import logging
+import os
 import re
+import socket
 from collections import deque
+from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple, Protocol, cast
 
 import httptools
@@ -429,11 +432,29 @@
             assert request.answer is not None
             start, rest = request.answer
             # Of what is pipelined only the last answer closes: what stands behind it has been taken too.
-            close = not request.keep_alive or (self.frontend.closing and not self._waiting)
+            ending = self.frontend.closing and not self._waiting and not self.frontend.handing
+            close = not request.keep_alive or ending
             self._transport.write(start + (b"Connection: close\r\n" if close else b"") + rest)
             if close:
                 self._close()
         self._throttle()
+        if self.frontend.handing and self.idle:
+            asyncio.get_running_loop().call_soon(self.frontend.hand_over)
+
+    def hand_over(self, passing: Callable[[int], bool]) -> None:
+        """Pass the connection on where it is at rest between two requests, with nothing of an answer unwritten."""
+        transport = self._transport
+        if transport is None or not self.idle or self._rejected or transport.is_closing():
+            return
+        if transport.get_write_buffer_size() > 0:
+            return  # the sweep looks again
+        transport.pause_reading()  # what comes from here on waits in the kernel, for whoever reads next
+        fd = os.dup(transport.get_extra_info("socket").fileno())
+        if passing(fd):
+            self._transport = None
+            transport.abort()
+        elif not self._paused:
+            transport.resume_reading()
 
     def pause_writing(self) -> None:
         self._clogged = True
@@ -517,6 +538,9 @@
         self._sweep_at: asyncio.TimerHandle | None = None
         self._clients = dict[_Client, None]()  # in the order of their coming
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None  # where another process may share it
+        self._passing: Callable[[int], bool] | None = None
+        self.closed = False
         self._empty = asyncio.Event()
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
@@ -526,6 +550,74 @@
         address = self._server.sockets[0].getsockname()
         return address[0], address[1]
 
+    async def listen_shared(
+        self, host: str, port: int, listener: socket.socket | None = None
+    ) -> tuple[str, int]:
+        """Listen so that a successor may go on with the very same socket, or with ``listener``, a predecessor's.
+
+        What waits in a listener's queue is reset where the last descriptor of it closes; here there is always one.
+        """
+        if listener is None:
+            listener = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # A successor that is handed nothing must be able to start beside a process that has stalled.
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            try:
+                listener.bind((host, port))
+            except OSError:
+                listener.close()
+                raise
+            listener.listen(BACKLOG)
+        listener.setblocking(False)
+        self._listener = listener
+        await self.resume()
+        self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
+        address = listener.getsockname()
+        return address[0], address[1]
+
+    def listener(self) -> int:
+        """A descriptor of the shared listener, the caller's own."""
+        assert self._listener is not None
+        return os.dup(self._listener.fileno())
+
+    def pause(self) -> None:
+        """Take no connections for now: they wait in the kernel."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def resume(self) -> None:
+        """Take connections again."""
+        if self._server is None and self._listener is not None:
+            loop = asyncio.get_running_loop()
+            self._server = await loop.create_server(
+                lambda: _Client(self), sock=self._listener.dup(), backlog=BACKLOG
+            )
+
+    def hand(self, passing: Callable[[int], bool] | None) -> None:
+        """Connections at rest go to another process from now on, as descriptors; None: they stay."""
+        self._passing = passing
+        self.hand_over()
+
+    @property
+    def handing(self) -> bool:
+        return self._passing is not None
+
+    def hand_over(self) -> None:
+        """Pass on all connections that are at rest."""
+        if self._passing is not None:
+            for client in list(self._clients):
+                client.hand_over(self._passing)
+
+    async def take(self, sock: socket.socket) -> None:
+        """A connection that another process has passed on."""
+        sock.setblocking(False)
+        try:
+            await asyncio.get_running_loop().connect_accepted_socket(lambda: _Client(self), sock)
+        except OSError as error:
+            log.warning("a connection that was passed on had ended: %s", error)
+            sock.close()
+
     def connected(self, client: _Client) -> None:
         """Count a connection; at the limit another one makes room, and with all busy the new one goes."""
         if len(self._clients) >= self._max:
@@ -545,6 +637,7 @@
     def _sweep(self) -> None:
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
         now, patience = self.clock(), self.patience
+        self.hand_over()
         for client in list(self._clients):
             client.check(now, patience)
 
@@ -576,10 +669,14 @@
 
     async def close(self, grace: float) -> None:
         """Stop listening, close what is idle, and wait for the rest to be answered and closed."""
-        if self._server is not None:
-            self._server.close()
+        self.closed = True
+        self.pause()
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
         if self._sweep_at is not None:
             self._sweep_at.cancel()
+        self.hand_over()
         for client in list(self._clients):
             client.close_if_idle()
         self._empty.clear()
--- a/cypresspulley/net/http.py
+++ b/cypresspulley/net/http.py
@@ -20,3 +20,9 @@
     if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
         raise ValueError(f"not an address: {text!r:.60}")
     return host.strip("[]"), int(port)
+
+
+def join_address(address: tuple[str, int]) -> str:
+    """``split_address`` undone."""
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -112,10 +112,10 @@
         if request.event is not None and self._close(request.event.id) is not None:
             self.feed(api.Departed(request.event.id))
 
-    def suspend(self, server: str, out: bool) -> bool:
+    def suspend(self, server: str, out: bool, sure: bool = False) -> bool:
         """Operators take a server out or call it back. Whether the call is in force: not for an unknown id."""
         self._ruled = False
-        self.feed(api.Suspend(server, out))
+        self.feed(api.Suspend(server, out, sure))
         return self._ruled
 
     def abandon_all(self) -> None:
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -20,7 +20,7 @@
 import httptools
 
 from cypresspulley.interface import Status
-from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED, split_address
+from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED, join_address, split_address
 
 log = logging.getLogger(__name__)
 
@@ -330,6 +330,10 @@
             if out:
                 self._close_idle(server)
 
+    def dials_by_name(self) -> dict[str, str]:
+        """Where each server is dialled."""
+        return {name: join_address(server.address) for name, server in self._servers.items()}
+
     def keep_only(self, names: set[str]) -> None:
         """A whole list: servers that it leaves out are gone."""
         for name, server in list(self._servers.items()):
--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -127,7 +127,7 @@
 
         A ban goes by the name and lies over the list, so that it outlasts a server that leaves and returns.
         """
-        if ev.server not in self.known and ev.server not in self.bans:
+        if not (ev.sure or ev.server in self.known or ev.server in self.bans):
             return False
         back, s = ev.server in self.bans and not ev.out, self.servers.get(ev.server)
         (self.bans.add if ev.out else self.bans.discard)(ev.server)
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -1,55 +1,161 @@
-"""What operators call on: joins the door, the states of the process, the clients' side and the decisions."""
+"""What operators call on: joins the door, the states of the process, a takeover, clients and the decisions."""
 
 from __future__ import annotations
 
+import asyncio
+import json
 import logging
+import socket
+from collections.abc import Callable
+from typing import Any
 
 from cypresspulley.lifecycle import Lifecycle, Step
 from cypresspulley.net.door import Reply
 from cypresspulley.net.frontend import Frontend
 from cypresspulley.net.node import Node
+from cypresspulley.net.upstream import Upstream
+from cypresspulley.policy.gateway import Gateway
+from cypresspulley.takeover.channel import Folder
+from cypresspulley.takeover.handover import Offer, Peer, Predecessor, Successor
+from cypresspulley.takeover.snapshot import Ghosts, SnapshotError, Split, adopt, held, take
 
 log = logging.getLogger(__name__)
 
+RECORD = "bans"  # the file that outlasts a takeover that failed
+
 
 class Service:
-    """Answers the operators' calls. Until ``serve`` it knows no node, and says that the process starts."""
+    """Answers the operators' calls, and is a takeover's host. Until ``serve`` it knows no node, and says so."""
 
-    def __init__(self, life: Lifecycle) -> None:
-        self.life = life
+    def __init__(self, life: Lifecycle, folder: Folder | None = None) -> None:
+        self.life, self._folder = life, folder
         self._node: Node | None = None
         self._frontend: Frontend | None = None
+        self._gateway: Gateway | None = None
+        self._upstream: Upstream | None = None
+        self._clock: Callable[[], float] = float
+        self._successor: Successor | None = None  # this process's way to its predecessor
+        self._predecessor: Predecessor | None = None  # and to its successor
+        self._split: Split | None = None
+        self._ghosts: Ghosts | None = None
+        self._bans, self._drained = set[str](), False  # as inherited, until the process serves
+        self._tasks = set[asyncio.Task[None]]()
+
+    # Starting, alone or after a predecessor.
+
+    async def offered(self) -> Offer | None:
+        """What a process that serves already hands over; None where there is none."""
+        if self._folder is None:
+            return None
+        self._successor = Successor(self._folder)
+        return await self._successor.offered()
+
+    def adopt(self, gateway: Gateway, now: float, offer: Offer, upstream: Upstream) -> bool:
+        """Go on from the offer; whether it could be used. Where not, ``gateway`` is spoilt."""
+        assert self._successor is not None
+        state = offer.state
+        try:
+            adopt(gateway, now, state["decisions"])
+            dials, bans = {str(k): str(v) for k, v in state["dials"].items()}, [str(b) for b in state["bans"]]
+            for server in gateway.fleet.servers.values():
+                upstream.update(server.entry.name, dials.get(server.entry.name, ""), server.up)
+            drained = bool(state["drained"])
+        except (SnapshotError, KeyError, TypeError, ValueError, AttributeError) as error:
+            log.error("takeover: %s", error)
+            self._successor.reject()
+            return False
+        self._bans = set(bans)
+        for name in bans:
+            upstream.ban(name, True)
+        self._drained = drained
+        return True
 
-    def serve(self, node: Node, frontend: Frontend) -> None:
+    def serve(
+        self, node: Node, frontend: Frontend, gateway: Gateway | None = None, upstream: Upstream | None = None,
+        clock: Callable[[], float] | None = None, inherited: bool = False,
+    ) -> None:  # fmt: skip
         """Clients' connections are taken from now on."""
-        self._node, self._frontend = node, frontend
-        self.life.step(Step.SERVE)
+        self._node, self._frontend, self._gateway, self._upstream = node, frontend, gateway, upstream
+        self._clock = clock or self._clock
+        self.life.step(Step.SUCCEED if inherited else Step.SERVE)
+        if not inherited:
+            self._recall()
+        if self._drained:
+            self.life.step(Step.DRAIN)
         self._heed()
+        if gateway is not None:
+            self._ghosts = Ghosts(gateway)
+        if self._successor is not None:
+            self._successor.serve(self)
+        if self._folder is not None:
+            self._predecessor = Predecessor(self, self._folder)
+            self._record()
+
+    def _recall(self) -> None:
+        """A predecessor that could not hand over has left its bans in the folder."""
+        text = self._folder.read(RECORD) if self._folder is not None else None
+        if text is None or self._node is None:
+            return
+        try:
+            raw = json.loads(text)
+            bans, self._drained = {str(name) for name in raw["bans"]}, bool(raw["drained"])
+        except (ValueError, KeyError, TypeError) as error:
+            return log.error("takeover: the record of bans cannot be read: %r", error)
+        for name in bans:
+            self._node.suspend(name, True, sure=True)
+        self._bans = bans
+
+    def _record(self) -> None:
+        if self._folder is not None:
+            text = json.dumps({"bans": sorted(self._bans), "drained": self.life.drained})
+            try:
+                self._folder.write(RECORD, text)
+            except OSError as error:
+                log.error("takeover: the record of bans cannot be written: %s", error)
+
+    # The operators' calls.
 
     async def call(self, name: str, id: str) -> Reply:
-        """A call of the operators; it is in force when this returns."""
+        """A call of the operators; it is in force when this returns, in both processes during an upgrade."""
         state = {"state": self.life.state.value}
         if name == "readyz":
             return Reply(200 if self.life.ready else 503, state)
         if self._node is None:
             return Reply(503, state | {"error": "the process starts; call again"})
+        reply = self._apply(name, id)
+        if reply.status == 200 and not await self._tell(name, id, None):
+            return Reply(503, {"error": "the other process of this upgrade did not answer; call again"})
+        return reply
+
+    async def _tell(self, name: str, id: str, source: Peer | None) -> bool:
+        peers = [
+            peer for peer in (self._successor, self._predecessor) if peer is not None and peer is not source
+        ]
+        return all([await peer.tell(name, id) for peer in peers])
+
+    def _apply(self, name: str, id: str, sure: bool = False) -> Reply:
         if name in ("suspend", "resume"):
-            return self._ban(id, name == "suspend")
+            return self._ban(id, name == "suspend", sure)
         if not self.life.step(Step.DRAIN if name == "drain" else Step.ACTIVATE):
-            return Reply(409, state | {"error": f"cannot {name} now"})
+            return Reply(409, {"state": self.life.state.value, "error": f"cannot {name} now"})
         self._heed()
+        self._record()
         return Reply(200, {"state": self.life.state.value})
 
-    def _ban(self, id: str, out: bool) -> Reply:
+    def _ban(self, id: str, out: bool, sure: bool) -> Reply:
         assert self._node is not None
-        if self._node.suspend(id, out):
-            return Reply(200, {"server": id, "suspended": out})
-        return Reply(404, {"server": id, "error": "no server of this id was ever listed"})
+        if not self._node.suspend(id, out, sure):
+            return Reply(404, {"server": id, "error": "no server of this id was ever listed"})
+        (self._bans.add if out else self._bans.discard)(id)
+        self._record()
+        return Reply(200, {"server": id, "suspended": out})
 
-    def leave(self) -> None:
-        """The process was told to end."""
+    def leave(self) -> bool:
+        """The process was told to end; whether a successor takes what comes."""
+        handed = self.life.handed
         self.life.step(Step.TERM)
         self._heed()
+        return handed
 
     def _heed(self) -> None:
         if self._frontend is None:
@@ -58,3 +164,75 @@
             self._frontend.drain()
         else:
             self._frontend.activate()
+
+    def close(self) -> None:
+        for peer in (self._successor, self._predecessor):
+            if peer is not None:
+                peer.close()
+
+    # The host of a takeover.
+
+    def state(self) -> dict[str, Any]:
+        assert self._gateway is not None and self._upstream is not None
+        return {
+            "decisions": take(self._gateway), "dials": self._upstream.dials_by_name(), "bans": sorted(self._bans),
+            "drained": self.life.drained,
+        }  # fmt: skip
+
+    def listener(self) -> int:
+        assert self._frontend is not None
+        return self._frontend.listener()
+
+    def pause(self) -> None:
+        assert self._frontend is not None
+        self._frontend.pause()
+
+    def resume(self) -> None:
+        self.life.step(Step.BACK)
+        self._heed()
+        if self._frontend is not None and not self._frontend.closed:
+            self._later(self._frontend.resume())
+
+    def _later(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def split(self) -> None:
+        assert self._gateway is not None
+        self._split = Split(self._gateway)
+
+    def unsplit(self, whole: bool) -> None:
+        if self._split is not None:
+            self._split.undo(whole, self._clock())
+            self._split = None
+
+    def handed(self, to: Peer | None) -> None:
+        assert self._frontend is not None
+        if isinstance(to, Predecessor):
+            self.life.step(Step.HAND)
+            self._frontend.hand(to.pass_client)
+        else:
+            self._frontend.hand(None)
+
+    def held(self) -> list[tuple[str, str, int]]:
+        return held(self._gateway) if self._gateway is not None else []
+
+    def told_held(self, rows: list[tuple[str, str, int]]) -> None:
+        if self._ghosts is not None:
+            self._ghosts.told({(plan, account): n for plan, account, n in rows})
+
+    def took(self, sock: socket.socket) -> None:
+        assert self._frontend is not None
+        self._later(self._frontend.take(sock))
+
+    def applied(self, name: str, id: str, source: Peer) -> None:
+        self._apply(name, id, sure=True)
+        self._later(self._relay(name, id, source))
+
+    async def _relay(self, name: str, id: str, source: Peer) -> None:
+        await self._tell(name, id, source)
+
+    def alone(self) -> None:
+        self.life.step(Step.ALONE)
+        self._heed()
--- /dev/null
+++ b/cypresspulley/takeover/channel.py
@@ -0,0 +1,167 @@
+"""The channel between two processes of one limiter: messages and descriptors over a Unix socket. It decides nothing.
+
+A message is one packet: a JSON object of ``MOST`` bytes at most, with up to ``FDS`` descriptors. Who connects must
+run as the same user; what cannot be read ends the channel.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import os
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from typing import Any
+
+log = logging.getLogger(__name__)
+
+MOST = 64 * 1024
+FDS = 1
+QUEUE = 8192  # messages that wait for the other side; one that takes none has stalled
+NAME = "takeover"
+Message = dict[str, Any]
+
+
+class Channel:
+    """One connection to the other process. ``heard`` gets each message with its descriptor; it owns that."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        heard: Callable[[Channel, Message, int | None], None],
+        ended: Callable[[Channel], None],
+    ) -> None:
+        sock.setblocking(False)
+        self._sock, self._heard, self._ended = sock, heard, ended
+        self._loop = asyncio.get_running_loop()
+        self._queue = deque[tuple[bytes, int | None]]()
+        self._loop.add_reader(sock.fileno(), self._readable)
+
+    @property
+    def open(self) -> bool:
+        return self._sock.fileno() >= 0
+
+    def send(self, message: Message, fd: int | None = None) -> None:
+        """Send a message and a descriptor, which is closed here once it is out."""
+        data = json.dumps(message, separators=(",", ":")).encode()
+        if not self.open or len(data) > MOST or len(self._queue) >= QUEUE:
+            if fd is not None:
+                os.close(fd)
+            if self.open:
+                log.error("takeover: a message of %d bytes found no room", len(data))
+                self.end()
+            return
+        self._queue.append((data, fd))
+        self._flush()
+
+    def _flush(self) -> None:
+        while self._queue:
+            data, fd = self._queue[0]
+            try:
+                socket.send_fds(self._sock, [data], [] if fd is None else [fd])
+            except BlockingIOError:
+                self._loop.add_writer(self._sock.fileno(), self._flush)
+                return
+            except OSError:
+                return self.end()
+            self._queue.popleft()
+            if fd is not None:
+                os.close(fd)
+        self._loop.remove_writer(self._sock.fileno())
+
+    def _readable(self) -> None:
+        while self.open:
+            try:
+                data, fds, flags, _ = socket.recv_fds(self._sock, MOST + 1, FDS)
+            except BlockingIOError:
+                return
+            except OSError:
+                return self.end()
+            if not data:
+                return self.end()
+            message = None
+            if len(data) <= MOST and not flags & (socket.MSG_CTRUNC | socket.MSG_TRUNC):
+                with contextlib.suppress(ValueError):
+                    message = json.loads(data)
+            if not isinstance(message, dict):
+                for fd in fds:
+                    os.close(fd)
+                log.error("takeover: an unreadable message of %d bytes", len(data))
+                return self.end()
+            self._heard(self, message, fds[0] if fds else None)
+
+    def end(self, silent: bool = False) -> None:
+        """Close the channel; ``ended`` is told once, unless ``silent``."""
+        if not self.open:
+            return
+        self._loop.remove_reader(self._sock.fileno())
+        self._loop.remove_writer(self._sock.fileno())
+        self._sock.close()
+        queue, self._queue = self._queue, deque()
+        for _, fd in queue:
+            if fd is not None:
+                os.close(fd)
+        if not silent:
+            self._ended(self)
+
+
+class Folder:
+    """The folder that both processes share. Paths of sockets are short: names go by the folder's descriptor."""
+
+    def __init__(self, path: str, label: str) -> None:
+        """OSError where there is no such folder. ``label`` tells limiters apart that share one."""
+        self._fd = os.open(path, os.O_RDONLY | os.O_DIRECTORY)
+        self._label = "".join(c if c.isalnum() else "-" for c in label)
+
+    def _path(self, name: str) -> str:
+        return f"/proc/self/fd/{self._fd}/{name}-{self._label}"
+
+    def connect(self) -> socket.socket | None:
+        """A connection to the process that serves; None where there is none, or only a dead one's leftover."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        sock.setblocking(False)
+        try:
+            sock.connect(self._path(NAME))
+        except OSError:
+            sock.close()
+            return None
+        return sock
+
+    def listen(self) -> socket.socket:
+        """Be found by a successor; what an earlier process left there is replaced."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        path = self._path(NAME)
+        with contextlib.suppress(FileNotFoundError):
+            os.unlink(path)
+        sock.bind(path)
+        os.chmod(path, 0o600)
+        sock.listen(1)
+        sock.setblocking(False)
+        return sock
+
+    def write(self, name: str, text: str) -> None:
+        """Replace a file as a whole."""
+        path = self._path(name)
+        with open(path + ".new", "w", encoding="utf-8") as file:
+            file.write(text)
+        os.replace(path + ".new", path)
+
+    def read(self, name: str) -> str | None:
+        """A file's text; None where it is not there or too large to be one of ours."""
+        with (
+            contextlib.suppress(OSError, UnicodeDecodeError),
+            open(self._path(name), encoding="utf-8") as file,
+        ):
+            text = file.read(MOST * 4 + 1)
+            return text if len(text) <= MOST * 4 else None
+        return None
+
+
+def same_user(sock: socket.socket) -> bool:
+    """Whether the process at the other end runs as the user of this one."""
+    _pid, uid, _gid = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
+    return bool(uid == os.getuid())
--- /dev/null
+++ b/cypresspulley/takeover/handover.py
@@ -0,0 +1,378 @@
+"""Drives both sides of a takeover: messages in, the table's steps out. What it does to the limiter is its host's."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import socket
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from cypresspulley.takeover.channel import FDS, Channel, Folder, Message, same_user
+from cypresspulley.takeover.snapshot import SnapshotError, pack, unpack
+from cypresspulley.takeover.states import WAITS, At, Do, Heard, Side
+
+log = logging.getLogger(__name__)
+
+PART = 16_000  # characters of a snapshot in one message: escaped they are under its bound
+PARTS = 4096
+TOLD = 0.5  # seconds for the other process to say that a call is in force there
+HELD_EVERY = 0.05  # seconds between two tellings of what is still out
+assert FDS == 1
+
+
+class Host(Protocol):
+    """The limiter, as a takeover sees it."""
+
+    def state(self) -> dict[str, Any]:
+        """What a successor goes on from."""
+        ...
+
+    def listener(self) -> int:
+        """A descriptor of the clients' listener, the caller's own."""
+        ...
+
+    def pause(self) -> None: ...
+
+    def resume(self) -> None: ...
+
+    def split(self) -> None:
+        """What is offered is no longer this process's."""
+        ...
+
+    def unsplit(self, whole: bool) -> None: ...
+
+    def handed(self, to: Peer | None) -> None:
+        """Connections that come to rest go to the successor; None: there is none any more."""
+        ...
+
+    def held(self) -> list[tuple[str, str, int]]: ...
+
+    def told_held(self, rows: list[tuple[str, str, int]]) -> None: ...
+
+    def took(self, sock: socket.socket) -> None:
+        """A client's connection, passed on at rest."""
+        ...
+
+    def applied(self, name: str, id: str, source: Peer) -> None:
+        """An operators' call that the other process was told."""
+        ...
+
+    def alone(self) -> None:
+        """The predecessor has ended."""
+        ...
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """What a predecessor hands over."""
+
+    listener: socket.socket
+    state: dict[str, Any]
+
+
+class Peer:
+    """What both sides share: the channel, and the operators' calls that either was told."""
+
+    def __init__(self, at: At) -> None:
+        self.side = Side(at)
+        self._channel: Channel | None = None
+        self._host: Host | None = None
+        self._loop = asyncio.get_running_loop()
+        self._calls = dict[int, asyncio.Future[None]]()
+        self._number = 0
+        self._late: asyncio.TimerHandle | None = None
+
+    def __repr__(self) -> str:
+        return f"<{type(self).__name__} {self.side.at.value}>"
+
+    @property
+    def linked(self) -> bool:
+        return self._channel is not None and self._channel.open
+
+    async def tell(self, name: str, id: str) -> bool:
+        """Have a call in force in the other process too; whether it is, or there is no other."""
+        if not self.linked or self._channel is None:
+            return True
+        self._number += 1
+        done = self._calls[self._number] = self._loop.create_future()
+        self._channel.send({"is": "call", "n": self._number, "name": name, "id": id})
+        try:
+            async with asyncio.timeout(TOLD):
+                await done
+        except TimeoutError:
+            return False
+        return True
+
+    def _call(self, message: Message) -> None:
+        number, name, id = message.get("n"), message.get("name"), message.get("id")
+        if not isinstance(number, int) or not isinstance(name, str) or not isinstance(id, str):
+            raise ValueError("a call without number, name and id")
+        assert self._host is not None and self._channel is not None
+        self._host.applied(name, id, self)
+        self._channel.send({"is": "done", "n": number})
+
+    def _done(self, message: Message) -> None:
+        if (done := self._calls.pop(message.get("n", 0), None)) is not None and not done.done():
+            done.set_result(None)
+
+    def _hung_up(self) -> None:
+        """Calls that wait for a process that is no more are in force where they need to be."""
+        calls, self._calls = self._calls, {}
+        for done in calls.values():
+            if not done.done():
+                done.set_result(None)
+
+    def _wait(self, heard: Heard) -> None:
+        """The table moves on; the wait of the state that is reached begins."""
+        if self._late is not None:
+            self._late.cancel()
+            self._late = None
+        before = self.side.at
+        for step in self.side.hear(heard):
+            self._do(step)
+        if self.side.at is not before:
+            log.info("takeover: %s, now %s", heard.value, self.side.at.value)
+        if (wait := WAITS.get(self.side.at)) is not None:
+            self._late = self._loop.call_later(wait, self._wait, Heard.LATE)
+
+    def _do(self, step: Do) -> None:
+        raise NotImplementedError
+
+    def _drop(self) -> None:
+        if self._channel is not None:
+            self._channel.end(silent=True)
+        self._hung_up()
+
+
+class Predecessor(Peer):
+    """Waits for a successor, all the life of a process."""
+
+    def __init__(self, host: Host, folder: Folder) -> None:
+        super().__init__(At.WATCHING)
+        self._host, self._folder = host, folder
+        self._sock: socket.socket | None = None
+        self._telling: asyncio.TimerHandle | None = None
+        self._watch()
+
+    def _watch(self) -> None:
+        self._unwatch()
+        try:
+            self._sock = self._folder.listen()
+        except OSError as error:
+            return log.error("takeover: no successor will find this process: %s", error)
+        self._loop.add_reader(self._sock.fileno(), self._came)
+
+    def _unwatch(self) -> None:
+        if self._sock is not None:
+            self._loop.remove_reader(self._sock.fileno())
+            self._sock.close()
+            self._sock = None
+
+    def _came(self) -> None:
+        assert self._sock is not None
+        try:
+            sock, _ = self._sock.accept()
+        except OSError:
+            return
+        if self.linked or not same_user(sock):
+            return sock.close()  # one successor at a time
+        self._channel = Channel(sock, self._heard, self._ended)
+
+    def _heard(self, channel: Channel, message: Message, fd: int | None) -> None:
+        if fd is not None:
+            os.close(fd)  # a successor has none to give
+        try:
+            match message.get("is"):
+                case "hello":
+                    self._wait(Heard.HELLO)
+                case "serving":
+                    self._wait(Heard.SERVING)
+                case "call":
+                    self._call(message)
+                case "done":
+                    self._done(message)
+                case _:
+                    self._wait(Heard.BAD)
+        except ValueError as error:
+            log.error("takeover: %s", error)
+            self._wait(Heard.BAD)
+
+    def _ended(self, channel: Channel) -> None:
+        if channel is self._channel:
+            self._hung_up()
+            self._wait(Heard.ENDED)
+
+    def _do(self, step: Do) -> None:
+        host = self._host
+        assert host is not None
+        match step:
+            case Do.PAUSE:
+                host.pause()
+            case Do.OFFER:
+                self._offer(host)
+            case Do.HAND:
+                self._unwatch()  # the successor is who the next one finds
+                host.handed(self)
+                self._tell_held()
+            case Do.TAKE_BACK:
+                host.unsplit(whole=True)
+            case Do.RESUME:
+                # Nothing to undo where all was taken back; else what was given may have been drawn.
+                host.unsplit(whole=False)
+                host.handed(None)
+                host.resume()
+                self._watch()
+            case Do.DROP:
+                self._drop()
+            case _:
+                raise AssertionError(step)
+
+    def _offer(self, host: Host) -> None:
+        assert self._channel is not None
+        text, checksum = pack(host.state())
+        parts = [text[at : at + PART] for at in range(0, len(text), PART)]
+        host.split()
+        self._channel.send({"is": "offer", "parts": len(parts), "checksum": checksum}, host.listener())
+        for part in parts:
+            self._channel.send({"is": "part", "text": part})
+
+    def pass_client(self, fd: int) -> bool:
+        """Pass a client's connection on; the descriptor is closed here. Whether there was somebody to take it."""
+        if not self.linked or self._channel is None:
+            os.close(fd)
+            return False
+        self._channel.send({"is": "client"}, fd)
+        return self.linked
+
+    def _tell_held(self) -> None:
+        self._telling = None
+        if self.side.at is At.HANDED and self._host is not None and self._channel is not None:
+            self._channel.send({"is": "held", "rows": self._host.held()[:500]})
+            self._telling = self._loop.call_later(HELD_EVERY, self._tell_held)
+
+    def close(self) -> None:
+        for timer in (self._telling, self._late):
+            if timer is not None:
+                timer.cancel()
+        self._unwatch()
+        self._drop()
+
+
+class Successor(Peer):
+    """Asks the process that serves for what it has."""
+
+    def __init__(self, folder: Folder) -> None:
+        super().__init__(At.ASKING)
+        self._settled = asyncio.Event()
+        self._offer: Offer | None = None
+        self._listener: socket.socket | None = None
+        self._wanted, self._checksum, self._parts = 0, "", list[str]()
+        self._early = list[tuple[Message, int | None]]()  # what comes before this process serves
+        sock = folder.connect()
+        if sock is not None and same_user(sock):
+            self._channel = Channel(sock, self._heard, self._ended)
+            self._channel.send({"is": "hello"})
+            self._late = self._loop.call_later(WAITS[At.ASKING], self._wait, Heard.LATE)
+        else:
+            self._wait(Heard.ENDED)
+
+    async def offered(self) -> Offer | None:
+        """What there is to go on from; None where this process starts alone."""
+        await self._settled.wait()
+        return self._offer
+
+    def reject(self) -> None:
+        """The offer cannot be used after all: the predecessor goes on, and this process starts alone."""
+        log.error("takeover: the offer was rejected, this process starts alone")
+        self._offer = None
+        self.side.at = At.RECEIVING
+        self._wait(Heard.BAD)
+
+    def serve(self, host: Host) -> None:
+        """From now on this process takes the connections."""
+        self._host = host
+        if self.side.at is At.SERVING and self._channel is not None:
+            self._channel.send({"is": "serving"})
+        early, self._early = self._early, []
+        for message, fd in early:
+            self._from_predecessor(message, fd)
+        if self.side.at is At.ALONE:
+            host.alone()
+
+    def _heard(self, channel: Channel, message: Message, fd: int | None) -> None:
+        try:
+            match message.get("is"):
+                case "offer":
+                    self._begin(message, fd)
+                case "part":
+                    self._part(message)
+                case _ if self._host is None:
+                    self._early.append((message, fd))
+                case _:
+                    self._from_predecessor(message, fd)
+        except (ValueError, TypeError, KeyError) as error:
+            log.error("takeover: %s", error)
+            self._wait(Heard.BAD)
+
+    def _begin(self, message: Message, fd: int | None) -> None:
+        self._wanted, self._checksum = int(message["parts"]), str(message["checksum"])
+        if fd is None or not 0 < self._wanted <= PARTS or self._listener is not None:
+            raise ValueError("an offer without a listener, or of too many parts")
+        self._listener = socket.socket(fileno=fd)
+        self._wait(Heard.OFFER)
+
+    def _part(self, message: Message) -> None:
+        self._parts.append(str(message["text"]))
+        if len(self._parts) < self._wanted or self._listener is None:
+            return
+        try:
+            state = unpack("".join(self._parts), self._checksum)
+        except SnapshotError as error:
+            raise ValueError(str(error)) from None
+        self._offer = Offer(self._listener, state)
+        self._wait(Heard.WHOLE)
+
+    def _from_predecessor(self, message: Message, fd: int | None) -> None:
+        host, kind = self._host, message.get("is")
+        assert host is not None
+        if kind == "client" and fd is not None:
+            return host.took(socket.socket(fileno=fd))
+        if fd is not None:
+            os.close(fd)
+        if kind == "held":
+            host.told_held([(str(plan), str(account), int(n)) for plan, account, n in message["rows"]])
+        elif kind == "call":
+            self._call(message)
+        elif kind == "done":
+            self._done(message)
+        else:
+            raise ValueError(f"an unknown message: {kind!r:.40}")
+
+    def _ended(self, channel: Channel) -> None:
+        self._hung_up()
+        self._wait(Heard.ENDED)
+
+    def _do(self, step: Do) -> None:
+        match step:
+            case Do.ADOPT:
+                self._settled.set()
+            case Do.START:
+                self._offer = None
+                if self._listener is not None:
+                    self._listener.close()
+                self._settled.set()
+            case Do.FORGET:
+                if self._host is not None:
+                    self._host.told_held([])
+                    self._host.alone()
+            case Do.DROP:
+                self._drop()
+            case _:
+                raise AssertionError(step)
+
+    def close(self) -> None:
+        if self._late is not None:
+            self._late.cancel()
+        self._drop()
--- /dev/null
+++ b/cypresspulley/takeover/snapshot.py
@@ -0,0 +1,227 @@
+"""What one limiter knows, as text that another process goes on from. No I/O and no clock.
+
+To every rule two processes of one limiter are one: what a store holds is split between them and conserved. The one
+that leaves keeps ``KEPT`` of it for what it still has in hand, and refills nothing.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from collections.abc import Iterable
+from dataclasses import asdict, replace
+from typing import Any
+
+from cypresspulley import interface as api
+from cypresspulley.policy.account import Account
+from cypresspulley.policy.gateway import Gateway
+
+VERSION = 1
+KEPT = 0.1  # of each store, by the process that leaves
+NOTHING = 1e-9  # a rate of refill that gives nothing, where 0 would mean that there is no limit
+ACCOUNTS = 20_000  # in one snapshot; the longest idle are left out, and start as after a restart
+GATE = ("sum", "u", "reading", "mean", "_tokens", "_arrivals", "_filled")
+SERVER = (
+    "rate", "slow", "fails", "out_until", "out_for", "budget", "budget_at", "trial", "lost", "told", "told_at", "since",
+    "row", "broke", "cold_at",
+)  # fmt: skip
+ACCOUNT = (
+    "at", "asked", "synced", "level", "floor", "ceiling", "drawn", "total", "others", "pending", "guessed", "mine",
+    "heard", "debt",
+)  # fmt: skip
+STORES = ("level", "floor", "ceiling")  # of an account, that are split
+WINDOWS = ("index", "_own", "_spent")
+CALLS = ("rate", "room", "silent_until", "misses")
+SIZES = ("mean", "slope", "_spread", "_common", "_latency", "_seen")
+
+
+class SnapshotError(ValueError):
+    """A snapshot that cannot be used."""
+
+
+def _carry(owner: object, names: Iterable[str]) -> dict[str, Any]:
+    return {name: getattr(owner, name) for name in names}
+
+
+def _lay(owner: object, values: dict[str, Any], names: Iterable[str]) -> None:
+    for name in names:
+        value = values[name]
+        if value is not None and not isinstance(value, int | float):
+            raise SnapshotError(f"snapshot: {name}: expected a number, got {value!r:.40}")
+        setattr(owner, name, value)
+
+
+def take(gateway: Gateway) -> dict[str, Any]:
+    """The state of the decisions; nothing is changed by it."""
+    fleet, quotas = gateway.fleet, gateway.quotas
+    life, tells = quotas._life, quotas.tells
+    accounts = sorted(quotas.accounts.items(), key=lambda each: -each[1].at)[:ACCOUNTS]
+    return {
+        "retries": gateway._retries,
+        "seen": list(gateway._seen),
+        "gate": _carry(gateway.gate, GATE),
+        "base": fleet.base,
+        "sizes": _carry(fleet.sizes, SIZES),
+        "done_rate": fleet._done_rate,
+        "bans": sorted(fleet.bans),
+        "known": list(fleet.known),
+        "servers": [
+            {"entry": asdict(s.entry) | {"health": s.entry.health.value}, "up": s.up, **_carry(s, SERVER)}
+            for s in fleet.servers.values()
+            if not s.gone
+        ],
+        "born": quotas._born,
+        "calls": _carry(quotas.calls, CALLS),
+        "life": {"vouched": life.vouched, "own": life._own, "clear": sorted(life._clear), "spell": life._spell},
+        "tells": None if tells is None else [tells.born, tells.late, list(tells.strange.items())],
+        "accounts": [
+            [*key, a.share, a.open, _carry(a, ACCOUNT), _carry(a.windows, WINDOWS) if a.windows else None]
+            for key, a in accounts
+        ],
+    }  # fmt: skip
+
+
+def adopt(gateway: Gateway, now: float, state: dict[str, Any]) -> None:
+    """A fresh gateway goes on from a predecessor's state, less what that keeps. ``SnapshotError`` where it cannot."""
+    try:
+        _adopt(gateway, now, state)
+    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+        raise SnapshotError(f"a snapshot that cannot be used: {error!r:.120}") from None
+
+
+def _entry(raw: dict[str, Any]) -> api.ServerEntry:
+    return api.ServerEntry(
+        str(raw["name"]), api.Health(raw["health"]), str(raw["zone"]), int(raw["cell"]), float(raw["size"]),
+        float(raw["born"]),
+    )  # fmt: skip
+
+
+def _adopt(gateway: Gateway, now: float, state: dict[str, Any]) -> None:
+    fleet, quotas = gateway.fleet, gateway.quotas
+    gateway._retries = float(state["retries"])
+    gateway._seen.extend(map(float, state["seen"]))
+    gateway._ranks = sorted(gateway._seen)
+    _lay(gateway.gate, state["gate"], GATE)
+    fleet.base.update({str(name): float(value) for name, value in state["base"].items()})
+    _lay(fleet.sizes, state["sizes"], SIZES)
+    fleet._done_rate = float(state["done_rate"])
+    fleet.bans.update(map(str, state["bans"]))
+    fleet.known.update(dict.fromkeys(map(str, state["known"])))
+    rows = [(_entry(row["entry"]), row) for row in state["servers"]]
+    fleet.listed(now, api.ServerList(tuple(entry for entry, _ in rows), True))
+    for entry, row in rows:
+        server = fleet.servers[entry.name]
+        _lay(server, row, SERVER)
+        server.up = bool(row["up"])
+        server.budget *= 1 - KEPT if server.budget > 0 else 1
+    fleet._arrange(now)
+    quotas._born = float(state["born"])
+    _lay(quotas.calls, state["calls"], CALLS)
+    life, quotas._life.vouched = state["life"], bool(state["life"]["vouched"])
+    quotas._life._own = [(int(spell), float(amount)) for spell, amount in life["own"]]
+    # Nothing may be called from here: the caller has no actions to carry out.
+    quotas._life._due = max(quotas._life._due, now + 0.1)
+    quotas._life._clear, quotas._life._spell = set(map(int, life["clear"])), int(life["spell"])
+    if state["tells"] is not None and quotas.tells is not None:
+        quotas.tells.born, quotas.tells.late = float(state["tells"][0]), bool(state["tells"][1])
+        quotas.tells.strange.update({int(key): (float(u), float(at)) for key, (u, at) in state["tells"][2]})
+    for plan, name, share, _open, values, windows in state["accounts"]:
+        if plan not in quotas._plans:
+            continue  # the plan was dropped meanwhile
+        a = quotas.account(now, api.Request(0, "", plan, 1.0, name, gateways=int(share)))
+        _lay(a, values, ACCOUNT)
+        for store in STORES:
+            setattr(a, store, (1 - KEPT) * getattr(a, store) if getattr(a, store) > 0 else getattr(a, store))
+        if windows is not None and a.windows is not None:
+            _lay(a.windows, windows, WINDOWS)
+
+
+class Split:
+    """The leaving side: keeps ``KEPT`` of each store, refills nothing, and can take all of it back."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway, quotas = gateway, gateway.quotas
+        self._plans, self._born, self._vouched = dict(quotas._plans), quotas._born, quotas._life.vouched
+        self._given = list[tuple[Account, api.Plan, dict[str, float]]]()
+        scaled = {name: self._kept(plan) for name, plan in quotas._plans.items()}
+        for a in quotas.accounts.values():
+            given = {store: (1 - KEPT) * max(0.0, getattr(a, store)) for store in STORES}
+            given["pending"] = a.pending
+            self._given.append((a, a.plan, given))
+            for store, amount in given.items():
+                setattr(a, store, getattr(a, store) - amount)
+            a.plan = scaled.get(a.plan.name) or self._kept(a.plan)
+        self._budgets = [(s, (1 - KEPT) * max(0.0, s.budget)) for s in gateway.fleet.servers.values()]
+        for server, budget in self._budgets:
+            server.budget -= budget
+        # A customer that is new here gets nothing of a ceiling: its store is at the successor.
+        quotas._plans = {
+            name: replace(plan, ceiling_burst=plan.ceiling_burst * NOTHING) for name, plan in scaled.items()
+        }
+        quotas._life.vouched = False
+        self._wanted, quotas._life.wanted = quotas._life.wanted, False
+
+    @staticmethod
+    def _kept(plan: api.Plan) -> api.Plan:
+        return replace(
+            plan, rate=plan.rate * NOTHING, burst=plan.burst * KEPT, ceiling_rate=plan.ceiling_rate * NOTHING,
+            ceiling_burst=plan.ceiling_burst * KEPT,
+        )  # fmt: skip
+
+    def undo(self, whole: bool, now: float) -> None:
+        """Serve alone again. ``whole``: nothing was drawn on the other side; else what was given is taken for used."""
+        quotas = self._gateway.quotas
+        quotas._plans, quotas._life.wanted = self._plans, self._wanted
+        if whole:
+            quotas._life.vouched = self._vouched
+            for server, budget in self._budgets:
+                server.budget += budget
+        else:
+            quotas._born = now  # what is new here may have drawn on the other side
+        for a, plan, given in self._given:
+            if not whole:
+                a.refill(now)
+            a.plan = plan
+            for store, amount in given.items():
+                setattr(a, store, getattr(a, store) + amount * whole)
+
+
+class Ghosts:
+    """Attempts that are out at the predecessor: they count against the limits on what is out, here as there."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self._gateway = gateway
+        self._held = dict[tuple[str, str], int]()
+
+    def told(self, held: dict[tuple[str, str], int]) -> None:
+        """What is out there now, by plan and account; nothing once it has ended."""
+        accounts = self._gateway.quotas.accounts
+        for key in {*held, *self._held}:
+            if (a := accounts.get(key)) is not None:
+                a.open += held.get(key, 0) - self._held.get(key, 0)
+        self._held = {key: n for key, n in held.items() if key in accounts}
+
+
+def held(gateway: Gateway) -> list[tuple[str, str, int]]:
+    """Attempts that are out here, by plan and account."""
+    return [(*key, a.open) for key, a in gateway.quotas.accounts.items() if a.open > 0]
+
+
+def pack(state: dict[str, Any]) -> tuple[str, str]:
+    """The text of a snapshot and its checksum."""
+    text = json.dumps({"version": VERSION, "state": state}, separators=(",", ":"))
+    return text, hashlib.sha256(text.encode()).hexdigest()
+
+
+def unpack(text: str, checksum: str) -> dict[str, Any]:
+    """The state in a snapshot; ``SnapshotError`` where text, checksum or version do not fit."""
+    if hashlib.sha256(text.encode()).hexdigest() != checksum:
+        raise SnapshotError("snapshot: the checksum does not fit")
+    try:
+        raw = json.loads(text)
+        version, state = raw["version"], raw["state"]
+    except (ValueError, KeyError, TypeError):
+        raise SnapshotError("snapshot: not an object with version and state") from None
+    if version != VERSION or not isinstance(state, dict):
+        raise SnapshotError(f"snapshot: version {version!r:.20}, expected {VERSION}")
+    return state
--- /dev/null
+++ b/tests/takeover/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the takeover: states, snapshot, and both sides over loopback sockets."""
--- /dev/null
+++ b/tests/takeover/test_handover.py
@@ -0,0 +1,370 @@
+"""Two processes' worth of limiter, joined by a folder, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+
+from cypresspulley import interface as api
+from cypresspulley.lifecycle import Lifecycle, State
+from cypresspulley.net.frontend import Frontend
+from cypresspulley.net.node import Node, unix_clock
+from cypresspulley.net.upstream import Upstream
+from cypresspulley.policy.gateway import Gateway
+from cypresspulley.service import Service
+from cypresspulley.takeover import handover
+from cypresspulley.takeover.channel import Channel, Folder
+from cypresspulley.takeover.states import WAITS, At, Side
+from tests.loopback import OK, SETTINGS, Origin, ask, listening, listing, read_message, run
+
+HEALTH = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+class Process:
+    """One process of a limiter, as ``__main__.serve`` joins it."""
+
+    def __init__(self, folder: Path, dial: str) -> None:
+        self.clock, self.dial = unix_clock(), dial
+        self.service = Service(Lifecycle(), Folder(str(folder), "test"))
+        self.upstream = Upstream(self.clock, 0.25, 30.0, 64)
+        self.gateway = Gateway(SETTINGS, 1, self.clock())
+        self.node = Node(SETTINGS, self.gateway, self.clock, self.upstream, None)
+        self.frontend = Frontend(self.node, SETTINGS, 64)
+        self.address = ("", 0)
+        self.inherited = False
+
+    async def start(self, port: int = 0) -> Process:
+        offer = await self.service.offered()
+        if offer is not None and not self.service.adopt(self.gateway, self.clock(), offer, self.upstream):
+            offer = None
+        self.inherited = offer is not None
+        if offer is None:
+            self.node.listed(listing({"s1": self.dial, "s2": self.dial}))
+        listener = offer.listener if offer is not None else None
+        self.address = await self.frontend.listen_shared("127.0.0.1", port, listener)
+        self.service.serve(self.node, self.frontend, self.gateway, self.upstream, self.clock, self.inherited)
+        return self
+
+    @property
+    def side(self) -> Side:
+        assert self.service._predecessor is not None
+        return self.service._predecessor.side
+
+    async def end(self) -> None:
+        self.service.leave()
+        await self.frontend.close(1.0)
+        self.upstream.close()
+        self.service.close()
+
+    def die(self) -> None:
+        """As a kill leaves it: every descriptor is closed, nobody is told."""
+        self.frontend.pause()
+        if self.frontend._listener is not None:
+            self.frontend._listener.close()
+        for client in list(self.frontend._clients):
+            client.abort()
+        self.upstream.close()
+        self.service.close()
+
+
+@asynccontextmanager
+async def upgraded(folder: Path, origin: Origin) -> AsyncIterator[tuple[Process, Process]]:
+    """A process that serves and its successor, right after the takeover."""
+    async with listening(origin.talk) as dial:
+        old = await Process(folder, dial).start()
+        new = await Process(folder, dial).start()
+        assert new.inherited and new.address == old.address
+        try:
+            yield old, new
+        finally:
+            await old.end()
+            await new.end()
+
+
+async def until(condition: object) -> None:
+    while not condition():  # type: ignore[operator]
+        await asyncio.sleep(0.001)
+
+
+def test_kept_connections_and_new_ones_go_on_and_none_is_closed(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            kept = [await asyncio.open_connection(*old.address) for _ in range(8)]
+            for reader, writer in kept:
+                writer.write(ask())
+                assert " 200 " in (await read_message(reader))[0]
+            new = await Process(tmp_path, dial).start()
+            await until(lambda: old.service.life.handed)
+            for reader, writer in kept:  # each connection answers, whichever process holds it
+                writer.write(ask())
+                status, headers, _ = await read_message(reader)
+                assert " 200 " in status and "connection" not in headers
+            await until(lambda: not old.frontend._clients)
+            assert len(new.frontend._clients) == 8
+            await old.end()  # and survive the old one's end
+            await until(lambda: new.service.life.state is State.READY)
+            for reader, writer in kept:
+                writer.write(ask())
+                assert " 200 " in (await read_message(reader))[0]
+                writer.close()
+            await new.end()
+
+    run(main())
+
+
+def test_connections_in_the_accept_queue_are_served_by_the_successor(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            old.frontend.pause()  # as between the offer and the successor's word
+            waiting = [socket.create_connection(old.address) for _ in range(12)]
+            for sock in waiting:
+                sock.sendall(ask())
+            new = await Process(tmp_path, dial).start()
+            for sock in waiting:
+                sock.setblocking(False)
+                reader, writer = await asyncio.open_connection(sock=sock)
+                assert " 200 " in (await read_message(reader))[0]
+                writer.close()
+            await old.end()
+            await new.end()
+
+    run(main())
+
+
+def test_a_request_under_way_is_answered_by_the_old_process_and_its_connection_goes_over(
+    tmp_path: Path,
+) -> None:
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_message(reader)
+                taken.set()
+                await release.wait()
+                writer.write(OK)
+
+        taken = asyncio.Event()
+        async with listening(talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            reader, writer = await asyncio.open_connection(*old.address)
+            writer.write(ask())
+            await taken.wait()
+            new = await Process(tmp_path, dial).start()
+            await until(lambda: old.service.life.handed)
+            ghost = [a.open for a in new.gateway.quotas.accounts.values()]
+            await until(lambda: sum(a.open for a in new.gateway.quotas.accounts.values()) == 1)
+            assert sum(ghost) <= 1
+            leaving = asyncio.create_task(old.end())
+            await asyncio.sleep(0)
+            release.set()
+            assert " 200 " in (await read_message(reader))[0]
+            await until(lambda: len(new.frontend._clients) == 1)
+            await leaving
+            await until(lambda: sum(a.open for a in new.gateway.quotas.accounts.values()) == 0)
+            writer.write(ask())
+            assert " 200 " in (await read_message(reader))[0]
+            writer.close()
+            await new.end()
+
+    run(main())
+
+
+def test_bans_hold_in_both_processes_either_way_round_and_over_a_second_upgrade(tmp_path: Path) -> None:
+    async def main() -> None:
+        async with upgraded(tmp_path, Origin()) as (old, new):
+            assert (await old.service.call("suspend", "s1")).status == 200
+            assert new.gateway.fleet.bans == old.gateway.fleet.bans == {"s1"}
+            assert (await new.service.call("resume", "s1")).status == 200
+            assert new.gateway.fleet.bans == old.gateway.fleet.bans == set()
+            assert (await new.service.call("suspend", "s2")).status == 200
+            assert old.gateway.fleet.bans == {"s2"}
+            assert (await old.service.call("resume", "s2")).status == 200
+            assert (await old.service.call("suspend", "s1")).status == 200
+            old.die()
+            await until(lambda: new.service.life.state is State.READY)
+            third = await Process(tmp_path, new.dial).start()
+            assert third.inherited and third.gateway.fleet.bans == {"s1"}
+            assert not third.upstream._servers["s1"].usable and third.upstream._servers["s2"].usable
+            assert (await third.service.call("resume", "s1")).status == 200
+            assert new.gateway.fleet.bans == set()
+            await third.end()
+
+    run(main())
+
+
+def test_a_drain_goes_over_and_its_end_reaches_both(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            assert (await old.service.call("drain", "")).status == 200
+            new = await Process(tmp_path, dial).start()
+            await until(lambda: old.service.life.handed)
+            assert new.frontend.draining and (await new.service.call("readyz", "")).status == 200
+            assert (await new.service.call("activate", "")).status == 200
+            assert not old.service.life.drained and not new.frontend.draining
+            assert (await old.service.call("drain", "")).status == 200
+            await old.end()
+            await until(lambda: new.service.life.state is State.DRAINING)
+            reader, writer = await asyncio.open_connection(*new.address)
+            writer.write(HEALTH)
+            assert " 503 " in (await read_message(reader))[0]
+            writer.close()
+            await new.end()
+
+    run(main())
+
+
+def test_a_successor_that_dies_before_it_serves_changes_nothing(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            dying = Process(tmp_path, dial)
+            assert await dying.service.offered() is not None
+            await until(
+                lambda: (
+                    old.service._predecessor is not None and old.service._predecessor.side.at is At.OFFERED
+                )
+            )
+            dying.service.close()
+            await until(
+                lambda: (
+                    old.service._predecessor is not None and old.service._predecessor.side.at is At.WATCHING
+                )
+            )
+            await until(lambda: old.frontend._server is not None)
+            reader, writer = await asyncio.open_connection(*old.address)
+            writer.write(ask())
+            assert " 200 " in (await read_message(reader))[0]
+            writer.close()
+            assert old.service.life.state is State.READY and old.service._split is None
+            new = await Process(tmp_path, dial).start()  # and the next one finds it
+            assert new.inherited
+            await old.end()
+            await new.end()
+
+    run(main())
+
+
+def test_a_successor_that_dies_after_its_word_leaves_the_old_process_serving(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with upgraded(tmp_path, origin) as (old, new):
+            await until(lambda: old.service.life.handed)
+            new.die()
+            await until(lambda: old.service.life.state is State.READY and old.frontend._server is not None)
+            reader, writer = await asyncio.open_connection(*old.address)
+            writer.write(ask())
+            assert " 200 " in (await read_message(reader))[0]
+            writer.close()
+
+    run(main())
+
+
+def test_a_predecessor_that_stalls_is_not_waited_for(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setitem(WAITS, At.ASKING, 0.05)
+
+    async def main() -> None:
+        folder, origin = Folder(str(tmp_path), "test"), Origin()
+        stalled = folder.listen()  # the kernel takes the connection, nobody reads
+        async with listening(origin.talk) as dial:
+            new = await Process(tmp_path, dial).start()
+            assert not new.inherited and new.service.life.state is State.READY
+            reader, writer = await asyncio.open_connection(*new.address)
+            writer.write(ask())
+            assert " 200 " in (await read_message(reader))[0]
+            writer.close()
+            await new.end()
+        stalled.close()
+
+    run(main())
+
+
+def test_a_dead_processs_leftover_is_no_predecessor_and_its_bans_are_read(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            dead = await Process(tmp_path, dial).start()
+            assert (await dead.service.call("suspend", "s1")).status == 200
+            dead.die()
+            new = await Process(tmp_path, dial).start()
+            assert not new.inherited and new.gateway.fleet.bans == {"s1"}
+            await new.end()
+
+    run(main())
+
+
+@pytest.mark.parametrize(
+    "said",
+    [b"", b"\xff", b"[]", b'{"is":"offer"}', b'{"is":"offer","parts":1,"checksum":"x"}', b'{"is":"part"}'],
+)
+def test_a_predecessor_that_talks_nonsense_is_left(tmp_path: Path, said: bytes) -> None:
+    async def main() -> None:
+        folder, origin, loop = Folder(str(tmp_path), "test"), Origin(), asyncio.get_running_loop()
+        sock = folder.listen()
+
+        async def talk() -> None:
+            peer, _ = await loop.sock_accept(sock)
+            peer.setblocking(False)
+            if said:
+                peer.send(said)
+            await asyncio.sleep(0)
+            peer.close()
+
+        task = loop.create_task(talk())
+        async with listening(origin.talk) as dial:
+            new = await Process(tmp_path, dial).start()
+            assert not new.inherited and new.service.life.state is State.READY
+            await new.end()
+        await task
+        sock.close()
+
+    run(main())
+
+
+def test_a_snapshot_that_cannot_be_used_leaves_both_serving(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def main() -> None:
+        origin = Origin()
+        async with listening(origin.talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            monkeypatch.setattr(old.service, "state", lambda: {"decisions": {}, "dials": {}})
+            new = await Process(tmp_path, dial).start(old.address[1])  # beside it, by SO_REUSEPORT
+            assert not new.inherited
+            await until(lambda: old.frontend._server is not None)
+            assert old.service.life.state is State.READY and old.service._split is None
+            await old.end()
+            await new.end()
+
+    run(main())
+
+
+def test_a_channel_ends_on_what_is_too_large(tmp_path: Path) -> None:
+    async def main() -> None:
+        ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
+        ended = asyncio.Event()
+        channel = Channel(ours, lambda *_: None, lambda _c: ended.set())
+        theirs.send(b"[" + b" " * 70_000 + b"]")
+        await ended.wait()
+        assert not channel.open
+        theirs.close()
+
+    run(main())
+
+
+def test_parts_of_a_snapshot_fit_in_a_message() -> None:
+    from cypresspulley.takeover.channel import MOST
+
+    assert 2 * handover.PART + 100 < MOST and api.Health.UP.value == "up"
--- /dev/null
+++ b/tests/takeover/test_snapshot.py
@@ -0,0 +1,202 @@
+"""What one process hands another: conserved, checked, and taken back."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import replace
+from random import Random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from cypresspulley import interface as api
+from cypresspulley.policy.gateway import Gateway
+from cypresspulley.takeover.snapshot import (
+    KEPT,
+    STORES,
+    Ghosts,
+    SnapshotError,
+    Split,
+    adopt,
+    held,
+    pack,
+    take,
+    unpack,
+)
+from tests import world as w
+
+PLAN = api.Plan("capped", 1.0, 30.0, 90.0, ceiling_rate=4.0, ceiling_burst=12.0)
+CONFIG = w.settings(plans=(PLAN, api.Plan("free")), gateways=1, has_counter=False)
+
+
+def asked_of(
+    id: int, kind: str, plan: str, account: str, ttl: float = 3.0, units: float = 1.0
+) -> api.Request:
+    """A try of an account that this limiter serves alone."""
+    return replace(w.request(id, kind, plan, account, ttl, units), gateways=1)
+
+
+def lived(seed: int = 3) -> w.World:
+    """A limiter that has served for some seconds."""
+    world, rng = w.World(CONFIG, seed), Random(seed)
+    world.feed(w.servers("s0", "s1", "s2"))
+    for id in range(80):
+        world.advance(world.now + 0.1)
+        world.feed(asked_of(id, "read", "capped", f"a{rng.randrange(3)}", 3.0, 1.0))
+        for (request, attempt), (server, _) in list(world.out.items()):
+            world.feed(w.outcome(request, attempt, server, api.Status.OK, 0.05))
+    world.feed(api.Suspend("s1"))
+    return world
+
+
+def successor(world: w.World, config: api.Settings = CONFIG) -> Gateway:
+    gateway = Gateway(config, 9, world.now)
+    adopt(gateway, world.now, unpack(*pack(take(world.gateway))))
+    return gateway
+
+
+def test_each_store_is_split_and_conserved() -> None:
+    world = lived()
+    before = {key: {s: getattr(a, s) for s in STORES} for key, a in world.gateway.quotas.accounts.items()}
+    after = successor(world)
+    Split(world.gateway)
+    assert before
+    for key, stores in before.items():
+        old, new = world.gateway.quotas.accounts[key], after.quotas.accounts[key]
+        for store, amount in stores.items():
+            assert getattr(old, store) + getattr(new, store) == pytest.approx(amount)
+            assert getattr(old, store) == pytest.approx(KEPT * amount) or amount <= 0
+
+
+def test_servers_bans_loads_and_rates_go_over() -> None:
+    world = lived()
+    after, old = successor(world), world.gateway
+    assert after.fleet.bans == {"s1"} and [s.entry.name for s in after.fleet.ring] == [
+        s.entry.name for s in old.fleet.ring
+    ]
+    for name, server in old.fleet.servers.items():
+        assert after.fleet.servers[name].rate == server.rate and after.fleet.servers[name].slow == server.slow
+    assert repr(after.gate) == repr(old.gate) and after.fleet.base == old.fleet.base
+    assert after.quotas._born == old.quotas._born
+
+
+def test_taking_a_snapshot_changes_nothing() -> None:
+    world = lived()
+    first = pack(take(world.gateway))
+    assert pack(take(world.gateway)) == first
+
+
+def test_what_was_split_can_be_taken_back_whole() -> None:
+    world = lived()
+    before = {(key, s): getattr(a, s) for key, a in world.gateway.quotas.accounts.items() for s in STORES}
+    plans, budgets = (
+        dict(world.gateway.quotas._plans),
+        [s.budget for s in world.gateway.fleet.servers.values()],
+    )
+    Split(world.gateway).undo(whole=True, now=world.now)
+    after = {(key, s): getattr(a, s) for key, a in world.gateway.quotas.accounts.items() for s in STORES}
+    assert after == pytest.approx(before) and world.gateway.quotas._plans == plans
+    assert [s.budget for s in world.gateway.fleet.servers.values()] == pytest.approx(budgets)
+    assert all(a.plan is PLAN for a in world.gateway.quotas.accounts.values())
+
+
+def test_a_successor_that_served_and_died_has_used_what_it_was_given() -> None:
+    world = lived()
+    split = Split(world.gateway)
+    levels = {key: a.ceiling for key, a in world.gateway.quotas.accounts.items()}
+    split.undo(whole=False, now=world.now)
+    for key, a in world.gateway.quotas.accounts.items():
+        assert a.ceiling == pytest.approx(levels[key]) and a.plan is PLAN
+    fresh = world.gateway.quotas.account(world.now, asked_of(999, "read", "capped", "new"))
+    assert fresh.ceiling == 0.0, "it may have drawn on the other side"
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=25)
+@hypothesis.given(st.integers(0, 2**32), st.booleans())
+def test_a_ceiling_holds_over_two_processes_and_a_second_upgrade(seed: int, dies: bool) -> None:
+    rng, old = Random(seed), lived(seed % 7)
+    last, sent = old.now, 0.0
+    new: w.World | None = None
+    id = 1000
+    # What was drawn before counts: begin with what the account itself has left.
+    store = old.gateway.quotas.account(old.now, asked_of(0, "read", "capped", "a0")).ceiling
+    for step in range(160):
+        now = last + (rng.choice((0.01, 0.05, 0.2)) if step not in (40, 100) else 3.0)  # the store fills
+        if step in (40, 100):
+            if new is not None:
+                old, new = new, None
+            old.advance(now)
+            text = pack(take(old.gateway))
+            split = Split(old.gateway)
+            if dies and step == 40:
+                split.undo(whole=True, now=old.now)  # it ended before it served
+            else:
+                new = w.World(CONFIG, seed, old.now)
+                adopt(new.gateway, old.now, unpack(*text))
+                new.up, new.known = dict(old.up), set(old.known)
+        world = rng.choice([each for each in (old, new) if each is not None])
+        world.advance(now)
+        before, id = len(world.sends), id + 1
+        world.feed(asked_of(id, "read", "capped", "a0", 3.0, rng.choice((1.0, 2.0))))
+        for (request, attempt), (server, _) in list(world.out.items()):
+            world.feed(w.outcome(request, attempt, server, api.Status.OK, 0.05))
+        store = min(12.0, store + 4.0 * (now - last))
+        last = now
+        drawn = sum(asked.units for _, _, asked in world.sends[before:])
+        store, sent = store - drawn, sent + drawn
+        assert store >= -1e-6, "the ceiling was passed"
+    assert sent > 10
+
+
+def test_what_is_out_there_counts_here_until_it_has_ended() -> None:
+    world = lived()
+    world.advance(world.now + 3.0)
+    world.feed(asked_of(500, "read", "capped", "a0"))
+    rows = held(world.gateway)
+    assert rows == [("capped", "a0", 1)]
+    after = successor(world)
+    ghosts, account = Ghosts(after), after.quotas.accounts["capped", "a0"]
+    for rows_told, wanted in ((rows, 1), (rows, 1), ([], 0), (rows, 1), ([], 0)):
+        ghosts.told({(plan, name): n for plan, name, n in rows_told})
+        assert account.open == wanted
+
+
+def test_a_dropped_plan_is_left_out_and_the_rest_goes_over() -> None:
+    after = successor(lived(), replace(CONFIG, plans=(api.Plan("free"),)))
+    assert after.quotas.accounts == {} and after.fleet.bans == {"s1"}
+
+
+def test_wrong_snapshots_are_told_apart() -> None:
+    state = take(lived().gateway)
+    text, checksum = pack(state)
+    with pytest.raises(SnapshotError, match="checksum"):
+        unpack(text[:-1] + " ", checksum)
+    for bad in ('{"version":2,"state":{}}', '{"version":1}', "[]", '{"version":1,"state":3}', "{"):
+        with pytest.raises(SnapshotError):
+            unpack(bad, hashlib.sha256(bad.encode()).hexdigest())
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_a_spoilt_snapshot_is_rejected_or_changes_only_figures(seed: int) -> None:
+    """Any one value replaced: adopting it either says so or leaves a limiter that decides."""
+    rng, state = Random(seed), json.loads(json.dumps(take(lived().gateway)))
+    spots = list[tuple[object, object]]()
+
+    def walk(node: object) -> None:
+        for key in (
+            list(node) if isinstance(node, dict) else range(len(node)) if isinstance(node, list) else ()
+        ):
+            spots.append((node, key))
+            walk(node[key])  # type: ignore[index]
+
+    walk(state)
+    owner, key = rng.choice(spots)
+    owner[key] = rng.choice([None, "x", [], {}, -1.0, True])  # type: ignore[index]
+    gateway = Gateway(CONFIG, 9, 200.0)
+    try:
+        adopt(gateway, 200.0, state)
+    except SnapshotError:
+        return
+    assert take(gateway)
