Check and swap whole settings on SIGHUP; open requests keep their class record

Way taken: the file is checked against the one that serves (no key may go missing, no deadline, aim or attempts not over 0) and then swapped as one event; policy/classes.py decides which record binds by the form a request came in (method and key follow from the effect), so that clients who have not heard of the change are served by the old record for a moment. Not taken: a fixed moment for all (requests sent before it by the old form would be answered 405), a restart of the decisions (levels and loads would be lost).

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -11,7 +11,7 @@
 import sys
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -29,7 +29,7 @@
 from cypresspulley.operators import Operators, OperatorsError, load_operators
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.service import Service
-from cypresspulley.settings import Timing, settings_from, timing_from
+from cypresspulley.settings import Timing, check_sound, check_whole, settings_from, timing_from
 from cypresspulley.takeover.channel import Folder
 
 if TYPE_CHECKING:
@@ -68,6 +68,7 @@
     operator: tuple[str, int] | None  # where operators call; None: there is no door
     settings: api.Settings
     timing: Timing
+    raw: dict[str, Any] = field(repr=False, compare=False, default_factory=dict)  # the file, as it was read
 
 
 class ConfigError(Exception):
@@ -96,6 +97,7 @@
         raise ConfigError("the configuration is not an object with settings")
     try:
         limits = raw.get("limits") or {}
+        check_sound(raw["settings"])
         return Config(
             listen=split_address(str(raw.get("listen"))),
             discovery=split_address(str(raw.get("discovery"))),
@@ -107,6 +109,7 @@
             operator=split_address(str(raw["operator"])) if raw.get("operator") else None,
             settings=settings_from(raw["settings"]),
             timing=timing_from(raw["settings"]),
+            raw=raw,
         )
     except (ValueError, TypeError, AttributeError) as error:
         raise ConfigError(str(error)) from None
@@ -136,26 +139,45 @@
     return config_from(raw)
 
 
+KEPT_KEYS = ("listen", "discovery", "counter", "limits", "settings")  # of the file; each stays where it was
+
+
 class Reload:
-    """SIGHUP: the file is read again, and discovery and the counter are followed to where it says."""
+    """SIGHUP: the file is read again; discovery and the counter are followed to where it says, and its settings hold.
+
+    All of the file is checked before anything changes: a broken one changes nothing but the log.
+    """
 
     def __init__(
-        self, config: Config, follower: Follower, counter: Counter | None, reread: Callable[[], Config]
-    ) -> None:
+        self, config: Config, follower: Follower, counter: Counter | None, reread: Callable[[], Config],
+        retune: Callable[[api.Settings, Timing], None],
+    ) -> None:  # fmt: skip
         self._config, self._follower, self._counter, self._reread = config, follower, counter, reread
+        self._retune = retune
 
     def __call__(self) -> None:
+        old = self._config
         try:
             new = self._reread()
-        except ConfigError as error:
+            if missing := [key for key in KEPT_KEYS if old.raw.get(key) and not new.raw.get(key)]:
+                raise ConfigError(f"{missing[0]} is missing")
+            check_whole(new.raw.get("settings") or {}, old.raw.get("settings") or {})
+        except (ConfigError, ValueError) as error:
             # A half-written or wrong file must not end a limiter that serves.
-            log.error("the configuration was not reloaded: %s", error)
-            return
+            return log.error("the configuration was not reloaded: %s: %s", os.environ.get("LB_CONFIG"), error)
         self._follower.follow(*new.discovery)
         if self._counter is not None and new.counter is not None:
             self._counter.move(*new.counter)
-        old = replace(self._config, discovery=new.discovery, counter=new.counter, known=new.known)
-        log.info("the configuration was reloaded%s", "" if new == old else ": some of it needs a restart")
+        changed = new.settings != old.settings or new.timing != old.timing
+        if changed:
+            self._retune(new.settings, new.timing)
+        served = replace(
+            old, discovery=new.discovery, counter=new.counter, known=new.known, settings=new.settings,
+            timing=new.timing,
+        )  # fmt: skip
+        self._config = replace(served, raw=new.raw)
+        rest = "" if new == served else "; some of the file needs a restart"
+        log.info("the configuration was reloaded%s%s", ", other settings hold" if changed else "", rest)
 
 
 def configured() -> Config:
@@ -214,7 +236,14 @@
     follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
-    loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter, reread))
+
+    def retune(settings: api.Settings, timing: Timing) -> None:
+        upstream.retune(timing.dial_timeout, timing.conn_idle)
+        node.retune(settings)
+        frontend.reader.retune(settings)
+        service.retuned()
+
+    loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter, reread, retune))
     if (
         clock is None
     ):  # in a process of its own; where many limiters share one, what one freezes stays for good
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -131,6 +131,7 @@
     gateways: int = 1
     repeat: bool = False
     bound: float = 0.0  # most units that it can come to, where units are a guess; 0: what units says
+    effect: Effect | None = None  # the form in which it came; None: that of its class
 
 
 @dataclass(frozen=True, slots=True)
@@ -185,6 +186,13 @@
     sure: bool = False  # another process of this limiter knows the id
 
 
+@dataclass(frozen=True, slots=True)
+class Retune:
+    """Other settings hold from now on, as a whole."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     token: int
@@ -257,5 +265,5 @@
     text: str
 
 
-Event = ServerList | Request | Outcome | Departed | Counted | Probed | Heard | Suspend | TimerFired
+Event = ServerList | Request | Outcome | Departed | Counted | Probed | Heard | Suspend | Retune | TimerFired
 Action = Send | Refuse | Fail | Cancel | Count | Tell | Probe | Ban | SetTimer | Log
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -16,6 +16,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED
+from cypresspulley.policy.classes import Classes
 
 if TYPE_CHECKING:
     from cypresspulley.net.upstream import Exchange
@@ -143,30 +144,41 @@
 class RequestReader:
     """Turns a request's headers and target into the event that the decisions want."""
 
-    def __init__(self, settings: api.Settings) -> None:
-        self._classes = {c.name: c.effect for c in settings.classes}
+    def __init__(self, settings: api.Settings, clock: Callable[[], float]) -> None:
+        self._classes = Classes(settings)
+        self._clock = clock
         self._plans = {p.name for p in settings.plans}
         self._gateways, self._max_units = settings.gateways, max(1.0, settings.max_units)
         self._last_id = 0
 
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings: what clients who have not heard of them still send is read for a moment longer."""
+        self._classes.change(self._clock(), settings)
+        self._plans = {p.name for p in settings.plans}
+        self._gateways, self._max_units = settings.gateways, max(1.0, settings.max_units)
+
     def read(self, method: bytes, target: str, fields: dict[bytes, bytes]) -> api.Request:
         path, _, query = target.partition("?")
         name = path[1:].partition("/")[0]
-        if name not in self._classes:
+        now, key = self._clock(), bool(fields.get(KEY))
+        if not self._classes.known(now, name):
             raise BadRequestError(404, "unknown path")
         if not fields.get(CLASS):
             raise BadRequestError(400, "x-priority-class is missing")
-        # The method follows from the class, and a GET with a body could hide another request in it.
-        if (method == b"GET") is not (self._classes[name] is api.Effect.SAFE):
-            raise BadRequestError(405, "method")
-        # Servers drop a repeat by its key: one sent again without would run twice. The class alone decides on
-        # further attempts, so a key on a class that has none is another client's mistake, and not passed on.
-        if bool(fields.get(KEY)) is not (self._classes[name] is api.Effect.KEYED):
+        # The method follows from the class, and a GET with a body could hide another request in it. Servers drop
+        # a repeat by its key: one sent again without would run twice. The class alone decides on further
+        # attempts, so a key on a class that has none is another client's mistake, and not passed on.
+        effect = api.Effect.SAFE if method == b"GET" else api.Effect.KEYED if key else api.Effect.UNSAFE
+        if (effect is api.Effect.SAFE and key) or self._classes.record(now, name, effect) is None:
+            newest = self._classes.record(now, name)
+            safe = newest is not None and newest.effect is api.Effect.SAFE
+            if (method == b"GET") is not safe:
+                raise BadRequestError(405, "method")
             raise BadRequestError(400, "idempotency-key is missing, or stands where none belongs")
         if fields[CLASS].decode("latin-1") != name:
             raise BadRequestError(400, "the class is not the path's")
         account, plan, ttl, units, spread, repeat = self.customer(query, fields)
-        return api.Request(self.next_id(), name, plan, ttl, account, units, spread, repeat)
+        return api.Request(self.next_id(), name, plan, ttl, account, units, spread, repeat, effect=effect)
 
     def next_id(self) -> int:
         """A number that no request of this limiter has had."""
@@ -527,11 +539,11 @@
     def __init__(
         self, handler: Handler, settings: api.Settings, max_connections: int, other: OtherFront | None = None
     ) -> None:
-        self.handler, self.reader, self.other = handler, RequestReader(settings), other
+        self.clock = asyncio.get_running_loop().time
+        self.handler, self.reader, self.other = handler, RequestReader(settings, self.clock), other
         self.reads = READ if other is None else READ | other.headers
         self.draining = False
         self._drained_at = 0.0
-        self.clock = asyncio.get_running_loop().time
         self.open_ids = set[bytes]()
         self._max = max_connections
         self.spoken = 0  # connections that have sent something
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -64,6 +64,7 @@
     ) -> None:
         self._settings, self._gateway, self._clock = settings, gateway, clock
         self._upstream, self._counter = upstream, counter
+        self._most_attempts = settings.max_attempts
         self._loop = asyncio.get_running_loop()
         self._open = dict[int, _Open]()
         self._events = deque[api.Event]()
@@ -112,6 +113,12 @@
         if request.event is not None and self._close(request.event.id) is not None:
             self.feed(api.Departed(request.event.id))
 
+    def retune(self, settings: api.Settings) -> None:
+        """Other settings hold from now on. Attempts: those of open requests are the decisions' affair."""
+        self._most_attempts = max(self._settings.max_attempts, settings.max_attempts)
+        self._settings = settings
+        self.feed(api.Retune(settings))
+
     def suspend(self, server: str, out: bool, sure: bool = False) -> bool:
         """Operators take a server out or call it back. Whether the call is in force: not for an unknown id."""
         self._ruled = False
@@ -171,7 +178,7 @@
         done = partial(told, action.id, number)
         attempt = Exchange(action.server, request.head, request.body, expires, done)
         opened.attempts.append(attempt)
-        if number < self._settings.max_attempts:
+        if number < self._most_attempts:
             self._upstream.start(attempt)
         else:
             self._upstream.end(attempt, api.Status.NOT_SENT)
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -308,6 +308,10 @@
         self._dials = set[asyncio.Task[None]]()
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
 
+    def retune(self, dial_timeout: float, conn_idle: float) -> None:
+        """Other connection times, in seconds."""
+        self._dial_timeout, self._idle_for = dial_timeout, conn_idle * IDLE_SHARE
+
     def update(self, name: str, dial: str, up: bool) -> None:
         """What discovery says of a server; idle connections to what is not up or has moved go at once."""
         address = split_address(dial) if dial else None
--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -70,14 +70,23 @@
     """Servers by name, all gateways' ring of them, and the part of it that this gateway uses."""
 
     def __init__(self, settings: api.Settings, rng: Random, gate: Gate) -> None:
-        self._set, self._rng, self._gate = settings, rng, gate
+        self._rng, self._gate = rng, gate
         self.servers, self.ring, self.mine = dict[str, Server](), list[Server](), list[Server]()
         self.bans, self.known = set[str](), dict[str, None]()  # servers taken out by hand; all ever listed
         self.base, self.sizes, self._done_rate = dict[str, float](), Sizes(), 0.0  # idle latency of a class
+        self._settle(settings)
+
+    def _settle(self, settings: api.Settings) -> None:
+        self._set = settings
         shortest = min(settings.classes, key=lambda c: c.aim, default=None)
         self._tightest = shortest.name if shortest else ""
         self._patience = AIM_SHARE * (shortest.aim if shortest else 1.0)
 
+    def retune(self, now: float, settings: api.Settings) -> None:
+        """Other settings; what is known of the servers goes on."""
+        self._settle(settings)
+        self._arrange(now)
+
     def expected(self, cls: api.RequestClass, units: float) -> float:
         """Seconds that a request's work is likely to take an idle server."""
         return self.base.setdefault(cls.name, cls.aim * 0.1) * self.sizes.factor(units)
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -8,6 +8,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Effect, Status
+from cypresspulley.policy.classes import Classes
 from cypresspulley.policy.fleet import Fleet
 from cypresspulley.policy.gate import AIM_SHARE, INTERVAL, REFERENCE, RESERVE, Gate
 from cypresspulley.policy.quota import Quotas, Verdict
@@ -27,14 +28,14 @@
         self.gate = Gate(now)
         self.fleet = Fleet(settings, rng, self.gate)
         self.quotas = Quotas(settings, rng, now, lambda action: self._out.append(action))
-        self._classes = {c.name: c for c in settings.classes}
+        self._classes = Classes(settings)
         self._requests, self.why = dict[int, Request](), dict[str, int]()  # open ones; causes to log
         self._timer, self._retries = 0, 10.0  # further attempts that may be made
         self._seen, self._ranks = deque[float](maxlen=300), list[float]()  # worth per work of the recent
         self._handlers: dict[type, Callable[[float, Any], None]] = {
             api.Request: self._arrive, api.Outcome: self._outcome, api.Counted: self._counted,
             api.ServerList: self.fleet.listed, api.Probed: self.fleet.probed, api.Heard: self.quotas.heard,
-            api.Suspend: self._suspend, api.TimerFired: lambda _now, _ev: None,
+            api.Suspend: self._suspend, api.Retune: self._retune, api.TimerFired: lambda _now, _ev: None,
             api.Departed: lambda _now, ev: self._forget(ev.id),
         }  # fmt: skip
 
@@ -83,10 +84,10 @@
 
     def _arrive(self, now: float, ev: api.Request) -> None:
         unknown = api.RequestClass(ev.request_class, max(ev.ttl, 0.01), 1.0, Effect.UNSAFE)
-        cls = self._classes.get(ev.request_class, unknown)
+        cls = self._classes.record(now, ev.request_class, ev.effect) or unknown
         a = self.quotas.account(now, ev)
         self.quotas.tell(now)
-        r = self._requests[ev.id] = Request(now, ev, cls, a)
+        r = self._requests[ev.id] = Request(now, ev, cls, a, self._classes.attempts(now))
         r.work = self.fleet.expected(cls, ev.units)
         self.gate.arrived(r.work, not ev.repeat)
         value = cls.worth * a.plan.price * r.units / r.work
@@ -108,6 +109,14 @@
         if self.fleet.suspended(now, ev):
             self._out.append(api.Ban(ev.server, ev.out))
 
+    def _retune(self, now: float, ev: api.Retune) -> None:
+        """Levels, loads and what is out go on; open requests keep the records that they were let in under."""
+        self._check(ev.settings)
+        self._set = ev.settings
+        self._classes.change(now, ev.settings)
+        self.fleet.retune(now, ev.settings)
+        self.quotas.retune(now, ev.settings)
+
     def _launch(self, now: float, r: Request, verdict: Verdict) -> None:
         plan = r.account.plan
         earns = plan.over_worth > plan.over_cost and 0 < self.gate.reading < 0.6 * REFERENCE
@@ -127,7 +136,7 @@
         s = self.fleet.pick(now, r) if wait > 0 else None
         if s is None:
             return False
-        if r.cls.effect is not Effect.UNSAFE and len(r.tries) + 1 < self._set.max_attempts:
+        if r.cls.effect is not Effect.UNSAFE and len(r.tries) + 1 < r.attempts:
             wait = min(wait, max(SPLIT * r.cls.aim, 4 * max(1.0, s.slow) * r.work))
         r.out[len(r.tries)] = s
         r.tries.append((s, now))
@@ -163,7 +172,7 @@
             self._again(now, r, ev.status)
 
     def _again(self, now: float, r: Request, status: Status) -> None:
-        allowed = len(r.tries) < self._set.max_attempts and r.due - now > r.work and self._retries >= 1
+        allowed = len(r.tries) < r.attempts and r.due - now > r.work and self._retries >= 1
         if r.ran is not None and r.cls.effect is not Effect.SAFE:
             allowed = allowed and r.cls.effect is Effect.KEYED and now - r.ran[1] < 0.95 * r.cls.window
         if not allowed or not self._send(now, r):
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -44,6 +44,13 @@
         # None stands for units that are given back: their answers come in turn too, and answer no try.
         self._asked = dict[int, deque[tuple[Account, int, Request, float] | None]]()
 
+    def retune(self, now: float, settings: api.Settings) -> None:
+        """Other settings. Levels go on, under the new plans' bounds; an account of a dropped plan keeps its own."""
+        self._set, self._plans = settings, {p.name: p for p in settings.plans}
+        for a in self.accounts.values():
+            a.refill(now)
+            a.plan = self._plans.get(a.plan.name, a.plan)
+
     def account(self, now: float, ev: api.Request) -> Account:
         """The account that a try is of, refilled to now."""
         key = ev.plan, ev.account
--- a/cypresspulley/policy/request.py
+++ b/cypresspulley/policy/request.py
@@ -15,12 +15,15 @@
     """Times are of the gateway's clock; ``work`` in seconds of an idle server."""
 
     __slots__ = (
-        "account", "born", "bound", "cls", "deadline", "due", "granted", "id", "inside", "most", "out", "ran", "rank",
-        "repeat", "tries", "units", "work",
+        "account", "attempts", "born", "bound", "cls", "deadline", "due", "granted", "id", "inside", "most",
+        "out", "ran", "rank", "repeat", "tries", "units", "work",
     )  # fmt: skip
 
-    def __init__(self, now: float, ev: api.Request, cls: api.RequestClass, account: Account) -> None:
+    def __init__(
+        self, now: float, ev: api.Request, cls: api.RequestClass, account: Account, attempts: int
+    ) -> None:
         self.id, self.cls, self.account, self.units = ev.id, cls, account, ev.units
+        self.attempts = attempts  # that it may have in all
         self.bound, self.most = ev.bound, max(ev.units, ev.bound)  # a ceiling is held against the most
         self.deadline, self.born, self.repeat, self.inside = now + ev.ttl, now, ev.repeat, False
         # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -202,6 +202,11 @@
         assert self._gateway is not None
         self._split = Split(self._gateway)
 
+    def retuned(self) -> None:
+        """Other settings hold; a process that hands over goes on with its part of them."""
+        if self._split is not None:
+            self._split.replan()
+
     def unsplit(self, whole: bool) -> None:
         if self._split is not None:
             self._split.undo(whole, self._clock())
--- a/cypresspulley/settings.py
+++ b/cypresspulley/settings.py
@@ -25,6 +25,44 @@
     conn_idle: float
 
 
+def check_whole(raw: dict[str, Any], before: dict[str, Any]) -> None:
+    """A settings object that is to replace ``before`` in service: no key may have gone missing.
+
+    A file that was cut short or written by hand parses all too well, and each key that it lacks would silently fall
+    back to a default. ``SettingsError`` names the key.
+    """
+    for key, value in before.items():
+        if key not in raw:
+            raise SettingsError(f"settings: {key} is missing")
+        if isinstance(value, dict) and isinstance(raw[key], dict):
+            for inner in value:
+                if inner not in raw[key]:
+                    raise SettingsError(f"settings: {key}.{inner} is missing")
+    for key in ("classes", "tariffs"):
+        old, new = _rows(before, key), _rows(raw, key)
+        if old and not new:
+            raise SettingsError(f"settings: {key}: expected at least one")
+        wanted = set[str].intersection(*(set(row) for row in old)) if old else set[str]()
+        for row in new:
+            if missing := wanted - set(row):
+                raise SettingsError(f"settings: {key}: {row['name']!r:.40}: {min(missing)} is missing")
+
+
+def check_sound(raw: dict[str, Any]) -> None:
+    """Figures that no limiter can serve by: deadlines, aims and attempts that are not above 0."""
+    for row in _rows(raw, "classes"):
+        for key in ("hard_limit_s", "aim_s"):
+            if key in row and _number(row, key) <= 0:
+                raise SettingsError(
+                    f"settings: classes: {row['name']!r:.40}: {key}: expected a number above 0"
+                )
+    attempts = _number(_section(raw, "limits"), "max_attempts", 1)
+    if attempts < 1 or attempts != int(attempts):
+        raise SettingsError(
+            f"settings: limits.max_attempts: expected a whole number above 0, got {attempts:g}"
+        )
+
+
 def _word(table: dict[str, T], what: str, word: object) -> T:
     if not isinstance(word, str) or word not in table:
         raise SettingsError(f"settings: {what}: unknown word {word!r:.60}")
--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -141,25 +141,33 @@
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway, quotas = gateway, gateway.quotas
-        self._plans, self._born, self._vouched = dict(quotas._plans), quotas._born, quotas._life.vouched
-        self._given = list[tuple[Account, api.Plan, dict[str, float]]]()
-        scaled = {name: self._kept(plan) for name, plan in quotas._plans.items()}
+        self._plans, self._vouched = dict[str, api.Plan](), quotas._life.vouched
+        self._given = list[tuple[Account, dict[str, float]]]()
         for a in quotas.accounts.values():
             given = {store: (1 - KEPT) * max(0.0, getattr(a, store)) for store in STORES}
             given["pending"] = a.pending
-            self._given.append((a, a.plan, given))
+            self._given.append((a, given))
             for store, amount in given.items():
                 setattr(a, store, getattr(a, store) - amount)
-            a.plan = scaled.get(a.plan.name) or self._kept(a.plan)
         self._budgets = [(s, (1 - KEPT) * max(0.0, s.budget)) for s in gateway.fleet.servers.values()]
         for server, budget in self._budgets:
             server.budget -= budget
+        quotas._life.vouched = False
+        self._wanted, quotas._life.wanted = quotas._life.wanted, False
+        self.replan()
+
+    def replan(self) -> None:
+        """Cut the plans down, now and after each change of settings: a whole plan would refill here as well."""
+        quotas = self._gateway.quotas
+        self._plans = dict(quotas._plans)
+        scaled = {name: self._kept(plan) for name, plan in self._plans.items()}
+        for a in quotas.accounts.values():
+            self._plans.setdefault(a.plan.name, a.plan)  # of one that was dropped
+            a.plan = scaled.get(a.plan.name) or self._kept(a.plan)
         # A customer that is new here gets nothing of a ceiling: its store is at the successor.
         quotas._plans = {
             name: replace(plan, ceiling_burst=plan.ceiling_burst * NOTHING) for name, plan in scaled.items()
         }
-        quotas._life.vouched = False
-        self._wanted, quotas._life.wanted = quotas._life.wanted, False
 
     @staticmethod
     def _kept(plan: api.Plan) -> api.Plan:
@@ -171,19 +179,21 @@
     def undo(self, whole: bool, now: float) -> None:
         """Serve alone again. ``whole``: nothing was drawn on the other side; else what was given is taken for used."""
         quotas = self._gateway.quotas
-        quotas._plans, quotas._life.wanted = self._plans, self._wanted
+        plans = {name: self._plans[name] for name in quotas._plans}
+        quotas._plans, quotas._life.wanted = plans, self._wanted
         if whole:
             quotas._life.vouched = self._vouched
             for server, budget in self._budgets:
                 server.budget += budget
         else:
             quotas._born = now  # what is new here may have drawn on the other side
-        for a, plan, given in self._given:
+        for a in quotas.accounts.values():
             if not whole:
                 a.refill(now)
-            a.plan = plan
+            a.plan = self._plans.get(a.plan.name, a.plan)
+        for a, given in self._given if whole else ():
             for store, amount in given.items():
-                setattr(a, store, getattr(a, store) + amount * whole)
+                setattr(a, store, getattr(a, store) + amount)
 
 
 class Ghosts:
--- /dev/null
+++ b/tests/test_classes.py
@@ -0,0 +1,169 @@
+"""Which class record binds while settings change in service."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from cypresspulley import interface as api
+from cypresspulley.net.frontend import BadRequestError, RequestReader
+from cypresspulley.policy.classes import HEARD, OLD, Classes
+from cypresspulley.settings import SettingsError, check_sound, check_whole
+from cypresspulley.takeover.snapshot import KEPT, Split
+from tests import world as w
+
+SAFE, KEYED, UNSAFE = api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE
+BASE = w.settings(plans=(api.Plan("free"),), has_counter=False, max_attempts=3)
+# "read" is safe at first, then unsafe; "entry" is dropped; "scan" is new.
+READ = replace(w.SAFE, effect=UNSAFE, aim=0.5)
+OTHER = replace(BASE, classes=(READ, w.UNSAFE, api.RequestClass("scan", 1.0, 2.0, SAFE)), max_attempts=2)
+
+
+def test_a_requests_form_tells_which_record_its_client_goes_by() -> None:
+    classes = Classes(BASE)
+    classes.change(100.0, OTHER)
+    assert classes.record(100.1, "read", SAFE) is w.SAFE, "its client has not heard"
+    assert classes.record(100.1, "read", UNSAFE) is READ
+    assert classes.record(100.1, "entry", KEYED) is w.KEYED and classes.record(100.1, "entry", UNSAFE) is None
+    assert classes.record(100.1, "scan", SAFE) is OTHER.classes[2]
+    after = 100.0 + OLD
+    assert classes.record(after, "read", SAFE) is None and classes.record(after, "entry", KEYED) is None
+    assert not classes.known(after, "entry") and classes.known(after, "read")
+
+
+def test_attempts_are_the_fewer_of_both_until_clients_have_heard() -> None:
+    for before, then in ((3, 2), (2, 3)):
+        classes = Classes(replace(BASE, max_attempts=before))
+        assert classes.attempts(100.0) == before
+        classes.change(100.0, replace(OTHER, max_attempts=then))
+        assert classes.attempts(100.1) == 2 and classes.attempts(100.1 + HEARD) == then
+
+
+def lost_and_again(world: w.World, id: int, effect: api.Effect, change: api.Settings | None) -> int:
+    """Attempts of a request whose answers all break, with settings that change while the first is out."""
+    world.feed(replace(w.request(id), effect=effect))
+    if change is not None:
+        world.feed(api.Retune(change))
+    while (key := next((key for key in world.out if key[0] == id), None)) is not None:
+        world.feed(w.outcome(*key, world.out[key][0], api.Status.BROKEN))
+    return len(world.attempts[id])
+
+
+def started() -> w.World:
+    world = w.World(BASE)
+    world.feed(w.servers("s0", "s1", "s2"))
+    return world
+
+
+def test_an_open_request_keeps_the_record_and_the_attempts_it_was_let_in_under() -> None:
+    assert lost_and_again(started(), 1, SAFE, None) == 3
+    assert lost_and_again(started(), 1, SAFE, OTHER) == 3, "safe and three attempts, as it was let in"
+    world = started()
+    world.feed(api.Retune(OTHER))
+    assert lost_and_again(world, 1, UNSAFE, BASE) == 1, "unsafe, though safe again meanwhile"
+    assert lost_and_again(world, 2, SAFE, None) == 2, "the fewer of both"
+
+
+def test_a_request_of_a_class_that_is_dropped_while_it_waits_is_tried_again() -> None:
+    world = started()
+    world.feed(replace(w.request(1), effect=SAFE))
+    world.feed(api.Retune(replace(OTHER, classes=OTHER.classes[1:])))
+    (key,) = world.out
+    world.feed(w.outcome(*key, world.out[key][0], api.Status.BROKEN))
+    assert len(world.attempts[1]) == 2
+
+
+def test_levels_loads_and_what_is_out_go_on_over_a_change() -> None:
+    plan = api.Plan("capped", rate=2.0, burst=8.0, open_limit=4)
+    world = w.World(replace(BASE, plans=(plan,)))
+    world.feed(w.servers("s0", "s1"))
+    for id in range(3):
+        world.feed(w.request(id, plan="capped"))
+    account = world.gateway.quotas.accounts["capped", "x"]
+    before = account.level, account.open, world.gateway.held["work"]
+    world.feed(api.Retune(replace(OTHER, plans=(replace(plan, rate=5.0),))))
+    assert (account.level, account.open, world.gateway.held["work"]) == before
+    assert account.plan.rate == 5.0
+
+
+def test_settings_that_change_during_a_takeover_refill_only_one_side() -> None:
+    plan = api.Plan("capped", rate=2.0, burst=8.0, ceiling_rate=4.0, ceiling_burst=12.0)
+    world = w.World(replace(BASE, plans=(plan,)))
+    world.feed(w.request(1, plan="capped"))
+    split = Split(world.gateway)
+    changed = replace(plan, ceiling_rate=6.0)
+    world.feed(api.Retune(replace(OTHER, plans=(changed,))))
+    split.replan()
+    account = world.gateway.quotas.accounts["capped", "x"]
+    account.refill(world.now + 100.0)
+    assert account.ceiling <= KEPT * 12.0
+    split.undo(whole=True, now=world.now + 100.0)
+    assert account.plan == changed and world.gateway.quotas._plans == {"capped": changed}
+
+
+def test_the_reader_goes_by_the_same_records() -> None:
+    now = 0.0
+    reader = RequestReader(BASE, lambda: now)
+    fields = {
+        b"x-request-id": b"9b1f03aa5c7e2d41", b"x-priority-class": b"read", b"x-plan": b"free",
+        b"x-timeout-ms": b"500", b"x-quota": b"units=1,spread=1,first=0",
+    }  # fmt: skip
+    target = "/read?account=00000000b4d65521"
+    reader.retune(OTHER)
+    assert reader.read(b"GET", target, fields).effect is SAFE
+    assert reader.read(b"POST", target, fields).effect is UNSAFE
+    now = OLD
+    with pytest.raises(BadRequestError) as caught:
+        reader.read(b"GET", target, fields)
+    assert caught.value.status == 405
+    with pytest.raises(BadRequestError) as caught:
+        reader.read(b"GET", target.replace("read", "entry"), fields)
+    assert caught.value.status == 404
+
+
+SETTINGS = {
+    "classes": [{"name": "a", "aim_s": 1.0, "hard_limit_s": 4.0, "effect": "idempotent"}],
+    "tariffs": [{"name": "p", "quota_rate": 1.0}],
+    "limits": {"max_attempts": 4, "probes": True},
+    "n_instances": 3,
+}
+
+
+def test_whole_and_sound_settings_pass() -> None:
+    more = SETTINGS | {"classes": [*SETTINGS["classes"], SETTINGS["classes"][0] | {"name": "b", "more": 1}]}  # type: ignore
+    check_whole(more, SETTINGS)
+    check_sound(more)
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"n_instances": None}, "n_instances"),
+        ({"limits": {"probes": True}}, "limits.max_attempts"),
+        ({"classes": [{"name": "a", "aim_s": 1.0, "effect": "idempotent"}]}, "hard_limit_s"),
+        ({"classes": []}, "classes"),
+        ({"tariffs": [{"name": "p"}]}, "quota_rate"),
+    ],
+)
+def test_a_key_that_is_missing_is_named(change: dict[str, object], named: str) -> None:
+    raw = {key: value for key, value in (SETTINGS | change).items() if value is not None}
+    with pytest.raises(SettingsError, match=named):
+        check_whole(raw, SETTINGS)
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        ({"limits": {"max_attempts": 0}}, "max_attempts"),
+        ({"limits": {"max_attempts": -1}}, "max_attempts"),
+        ({"limits": {"max_attempts": 1.5}}, "max_attempts"),
+        ({"limits": {"max_attempts": "4"}}, "max_attempts"),
+        ({"classes": [{"name": "a", "hard_limit_s": 0}]}, "hard_limit_s"),
+        ({"classes": [{"name": "a", "hard_limit_s": -4.0}]}, "hard_limit_s"),
+        ({"classes": [{"name": "a", "aim_s": 0.0}]}, "aim_s"),
+    ],
+)
+def test_figures_that_cannot_be_served_by_are_named(change: dict[str, object], named: str) -> None:
+    with pytest.raises(SettingsError, match=named):
+        check_sound(SETTINGS | change)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -247,3 +247,107 @@
     record = logging.LogRecord("x", 20, "", 0, "text", (), None)
     passed = sum(limit.filter(record) for _ in range(1000))
     assert 3 <= passed <= 9  # three a second, however slow this machine is
+
+
+async def door(address: str, method: str, path: str) -> int:
+    """The status of a call at the operators' door; 0 where nobody listens."""
+    host, port = address.split(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return 0
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n".encode())
+    first, _, _ = await read_message(reader)
+    writer.close()
+    return int(first.split()[1])
+
+
+def test_a_second_process_takes_over_under_load_and_nothing_ends_at_the_door(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    doors = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+
+    async def load(program: Program, stop: asyncio.Event) -> int:
+        served = 0
+        reader, writer = await program.connect()
+        while not stop.is_set():
+            writer.write(ask())
+            status, headers, _ = await read_message(reader)
+            assert " 200 " in status or " 429 " in status
+            assert "connection" not in headers, "no connection is closed for an upgrade"
+            served += 1
+            await asyncio.sleep(0.002)
+        writer.close()
+        return served
+
+    async def main() -> None:
+        origin, stop = Origin(), asyncio.Event()
+        async with listening(origin.talk) as dial:
+            raw = config(dial)
+            old_raw, new_raw = (raw | {"operator": each} for each in doors)
+            async with started(old_raw, tmp_path) as old:
+                assert await door(doors[0], "GET", "/v1/readyz") == 200
+                assert await door(doors[0], "PUT", "/v1/servers/s9/suspend") == 404
+                clients = [asyncio.create_task(load(old, stop)) for _ in range(6)]
+                async with started(new_raw, tmp_path) as new:
+                    while await door(doors[1], "GET", "/v1/readyz") != 200:
+                        await asyncio.sleep(0.01)
+                    old.process.send_signal(signal.SIGTERM)
+                    assert await old.process.wait() == 0
+                    before = len(origin.seen)
+                    while len(origin.seen) < before + 30:
+                        await asyncio.sleep(0.01)
+                    stop.set()
+                    assert all(await asyncio.gather(*clients))
+                    assert await door(doors[1], "PUT", "/v1/servers/s1/suspend") == 200
+                    new.process.send_signal(signal.SIGTERM)
+                    assert await new.process.wait() == 0
+
+    run(main())
+
+
+def test_sighup_brings_other_settings_and_a_broken_file_keeps_the_old_ones_whole(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin, path = Origin(), tmp_path / "config.json"
+        async with listening(origin.talk) as dial:
+            raw = config(dial)
+            raw["settings"] = WIRE_SETTINGS | {
+                "classes": [row | {"hard_limit_s": 5.0} for row in WIRE_SETTINGS["classes"]]
+            }
+            new = json.loads(json.dumps(raw))
+            new["settings"]["classes"].append(new["settings"]["classes"][0] | {"name": "scan"})
+            async with started(raw, tmp_path) as program:
+
+                async def status(path: str) -> str:
+                    reader, writer = await program.connect()
+                    writer.write(ask(path))
+                    first, _, _ = await read_message(reader)
+                    writer.close()
+                    return first.split()[1]
+
+                scan = "/scan?account=00000000b4d65521"
+                assert await status(scan) == "404"
+                broken = json.loads(json.dumps(new))
+                broken["settings"]["classes"][0]["hard_limit_s"] = 0
+                for text in ("", json.dumps(new)[:-40], json.dumps(broken)):
+                    path.write_text(text)
+                    program.process.send_signal(signal.SIGHUP)
+                    assert (
+                        await status(scan) == "404"
+                        and await status("/lookup?account=00000000b4d65521") == "200"
+                    )
+                path.write_text(json.dumps(new))
+                program.process.send_signal(signal.SIGHUP)
+                while await status(scan) == "404":
+                    await asyncio.sleep(0.01)
+                assert await status(scan) == "200"
+
+    run(main())
+
+
+@pytest.mark.parametrize("operator", ["nowhere", "127.0.0.1:99999", 7])
+def test_a_door_that_cannot_be_is_refused(operator: object, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config("127.0.0.1:1") | {"operator": operator}))
+    check_refused(str(path))
