Relay large bodies as they arrive, both ways, with backpressure and a bound

Way taken: small bodies keep the whole path; beyond 64 KiB upload and download flow between the two transports (net/relay.py), each side's pause_writing pausing the other's reading; the kernel's buffers are cut so that one read brings no more than the bound. The decisions hear when a body is whole, can no longer be sent again (Body) and when an answer has begun (Began): a server owes nothing while a body is on its way, a request's time counts from its last byte, and first bytes are what is read for load. Cause found on the way: half of the slow requests that were cut off had white space behind a header's value, which the parser leaves there (400); the rest had a slow head counted against the body's flow (408).

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -224,6 +224,7 @@
         node.listed(config.known)
     peers = await _peers(config, node)
     frontend = Frontend(node, config.settings, clients, _other_front(config.settings, operators, clock))
+    frontend.relay = upstream.relay
     try:
         if config.operator is None:
             await frontend.listen(*config.listen)
--- a/cypresspulley/accesslog.py
+++ b/cypresspulley/accesslog.py
@@ -106,6 +106,10 @@
         self._names = {name: json.dumps(name) for name in _names(settings)}
         self._born = dict[int, tuple[float, float]]()  # of an open request: first and last byte came
 
+    def retune(self, settings: api.Settings) -> None:
+        self._names |= {name: json.dumps(name) for name in _names(settings)}
+        super().retune(settings)
+
     def arrived(self, request: ClientRequest) -> None:
         assert request.event is not None
         now = self._clock()
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -131,6 +131,7 @@
     gateways: int = 1
     repeat: bool = False
     bound: float = 0.0  # most units that it can come to, where units are a guess; 0: what units says
+    coming: bool = False  # its body is still on its way; ``Body`` tells how that goes
     effect: Effect | None = None  # the form in which it came; None: that of its class
 
 
@@ -147,6 +148,26 @@
     units: float | None = None  # the true units of the request, where a guess came with it
 
 
+@dataclass(frozen=True, slots=True)
+class Body:
+    """Of a request that came before its body was whole: whether it is now, and can still be sent again."""
+
+    id: int
+    whole: bool
+    kept: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Began:
+    """A large answer has begun to reach the client: no other attempt, and the rest takes what it takes."""
+
+    id: int
+    attempt: int
+    server: str
+    elapsed: float
+    report: Mapping[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class Departed:
     """The client left: nothing is owed any more."""
@@ -265,5 +286,18 @@
     text: str
 
 
-Event = ServerList | Request | Outcome | Departed | Counted | Probed | Heard | Suspend | Retune | TimerFired
+Event = (
+    ServerList
+    | Request
+    | Body
+    | Began
+    | Outcome
+    | Departed
+    | Counted
+    | Probed
+    | Heard
+    | Suspend
+    | Retune
+    | TimerFired
+)
 Action = Send | Refuse | Fail | Cancel | Count | Tell | Probe | Ban | SetTimer | Log
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -19,6 +19,7 @@
 from cypresspulley.net.counter import Counter
 from cypresspulley.net.discovery import Listing
 from cypresspulley.net.frontend import ClientRequest
+from cypresspulley.net.relay import Download
 from cypresspulley.net.upstream import Exchange, Upstream, load_report
 
 log = logging.getLogger(__name__)
@@ -43,12 +44,13 @@
 class _Open:
     """A request that has no final answer yet."""
 
-    __slots__ = ("attempts", "deadline", "request", "timer")
+    __slots__ = ("attempts", "begun", "deadline", "request", "timer")
 
     def __init__(self, request: ClientRequest, deadline: float) -> None:
         self.request, self.deadline = request, deadline
         self.attempts = list[Exchange]()
         self.timer: asyncio.TimerHandle | None = None
+        self.begun = False  # an answer reaches the client already
 
 
 class Node:
@@ -104,10 +106,39 @@
         event = request.event
         assert event is not None
         margin = min(MARGIN, MARGIN_SHARE * event.ttl)
-        opened = self._open[event.id] = _Open(request, self._clock() + event.ttl - margin)
+        opened = self._open[event.id] = _Open(request, float("inf"))
+        if request.upload is None or request.upload.whole:
+            self._time(opened, event, margin)
+        else:
+            event = replace(event, coming=True)
+            request.upload.told = partial(self._body, event, margin)
+        self.feed(replace(event, ttl=event.ttl - margin))
+
+    def _time(self, opened: _Open, event: api.Request, margin: float) -> None:
+        """A request's time counts from its last byte."""
+        opened.deadline = self._clock() + event.ttl - margin
         last = event.ttl - SILENT_SHARE * margin
         opened.timer = self._loop.call_later(last, self._abandon, event.id, 504)
-        self.feed(replace(event, ttl=event.ttl - margin))
+
+    def _body(self, event: api.Request, margin: float, whole: bool, kept: bool) -> None:
+        """A body that flows is whole, or can no longer be sent again."""
+        opened = self._open.get(event.id)
+        if opened is None:
+            return
+        if whole and opened.timer is None and not opened.begun:
+            self._time(opened, event, margin)
+        self.feed(api.Body(event.id, whole, kept))
+
+    def _began(self, id: int, number: int, attempt: Exchange, download: Download) -> None:
+        """A large answer comes: the client gets it as it does."""
+        opened = self._open.get(id)
+        if opened is None:
+            return download.drop()
+        opened.begun = True
+        if opened.timer is not None:
+            opened.timer.cancel()
+        opened.request.begin(download)
+        self.feed(api.Began(id, number, attempt.server, attempt.elapsed, attempt.report))
 
     def departed(self, request: ClientRequest) -> None:
         if request.event is not None and self._close(request.event.id) is not None:
@@ -161,7 +192,10 @@
         """Answer for decisions that are silent or broken."""
         if (opened := self._close(id)) is not None:
             log.warning("a request was answered %d in place of the decisions", status)
-            opened.request.respond(status)
+            if opened.begun:
+                opened.request.ended(False)
+            else:
+                opened.request.respond(status)
             self.feed(api.Departed(id))
 
     # Actions.
@@ -173,10 +207,15 @@
             return
         number = len(opened.attempts)
         request, wait = opened.request, action.timeout or float("inf")
-        expires = min(opened.deadline, self._clock() + wait)
+        coming = request.upload is not None and not request.upload.whole
+        expires = float("inf") if coming else min(opened.deadline, self._clock() + wait)
         told = self._attempted if request.dialect is None else self._answered
         done = partial(told, action.id, number)
         attempt = Exchange(action.server, request.head, request.body, expires, done)
+        if (upload := request.upload) is not None:
+            attempt.upload, attempt.wait = upload, wait
+        if request.dialect is None:
+            attempt.begun = partial(self._began, action.id, number)
         opened.attempts.append(attempt)
         if number < self._most_attempts:
             self._upstream.start(attempt)
@@ -194,7 +233,10 @@
         self._attempted(id, number, attempt)
 
     def _attempted(self, id: int, number: int, attempt: Exchange) -> None:
-        if attempt.status is api.Status.OK and (opened := self._close(id)) is not None:
+        if attempt.download is not None:
+            if (opened := self._close(id)) is not None:
+                opened.request.ended(attempt.status is api.Status.OK)
+        elif attempt.status is api.Status.OK and (opened := self._close(id)) is not None:
             opened.request.respond(200, attempt.answer, attempt.answer_headers)
         finished = id not in self._open
         told = attempt.report, attempt.used, attempt.units
--- /dev/null
+++ b/cypresspulley/net/relay.py
@@ -0,0 +1,206 @@
+"""Bodies that pass as they arrive, with backpressure: an upload to a server, a download to a client.
+
+No decision is made here. What is small is handed over whole, as ever; what is larger than ``KEEP`` flows. Of each
+transfer no more is held than one side's buffer up to ``mark()`` and what one read brings, which the kernel's buffers
+bound: they are cut to ``kernel()`` once a transfer is known to be large.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+KEEP = 64 * 1024  # bytes of an upload that are kept for another attempt; beyond them there is none
+LARGEST = 48 * 1024 * 1024  # bytes of one body: what says that it is larger is no body of this platform
+TOTAL = 24 * 1024 * 1024  # bytes that all transfers together may hold here, and as much in the kernel
+MARK_MOST, MARK_LEAST = 64 * 1024, 4 * 1024  # of one transfer
+READ = 32 * 1024  # of a server's connection from its beginning; the kernel gives twice as much
+RATE, WINDOW = 8192, 4.0  # bytes a second below which an upload counts as stalled; over so many seconds
+STALL = 10.0  # seconds for which a server that has begun may give nothing while it is read
+READER = 60.0  # and a client may take nothing of what is there
+
+
+def bound_kernel(sock: socket.socket, size: int = READ) -> None:
+    """Bound what the kernel takes in on a connection that may bring a large body: one read brings all of it."""
+    with contextlib.suppress(OSError):  # the connection has ended, or its kind has no such bound
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+class Relay:
+    """What is under way, for the bound on all together."""
+
+    def __init__(self) -> None:
+        self.active = 0
+
+    def __repr__(self) -> str:
+        return f"<Relay {self.active} transfers, {self.mark()} bytes each>"
+
+    def mark(self) -> int:
+        """Bytes in one transfer's buffer from which its source is no longer read."""
+        return max(MARK_LEAST, min(MARK_MOST, TOTAL // max(1, self.active)))
+
+    def kernel(self) -> int:
+        """Bytes of a socket's own buffers; the kernel gives twice as much, for its bookkeeping."""
+        return max(MARK_LEAST, self.mark() // 2)
+
+    def begin(self, sock: socket.socket) -> None:
+        """One more transfer, on a server's socket."""
+        self.active += 1
+        self.cut(sock)
+
+    def cut(self, sock: socket.socket) -> None:
+        """Bound what the kernel holds of a large transfer, and with it what one read brings."""
+        bound_kernel(sock, self.kernel())
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.kernel())
+
+    def end(self) -> None:
+        self.active -= 1
+
+
+class Sink(Protocol):
+    """A connection to a server that an upload flows into."""
+
+    def put(self, data: bytes) -> None: ...
+
+    def put_end(self) -> None:
+        """The last byte has been put."""
+        ...
+
+
+class Upload:
+    """A body on its way from a client. ``hold`` says whether the client is to be read; ``told`` gets the news:
+    whether the last byte has come, and whether all that has come is still kept."""
+
+    def __init__(self, length: int | None, hold: Callable[[bool], None]) -> None:
+        self.length = length  # None: in chunks
+        self.size, self.whole, self.spent = 0, False, False
+        self.held = False  # the client is not read for now
+        self.told: Callable[[bool, bool], None] = lambda _whole, _kept: None
+        self._hold = hold
+        self._kept = list[bytes]()
+        self._sink: Sink | None = None
+
+    def __repr__(self) -> str:
+        state = "whole" if self.whole else "held" if self.held else "flowing"
+        return f"<Upload {self.size} of {self.length or 'unknown'} bytes, {state}{', spent' * self.spent}>"
+
+    @property
+    def framing(self) -> bytes:
+        """The header line that says where the body ends."""
+        return (
+            b"Transfer-Encoding: chunked\r\n"
+            if self.length is None
+            else b"Content-Length: %d\r\n" % self.length
+        )
+
+    def _framed(self, data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data) if self.length is None else data
+
+    def feed(self, data: bytes) -> None:
+        """Bytes that have come."""
+        self.size += len(data)
+        if not self.spent:
+            self._kept.append(data)
+            if self.size > KEEP and self._sink is not None:
+                self._spend()
+        if self._sink is not None:
+            self._sink.put(self._framed(data))
+        elif self.size > KEEP:
+            self.hold(True)  # nobody takes it yet, and no more is kept
+
+    def finish(self) -> None:
+        """The last byte has come."""
+        self.whole = True
+        if self._sink is not None:
+            self._end(self._sink)
+        self.told(True, not self.spent)
+
+    def _end(self, sink: Sink) -> None:
+        if self.length is None:
+            sink.put(b"0\r\n\r\n")
+        sink.put_end()
+
+    def _spend(self) -> None:
+        self.spent, self._kept = True, []
+        self.told(self.whole, False)
+
+    def attach(self, sink: Sink) -> bool:
+        """Flow into an attempt's connection, from the first byte; False where that is no longer kept."""
+        if self.spent:
+            return False
+        self._sink, kept = sink, b"".join(self._kept)
+        if self.size > KEEP:
+            self._spend()
+        if kept:
+            sink.put(self._framed(kept))
+        if self.whole:
+            self._end(sink)
+        else:
+            self.hold(False)
+        return True
+
+    def detach(self, sink: Sink) -> None:
+        """The attempt is over."""
+        if self._sink is sink:
+            self._sink = None
+            if not self.whole:
+                self.hold(self.size > KEEP)
+
+    def hold(self, held: bool) -> None:
+        """Whether the client waits: its bytes find no room on the other side."""
+        if held is not self.held:
+            self.held = held
+            self._hold(held)
+
+
+class Source(Protocol):
+    """A connection to a server that a download flows out of."""
+
+    def hold(self, held: bool) -> None:
+        """Whether the server waits."""
+        ...
+
+    def drop(self) -> None:
+        """Nobody takes the rest."""
+        ...
+
+
+class Download:
+    """A body on its way to a client: pieces wait here until its turn on the connection has come."""
+
+    def __init__(self, length: int | None, headers: bytes, source: Source) -> None:
+        self.length, self.headers, self._source = length, headers, source  # None: it ends when it ends
+        self.pieces = list[bytes]()  # before its turn
+        self.write: Callable[[bytes], None] | None = None
+        self.chunked = False
+        self.whole = self.broken = False
+
+    def __repr__(self) -> str:
+        state = "whole" if self.whole else "broken" if self.broken else "flowing" if self.write else "waiting"
+        return f"<Download of {self.length or 'unknown'} bytes, {state}>"
+
+    def put(self, data: bytes) -> None:
+        """Bytes that the server gave."""
+        if self.write is None:
+            self.pieces.append(data)
+            self._source.hold(True)  # others' answers come first
+        else:
+            self.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+
+    def turn(self, write: Callable[[bytes], None], chunked: bool) -> None:
+        """All before it is written: from now on it flows."""
+        self.write, self.chunked = write, chunked
+        pieces, self.pieces = self.pieces, []
+        if pieces:
+            self.put(b"".join(pieces))
+        self._source.hold(False)
+
+    def hold(self, held: bool) -> None:
+        self._source.hold(held)
+
+    def drop(self) -> None:
+        """The client has gone."""
+        self._source.drop()
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -21,6 +21,7 @@
 
 from cypresspulley.interface import Status
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED, join_address, split_address
+from cypresspulley.net.relay import LARGEST, STALL, Download, Relay, Upload, bound_kernel
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +34,7 @@
 # Seconds from an answer's first byte to its last. A length that promises more than comes would else end as a
 # time-out, much later, and that speaks of a server that gives no sign of life.
 BEGUN = 0.5
+HOLD = 0.05  # seconds that an answer of unknown length is held, to be handed over whole if it is small
 # Where kept connections break at their next request, before any byte of an answer, they were closed in
 # silence: for so many seconds none is kept that has been idle for so long.
 DISTRUST = 10.0
@@ -87,6 +89,11 @@
     report: dict[str, float] = field(default_factory=dict)
     used: float | None = None  # the customer's use, a share of its rate
     units: float | None = None  # the request's true units
+    upload: Upload | None = None  # in place of a body that is there
+    wait: float = math.inf  # seconds for an answer, from the upload's last byte
+    # Takes a large answer as it comes; where it is None, an answer is whole or spoilt.
+    begun: Callable[[Exchange, Download], None] | None = None
+    download: Download | None = None
     connection: _Connection | None = None
     timer: asyncio.TimerHandle | None = None
 
@@ -117,8 +124,9 @@
         self.idle_since: float | None = None  # None: it carries its first request
         self.rested = 0.0
         self._parser = httptools.HttpResponseParser(self)
-        self._unwritten = self._keep_alive = self._begun = False
+        self._unwritten = self._keep_alive = self._begun = self._flows = False
         self._late: asyncio.TimerHandle | None = None
+        self.held, self.moved = False, 0.0  # the client waits to be read; when a byte last came
         self._clear()
 
     def _clear(self) -> None:
@@ -127,7 +135,7 @@
         self._load: bytes | None = None
         self._used = self._charged = b""
         self._length: int | None = None
-        self._chunked = False
+        self._chunked = self._head_read = self._to_the_end = False
         self._not_processed = self._surplus = False
         self._code: int | None = None
 
@@ -136,14 +144,20 @@
         self.transport = transport
         # At 0 a write goes out in the call itself, and pause_writing tells that some of it did not.
         transport.set_write_buffer_limits(high=0)
+        bound_kernel(transport.get_extra_info("socket"))
 
     def pause_writing(self) -> None:
         self._unwritten = True
 
     def resume_writing(self) -> None:
         self._unwritten = False
-        if self.exchange is not None:
-            self.exchange.written = True
+        exchange = self.exchange
+        if exchange is None:
+            return
+        if exchange.upload is None or exchange.upload.whole:
+            exchange.written = True
+        else:
+            exchange.upload.hold(False)
 
     def send(self, exchange: Exchange, data: bytes) -> None:
         assert self.transport is not None
@@ -152,8 +166,62 @@
         self.transport.write(data)
         if self.transport.is_closing():  # the write itself failed: nothing has left
             self._upstream.end(exchange, Status.DROPPED)
+        elif exchange.upload is None:
+            exchange.written = not self._unwritten
         else:
+            self._upstream.relay.begin(self.transport.get_extra_info("socket"))
+            self._flows = True
+            if not exchange.upload.attach(self):
+                self._upstream.cancel(exchange)
+
+    # An upload's sink.
+
+    def put(self, data: bytes) -> None:
+        exchange = self.exchange
+        if self.transport is None or exchange is None or self.transport.is_closing():
+            return
+        self.transport.write(data)
+        if self._unwritten and exchange.upload is not None and not exchange.upload.whole:
+            exchange.upload.hold(True)
+
+    def put_end(self) -> None:
+        if (exchange := self.exchange) is not None:
             exchange.written = not self._unwritten
+            self._upstream.whole(exchange)
+
+    # A download's source.
+
+    def hold(self, held: bool) -> None:
+        if self.transport is None or held is self.held:
+            return
+        self.held, self.moved = held, self._upstream.now()
+        if held:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def drop(self) -> None:
+        if self.exchange is not None:
+            self._upstream.cancel(self.exchange)
+
+    def stalled(self, now: float) -> bool:
+        """Whether a server that has begun a large answer gives nothing, though it is read."""
+        return not self.held and now - self.moved > STALL
+
+    def stall(self) -> None:
+        self._spoilt(TimeoutError("it began and stalled"))
+
+    def leave(self) -> None:
+        """The exchange no longer has this connection."""
+        if self._flows and self.exchange is not None and self.exchange.upload is not None:
+            self.exchange.upload.detach(self)
+        self._upstream.streaming.discard(self)
+        if self._flows:
+            self._flows = False
+            self._upstream.relay.end()
+        if self.held and self.transport is not None and not self.transport.is_closing():
+            self.held = False
+            self.transport.resume_reading()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
@@ -162,6 +230,11 @@
         self._upstream.lost(self)
         self._calm()
         if (exchange := self.exchange) is not None:
+            if exc is None and self._to_the_end and self._code is None:
+                return self._complete(
+                    self._parser.get_status_code()
+                )  # it ends with its connection, and that ended in order
+            self.leave()
             self.exchange = None
             self._upstream.end(exchange, Status.BROKEN if exchange.written else Status.DROPPED)
 
@@ -169,9 +242,11 @@
         if self.exchange is None:
             self.abort()  # nobody asked: whatever it is, it must not meet the next request
             return
-        if not self.exchange.written:
+        exchange = self.exchange
+        if not exchange.written and (exchange.upload is None or exchange.upload.whole):
             return self.abort()  # an answer before its request is whole is none, and the request never ran
         self._received += len(data)
+        self.moved = self._upstream.now() if exchange.download is not None else 0.0
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -181,15 +256,54 @@
         # Only now, with all input read, may the connection be used again.
         if self._code is not None:
             self._complete(self._code)
+        elif exchange.download is not None or self.exchange is None:
+            pass
         elif self._received > MAX_ANSWER:
             self._spoilt(ValueError("an answer without an end"))  # its head would grow inside the parser
         elif self._begun and self._late is None:
-            self._late = asyncio.get_running_loop().call_later(BEGUN, self._never_whole, self.exchange)
+            wait = HOLD if self._unknown and exchange.begun is not None else BEGUN
+            self._late = asyncio.get_running_loop().call_later(
+                wait, self._never_whole, exchange, self._received
+            )
 
-    def _never_whole(self, exchange: Exchange) -> None:
-        if self.exchange is exchange:
+    def _never_whole(self, exchange: Exchange, received: int) -> None:
+        if self.exchange is not exchange or exchange.download is not None:
+            return
+        self._late = None
+        if self._unknown and exchange.begun is not None:
+            self._flow()
+        elif self._received > received:  # it still comes, slowly
+            self._late = asyncio.get_running_loop().call_later(
+                BEGUN, self._never_whole, exchange, self._received
+            )
+        else:
             self._spoilt(TimeoutError("it began and was not finished"))
 
+    @property
+    def _unknown(self) -> bool:
+        """Whether a good answer is coming whose length nobody knows."""
+        return self._chunked or self._to_the_end
+
+    def _flow(self) -> None:
+        """The answer is large, or may be: pass it on as it comes."""
+        exchange = self.exchange
+        assert exchange is not None and exchange.begun is not None and self.transport is not None
+        self._calm()
+        if not self._flows:
+            self._upstream.relay.begin(self.transport.get_extra_info("socket"))
+            self._flows = True
+        self._upstream.streaming.add(self)
+        self.moved = self._upstream.now()
+        self._read_figures(exchange, 200)
+        if exchange.timer is not None:
+            exchange.timer.cancel()  # the rest takes what it takes
+        exchange.elapsed = self._upstream.now() - exchange.started
+        body, self._body = b"".join(self._body), []
+        download = exchange.download = Download(self._length, b"".join(self._headers), self)
+        exchange.begun(exchange, download)
+        if body and exchange.download is not None:
+            download.put(body)
+
     def _calm(self) -> None:
         if self._late is not None:
             self._late.cancel()
@@ -198,8 +312,10 @@
     def _spoilt(self, error: BaseException) -> None:
         """An answer that cannot be read: the request may have run, and the server lives. All of them may
         answer like that on a bad day, so it must not count as a break, which speaks of a dead server."""
-        exchange, self.exchange = self.exchange, None
+        exchange = self.exchange
         assert exchange is not None
+        self.leave()
+        self.exchange = None
         log.warning("an answer of %s could not be read: %s", exchange.server, error)
         exchange.connection = None
         self.abort()
@@ -220,14 +336,15 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         key = name.lower()
-        if self._surplus:
-            return
+        if self._surplus or self._head_read:
+            return  # trailers say nothing that is read here
         self._head_size += len(name) + len(value)
         if self._head_size > MAX_HEAD:
             raise ValueError("too large")
+        value = value.rstrip(b" \t")  # no part of it, and the parser leaves it there
         if key == b"content-length":
             # The first length that does not fit is enough: nothing of 3 GB need come before it is known.
-            if self._length is not None or not LENGTH.fullmatch(value) or int(value) > MAX_BODY:
+            if self._length is not None or not LENGTH.fullmatch(value) or int(value) > LARGEST:
                 raise ValueError("a length that is wrong, stands twice or is too large")
             self._length = int(value)
         elif key == b"transfer-encoding":
@@ -246,18 +363,39 @@
             self._headers.append(b"%b: %b\r\n" % (name, value))
 
     def on_headers_complete(self) -> None:
-        # With neither, the end of the connection would be the answer's, and it stays open.
-        final = not self._surplus and self._parser.get_status_code() >= 200
-        if final and self._chunked == (self._length is not None):
-            raise ValueError("an answer needs a length or chunks, and not both")
+        code = self._parser.get_status_code()
+        if self._surplus or code < 200:
+            return
+        self._head_read = True
+        exchange = self.exchange
+        bare = code in (204, 304)  # they have no body, whatever their head says
+        if self._chunked and self._length is not None:
+            raise ValueError("an answer has a length or chunks, and not both")
+        if not self._chunked and self._length is None and not bare:
+            # The end of the connection is the answer's, where the head says that it will end.
+            if self._parser.should_keep_alive():
+                raise ValueError("an answer needs a length, chunks or an end of its connection")
+            self._to_the_end = True
+        flows = exchange is not None and exchange.begun is not None and code == 200
+        if self._length is not None and self._length > MAX_BODY:
+            if not flows:
+                raise ValueError("too large")
+            self._flow()
 
     def on_body(self, body: bytes) -> None:
-        if self._surplus:
+        exchange = self.exchange
+        if self._surplus or exchange is None:
             return
         self._size += len(body)
-        if self._size > MAX_BODY:
+        if self._size > LARGEST:
             raise ValueError("too large")
+        if exchange.download is not None:
+            return exchange.download.put(body)
         self._body.append(body)
+        if self._size > MAX_BODY:
+            if exchange.begun is None or not self._unknown or self._parser.get_status_code() != 200:
+                raise ValueError("too large")
+            self._flow()
 
     def on_message_begin(self) -> None:
         self._surplus, self._begun = self._code is not None, True
@@ -272,20 +410,29 @@
             self._received = received
 
     def _complete(self, code: int) -> None:
-        exchange, self.exchange = self.exchange, None
+        exchange = self.exchange
         assert exchange is not None
         self._calm()
-        exchange.connection = None
-        exchange.answer_headers, exchange.answer = b"".join(self._headers), b"".join(self._body)
+        reusable = self._keep_alive and not self._surplus and not self._unwritten and exchange.written
+        self.leave()
+        self.exchange = exchange.connection = None
+        if exchange.download is None:
+            exchange.answer_headers, exchange.answer = b"".join(self._headers), b"".join(self._body)
+            self._read_figures(exchange, code)
+        else:
+            exchange.download.whole = True
+        # Bytes behind the answer, or of a request not yet out whole, must not meet the next request.
+        self._upstream.release(self, reusable)
+        self._upstream.end(exchange, self._outcome(code))
+
+    def _read_figures(self, exchange: Exchange, code: int) -> None:
+        """What the head tells beside the answer."""
         if self._load is not None:
             exchange.report = load_report(self._load.decode("latin-1"))
         if self._used and (used := _figure(self._used)) is not None:
             exchange.used = used / 100
         if self._charged and code == 200:
             exchange.units = _figure(self._charged)
-        # Bytes behind the answer, or of a request not yet out whole, must not meet the next request.
-        self._upstream.release(self, self._keep_alive and not self._surplus and not self._unwritten)
-        self._upstream.end(exchange, self._outcome(code))
 
     def _outcome(self, code: int) -> Status:
         if code == 200:
@@ -303,6 +450,8 @@
         self._clock, self._dial_timeout, self._max = clock, dial_timeout, max_connections
         self._idle_for = conn_idle * IDLE_SHARE
         self._servers = dict[str, _Server]()
+        self.relay, self.streaming = Relay(), set[_Connection]()  # connections with a large answer under way
+        self.now = clock
         self._banned = set[str]()  # names that operators took out, listed or not
         self._open = self.dials = 0  # connections; dials begun so far
         self._dials = set[asyncio.Task[None]]()
@@ -362,7 +511,8 @@
         if server is None or not server.usable or wait <= 0:
             return self.end(exchange, Status.NOT_SENT)
         loop = asyncio.get_running_loop()
-        exchange.timer = loop.call_later(wait, self._expired, exchange)
+        if wait < math.inf:
+            exchange.timer = loop.call_later(wait, self._expired, exchange)
         if (connection := self._take_idle(server)) is not None:
             return self._write(connection, exchange)
         if server.open >= PER_SERVER or (self._open >= self._max and not self._make_room()):
@@ -372,6 +522,12 @@
         self._dials.add(dial)
         dial.add_done_callback(self._dials.discard)
 
+    def whole(self, exchange: Exchange) -> None:
+        """An upload's last byte is on its way: the time for its answer begins."""
+        if exchange.wait < math.inf and not exchange.ended and exchange.timer is None:
+            exchange.started = self._clock()
+            exchange.timer = asyncio.get_running_loop().call_later(exchange.wait, self._expired, exchange)
+
     def cancel(self, exchange: Exchange) -> None:
         """Stop waiting; the connection goes with it, so that no late answer meets another request."""
         self._give_up(exchange, Status.CANCELLED)
@@ -381,7 +537,8 @@
         if exchange.ended:
             return
         exchange.ended, exchange.status = True, status
-        exchange.elapsed = self._clock() - exchange.started
+        if exchange.download is None:
+            exchange.elapsed = self._clock() - exchange.started
         if exchange.timer is not None:
             exchange.timer.cancel()
         exchange.done(exchange)
@@ -440,7 +597,8 @@
         if left <= 0 or not connection.server.usable or connection.address != connection.server.address:
             self.release(connection, True)
             return self.end(exchange, Status.NOT_SENT)
-        timeout = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(left * 1000))
+        wait = exchange.wait if exchange.upload is not None else left
+        timeout = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(wait * 1000))
         connection.send(exchange, exchange.head + timeout + exchange.body)
 
     def _expired(self, exchange: Exchange) -> None:
@@ -451,6 +609,7 @@
         if exchange.ended:
             return
         if (connection := exchange.connection) is not None:
+            connection.leave()
             connection.exchange = exchange.connection = None
             connection.abort()
         self.end(exchange, status)
@@ -496,3 +655,6 @@
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
         for server in self._servers.values():
             self._close_idle(server, self._clock() - self._idle_for)
+        now = self._clock()
+        for connection in [each for each in self.streaming if each.stalled(now)]:
+            connection.stall()
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -9,7 +9,7 @@
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Effect, Status
 from cypresspulley.policy.classes import Classes
-from cypresspulley.policy.fleet import Fleet
+from cypresspulley.policy.fleet import Fleet, Server
 from cypresspulley.policy.gate import AIM_SHARE, INTERVAL, REFERENCE, RESERVE, Gate
 from cypresspulley.policy.quota import Quotas, Verdict
 from cypresspulley.policy.request import Request
@@ -33,10 +33,10 @@
         self._timer, self._retries = 0, 10.0  # further attempts that may be made
         self._seen, self._ranks = deque[float](maxlen=300), list[float]()  # worth per work of the recent
         self._handlers: dict[type, Callable[[float, Any], None]] = {
-            api.Request: self._arrive, api.Outcome: self._outcome, api.Counted: self._counted,
-            api.ServerList: self.fleet.listed, api.Probed: self.fleet.probed, api.Heard: self.quotas.heard,
-            api.Suspend: self._suspend, api.Retune: self._retune, api.TimerFired: lambda _now, _ev: None,
-            api.Departed: lambda _now, ev: self._forget(ev.id),
+            api.Request: self._arrive, api.Body: self._body, api.Began: self._began, api.Outcome: self._outcome,
+            api.ServerList: self.fleet.listed, api.Suspend: self._suspend, api.Retune: self._retune,
+            api.Probed: self.fleet.probed, api.Heard: self.quotas.heard, api.Counted: self._counted,
+            api.TimerFired: lambda _now, _ev: None, api.Departed: lambda _now, ev: self._forget(ev.id),
         }  # fmt: skip
 
     def _check(self, s: api.Settings) -> None:
@@ -67,7 +67,7 @@
         for r in list(self._requests.values()):
             if now >= r.deadline and not r.out:
                 self._end(now, r)
-            elif r.out and now - r.born > r.cls.aim * AIM_SHARE / REFERENCE:
+            elif r.busy and now - r.born > r.cls.aim * AIM_SHARE / REFERENCE:
                 self.gate.overdue()
         self.gate.tick(dt)
         if self._timer % 10 == 0 and self.why:
@@ -142,22 +142,56 @@
         r.tries.append((s, now))
         r.account.open += 1
         s.since += 1
-        s.open, s.quiet = s.open + r.work, now if s.quiet is None else s.quiet
         s.budget -= r.work if s.cold_at is not None else 0.0  # warm, it owes nothing when unsure again
+        if not r.coming:
+            self._busy(now, r, s)
         self._out.append(api.Send(r.id, s.entry.name, wait))
         return True
 
+    @staticmethod
+    def _busy(now: float, r: Request, s: Server) -> None:
+        """Its work is at the server from now on, which owes an answer."""
+        r.busy = True
+        s.open, s.quiet = s.open + r.work, now if s.quiet is None else s.quiet
+
+    def _body(self, now: float, ev: api.Body) -> None:
+        """A body that flows: a server begins with its last byte, and so do the client's time and the work."""
+        if (r := self._requests.get(ev.id)) is None:
+            return
+        r.kept = ev.kept
+        if ev.whole and r.coming:
+            r.coming = False
+            r.begin(now)
+            for s in r.out.values():
+                self._busy(now, r, s)
+
+    def _began(self, now: float, ev: api.Began) -> None:
+        """The answer's first bytes are what is timed and read; the attempt is out until the last one."""
+        r, s = self._requests.get(ev.id), self.fleet.servers.get(ev.server)
+        if r is None or s is None or not r.busy:
+            return
+        told = api.Outcome(ev.id, ev.attempt, ev.server, Status.OK, ev.elapsed, False, ev.report)
+        self._learn(now, r, s, told)
+
+    def _learn(self, now: float, r: Request, s: Server, ev: api.Outcome) -> None:
+        """What an attempt's answer, or the lack of one, tells of its server."""
+        r.busy = False
+        s.ended(r.work)
+        if ev.status not in (Status.TIMEOUT, Status.CANCELLED, Status.UNREACHABLE):
+            s.quiet = now if s.open > 1e-9 else None
+        self.gate.read(r.cls, ev.status, ev.elapsed)
+        self.fleet.learn(now, r, s, ev)
+
     def _outcome(self, now: float, ev: api.Outcome) -> None:
         r, s = self._requests.get(ev.id), self.fleet.servers.get(ev.server)
         if s is None or r is None:
             return
         if r.out.pop(ev.attempt, None) is not None:
-            s.ended(r.work)
             r.account.open -= 1
-            if ev.status not in (Status.TIMEOUT, Status.CANCELLED, Status.UNREACHABLE):
-                s.quiet = now if s.open > 1e-9 else None
-            self.gate.read(r.cls, ev.status, ev.elapsed)
-            self.fleet.learn(now, r, s, ev)
+            if r.busy:
+                self._learn(now, r, s, ev)
+            elif r.coming or ev.status is not Status.OK:
+                self.fleet.learn(now, r, s, ev)  # it ended while its body or its answer flowed
             self.quotas.settle(now, r, ev)
             if s.open <= 1e-9:
                 s.quiet = None  # with nothing out it owes no answer, and none could ever end its silence
@@ -172,7 +206,9 @@
             self._again(now, r, ev.status)
 
     def _again(self, now: float, r: Request, status: Status) -> None:
-        allowed = len(r.tries) < r.attempts and r.due - now > r.work and self._retries >= 1
+        if r.coming:
+            r.begin(now)
+        allowed = r.kept and len(r.tries) < r.attempts and r.due - now > r.work and self._retries >= 1
         if r.ran is not None and r.cls.effect is not Effect.SAFE:
             allowed = allowed and r.cls.effect is Effect.KEYED and now - r.ran[1] < 0.95 * r.cls.window
         if not allowed or not self._send(now, r):
@@ -195,6 +231,6 @@
     def _forget(self, request: int) -> None:
         if r := self._requests.pop(request, None):
             for s in r.out.values():
-                s.ended(r.work)
+                s.ended(r.work if r.busy else 0.0)
                 r.account.open -= 1
                 s.quiet = s.quiet if s.open > 1e-9 else None  # nobody waits: it owes nothing any more
--- a/cypresspulley/policy/request.py
+++ b/cypresspulley/policy/request.py
@@ -15,8 +15,8 @@
     """Times are of the gateway's clock; ``work`` in seconds of an idle server."""
 
     __slots__ = (
-        "account", "attempts", "born", "bound", "cls", "deadline", "due", "granted", "id", "inside", "most",
-        "out", "ran", "rank", "repeat", "tries", "units", "work",
+        "account", "attempts", "born", "bound", "busy", "cls", "coming", "deadline", "due", "granted", "id", "inside",
+        "kept", "most", "out", "ran", "rank", "repeat", "tries", "ttl", "units", "work",
     )  # fmt: skip
 
     def __init__(
@@ -25,9 +25,9 @@
         self.id, self.cls, self.account, self.units = ev.id, cls, account, ev.units
         self.attempts = attempts  # that it may have in all
         self.bound, self.most = ev.bound, max(ev.units, ev.bound)  # a ceiling is held against the most
-        self.deadline, self.born, self.repeat, self.inside = now + ev.ttl, now, ev.repeat, False
-        # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
-        self.due = self.deadline if cls.late_worth else min(self.deadline, now + cls.aim)
+        self.repeat, self.inside, self.ttl = ev.repeat, False, ev.ttl
+        self.coming, self.kept, self.busy = ev.coming, True, False  # busy: its work counts at its server
+        self.begin(now)
         self.granted: int | None = (
             None  # the window of the ceiling that holds it, where the even share does not
         )
@@ -35,5 +35,11 @@
         self.tries, self.out = list["tuple[Server, float]"](), dict[int, "Server"]()
         self.ran: tuple[Server, float] | None = None  # first attempt that may have run
 
+    def begin(self, now: float) -> None:
+        """Its time counts from its last byte."""
+        self.deadline, self.born = now + self.ttl, now
+        # Past its aim an answer that earns nothing is only work; the time-out hands the server back.
+        self.due = self.deadline if self.cls.late_worth else min(self.deadline, now + self.cls.aim)
+
     def __repr__(self) -> str:
         return f"<Request {self.id} {self.cls.name}, {len(self.tries)} sent, {len(self.out)} out, ran {self.ran}>"
