--- a/benchmarks/cpu_per_request.py
+++ b/benchmarks/cpu_per_request.py
@@ -24,8 +24,7 @@
 import psutil
 import uvloop
 
-from cypresspulley.rehearsal.limiters import wire_settings
-from cypresspulley.rehearsal.play import free_port
+from cypresspulley.rehearsal.limiters import free_port, wire_settings
 from cypresspulley.rehearsal.scenario import parse_scenario
 
 CONNECTIONS = 8
--- a/benchmarks/graphql_cost.py
+++ b/benchmarks/graphql_cost.py
@@ -36,7 +36,7 @@
 from cypresspulley.graphql.errors import GraphQLRefusedError
 from cypresspulley.graphql.request import read_post
 from cypresspulley.graphql.scan import Bounds, scan
-from cypresspulley.rehearsal.play import free_port
+from cypresspulley.rehearsal.limiters import free_port
 from cypresspulley.rehearsal.standins.graphql import (
     DEEP,
     FLOOR,
--- a/benchmarks/replay_timing.py
+++ b/benchmarks/replay_timing.py
@@ -22,7 +22,7 @@
 from cypresspulley.capture.arrivals import Stretch
 from cypresspulley.capture.command import plan_of
 from cypresspulley.capture.replay import against, percentile
-from cypresspulley.rehearsal.play import free_port
+from cypresspulley.rehearsal.limiters import free_port
 from cypresspulley.rehearsal.scenario import load_scenario
 from tests.capture.truth import traffic
 
--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -191,10 +191,11 @@
     clock: Callable[[], float] | None = None,
     reread: Callable[[], Config] = configured,
     watched: Callable[[Gateway], Decisions] | None = None,
+    opened: Callable[[Service], None] | None = None,
 ) -> None:
     """Run one limiter until SIGTERM or SIGINT. All that it takes from the machine is the running loop, Unix time
     from ``clock`` and, at SIGHUP, the configuration from ``reread``. ``watched`` may put something between the
-    decisions and the node that sees every event and action."""
+    decisions and the node that sees every event and action; ``opened`` gets what the operators' door calls on."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -206,6 +207,8 @@
     spare = SPARE_SOCKETS + (DOOR_SOCKETS if config.operator else 0)
     clients = servers = max(8, (config.sockets - spare) // 2)
     service = Service(Lifecycle(), _folder(config))
+    if opened is not None:
+        opened(service)
     door = await _door(config, service)
     timing = config.timing
     upstream = Upstream(clock, timing.dial_timeout, timing.conn_idle, servers)
--- a/cypresspulley/cli.py
+++ b/cypresspulley/cli.py
@@ -134,10 +134,11 @@
     "--json", "json_file", type=click.Path(path_type=Path), help="Write finds and coverage as JSON."
 )
 @click.option("--png", type=click.Path(path_type=Path), help="Write a picture of the coverage.")
+@click.option("--operators", is_flag=True, help="Operators drain limiters and take servers out, too.")
 @click.option("--again", is_flag=True, help="Play SCENARIO once as it is, with all checks: a find again.")
 def explore(
     scenario: str, seeds: int, first: int, jobs: int, minutes: float, seconds: float, inside: float,
-    keep_going: bool, out: Path, json_file: Path | None, png: Path | None, again: bool,
+    keep_going: bool, out: Path, json_file: Path | None, png: Path | None, operators: bool, again: bool,
 ) -> None:  # fmt: skip
     """Search SCENARIO (a name, a TOML file, or all) in virtual time for a day that breaks a rule.
 
@@ -155,7 +156,7 @@
 
     if again:
         sys.exit(command.again(scenario))
-    wanted = Wanted(seeds, first, jobs, minutes, seconds, inside, keep_going)
+    wanted = Wanted(seeds, first, jobs, minutes, seconds, inside, keep_going, operators)
     sys.exit(command.explore(scenario, wanted, command.Outputs(out, json_file, png)))
 
 
--- a/cypresspulley/explore/command.py
+++ b/cypresspulley/explore/command.py
@@ -34,6 +34,8 @@
     try:
         check_folders(outputs.json, outputs.png)
         scenarios = [load_scenario(each) for each in (shipped() if name == "all" else [name])]
+        if name == "all":  # what two processes are needed for has no place in virtual time
+            scenarios = [each for each in scenarios if not each.on_sockets_only]
         outputs.out.mkdir(parents=True, exist_ok=True)
         for scenario in scenarios:
             results.append(search(scenario, wanted, _shown))
--- a/cypresspulley/explore/schedule.py
+++ b/cypresspulley/explore/schedule.py
@@ -8,9 +8,18 @@
 from typing import Any
 
 from cypresspulley.rehearsal.plan import random_for
-from cypresspulley.rehearsal.scenario import FAULT_KEYS, Scenario, limiter_names, parse_scenario, server_names
-
-KINDS = tuple(sorted(FAULT_KEYS))
+from cypresspulley.rehearsal.scenario import (
+    FAULT_KEYS,
+    OPERATED,
+    SOCKETS_ONLY,
+    Scenario,
+    limiter_names,
+    parse_scenario,
+    server_names,
+)
+
+KINDS = tuple(sorted(FAULT_KEYS.keys() - OPERATED))
+WITH_OPERATORS = tuple(sorted(FAULT_KEYS.keys() - SOCKETS_ONLY))  # what the door brings beside them
 MOST_FAULTS = 4
 FEWEST_SERVERS = 4
 IMPATIENT = 0.03  # share of the clients that go away: more than on a usual day
--- a/cypresspulley/explore/search.py
+++ b/cypresspulley/explore/search.py
@@ -16,7 +16,7 @@
 
 from cypresspulley.explore.coverage import Coverage
 from cypresspulley.explore.examine import Examined, Find, examine
-from cypresspulley.explore.schedule import KINDS, as_raw, drawn_day, small_day
+from cypresspulley.explore.schedule import KINDS, WITH_OPERATORS, as_raw, drawn_day, small_day
 from cypresspulley.explore.shrink import shrink, size
 from cypresspulley.rehearsal.scenario import Scenario
 
@@ -38,6 +38,7 @@
     seconds: float = 6.0
     inside: float = 30.0
     keep_going: bool = False
+    operators: bool = False  # operators drain limiters and take servers out beside the faults
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,7 +77,10 @@
 
     ``play`` is what is called for each day; with one job in this process. The seeds' days do not depend on jobs."""
     day = small_day(scenario, wanted.seconds, wanted.inside)
-    result, start = Result(scenario.name, Coverage(KINDS)), time.monotonic()
+    result, start = (
+        Result(scenario.name, Coverage(WITH_OPERATORS if wanted.operators else KINDS)),
+        time.monotonic(),
+    )
     with _mapper(wanted.jobs) as mapped:
         for first in range(wanted.first, wanted.first + wanted.seeds, ROUND):
             seeds = range(first, min(first + ROUND, wanted.first + wanted.seeds))
--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -15,7 +15,7 @@
 LONGER = 3.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
 SELDOM = 2.0  # answers a second of a server, below which its reports tell more than they do
 FADE, FADED = 2.0, 8.0  # seconds in which a report fades, and is gone
-COLD = 0.45  # of a load that fells a cold server
+COLD = 0.7  # of a load that fells a cold server, against finished work: at most what it can do now, often half of it
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 
 
--- a/cypresspulley/rehearsal/limiters.py
+++ b/cypresspulley/rehearsal/limiters.py
@@ -8,6 +8,7 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 from collections.abc import Callable
 from pathlib import Path
@@ -20,6 +21,7 @@
 
 READY_WITHIN = 20.0  # seconds from start to the first good answer
 STOP_WITHIN = 6.0  # seconds from SIGTERM until SIGKILL
+UPGRADE_WITHIN = 6.0  # seconds for a second process to say that it serves
 LOG_TAIL = 400  # bytes of a log that an error shows
 
 
@@ -62,6 +64,14 @@
     }  # fmt: skip
 
 
+def free_port(host: str) -> int:
+    """A port of ``host`` that is free now; the address is this run's own, so it stays so."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
 def unseen(when: str) -> KitError:
     """The error of a kill that only a loop in virtual time can see the moment of."""
     return KitError(f"a limiter-kill with when = {when!r} can be played in virtual time only: add --virtual")
@@ -85,6 +95,9 @@
         self._file: BinaryIO | None = None
         self.lives, self.cpu_seconds, self.memory_mb, self._cpu = 0, 0.0, 0.0, 0.0
         self.expected_end = False
+        self.operated = False  # whether it has a door
+        self._door: tuple[str, int] | None = None
+        self._raw = dict[str, Any]()
 
     def __repr__(self) -> str:
         state = f"pid {self.process.pid}" if self.process and self.process.returncode is None else "down"
@@ -98,6 +111,10 @@
         """Write its configuration, whole or not at all: a reload may read it at any time."""
         listen = f"{self.address[0]}:{self.address[1]}"
         seed = f"{random_for(self._seed, 'limiter', self.name, self.lives).getrandbits(64):016x}"
+        self._raw = raw
+        if self.operated:
+            self._door = self.address[0], free_port(self.address[0])
+            raw = raw | {"operator": f"{self._door[0]}:{self._door[1]}"}
         text = json.dumps({"name": self.name, "listen": listen, "seed": seed, **raw}, indent=1)
         partial = self._path.with_suffix(".part")
         try:
@@ -110,8 +127,15 @@
 
     async def start(self) -> None:
         self.lives += 1
+        await self._begin()
+
+    async def _begin(self) -> None:
         self.expected_end = False
         env = {**os.environ, "LB_CONFIG": str(self._path), "LB_NAME": self.name}
+        if self.operated:
+            shared = self._folder / f"{self.name}-tmp"
+            shared.mkdir(exist_ok=True)
+            env["TMPDIR"] = str(shared)
         try:
             self._file = open(self.log_path, "ab")  # noqa: SIM115 -- the child's for as long as it lives
             self.process = await asyncio.create_subprocess_exec(
@@ -127,6 +151,43 @@
         with contextlib.suppress(psutil.Error):
             self._seen = psutil.Process(self.process.pid)
 
+    async def call(self, method: str, path: str) -> int:
+        """A call at its operators' door: the answer's status, 0 where there is none within a second."""
+        if self._door is None:
+            return 0
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection(*self._door)
+                try:
+                    writer.write(f"{method} {path} HTTP/1.1\r\nHost: door\r\n\r\n".encode())
+                    return int((await reader.readline()).split()[1])
+                finally:
+                    writer.transport.abort()
+        except (OSError, TimeoutError, IndexError, ValueError):
+            return 0
+
+    async def upgrade(self) -> bool:
+        """Start the program once more beside itself, wait for its yes, and end the old process."""
+        old = self.process
+        if old is None or not self.running:
+            return False
+        self.configure(self._raw)  # a door of its own, all else the same
+        await self._begin()
+        try:
+            async with asyncio.timeout(UPGRADE_WITHIN):
+                while await self.call("GET", "/v1/readyz") != 200:
+                    await asyncio.sleep(0.03)
+        except TimeoutError:
+            raise KitError(f"{self.name}: the new process gave no yes within {UPGRADE_WITHIN:g} s") from None
+        old.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(STOP_WITHIN):
+                await old.wait()
+        except TimeoutError:
+            old.kill()
+            raise KitError(f"{self.name}: the old process ignored SIGTERM for {STOP_WITHIN:g} s") from None
+        return True
+
     def _limit(self) -> None:
         """In the child, before the program: it may hold no more descriptors than it is told."""
         resource.setrlimit(resource.RLIMIT_NOFILE, (self._sockets, self._sockets))
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -11,7 +11,6 @@
 import resource
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -23,7 +22,7 @@
 from typing import Any
 
 from cypresspulley.rehearsal import records as log
-from cypresspulley.rehearsal.limiters import KitError, LimiterProcess, unseen, wire_settings
+from cypresspulley.rehearsal.limiters import KitError, LimiterProcess, free_port, unseen, wire_settings
 from cypresspulley.rehearsal.plan import Plan, PlannedFault, draw, random_for, work_of
 from cypresspulley.rehearsal.scenario import VIRTUAL_ONLY, Scenario, limiter_names, server_names
 from cypresspulley.rehearsal.standins.bagserver import BagServer, RepeatMemory
@@ -121,14 +120,6 @@
                 link.cut(now) if cut else link.heal()
 
 
-def free_port(host: str) -> int:
-    """A port of ``host`` that is free now; the address is this run's own, so it stays so."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class Director:
     """All that is on the stage of one play."""
 
@@ -155,6 +146,8 @@
         self.limiters = {
             name: limiter(name, self.net.host(250, i)) for i, name in enumerate(limiter_names(scenario))
         }
+        for each in self.limiters.values():
+            each.operated = scenario.operated
         self.front = Front(list(self.limiters))
         self.clients = ClientFleet(
             self.stage, self.front, lambda name: self.limiters[name].address, scenario.clients, classes,
@@ -165,6 +158,7 @@
         self._waiting_kills = list[tuple[str, PlannedFault]]()
         self._failure: BaseException | None = None
         self._next_server = scenario.fleet.servers
+        self._watched = dict[str, object]()  # the process of each limiter whose end is watched
         self.returning = set[str]()  # limiters that are away and to come back
         self.failed = asyncio.Event()
 
@@ -242,6 +236,7 @@
         }
         self.stage.record(log.Listed(now, name, True, True, hosts))
         await limiter.start()
+        self._watched[name] = limiter.process
         self._spawn(self._watch_end(limiter))
         await limiter.ready()
         self.stage.record(log.LimiterState(self.stage.now(), name, "ready"))
@@ -254,7 +249,13 @@
         return Host(f"bag-gone-{number}", f"{host}:9", self.halls[0], 0, "ready")
 
     async def _watch_end(self, limiter: LimiterProcess) -> None:
+        process = limiter.process
         code = await limiter.ended()
+        if limiter.process is not process:
+            # A second process has taken over: the limiter's life goes on, unless this one crashed.
+            if code != 0:
+                self.stage.complain(f"the old process of {limiter.name} ended with {code}")
+            return
         what = "exited" if limiter.expected_end else "crashed"
         self.stage.record(log.LimiterState(self.stage.now(), limiter.name, what, code))
         notice = self._rng.uniform(*self.scenario.clients.notice)
@@ -295,6 +296,59 @@
         await self.start_limiter(name)
         self.returning.discard(name)
 
+    # What operators do at the door.
+
+    async def _upgrade(self, name: str) -> None:
+        limiter = self.limiters[name]
+        if name in self.returning or not limiter.running:
+            return
+        self.returning.add(name)
+        watch = asyncio.ensure_future(limiter.upgrade())
+        while limiter.process is not None and not watch.done() and limiter.lives:
+            await asyncio.sleep(0.01)
+            if self._watched.get(name) is not limiter.process:
+                self._watched[name] = limiter.process
+                self._spawn(self._watch_end(limiter))
+        if await watch:
+            self.stage.record(log.LimiterState(self.stage.now(), name, "upgraded"))
+        self.returning.discard(name)
+
+    async def _drain_limiter(self, name: str, lasts: float) -> None:
+        limiter = self.limiters[name]
+        if name in self.returning or await limiter.call("PUT", "/v1/limiter/drain") != 200:
+            return
+        self.stage.record(log.LimiterState(self.stage.now(), name, "drained"))
+        await asyncio.sleep(0.3)  # the front asks again and again, and stops a little late
+        self.front.down(name)
+        await asyncio.sleep(lasts)
+        if limiter.running and await limiter.call("PUT", "/v1/limiter/activate") == 200:
+            self.stage.record(log.LimiterState(self.stage.now(), name, "activated"))
+            self.front.up(name)
+
+    async def _server_by_hand(self, name: str, lasts: float) -> None:
+        """Taken out at every limiter, restarted once its work is done, and called back cold."""
+        server = self.servers[name]
+        await asyncio.gather(*(self._ban(limiter, name, True) for limiter in self.limiters.values()))
+        await asyncio.sleep(min(lasts / 2, self.scenario.fleet.drain_grace + 1.0))
+        if not server.gone and server.alive:
+            server.crash()
+            await asyncio.sleep(0.1)
+            server.start(cold=True)
+            self._publish(server, "ready")
+        await asyncio.sleep(lasts / 2)
+        await asyncio.gather(*(self._ban(limiter, name, False) for limiter in self.limiters.values()))
+
+    async def _ban(self, limiter: LimiterProcess, server: str, out: bool) -> None:
+        if not limiter.running:
+            return
+        if not out:  # from the call on it may serve, whenever the answer comes
+            self.stage.record(log.Banned(self.stage.now(), limiter.name, server, False))
+        status = await limiter.call("PUT", f"/v1/servers/{server}/{'suspend' if out else 'resume'}")
+        if out and status == 200:
+            self.stage.record(log.Banned(self.stage.now(), limiter.name, server, True))
+        elif status != 200 and limiter.running and limiter.name not in self.returning:
+            self.stage.complain(f"{limiter.name} answered {status} to an operators' call on {server}")
+
     def _reload(self, name: str) -> None:
         """Discovery and keeper move; the file is replaced and the program told."""
         index = list(self.limiters).index(name)
@@ -442,6 +496,9 @@
             "server-crash": lambda name: self._crash_server(name, spec.back_after),
             "server-move": lambda name: self._move_server(name, spec.back_after),
             "server-drain": lambda name: self._drain_server(name, lasts),
+            "server-by-hand": lambda name: self._server_by_hand(name, lasts),
+            "limiter-drain": lambda name: self._drain_limiter(name, lasts),
+            "limiter-upgrade": lambda name: self._upgrade(name),
         }
         spells: dict[str, Callable[[str, bool], None]] = {
             "server-hang": lambda n, on: self.servers[n].hang(on),
--- a/cypresspulley/rehearsal/records.py
+++ b/cypresspulley/rehearsal/records.py
@@ -128,7 +128,8 @@
 
 @dataclass(frozen=True, slots=True)
 class LimiterState:
-    """``what``: started, ready, killed (SIGKILL), stopping (SIGTERM), reloaded (SIGHUP), exited, crashed."""
+    """``what``: started, ready, killed (SIGKILL), stopping (SIGTERM), reloaded (SIGHUP), exited, crashed; upgraded: a
+    second process has taken over, and the life goes on. drained, activated: by operators."""
 
     t: float
     limiter: str
@@ -205,6 +206,16 @@
     hosts: dict[str, tuple[str, float]]
 
 
+@dataclass(frozen=True, slots=True)
+class Banned:
+    """A limiter has said yes to an operators' call: a server is taken out by hand, or is called back."""
+
+    t: float
+    limiter: str
+    server: str
+    out: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Tallied:
     """The keeper did a call (``added`` false: turned away)."""
@@ -280,7 +291,7 @@
 
 Record = (
     Day | Sent | Answered | Broke | Unreached | Left | Surplus | LimiterState | ServerState | Arrived | Ran
-    | Replied | Ended | Listed | Tallied | Probed | Happened | Lateness | Complaint | Usage | End
+    | Replied | Ended | Listed | Banned | Tallied | Probed | Happened | Lateness | Complaint | Usage | End
 )  # fmt: skip
 KINDS: dict[str, type[Record]] = {kind.__name__.lower(): kind for kind in Record.__args__}
 
--- a/cypresspulley/rehearsal/rules.py
+++ b/cypresspulley/rehearsal/rules.py
@@ -183,6 +183,11 @@
         if late > SOCKETS:
             text = f"new work to {r.server} {late:.2f} s past the grace; told {health} at {since:.2f}"
             yield Violation(r.began, r.limiter, r.id, text)
+            continue
+        out = r.began - line.banned_since(r.limiter, r.server, r.began) - line.day.drain_grace
+        if out > SOCKETS:
+            text = f"new work to {r.server}, which was taken out by hand {out + line.day.drain_grace:.2f} s before"
+            yield Violation(r.began, r.limiter, r.id, text)
 
 
 # 4: no cold server pushed over.
--- a/cypresspulley/rehearsal/scenario.py
+++ b/cypresspulley/rehearsal/scenario.py
@@ -24,6 +24,9 @@
     "limiter-pause": frozenset(("targets", "count", "lasts")),
     "limiter-restart": frozenset(("targets", "count", "back_after")),
     "limiter-reload": frozenset(("targets", "count")),
+    "limiter-drain": frozenset(("targets", "count", "lasts")),
+    "limiter-upgrade": frozenset(("targets", "count")),
+    "server-by-hand": frozenset(("targets", "count", "lasts")),
     "server-errors": frozenset(("targets", "count", "lasts", "size")),
     "server-resets": frozenset(("targets", "count", "lasts", "size")),
     "server-hang": frozenset(("targets", "count", "lasts")),
@@ -47,6 +50,11 @@
 }
 
 
+# What operators do at the door; the search draws them only where it is asked to.
+OPERATED = frozenset(("limiter-drain", "limiter-upgrade", "server-by-hand"))
+SOCKETS_ONLY = frozenset(("limiter-upgrade",))  # two processes: not in virtual time
+
+
 # When a kill strikes that only a loop in virtual time can see.
 VIRTUAL_ONLY = ("turn", "write")
 
@@ -226,6 +234,15 @@
     plans: tuple[PlanRow, ...] = Field(PLANS, alias="plan", min_length=1)
     faults: tuple[Fault, ...] = Field((), alias="fault")
 
+    @property
+    def operated(self) -> bool:
+        """Whether operators call on its limiters: then these have a door."""
+        return any(fault.kind in OPERATED for fault in self.faults)
+
+    @property
+    def on_sockets_only(self) -> bool:
+        return any(fault.kind in SOCKETS_ONLY for fault in self.faults)
+
     @model_validator(mode="after")
     def _fits(self) -> Scenario:
         known = {
--- a/cypresspulley/rehearsal/timeline.py
+++ b/cypresspulley/rehearsal/timeline.py
@@ -105,6 +105,7 @@
         self.pauses = self._pauses()
         self.lives = self._lives()
         self.told = self._told()
+        self.bans = self._bans()
         if not any(isinstance(r, log.End) for r in self.records):
             self.gaps.append("the log has no end record")
 
@@ -206,6 +207,29 @@
             heard[at] = Told(min(heard[at].t, heard[at + 1].t), heard[at].health, heard[at].born)
         return heard
 
+    def _bans(self) -> dict[tuple[str, str], list[tuple[float, float]]]:
+        """By limiter and server: from when until when it was taken out by hand. A limiter that dies forgets it."""
+        bans, begun = (
+            defaultdict[tuple[str, str], list[tuple[float, float]]](list),
+            dict[tuple[str, str], float](),
+        )
+        for r in self.records:
+            if not isinstance(r, log.Banned):
+                continue
+            key = r.limiter, r.server
+            if r.out:
+                begun.setdefault(key, r.t)
+            elif key in begun:
+                since = begun.pop(key)
+                bans[key].append((since, min(r.t, self.life_at(r.limiter, since).end)))
+        for key, since in begun.items():
+            bans[key].append((since, self.life_at(key[0], since).end))
+        return bans
+
+    def banned_since(self, limiter: str, server: str, t: float) -> float:
+        """Since when the server was taken out at the limiter by then; ``FOREVER`` where it was not."""
+        return next((a for a, b in self.bans.get((limiter, server), ()) if a <= t < b), FOREVER)
+
     def life_at(self, limiter: str, t: float) -> Life:
         for life in self.lives[limiter]:
             if life.start <= t <= life.end:
--- a/cypresspulley/rehearsal/virtual/play.py
+++ b/cypresspulley/rehearsal/virtual/play.py
@@ -16,16 +16,18 @@
 from typing import Any
 
 from cypresspulley.__main__ import Config, config_from, serve
+from cypresspulley.net.door import Reply, route
 from cypresspulley.net.node import Decisions
 from cypresspulley.operators import Operators, load_operators
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.rehearsal import records as log
-from cypresspulley.rehearsal.limiters import LimiterProcess, Strike
+from cypresspulley.rehearsal.limiters import KitError, LimiterProcess, Strike
 from cypresspulley.rehearsal.plan import Plan, draw, random_for
 from cypresspulley.rehearsal.play import Director, operators_of, play_day
 from cypresspulley.rehearsal.scenario import Scenario
 from cypresspulley.rehearsal.virtual.loop import VirtualLoop, run_virtual
 from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
+from cypresspulley.service import Service
 
 UNIX_START = 1_800_000_000.0  # of every virtual day: no wall clock
 PORT = 7000
@@ -69,6 +71,7 @@
         self._observer = observer
         self._loop, self._raw = loop, dict[str, Any]()
         self._owner: Owner | None = None
+        self._service: Service | None = None
         self._end: asyncio.Future[int] = loop.create_future()
 
     def __repr__(self) -> str:
@@ -96,10 +99,25 @@
         clock = self._clock
         observer = self._observer
         watched = partial(observer.watched, self.name) if observer is not None else None
-        work = serve(self._config(), self._operators, clock=clock, reread=self._config, watched=watched)
+        work = serve(
+            self._config(), self._operators, clock=clock, reread=self._config, watched=watched, opened=self._opened
+        )  # fmt: skip
         task = self._loop.create_task(work, context=context)
         task.add_done_callback(self._done)
 
+    def _opened(self, service: Service) -> None:
+        self._service = service
+
+    async def call(self, method: str, path: str) -> int:
+        """As at a door, with no way between that could fail."""
+        routed = route(method, path)
+        if isinstance(routed, Reply) or not self.running or self._service is None:
+            return routed.status if isinstance(routed, Reply) else 0
+        return (await self._service.call(*routed)).status
+
+    async def upgrade(self) -> bool:
+        raise KitError("a limiter-upgrade needs two processes: it can be played on sockets only")
+
     def _clock(self) -> float:
         return UNIX_START + self._loop.time()
 
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -264,6 +264,21 @@
 # Rule 4: 2 cores at 0.145 half a second after the start, 2.5 times, 2 s: 1.45 s and the largest request.
 
 
+def by_hand(at: float, back: float | None = None, server: str = "s1", dies: bool = False) -> Bend:
+    def bend(s: Story) -> None:
+        s.records.append(log.Banned(4.0, "n0", "s1", True))
+        if back is not None:
+            s.records.append(log.Banned(back, "n0", "s1", False))
+        if dies:  # a limiter that dies has forgotten it
+            s.limiter(4.5, "n0", "killed")
+            s.limiter(5.0, "n0", "started")
+            s.told(5.0, "n0", True, s1=("ready", -1e9))
+        s.told(5.5, "n0", False, s1=("ready", -1e9))  # whatever the list says
+        s.served(at - 0.01, "look", "n0", server)
+
+    return bend
+
+
 def cold(count: int, limiter_told: bool = True, at: float = 3.0) -> Bend:
     def bend(s: Story) -> None:
         s.server(2.5, "s3", "started", "west")
@@ -311,6 +326,8 @@
     (agent_knew, [DRAINS]), (agent_knew_not_yet, []), (agent_knew_and_told_otherwise_since, []),
     (ready_news_older_than_the_list, [DRAINS]),
     (agent_knew_before_the_start, [DRAINS]),
+    (by_hand(6.04), []), (by_hand(6.06), [DRAINS]), (by_hand(9.0, server="s2"), []), (by_hand(9.0, back=8.9), []),
+    (by_hand(8.0, back=8.9), [DRAINS]), (by_hand(9.0, dies=True), []),
     (cold(15), []), (cold(17), [COLD]), (cold(17, limiter_told=False), []), (cold(17, at=13.0), []),
     (ceiling(9, 0.01), []), (ceiling(10, 0.01), [CEILINGS]), (ceiling(30, 0.25), []), (ceiling(30, 0.2), []),
     (ceiling(70, 0.15), [CEILINGS]),
