--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -39,7 +39,7 @@
 log = logging.getLogger("cypresspulley")
 
 SPARE_SOCKETS = 48  # descriptors kept for everything but clients and servers, and for those being closed
-DOOR_SOCKETS = 32  # and for the operators' door
+DOOR_SOCKETS = 80  # and for the operators' door
 ACCEPT_FOR = 0.5  # seconds after SIGTERM for which clients still come
 # And, after those, for what was taken. SIGKILL may come 3.7 s after SIGTERM, and what it finds is lost.
 ANSWER_WITHIN = 2.8
--- a/cypresspulley/net/door.py
+++ b/cypresspulley/net/door.py
@@ -20,7 +20,9 @@
 
 log = logging.getLogger(__name__)
 
-CONNECTIONS = 24  # at once; the longest silent gives way to a new one
+CONNECTIONS = (
+    64  # at once; the longest silent gives way: to lose a call, so many must come before its bytes are read
+)
 BACKLOG = 128
 MOST = 8192  # bytes of a call, head and body: the longest has a server's id in its path
 SILENCE = 1.5  # seconds for a call to come whole
--- a/cypresspulley/net/relay.py
+++ b/cypresspulley/net/relay.py
@@ -14,8 +14,10 @@
 
 KEEP = 64 * 1024  # bytes of an upload that are kept for another attempt; beyond them there is none
 LARGEST = 48 * 1024 * 1024  # bytes of one body: what says that it is larger is no body of this platform
-TOTAL = 24 * 1024 * 1024  # bytes that all transfers together may hold here, and as much in the kernel
-MARK_MOST, MARK_LEAST = 64 * 1024, 4 * 1024  # of one transfer
+# Bytes that all transfers together aim to hold here. Each keeps the mark that it began with, so that n of them hold
+# the sum of mark(1) to mark(n), which is TOTAL (1 + ln(n MARK_MOST / TOTAL)) where n is large.
+TOTAL = 24 * 1024 * 1024
+MARK_MOST, MARK_LEAST = 32 * 1024, 4 * 1024  # of one transfer
 READ = 32 * 1024  # of a server's connection from its beginning; the kernel gives twice as much
 RATE, WINDOW = 8192, 4.0  # bytes a second below which an upload counts as stalled; over so many seconds
 STALL = 10.0  # seconds for which a server that has begun may give nothing while it is read
@@ -42,8 +44,9 @@
         return max(MARK_LEAST, min(MARK_MOST, TOTAL // max(1, self.active)))
 
     def kernel(self) -> int:
-        """Bytes of a socket's own buffers; the kernel gives twice as much, for its bookkeeping."""
-        return max(MARK_LEAST, self.mark() // 2)
+        """Bytes of a socket's own buffers; the kernel gives twice as much. Half of it is less than a segment on loopback:
+        each then waits 40 ms for its acknowledgement (an upload of 3 MB took more than 20 s)."""
+        return READ
 
     def begin(self, sock: socket.socket) -> None:
         """One more transfer, on a server's socket."""
