--- a/benchmarks/slow_transfers.py
+++ b/benchmarks/slow_transfers.py
@@ -30,7 +30,7 @@
 
 SERVERS = 40  # a limiter holds 64 connections to one
 RECEIVE = 4096  # bytes of a slow client's own buffer
-EACH = 64 * 1024  # bytes that a transfer costs beside its buffers: connections, parsers, the allocator (46 KiB measured)
+EACH = 64 * 1024  # bytes that a transfer costs beside them: connections, parsers, the allocator (46 KiB seen)
 
 
 class Giver(asyncio.Protocol):
