--- a/cypresspulley/takeover/handover.py
+++ b/cypresspulley/takeover/handover.py
@@ -95,14 +95,16 @@
         """Have a call in force in the other process too; whether it is, or there is no other."""
         if not self.linked or self._channel is None:
             return True
-        self._number += 1
-        done = self._calls[self._number] = self._loop.create_future()
-        self._channel.send({"is": "call", "n": self._number, "name": name, "id": id})
+        self._number = number = self._number + 1
+        done = self._calls[number] = self._loop.create_future()
+        self._channel.send({"is": "call", "n": number, "name": name, "id": id})
         try:
             async with asyncio.timeout(TOLD):
                 await done
         except TimeoutError:
             return False
+        finally:
+            self._calls.pop(number, None)
         return True
 
     def _call(self, message: Message) -> None:
