Give each large transfer a quarter of the room that is left; uploads are out from their last byte

Change: marks by the room that is left, a bound on all buffers together, and the count from the last byte on.

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -16,7 +16,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED
-from cypresspulley.net.relay import LARGEST, RATE, READER, WINDOW, Download, Relay, Upload
+from cypresspulley.net.relay import LARGEST, MARK_MOST, RATE, READER, WINDOW, Download, Relay, Upload
 from cypresspulley.policy.classes import Classes
 
 if TYPE_CHECKING:
@@ -298,6 +298,7 @@
         self._upload: Upload | None = None  # the body that is being read and passed on
         self._seen, self._seen_at = 0, 0.0  # of a transfer, when it last got on
         self._linger, self._linger_bytes = LINGER, LINGER_BYTES
+        self._buffered = 0  # bytes that wait for it, when it last moved
         self._rejected = self._clogged = self._paused = False
         self.spoke = False
         self.since = frontend.clock()  # of the last thing that counts: coming, a request's begin, an answer
@@ -328,6 +329,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = self._lingering = None
+        self._account()
         self.frontend.spoken -= self.spoke
         self.frontend.disconnected(self)
         self._depart()
@@ -575,7 +577,7 @@
             if stream.length is not None:
                 framing = b"Content-Length: %d\r\n" % stream.length
             close = b"Connection: close\r\n" if request.closes else b""
-            transport.set_write_buffer_limits(high=self.frontend.relay.mark())
+            transport.set_write_buffer_limits(high=MARK_MOST)
             self.frontend.relay.cut(transport.get_extra_info("socket"))
             transport.write(b"".join((STATUS_LINES[200], stream.headers, framing, close, b"\r\n")))
             self._seen, self._seen_at = 0, self.frontend.clock()
@@ -586,6 +588,7 @@
             return False
         if stream.chunked:
             transport.write(b"0\r\n\r\n")
+        transport.set_write_buffer_limits()
         self._waiting.popleft()
         self.since = self.frontend.clock()
         if request.closes:
@@ -593,11 +596,25 @@
         return True
 
     def _put(self, data: bytes) -> None:
-        if self._transport is not None:
-            self._transport.write(data)
+        if self._transport is None:
+            return
+        self._transport.write(data)
+        mark, size = self.frontend.relay.mark(), self._account()
+        if size > mark and not self._clogged:
+            # Above this the transport says at once that it is full, and below a quarter of it that it is not.
+            self._transport.set_write_buffer_limits(high=mark // 2)
+
+    def _account(self) -> int:
+        """Bytes that wait for this client, noted for the bound on all of them, also behind an answer's end."""
+        transport = self._transport or self._lingering
+        size = transport.get_write_buffer_size() if transport is not None else 0
+        self.frontend.relay.buffered += size - self._buffered
+        self._buffered = size
+        return size
 
     def _hold_out(self, held: bool) -> None:
         """The client takes its answer slower than the server gives it, or has caught up."""
+        self._account()
         stream = self._waiting[0].stream if self._waiting else None
         if stream is not None and stream.write is not None and not stream.whole and not stream.broken:
             stream.hold(held)
@@ -673,6 +690,8 @@
     def check(self, now: float, patience: float) -> None:
         """Close what is silent, and answer what comes too slowly: both hold a descriptor and memory."""
         age = now - self.since
+        if self._buffered:
+            self._account()
         if self._transport is None:
             return
         if self._waiting:
--- a/cypresspulley/net/relay.py
+++ b/cypresspulley/net/relay.py
@@ -14,11 +14,16 @@
 
 KEEP = 64 * 1024  # bytes of an upload that are kept for another attempt; beyond them there is none
 LARGEST = 48 * 1024 * 1024  # bytes of one body: what says that it is larger is no body of this platform
-# Bytes that all transfers together aim to hold here. Each keeps the mark that it began with, so that n of them hold
-# the sum of mark(1) to mark(n), which is TOTAL (1 + ln(n MARK_MOST / TOTAL)) where n is large.
-TOTAL = 24 * 1024 * 1024
-MARK_MOST, MARK_LEAST = 32 * 1024, 4 * 1024  # of one transfer
-READ = 32 * 1024  # of a server's connection from its beginning; the kernel gives twice as much
+TOTAL = (
+    24 * 1024 * 1024
+)  # bytes that all transfers' buffers together may hold, beside ``MARK_LEAST`` and a read of each
+# Of one transfer. An attempt is out, and its server held, until its last byte has been read here: what finds room
+# ends sooner.
+MARK_MOST, MARK_LEAST = 2 * 1024 * 1024, 4 * 1024
+SHARE = 4  # of the room that is left, one transfer may take a quarter
+# Bytes of a socket's own buffers; the kernel gives twice as much. Half of it is less than a segment on loopback: each
+# then waits 40 ms for its acknowledgement (an upload of 3 MB took more than 20 s).
+READ = 32 * 1024
 RATE, WINDOW = 8192, 4.0  # bytes a second below which an upload counts as stalled; over so many seconds
 STALL = 10.0  # seconds for which a server that has begun may give nothing while it is read
 READER = 60.0  # and a client may take nothing of what is there
@@ -35,18 +40,14 @@
 
     def __init__(self) -> None:
         self.active = 0
+        self.buffered = 0  # bytes that wait for clients, as of when each transfer last moved
 
     def __repr__(self) -> str:
-        return f"<Relay {self.active} transfers, {self.mark()} bytes each>"
+        return f"<Relay {self.active} transfers, {self.buffered} bytes buffered, {self.mark()} for the next>"
 
     def mark(self) -> int:
         """Bytes in one transfer's buffer from which its source is no longer read."""
-        return max(MARK_LEAST, min(MARK_MOST, TOTAL // max(1, self.active)))
-
-    def kernel(self) -> int:
-        """Bytes of a socket's own buffers; the kernel gives twice as much. Half of it is less than a segment on loopback:
-        each then waits 40 ms for its acknowledgement (an upload of 3 MB took more than 20 s)."""
-        return READ
+        return max(MARK_LEAST, min(MARK_MOST, (TOTAL - self.buffered) // SHARE))
 
     def begin(self, sock: socket.socket) -> None:
         """One more transfer, on a server's socket."""
@@ -55,9 +56,9 @@
 
     def cut(self, sock: socket.socket) -> None:
         """Bound what the kernel holds of a large transfer, and with it what one read brings."""
-        bound_kernel(sock, self.kernel())
+        bound_kernel(sock)
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.kernel())
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, READ)
 
     def end(self) -> None:
         self.active -= 1
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -140,7 +140,6 @@
             wait = min(wait, max(SPLIT * r.cls.aim, 4 * max(1.0, s.slow) * r.work))
         r.out[len(r.tries)] = s
         r.tries.append((s, now))
-        r.account.open += 1
         s.since += 1
         s.budget -= r.work if s.cold_at is not None else 0.0  # warm, it owes nothing when unsure again
         if not r.coming:
@@ -150,8 +149,8 @@
 
     @staticmethod
     def _busy(now: float, r: Request, s: Server) -> None:
-        """Its work is at the server from now on, which owes an answer."""
-        r.busy = True
+        """It is out from now on: its work is at the server, which owes an answer."""
+        r.busy, r.account.open = True, r.account.open + 1
         s.open, s.quiet = s.open + r.work, now if s.quiet is None else s.quiet
 
     def _body(self, now: float, ev: api.Body) -> None:
@@ -187,7 +186,7 @@
         if s is None or r is None:
             return
         if r.out.pop(ev.attempt, None) is not None:
-            r.account.open -= 1
+            r.account.open -= not r.coming
             if r.busy:
                 self._learn(now, r, s, ev)
             elif r.coming or ev.status is not Status.OK:
@@ -232,5 +231,5 @@
         if r := self._requests.pop(request, None):
             for s in r.out.values():
                 s.ended(r.work if r.busy else 0.0)
-                r.account.open -= 1
+                r.account.open -= not r.coming
                 s.quiet = s.quiet if s.open > 1e-9 else None  # nobody waits: it owes nothing any more
