--- a/cypresspulley/operators.py
+++ b/cypresspulley/operators.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import os
-import tomllib
 from dataclasses import dataclass
 from typing import Any
 
@@ -37,6 +36,8 @@
 
 def load_operators(path: str) -> Operators:
     """Read the file; ``OperatorsError`` where it cannot be used."""
+    import tomllib  # a start without the file, which is most, goes without the parser
+
     try:
         with open(path, "rb") as file:
             raw = tomllib.load(file)
