Mend what a second reading found in relay, takeover and service

Found by reading the whole change once more: a pipelined Expect was never told to go on; a server that takes nothing of an upload held the request for good; an upload behind an answer that its client does not read was cut as stalled; a silent connection to the takeover's socket kept successors out; every answer during a hand-over walked over all clients; gc.freeze was never reached, because the clock was set before it was asked for; the access log kept a record of each answer that broke off. Bans stood in two places, framing in three. Each of the first four has a test.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -139,7 +139,13 @@
     return config_from(raw)
 
 
-KEPT_KEYS = ("listen", "discovery", "counter", "limits", "settings")  # of the file; each stays where it was
+KEPT_KEYS = (
+    "listen",
+    "discovery",
+    "counter",
+    "limits",
+    "settings",
+)  # of the file; none may go missing in service
 
 
 class Reload:
@@ -202,6 +208,7 @@
     loop.set_exception_handler(
         lambda _loop, context: log.error("%s", context.get("message"), exc_info=context.get("exception"))
     )
+    alone = clock is None  # in a process of its own
     clock = clock or unix_clock()
     # Usual clients hold a third of all at most; what silent ones hold beyond gives way to them.
     spare = SPARE_SOCKETS + (DOOR_SOCKETS if config.operator else 0)
@@ -248,9 +255,7 @@
         service.retuned()
 
     loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter, reread, retune))
-    if (
-        clock is None
-    ):  # in a process of its own; where many limiters share one, what one freezes stays for good
+    if alone:  # where many limiters share a process, what one freezes stays for good
         gc.collect()
         gc.freeze()  # what is here now stays: the collector need not walk it again
     service.serve(node, frontend, gateway, upstream, clock, offer is not None)
@@ -285,7 +290,10 @@
 def _folder(config: Config) -> Folder | None:
     """Where a successor finds this process: there is one where operators have a door."""
     path = os.environ.get("TMPDIR")
-    if config.operator is None or not path:
+    if config.operator is None:
+        return None
+    if not path:
+        log.info("takeover: TMPDIR is not set: a second process will share the port and nothing else")
         return None
     try:
         return Folder(path, f"{config.listen[0]}-{config.listen[1]}")
--- a/cypresspulley/accesslog.py
+++ b/cypresspulley/accesslog.py
@@ -130,7 +130,12 @@
 
     def _attempted(self, id: int, number: int, attempt: Exchange) -> None:
         opened = self._open.get(id)
-        if opened is not None and attempt.status is api.Status.OK:
+        if opened is not None and attempt.download is not None:
+            whole = attempt.status is api.Status.OK
+            why = "" if whole else "the answer broke off"
+            size = attempt.download.size
+            self._told(opened.request, len(opened.attempts), "served" if whole else "failed", 200, why, size)
+        elif opened is not None and attempt.status is api.Status.OK:
             self._told(opened.request, len(opened.attempts), "served", 200, "", len(attempt.answer))
         super()._attempted(id, number, attempt)
 
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -16,7 +16,18 @@
 
 from cypresspulley import interface as api
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED
-from cypresspulley.net.relay import LARGEST, MARK_MOST, RATE, READER, WINDOW, Download, Relay, Upload
+from cypresspulley.net.relay import (
+    LARGEST,
+    LAST_CHUNK,
+    MARK_MOST,
+    RATE,
+    READER,
+    WINDOW,
+    Download,
+    Relay,
+    Upload,
+    framing,
+)
 from cypresspulley.policy.classes import Classes
 
 if TYPE_CHECKING:
@@ -430,15 +441,17 @@
         if self._chunked and self._length is not None:
             raise BadRequestError(400, "two framings: one of them may hide a request")
         self._head_read, self._size, self._trailers = True, 0, 0
-        self._seen, self._seen_at = 0, self.frontend.clock()
+        if self._length or self._chunked:
+            self._seen, self._seen_at = 0, self.frontend.clock()
         if self._length is not None and self._length > MAX_BODY:
             self._flow()
-        self._continue()
+        if self._expects:
+            self._continue()
 
     def _continue(self) -> None:
-        """Who waits to be told to send its body is told, when it is its turn."""
+        """Who waits to be told to send its body is told, once all answers before its own are written."""
         first = not self._waiting or (self._upload is not None and self._waiting[0].upload is self._upload)
-        if self._expects and self._reading and first and not self._rejected and self._transport is not None:
+        if self._reading and first and not self._rejected and self._transport is not None:
             self._expects = False
             if self._parser.get_http_version() != "1.0":
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -549,9 +562,11 @@
             self._transport.write(start + (b"Connection: close\r\n" if close else b"") + rest)
             if close:
                 self._close()
+        if self._expects:
+            self._continue()
         self._throttle()
-        if self.frontend.handing and self.idle:
-            asyncio.get_running_loop().call_soon(self.frontend.hand_over)
+        if self.frontend.passing is not None and self.idle:
+            asyncio.get_running_loop().call_soon(self.hand_over)
 
     def _ends(self, request: ClientRequest) -> bool:
         """Whether the connection ends behind an answer."""
@@ -561,7 +576,9 @@
             return True
         # Of what is pipelined only the last answer closes: what stands behind it has been taken too.
         behind = len(self._waiting) > (request.stream is not None)
-        return not request.keep_alive or (self.frontend.closing and not behind and not self.frontend.handing)
+        return not request.keep_alive or (
+            self.frontend.closing and not behind and self.frontend.passing is None
+        )
 
     def _flow_out(self, request: ClientRequest, stream: Download) -> bool:
         """An answer that flows has its turn; whether it is over."""
@@ -572,22 +589,19 @@
             return False
         if stream.write is None:
             request.closes = self._ends(request) or (stream.length is None and not request.chunks)
-            chunked = stream.length is None and request.chunks
-            framing = b"Transfer-Encoding: chunked\r\n" if chunked else b""
-            if stream.length is not None:
-                framing = b"Content-Length: %d\r\n" % stream.length
+            lines = framing(stream.length, request.chunks)
             close = b"Connection: close\r\n" if request.closes else b""
             transport.set_write_buffer_limits(high=MARK_MOST)
             self.frontend.relay.cut(transport.get_extra_info("socket"))
-            transport.write(b"".join((STATUS_LINES[200], stream.headers, framing, close, b"\r\n")))
+            transport.write(b"".join((STATUS_LINES[200], stream.headers, lines, close, b"\r\n")))
             self._seen, self._seen_at = 0, self.frontend.clock()
-            stream.turn(self._put, chunked)
+            stream.turn(self._put, stream.length is None and request.chunks)
             if self._clogged:
                 stream.hold(True)
         if not stream.whole:
             return False
         if stream.chunked:
-            transport.write(b"0\r\n\r\n")
+            transport.write(LAST_CHUNK)
         transport.set_write_buffer_limits()
         self._waiting.popleft()
         self.since = self.frontend.clock()
@@ -617,12 +631,14 @@
         self._account()
         stream = self._waiting[0].stream if self._waiting else None
         if stream is not None and stream.write is not None and not stream.whole and not stream.broken:
+            if not held and self._transport is not None:
+                self._transport.set_write_buffer_limits(high=MARK_MOST)  # the room may have grown meanwhile
             stream.hold(held)
 
-    def hand_over(self, passing: Callable[[int], bool]) -> None:
+    def hand_over(self) -> None:
         """Pass the connection on where it is at rest between two requests, with nothing of an answer unwritten."""
-        transport = self._transport
-        if transport is None or not self.idle or self._rejected or transport.is_closing():
+        transport, passing = self._transport, self.frontend.passing
+        if passing is None or transport is None or not self.idle or self._rejected or transport.is_closing():
             return
         if transport.get_write_buffer_size() > 0:
             return  # the sweep looks again
@@ -714,7 +730,7 @@
         """End a transfer whose client does not get on with it; one that is held up by the server is left alone."""
         assert self._transport is not None
         upload = self._upload
-        if upload is not None and not upload.held:
+        if upload is not None and not self._paused:  # who is not read cannot get on
             if now - self._seen_at > WINDOW:
                 if upload.size - self._seen < RATE * WINDOW:
                     return self._cut(upload, 408)
@@ -760,7 +776,8 @@
         self._clients = dict[_Client, None]()  # in the order of their coming
         self._server: asyncio.Server | None = None
         self._listener: socket.socket | None = None  # where another process may share it
-        self._passing: Callable[[int], bool] | None = None
+        # Takes the descriptors of connections at rest to another process; None: there is none.
+        self.passing: Callable[[int], bool] | None = None
         self.closed = False
         self.relay = Relay()  # the bound on large transfers: of the servers' side, where that is known
         self._empty = asyncio.Event()
@@ -818,18 +835,14 @@
 
     def hand(self, passing: Callable[[int], bool] | None) -> None:
         """Connections at rest go to another process from now on, as descriptors; None: they stay."""
-        self._passing = passing
+        self.passing = passing
         self.hand_over()
 
-    @property
-    def handing(self) -> bool:
-        return self._passing is not None
-
     def hand_over(self) -> None:
         """Pass on all connections that are at rest."""
-        if self._passing is not None:
+        if self.passing is not None:
             for client in list(self._clients):
-                client.hand_over(self._passing)
+                client.hand_over()
 
     async def take(self, sock: socket.socket) -> None:
         """A connection that another process has passed on."""
--- a/cypresspulley/net/relay.py
+++ b/cypresspulley/net/relay.py
@@ -2,7 +2,7 @@
 
 No decision is made here. What is small is handed over whole, as ever; what is larger than ``KEEP`` flows. Of each
 transfer no more is held than one side's buffer up to ``mark()`` and what one read brings, which the kernel's buffers
-bound: they are cut to ``kernel()`` once a transfer is known to be large.
+bound: they are cut to ``READ``.
 """
 
 from __future__ import annotations
@@ -14,9 +14,8 @@
 
 KEEP = 64 * 1024  # bytes of an upload that are kept for another attempt; beyond them there is none
 LARGEST = 48 * 1024 * 1024  # bytes of one body: what says that it is larger is no body of this platform
-TOTAL = (
-    24 * 1024 * 1024
-)  # bytes that all transfers' buffers together may hold, beside ``MARK_LEAST`` and a read of each
+# Bytes that all transfers' buffers together may hold, beside ``MARK_LEAST`` and a read of each.
+TOTAL = 24 * 1024 * 1024
 # Of one transfer. An attempt is out, and its server held, until its last byte has been read here: what finds room
 # ends sooner.
 MARK_MOST, MARK_LEAST = 2 * 1024 * 1024, 4 * 1024
@@ -25,14 +24,29 @@
 # then waits 40 ms for its acknowledgement (an upload of 3 MB took more than 20 s).
 READ = 32 * 1024
 RATE, WINDOW = 8192, 4.0  # bytes a second below which an upload counts as stalled; over so many seconds
-STALL = 10.0  # seconds for which a server that has begun may give nothing while it is read
+STALL = 10.0  # seconds for which a server may give nothing of an answer that is read, or take nothing of an upload
 READER = 60.0  # and a client may take nothing of what is there
 
 
-def bound_kernel(sock: socket.socket, size: int = READ) -> None:
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """One chunk of a chunked body (RFC 9112, 7.1)."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def framing(length: int | None, chunks: bool) -> bytes:
+    """The header line that says where a body ends; none where only its connection's end does."""
+    if length is not None:
+        return b"Content-Length: %d\r\n" % length
+    return b"Transfer-Encoding: chunked\r\n" if chunks else b""
+
+
+def bound_kernel(sock: socket.socket) -> None:
     """Bound what the kernel takes in on a connection that may bring a large body: one read brings all of it."""
     with contextlib.suppress(OSError):  # the connection has ended, or its kind has no such bound
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ)
 
 
 class Relay:
@@ -94,14 +108,10 @@
     @property
     def framing(self) -> bytes:
         """The header line that says where the body ends."""
-        return (
-            b"Transfer-Encoding: chunked\r\n"
-            if self.length is None
-            else b"Content-Length: %d\r\n" % self.length
-        )
+        return framing(self.length, chunks=True)
 
     def _framed(self, data: bytes) -> bytes:
-        return b"%x\r\n%b\r\n" % (len(data), data) if self.length is None else data
+        return chunk(data) if self.length is None else data
 
     def feed(self, data: bytes) -> None:
         """Bytes that have come."""
@@ -124,7 +134,7 @@
 
     def _end(self, sink: Sink) -> None:
         if self.length is None:
-            sink.put(b"0\r\n\r\n")
+            sink.put(LAST_CHUNK)
         sink.put_end()
 
     def _spend(self) -> None:
@@ -179,6 +189,7 @@
         self.length, self.headers, self._source = length, headers, source  # None: it ends when it ends
         self.pieces = list[bytes]()  # before its turn
         self.write: Callable[[bytes], None] | None = None
+        self.size = 0  # bytes of the body that went on to the client
         self.chunked = False
         self.whole = self.broken = False
 
@@ -192,7 +203,8 @@
             self.pieces.append(data)
             self._source.hold(True)  # others' answers come first
         else:
-            self.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+            self.size += len(data)
+            self.write(chunk(data) if self.chunked else data)
 
     def turn(self, write: Callable[[bytes], None], chunked: bool) -> None:
         """All before it is written: from now on it flows."""
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -157,6 +157,7 @@
         if exchange.upload is None or exchange.upload.whole:
             exchange.written = True
         else:
+            self.moved = self._upstream.now()
             exchange.upload.hold(False)
 
     def send(self, exchange: Exchange, data: bytes) -> None:
@@ -169,8 +170,7 @@
         elif exchange.upload is None:
             exchange.written = not self._unwritten
         else:
-            self._upstream.relay.begin(self.transport.get_extra_info("socket"))
-            self._flows = True
+            self._begin_flow()
             if not exchange.upload.attach(self):
                 self._upstream.cancel(exchange)
 
@@ -205,19 +205,29 @@
             self._upstream.cancel(self.exchange)
 
     def stalled(self, now: float) -> bool:
-        """Whether a server that has begun a large answer gives nothing, though it is read."""
-        return not self.held and now - self.moved > STALL
+        """Whether a server gives nothing of a large answer, though it is read, or takes nothing of an upload."""
+        exchange = self.exchange
+        if exchange is None or now - self.moved <= STALL:
+            return False
+        return not self.held if exchange.download is not None else self._unwritten
 
     def stall(self) -> None:
-        self._spoilt(TimeoutError("it began and stalled"))
+        """Leave a server that has stalled."""
+        exchange = self.exchange
+        assert exchange is not None
+        if exchange.download is not None:
+            self._spoilt(TimeoutError("it began and stalled"))
+        else:  # the request's last byte never left
+            log.warning("%s took nothing of an upload for %g s", exchange.server, STALL)
+            self._upstream.give_up(exchange, Status.DROPPED)
 
     def leave(self) -> None:
         """The exchange no longer has this connection."""
         if self._flows and self.exchange is not None and self.exchange.upload is not None:
             self.exchange.upload.detach(self)
-        self._upstream.streaming.discard(self)
         if self._flows:
             self._flows = False
+            self._upstream.streaming.discard(self)
             self._upstream.relay.end()
         if self.held and self.transport is not None and not self.transport.is_closing():
             self.held = False
@@ -231,9 +241,8 @@
         self._calm()
         if (exchange := self.exchange) is not None:
             if exc is None and self._to_the_end and self._code is None:
-                return self._complete(
-                    self._parser.get_status_code()
-                )  # it ends with its connection, and that ended in order
+                # It ends with its connection, and that ended in order.
+                return self._complete(self._parser.get_status_code())
             self.leave()
             self.exchange = None
             self._upstream.end(exchange, Status.BROKEN if exchange.written else Status.DROPPED)
@@ -246,7 +255,8 @@
         if not exchange.written and (exchange.upload is None or exchange.upload.whole):
             return self.abort()  # an answer before its request is whole is none, and the request never ran
         self._received += len(data)
-        self.moved = self._upstream.now() if exchange.download is not None else 0.0
+        if exchange.download is not None:
+            self.moved = self._upstream.now()
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -289,11 +299,7 @@
         exchange = self.exchange
         assert exchange is not None and exchange.begun is not None and self.transport is not None
         self._calm()
-        if not self._flows:
-            self._upstream.relay.begin(self.transport.get_extra_info("socket"))
-            self._flows = True
-        self._upstream.streaming.add(self)
-        self.moved = self._upstream.now()
+        self._begin_flow()
         self._read_figures(exchange, 200)
         if exchange.timer is not None:
             exchange.timer.cancel()  # the rest takes what it takes
@@ -304,6 +310,15 @@
         if body and exchange.download is not None:
             download.put(body)
 
+    def _begin_flow(self) -> None:
+        """A large body is under way here, one way or the other."""
+        assert self.transport is not None
+        self.moved = self._upstream.now()
+        if not self._flows:
+            self._flows = True
+            self._upstream.relay.begin(self.transport.get_extra_info("socket"))
+            self._upstream.streaming.add(self)
+
     def _calm(self) -> None:
         if self._late is not None:
             self._late.cancel()
@@ -530,7 +545,7 @@
 
     def cancel(self, exchange: Exchange) -> None:
         """Stop waiting; the connection goes with it, so that no late answer meets another request."""
-        self._give_up(exchange, Status.CANCELLED)
+        self.give_up(exchange, Status.CANCELLED)
 
     def end(self, exchange: Exchange, status: Status) -> None:
         """Report an exchange once."""
@@ -603,9 +618,10 @@
 
     def _expired(self, exchange: Exchange) -> None:
         # Not yet written on a connection, it is known not to have run, and says nothing of the server.
-        self._give_up(exchange, Status.NOT_SENT if exchange.connection is None else Status.TIMEOUT)
+        self.give_up(exchange, Status.NOT_SENT if exchange.connection is None else Status.TIMEOUT)
 
-    def _give_up(self, exchange: Exchange, status: Status) -> None:
+    def give_up(self, exchange: Exchange, status: Status) -> None:
+        """End an exchange that is still out; its connection goes with it."""
         if exchange.ended:
             return
         if (connection := exchange.connection) is not None:
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -6,7 +6,7 @@
 import json
 import logging
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from cypresspulley.lifecycle import Lifecycle, Step
@@ -38,7 +38,7 @@
         self._predecessor: Predecessor | None = None  # and to its successor
         self._split: Split | None = None
         self._ghosts: Ghosts | None = None
-        self._bans, self._drained = set[str](), False  # as inherited, until the process serves
+        self._drained = False  # as inherited, until the process serves
         self._tasks = set[asyncio.Task[None]]()
 
     # Starting, alone or after a predecessor.
@@ -56,7 +56,7 @@
         state = offer.state
         try:
             adopt(gateway, now, state["decisions"])
-            dials, bans = {str(k): str(v) for k, v in state["dials"].items()}, [str(b) for b in state["bans"]]
+            dials = {str(k): str(v) for k, v in state["dials"].items()}
             for server in gateway.fleet.servers.values():
                 upstream.update(server.entry.name, dials.get(server.entry.name, ""), server.up)
             drained = bool(state["drained"])
@@ -64,8 +64,7 @@
             log.error("takeover: %s", error)
             self._successor.reject()
             return False
-        self._bans = set(bans)
-        for name in bans:
+        for name in gateway.fleet.bans:
             upstream.ban(name, True)
         self._drained = drained
         return True
@@ -103,11 +102,10 @@
             return log.error("takeover: the record of bans cannot be read: %r", error)
         for name in bans:
             self._node.suspend(name, True, sure=True)
-        self._bans = bans
 
     def _record(self) -> None:
-        if self._folder is not None:
-            text = json.dumps({"bans": sorted(self._bans), "drained": self.life.drained})
+        if self._folder is not None and self._gateway is not None:
+            text = json.dumps({"bans": sorted(self._gateway.fleet.bans), "drained": self.life.drained})
             try:
                 self._folder.write(RECORD, text)
             except OSError as error:
@@ -128,10 +126,9 @@
         return reply
 
     async def _tell(self, name: str, id: str, source: Peer | None) -> bool:
-        peers = [
-            peer for peer in (self._successor, self._predecessor) if peer is not None and peer is not source
-        ]
-        return all([await peer.tell(name, id) for peer in peers])
+        peers = (self._successor, self._predecessor)
+        others = [peer.tell(name, id) for peer in peers if peer is not None and peer is not source]
+        return all(await asyncio.gather(*others))  # together: the answer at the door is due
 
     def _apply(self, name: str, id: str, sure: bool = False) -> Reply:
         if name in ("suspend", "resume"):
@@ -146,7 +143,6 @@
         assert self._node is not None
         if not self._node.suspend(id, out, sure):
             return Reply(404, {"server": id, "error": "no server of this id was ever listed"})
-        (self._bans.add if out else self._bans.discard)(id)
         self._record()
         return Reply(200, {"server": id, "suspended": out})
 
@@ -175,8 +171,7 @@
     def state(self) -> dict[str, Any]:
         assert self._gateway is not None and self._upstream is not None
         return {
-            "decisions": take(self._gateway), "dials": self._upstream.dials_by_name(), "bans": sorted(self._bans),
-            "drained": self.life.drained,
+            "decisions": take(self._gateway), "dials": self._upstream.dials_by_name(), "drained": self.life.drained,
         }  # fmt: skip
 
     def listener(self) -> int:
@@ -193,7 +188,7 @@
         if self._frontend is not None and not self._frontend.closed:
             self._later(self._frontend.resume())
 
-    def _later(self, work: Any) -> None:
+    def _later(self, work: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -233,10 +228,7 @@
 
     def applied(self, name: str, id: str, source: Peer) -> None:
         self._apply(name, id, sure=True)
-        self._later(self._relay(name, id, source))
-
-    async def _relay(self, name: str, id: str, source: Peer) -> None:
-        await self._tell(name, id, source)
+        self._later(self._tell(name, id, source))  # to a third process, where there is one
 
     def alone(self) -> None:
         self.life.step(Step.ALONE)
--- a/cypresspulley/takeover/handover.py
+++ b/cypresspulley/takeover/handover.py
@@ -17,6 +17,7 @@
 
 PART = 16_000  # characters of a snapshot in one message: escaped they are under its bound
 PARTS = 4096
+EARLY = 256  # calls of operators that may come between an offer and the word that this process serves
 TOLD = 0.5  # seconds for the other process to say that a call is in force there
 HELD_EVERY = 0.05  # seconds between two tellings of what is still out
 assert FDS == 1
@@ -181,6 +182,7 @@
         if self.linked or not same_user(sock):
             return sock.close()  # one successor at a time
         self._channel = Channel(sock, self._heard, self._ended)
+        self._late = self._loop.call_later(WAITS[At.ASKING], self._wait, Heard.LATE)  # it must say hello
 
     def _heard(self, channel: Channel, message: Message, fd: int | None) -> None:
         if fd is not None:
@@ -271,7 +273,7 @@
         self._offer: Offer | None = None
         self._listener: socket.socket | None = None
         self._wanted, self._checksum, self._parts = 0, "", list[str]()
-        self._early = list[tuple[Message, int | None]]()  # what comes before this process serves
+        self._early = list[Message]()  # what comes before this process serves
         sock = folder.connect()
         if sock is not None and same_user(sock):
             self._channel = Channel(sock, self._heard, self._ended)
@@ -298,31 +300,40 @@
         if self.side.at is At.SERVING and self._channel is not None:
             self._channel.send({"is": "serving"})
         early, self._early = self._early, []
-        for message, fd in early:
-            self._from_predecessor(message, fd)
+        for message in early:
+            self._from_predecessor(host, message)
         if self.side.at is At.ALONE:
             host.alone()
 
     def _heard(self, channel: Channel, message: Message, fd: int | None) -> None:
+        sock = socket.socket(fileno=fd) if fd is not None else None
         try:
             match message.get("is"):
                 case "offer":
-                    self._begin(message, fd)
+                    self._begin(message, sock)
+                case "client" if self._host is not None and sock is not None:
+                    self._host.took(sock)
+                case _ if sock is not None:
+                    raise ValueError(f"a descriptor where none belongs: {message.get('is')!r:.40}")
                 case "part":
                     self._part(message)
                 case _ if self._host is None:
-                    self._early.append((message, fd))
+                    if len(self._early) >= EARLY:
+                        raise ValueError("too much before this process serves")
+                    self._early.append(message)
                 case _:
-                    self._from_predecessor(message, fd)
+                    self._from_predecessor(self._host, message)
         except (ValueError, TypeError, KeyError) as error:
+            if sock is not None:
+                sock.close()
             log.error("takeover: %s", error)
             self._wait(Heard.BAD)
 
-    def _begin(self, message: Message, fd: int | None) -> None:
+    def _begin(self, message: Message, listener: socket.socket | None) -> None:
         self._wanted, self._checksum = int(message["parts"]), str(message["checksum"])
-        if fd is None or not 0 < self._wanted <= PARTS or self._listener is not None:
-            raise ValueError("an offer without a listener, or of too many parts")
-        self._listener = socket.socket(fileno=fd)
+        if listener is None or not 0 < self._wanted <= PARTS or self._listener is not None:
+            raise ValueError("an offer without a listener, of too many parts or a second one")
+        self._listener = listener
         self._wait(Heard.OFFER)
 
     def _part(self, message: Message) -> None:
@@ -336,21 +347,16 @@
         self._offer = Offer(self._listener, state)
         self._wait(Heard.WHOLE)
 
-    def _from_predecessor(self, message: Message, fd: int | None) -> None:
-        host, kind = self._host, message.get("is")
-        assert host is not None
-        if kind == "client" and fd is not None:
-            return host.took(socket.socket(fileno=fd))
-        if fd is not None:
-            os.close(fd)
-        if kind == "held":
-            host.told_held([(str(plan), str(account), int(n)) for plan, account, n in message["rows"]])
-        elif kind == "call":
-            self._call(message)
-        elif kind == "done":
-            self._done(message)
-        else:
-            raise ValueError(f"an unknown message: {kind!r:.40}")
+    def _from_predecessor(self, host: Host, message: Message) -> None:
+        match message.get("is"):
+            case "held":
+                host.told_held([(str(plan), str(account), int(n)) for plan, account, n in message["rows"]])
+            case "call":
+                self._call(message)
+            case "done":
+                self._done(message)
+            case kind:
+                raise ValueError(f"an unknown message: {kind!r:.40}")
 
     def _ended(self, channel: Channel) -> None:
         self._hung_up()
--- a/tests/takeover/test_handover.py
+++ b/tests/takeover/test_handover.py
@@ -351,6 +351,28 @@
     run(main())
 
 
+def test_who_connects_and_says_nothing_makes_way_for_a_successor(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setitem(WAITS, At.ASKING, 0.1)
+
+    async def main() -> None:
+        async with listening(Origin().talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            silent = Folder(str(tmp_path), "test").connect()
+            assert silent is not None
+            await until(lambda: old.service._predecessor is not None and old.service._predecessor.linked)
+            await until(lambda: old.service._predecessor is not None and not old.service._predecessor.linked)
+            silent.close()
+            monkeypatch.setitem(WAITS, At.ASKING, 1.5)
+            new = await Process(tmp_path, dial).start()
+            assert new.inherited
+            await old.end()
+            await new.end()
+
+    run(main())
+
+
 def test_a_channel_ends_on_what_is_too_large(tmp_path: Path) -> None:
     async def main() -> None:
         ours, theirs = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
 import pytest
 
 from cypresspulley import interface as api
+from cypresspulley.net import frontend as net_frontend
 from cypresspulley.net import relay as net_relay
 from cypresspulley.net import upstream as net_upstream
 from cypresspulley.net.relay import KEEP, MARK_LEAST, MARK_MOST, READ, TOTAL, Download, Relay, Upload
@@ -253,44 +254,38 @@
     run(main())
 
 
-def test_first_bytes_are_passed_on_at_once_and_no_total_time_is_on_the_rest() -> None:
+@pytest.mark.parametrize(
+    ("head", "first", "rest", "got"),
+    [
+        (b"Content-Length: 100000\r\n\r\n", b"first", b"x" * 99_995, b"x" * 99_995),
+        (
+            b"Transfer-Encoding: chunked\r\n\r\n5\r\n",
+            b"first",
+            b"\r\n1\r\nx\r\n0\r\n\r\n",
+            b"\r\n1\r\nx\r\n0\r\n\r\n",
+        ),
+    ],
+    ids=["length", "chunks"],
+)
+def test_first_bytes_are_passed_on_at_once_and_no_total_time_is_on_the_rest(
+    head: bytes, first: bytes, rest: bytes, got: bytes
+) -> None:
     async def main() -> None:
         more = asyncio.Event()
 
         async def talk(reader: Reader, writer: Writer) -> None:
             await read_request(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nfirst")
+            writer.write(b"HTTP/1.1 200 OK\r\n" + head + first)
             await more.wait()
-            writer.write(b"x" * 99_995)
+            writer.write(rest)
 
         async with listening(talk) as dial, Limiter(Script(send_on), {"s1": dial}) as limiter:
             reader, writer = await limiter.connect()
             writer.write(ask(ttl=150))
-            assert (await reader.readuntil(b"first")).endswith(b"first")
+            await reader.readuntil(first)
             await asyncio.sleep(0.3)  # past the client's time: it was answered in time
             more.set()
-            assert await reader.readexactly(99_995) == b"x" * 99_995
-            writer.close()
-
-    run(main())
-
-
-def test_an_answer_of_unknown_length_is_not_held_back() -> None:
-    async def main() -> None:
-        more = asyncio.Event()
-
-        async def talk(reader: Reader, writer: Writer) -> None:
-            await read_request(reader)
-            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n")
-            await more.wait()
-            writer.write(b"1\r\nx\r\n0\r\n\r\n")
-
-        async with listening(talk) as dial, Limiter(Script(send_on), {"s1": dial}) as limiter:
-            reader, writer = await limiter.connect()
-            writer.write(ask())
-            assert await reader.readuntil(b"first\r\n")
-            more.set()
-            assert await reader.readuntil(b"0\r\n\r\n") == b"1\r\nx\r\n0\r\n\r\n"
+            assert await reader.readexactly(len(got)) == got
             writer.close()
 
     run(main())
@@ -451,6 +446,84 @@
     run(main())
 
 
+def test_who_waits_behind_another_request_is_told_when_that_is_answered() -> None:
+    async def main() -> None:
+        release = asyncio.Event()
+
+        async def talk(reader: Reader, writer: Writer) -> None:
+            while True:
+                await read_request(reader)
+                await release.wait()
+                writer.write(OK)
+
+        async with listening(talk) as dial, Limiter(Script(send_on), {"s1": dial}) as limiter:
+            reader, writer = await limiter.connect()
+            request = ask(POST, b"hi", Expect="100-continue")
+            writer.write(ask() + request[:-2])
+            await asyncio.sleep(0.02)
+            release.set()
+            assert " 200 " in (await read_message(reader))[0]
+            assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            writer.write(b"hi")
+            assert " 200 " in (await read_message(reader))[0]
+            writer.close()
+
+    run(main())
+
+
+def test_a_server_that_takes_nothing_of_an_upload_is_left_and_never_ran_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(net_upstream, "STALL", 0.05)
+    monkeypatch.setattr(net_upstream, "SWEEP", 0.02)
+
+    async def main() -> None:
+        async def talk(reader: Reader, writer: Writer) -> None:
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await asyncio.sleep(10)
+
+        script = Script(send_on)
+        async with listening(talk) as dial, Limiter(script, {"s1": dial}) as limiter:
+            reader, writer = await limiter.connect()
+            writer.write(ask(POST, LARGE * 5))
+            status, headers, _ = await read_message(reader)
+            assert " 429 " in status and headers["connection"] == "close"
+            (outcome,) = await script.until(api.Outcome)
+            assert outcome.status is api.Status.DROPPED and limiter.upstream.relay.active == 0
+            writer.transport.abort()
+
+    run(main())
+
+
+def test_an_upload_of_a_client_that_does_not_read_its_last_answer_is_not_taken_for_stalled(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    for name, value in (("WINDOW", 0.05), ("SWEEP", 0.01)):
+        monkeypatch.setattr(net_frontend, name, value)
+
+    async def main() -> None:
+        answers = [HEADS["length"][0], OK]
+
+        async def talk(reader: Reader, writer: Writer) -> None:
+            await read_request(reader)
+            writer.write(answers.pop(0))
+            await reader.read()
+
+        async with listening(talk) as dial, Limiter(Script(send_on), {"s1": dial}) as limiter:
+            reader, writer = await limiter.connect()
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            upload = ask(POST, LARGE[:200_000])
+            writer.write(ask() + upload[:-100_000])
+            await asyncio.sleep(0.3)
+            writer.transport.resume_reading()  # type: ignore[attr-defined]
+            assert hashlib.sha256((await read_answer(reader))[1]).digest() == hashlib.sha256(LARGE).digest()
+            writer.write(upload[-100_000:])
+            assert " 200 " in (await read_message(reader))[0]
+            writer.close()
+
+    run(main())
+
+
 def test_a_small_answer_behind_a_large_one_keeps_its_place() -> None:
     async def main() -> None:
         answers = [HEADS["length"][0], OK, OK]
