--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -149,6 +149,5 @@
         # What a full store could not hold is counted as used: the count alone then tells the store.
         lost = max(0.0, self.level + units - self.plan.burst)
         self.level -= lost
-        self.pending += lost * (
-            not self.thin or lost > 0.5 * self.plan.burst
-        )  # another may tell a thin gate's
+        # Another may tell a thin gate's.
+        self.pending += lost * (not self.thin or lost > 0.5 * self.plan.burst)
--- a/cypresspulley/policy/classes.py
+++ b/cypresspulley/policy/classes.py
@@ -3,10 +3,8 @@
 from cypresspulley import interface as api
 from cypresspulley.interface import Effect
 
-HEARD, OLD = (
-    1.5,
-    6.0,
-)  # seconds until clients go by new settings; for which a record that was replaced still binds
+# Seconds until clients go by new settings; for which a record that was replaced still binds.
+HEARD, OLD = 1.5, 6.0
 
 
 class Classes:
@@ -16,22 +14,16 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self._now = {c.name: c for c in settings.classes}
-        self._old = dict[
-            str, tuple[api.RequestClass, float]
-        ]()  # replaced or dropped, and until when they bind
-        self._attempts, self._least, self._changed = (
-            settings.max_attempts,
-            settings.max_attempts,
-            float("-inf"),
-        )
+        self._old = dict[str, tuple[api.RequestClass, float]]()  # replaced or dropped; until when they bind
+        self._attempts = self._least = settings.max_attempts
+        self._changed = float("-inf")
 
     def change(self, now: float, settings: api.Settings) -> None:
         """New settings: what they replace or drop goes on for those who have not heard of it."""
         new = {c.name: c for c in settings.classes}
-        gone = {
-            n: (c, now + OLD) for n, c in self._now.items() if n not in new or new[n].effect is not c.effect
-        }
-        self._old = {n: old for n, old in self._old.items() if now < old[1]} | gone
+        gone = (c for n, c in self._now.items() if n not in new or new[n].effect is not c.effect)
+        self._old = {n: old for n, old in self._old.items() if now < old[1]}
+        self._old |= {c.name: (c, now + OLD) for c in gone}
         self._now, self._changed = new, now
         self._least, self._attempts = min(self._attempts, settings.max_attempts), settings.max_attempts
 
--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -26,11 +26,8 @@
         self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
         self.out_until = self.out_for = self.budget = self.budget_at = 0.0
         self.trial = self.lost = self.gone = False
-        self.told, self.told_at, self.since = (
-            0.0,
-            -1e9,
-            0,
-        )  # requests in hand by its last report; when; sent since
+        # Requests in hand by its last report; when; sent since.
+        self.told, self.told_at, self.since = 0.0, -1e9, 0
         self.row, self.broke = 0, 0.0  # breaks with no answer in between; when the last came
         self.quiet: float | None = None  # since when it owes answers and gives none
         self.cold_at: float | None = None
@@ -180,9 +177,8 @@
         slack = max(self._rng.random(), 3.0 - 2.5 * self._gate.reading / REFERENCE) * (least < 3)
         fleet = max(total, self._gate.mean * least) + self._gate.mean * slack
         # Rates are a mean of seconds and lag; where answers are quick a burst may have twice the work out.
-        fleet *= 1 + max(0.0, 1 - self._gate.reading / (PLAIN_ROOM * REFERENCE)) * (
-            self._gate.sum is not None
-        )
+        calm = max(0.0, 1 - self._gate.reading / (PLAIN_ROOM * REFERENCE))
+        fleet *= 1 + calm * (self._gate.sum is not None)
         # Where answers are owed for long nothing new goes: a cut, hung or lost server. All alike is slowness.
         quiet = [s for s in up if s.quiet is not None and now - s.quiet > self._patience]
         quiet = quiet if len(quiet) <= len(up) / 2 else []
@@ -262,12 +258,8 @@
         # there, and one that keeps its connections and is silent hangs or is slow. A restart between two
         # requests is not seen so; such a server is cold only once the list tells its birth.
         s.lost = s.lost or (dead and vain)
-        if (
-            bad
-            and s.out_until <= now
-            and s.fails > usual * (2 - dead) + 0.25
-            and (dead or outs < len(up) / 2)
-        ):
+        few = dead or outs < len(up) / 2
+        if bad and few and s.out_until <= now and s.fails > usual * (2 - dead) + 0.25:
             s.out_for = min(10.0, max(1.5, s.out_for * 2))
             s.out_until, s.trial, s.fails = now + s.out_for, True, 0.2
             self._choose(now)
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -56,9 +56,8 @@
         key = ev.plan, ev.account
         if (a := self.accounts.get(key)) is None:
             plan = self._plans.get(ev.plan, api.Plan(ev.plan))
-            a = self.accounts[key] = Account(
-                now, ev, plan, self._born, self._set.max_units, self._set.has_counter
-            )
+            most, counter = self._set.max_units, self._set.has_counter
+            a = self.accounts[key] = Account(now, ev, plan, self._born, most, counter)
             self.names[a.name] = a
             if self._life.vouched:
                 a.vouched()
@@ -181,9 +180,8 @@
         if self.tells is not None and now - self.tells.heard_at < DEAF:
             return Verdict(a.level >= r.units)
         if not self._set.has_counter or now < self.calls.silent_until:
-            return Verdict(
-                expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()
-            )  # even share
+            # The even share.
+            return Verdict(expected >= r.units if a.thin else a.floor >= r.units * self._rng.random())
         if a.level < r.units or (plain and not a.thin):
             return Verdict(a.level >= r.units)
         if r.deadline - now < 3 * self._set.counter_timeout or chance < max(0.05, self._rng.random()):
@@ -223,12 +221,9 @@
             self.calls.room, a.pending, a.asked = self.calls.room - 1, 0.0, now
 
     def counted(
-        self,
-        now: float,
-        ev: api.Counted,
-        open_: dict[int, Request],
+        self, now: float, ev: api.Counted, open_: dict[int, Request],
         launch: Callable[[float, Request, Verdict], None],
-    ) -> None:
+    ) -> None:  # fmt: skip
         """The counter's answer; a try that waited for it is launched."""
         if self._life.mine(ev.name):
             if self._life.told(now, ev):
--- a/cypresspulley/policy/request.py
+++ b/cypresspulley/policy/request.py
@@ -28,9 +28,7 @@
         self.repeat, self.inside, self.ttl = ev.repeat, False, ev.ttl
         self.coming, self.kept, self.busy = ev.coming, True, False  # busy: its work counts at its server
         self.begin(now)
-        self.granted: int | None = (
-            None  # the window of the ceiling that holds it, where the even share does not
-        )
+        self.granted: int | None = None  # the window of the ceiling that holds it, where no even share does
         self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
         self.tries, self.out = list["tuple[Server, float]"](), dict[int, "Server"]()
         self.ran: tuple[Server, float] | None = None  # first attempt that may have run
--- a/cypresspulley/policy/windows.py
+++ b/cypresspulley/policy/windows.py
@@ -16,11 +16,7 @@
 from cypresspulley.interface import Status
 
 THICK = 2.0  # of the largest request: an even share that holds so much is kept alone, without the counter
-SPELL, MARKS, AFTER = (
-    30.0,
-    4,
-    0.4,
-)  # seconds of a spell of lives; marks that a life makes; seconds between two
+SPELL, MARKS, AFTER = 30.0, 4, 0.4  # seconds of a spell of lives; marks of a life; seconds between two
 
 
 def count_name(label: str, index: int) -> int:
@@ -131,11 +127,8 @@
         spell = self._out.pop(ev.name)
         self._due = now + AFTER * self._rng.random()
         if ev.status is not Status.OK:
-            if (
-                ev.status in (Status.FULL, Status.UNREACHABLE, Status.ERROR)
-                and spell == self._spell
-                and self._own
-            ):
+            vain = ev.status in (Status.FULL, Status.UNREACHABLE, Status.ERROR)
+            if vain and spell == self._spell and self._own:
                 self._own.pop()  # nothing was added
             return False
         amounts = [amount for at, amount in self._own if at == spell]
