Ask a silent counter one call at a time, and keep its rate of calls through an outage

Seen: after a zone cut of 11 s a gateway's rate of calls to the counter stood at 2 to 5 a second of 100, and grew by a hundredth with each of the few that it allowed: fifteen seconds later the quotas still went by guesses. Every miss of an outage cut it. Now only the first two of a row do; from then on one call goes out each 0.25 s until one is answered (it was: all of them again after each second, in step at all gateways).

--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -8,6 +8,7 @@
 from cypresspulley.policy.windows import Windows, kept_alone
 
 RECENT = 1.0  # seconds over which the others' use, told by messages, is taken for what they go on using
+SILENT = 0.25  # seconds between two calls to a counter that is silent
 CALLS = 300.0  # calls a second to the counter, thought possible at first by all, and at most by one
 
 
@@ -25,8 +26,17 @@
         self.at = now
         return self.room if now >= self.silent_until else 0.0
 
+    def made(self, now: float) -> None:
+        """A call goes out. After a row of misses they go one at a time, until one is answered."""
+        self.room -= 1
+        if self.misses > 1:
+            self.silent_until = now + SILENT
+
     def ended(self, now: float, status: Status, made: float) -> None:
-        """One sign of silence is a queue or a break; two with no answer between are silence, for a second.
+        """One sign of silence is a queue or a break; two with no answer between are silence, for a while.
+
+        What is silent says nothing of how many calls it bears: where each miss of an outage cut the rate, it was
+        a hundredth at the outage's end, and grew back by a hundredth with each of the few calls that it allowed.
 
         Calls that were out together end together when their connection breaks: one event, one sign, and none
         of what the counter bears. It serves as well behind a rough network or a balancer that drops
@@ -34,15 +44,16 @@
         in vain, and each costs its request the time of a break.
         """
         if status is Status.OK:
-            self.misses = 0
+            self.misses, self.silent_until = 0, 0.0
             self.rate = min(CALLS, self.rate * 1.01)
         elif status is Status.BROKEN:
             self.misses, self.broke = self.misses + (made >= self.broke), now
         elif status is not Status.SPOILT:
+            if status is Status.FULL or self.misses < 2:
+                self.rate = max(self.least, self.rate * 0.9)
             self.misses += status is not Status.FULL
-            self.rate = max(self.least, self.rate * 0.9)
         if status not in (Status.OK, Status.FULL, Status.SPOILT) and self.misses > 1:
-            self.silent_until = now + 1.0
+            self.silent_until = now + SILENT
 
 
 class Account:
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -108,7 +108,7 @@
     def _ask(self, now: float, r: Request, windows: Windows) -> None:
         name = windows.name(windows.index)
         self._asked.setdefault(name, deque()).append((r.account, windows.index, r, now))
-        self.calls.room -= 1
+        self.calls.made(now)
         self._emit(api.Count(name, 2 * windows.length + 1, r.most))
 
     def give_back(self, now: float, r: Request) -> None:
@@ -218,7 +218,8 @@
         if room and self._set.has_counter and a.plan.rate > 0:
             a.calls.append((a.pending, held, own if held is not None else 0.0, now))
             self._emit(api.Count(a.name, LIFETIME, a.pending))
-            self.calls.room, a.pending, a.asked = self.calls.room - 1, 0.0, now
+            self.calls.made(now)
+            a.pending, a.asked = 0.0, now
 
     def counted(
         self, now: float, ev: api.Counted, open_: dict[int, Request],
