Count what a customer has out over all gateways on the counter, one way to ask it

Where the counter cannot be asked the even share holds, and what went unasked is told with the next call.

All four uses of the counter (quotas, windows, lives, what is out) now go by one way to ask, with what the answer is for beside the call.

--- a/cypresspulley/explore/examine.py
+++ b/cypresspulley/explore/examine.py
@@ -36,6 +36,17 @@
 )
 
 
+def left_of(gateway: Gateway) -> dict[str, float]:
+    """What is left of requests: all 0 once each has had its answer."""
+    accounts = gateway.quotas.accounts.values()
+    return {
+        "requests": len(gateway._requests),
+        "of accounts": sum(a.open for a in accounts),
+        "slots": sum(a.slots.held for a in accounts if a.slots is not None),
+        "work": sum(s.open for s in gateway.fleet.servers.values()),
+    }
+
+
 @dataclass(frozen=True, slots=True)
 class Find:
     """What is wrong with a day: its sort (what shrinking must keep) and it in words."""
@@ -106,7 +117,7 @@
     def exited(self, name: str, owner: Owner, loop: VirtualLoop) -> None:
         """A limiter ended in order: nothing of its requests may be left."""
         watch, gateway = self._watches.pop(name)
-        if left := {what: count for what, count in gateway.held.items() if count}:
+        if left := {what: count for what, count in left_of(gateway).items() if count}:
             self._find("leak", f"{name} ended with {left} still counted as open")
         if lives := watch.open():
             self._find("leak", f"{name} ended with {len(lives)} requests that had no end")
--- a/cypresspulley/interface.py
+++ b/cypresspulley/interface.py
@@ -43,6 +43,10 @@
     REJECTED = "rejected"  # the server has no use for the request: the client is to blame
 
 
+# Of a call to the counter: nothing was added, and nothing will be.
+NEVER_ADDED = (Status.FULL, Status.UNREACHABLE, Status.ERROR)
+
+
 class Health(Enum):
     """A server's state in the server list."""
 
@@ -99,6 +103,13 @@
     inbox: float = 0.0  # messages a second that one gateway takes in
     meter: float = 0.0  # seconds of the periods over which a customer's use is told; 0: it is not
 
+    def __post_init__(self) -> None:
+        """``ValueError`` names a setting that no gateway could go by."""
+        one, above = ("gateways", "max_attempts"), ("cold_share", "fall_window")
+        for key in (*one, *above, "warm_after", "counter_timeout"):
+            if getattr(self, key) < (1 if key in one else 1e-9 if key in above else 0):
+                raise ValueError(f"impossible setting: {key}")
+
 
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -1,21 +1,30 @@
 """One customer's quota at one gateway, and how many calls the shared counter bears."""
 
 import math
+from collections import deque
+from collections.abc import Callable
 from hashlib import blake2b
 
 from cypresspulley import interface as api
-from cypresspulley.interface import Status
+from cypresspulley.interface import Action, Status
+from cypresspulley.policy.slots import Slots
 from cypresspulley.policy.windows import Windows, kept_alone
 
 RECENT = 1.0  # seconds over which the others' use, told by messages, is taken for what they go on using
 SILENT = 0.25  # seconds between two calls to a counter that is silent
 CALLS = 300.0  # calls a second to the counter, thought possible at first by all, and at most by one
+Answered = Callable[[float, api.Counted], None]
 
 
 class Calls:
     """How many calls the counter bears, and whether it answers at all."""
 
-    def __init__(self, now: float, gateways: int, draw: float) -> None:
+    def __init__(
+        self, now: float, gateways: int, draw: float, emit: Callable[[Action], None] = lambda _action: None
+    ) -> None:
+        self._emit = emit
+        # What each answer is for and when it was asked, by name: answers come in the order of the calls for a name.
+        self._out = dict[int, deque[tuple[Answered, float]]]()
         self.rate, self.least = CALLS / gateways, 2 * CALLS / gateways / 100
         self.room = 0.2 * self.rate + draw  # in random debt: fresh fleets call in turn
         self.at, self.broke, self.silent_until, self.misses = now, now, 0.0, 0
@@ -26,22 +35,28 @@
         self.at = now
         return self.room if now >= self.silent_until else 0.0
 
-    def made(self, now: float) -> None:
-        """A call goes out. After a row of misses they go one at a time, until one is answered."""
+    def ask(self, now: float, name: int, lifetime: float, amount: float, then: Answered) -> None:
+        """Make a call. After a row of misses they go one at a time, until one is answered."""
         self.room -= 1
         if self.misses > 1:
             self.silent_until = now + SILENT
+        self._out.setdefault(name, deque()).append((then, now))
+        self._emit(api.Count(name, lifetime, amount))
+
+    def answered(self, now: float, ev: api.Counted) -> None:
+        """The counter's answer, to what asked for it."""
+        if (line := self._out.get(ev.name)) is not None:
+            then, made = line.popleft()
+            if not line:
+                del self._out[ev.name]
+            self.ended(now, ev.status, made)
+            then(now, ev)
 
     def ended(self, now: float, status: Status, made: float) -> None:
         """One sign of silence is a queue or a break; two with no answer between are silence, for a while.
 
-        What is silent says nothing of how many calls it bears: where each miss of an outage cut the rate, it was
-        a hundredth at the outage's end, and grew back by a hundredth with each of the few calls that it allowed.
-
-        Calls that were out together end together when their connection breaks: one event, one sign, and none
-        of what the counter bears. It serves as well behind a rough network or a balancer that drops
-        connections. It could do harm where a counter breaks each connection: every second call is then made
-        in vain, and each costs its request the time of a break.
+        What is silent says nothing of how many calls it bears: cut by each miss of an outage, the rate would be a
+        hundredth at its end. Calls that were out together end together when their connection breaks: one sign.
         """
         if status is Status.OK:
             self.misses, self.silent_until = 0, 0.0
@@ -60,8 +75,8 @@
     """A customer's quota as this gateway knows it; many come once only, so it is kept small."""
 
     __slots__ = (
-        "asked", "at", "calls", "ceiling", "debt", "drawn", "floor", "floor_cap", "guessed", "heard", "keep", "level",
-        "mine", "name", "open", "others", "pending", "plan", "share", "synced", "thin", "total", "windows",
+        "asked", "at", "ceiling", "debt", "drawn", "floor", "floor_cap", "guessed", "heard", "keep", "level",
+        "mine", "name", "open", "others", "pending", "plan", "share", "slots", "synced", "thin", "total", "windows",
     )  # fmt: skip
 
     def __init__(
@@ -80,13 +95,13 @@
         self.windows = Windows(label, plan, 1 - self.keep) if self.keep < 1 else None
         self.ceiling = self.keep * min(plan.ceiling_burst, plan.ceiling_rate * (now - born)) / share
         self.drawn = 0.0  # units taken from it
+        self.slots = Slots(label) if plan.open_limit > 0 and share > 1 and counter else None
         self.total: float | None = None
         self.others = plan.rate * (share - 1) / share * 0.3  # their use a second
         self.pending, self.open = 0.0, 0  # own use that the others have not been told; attempts out
         # Without a counter: the others' use taken off the level and not yet told; own use a second; since when.
         self.guessed, self.mine, self.heard = 0.0, 0.0, 0.0
         self.debt = 0.0  # units that turned out to be due when the store held none: the next ones pay them
-        self.calls = list[tuple[float, int | None, float, float]]()  # amount, who waits, its units, when
 
     def refill(self, now: float) -> None:
         plan, dt, self.at = self.plan, max(0.0, now - self.at), now
--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -38,11 +38,8 @@
 
 
 class Sizes:
-    """How the work of a request grows with its units: a straight line through the mean, its slope learned.
-
-    The slope is that of a least-squares fit of the latency, as a share of its class's, on the units, as a share
-    of their mean. Queueing adds to all alike and does not bend it; where every request counts one it stays 0.
-    """
+    """How the work of a request grows with its units: a straight line through the mean, its slope a least-squares
+    fit of latency on units, each as a share of its mean. Queueing adds to all alike and does not bend it."""
 
     def __init__(self) -> None:
         self.mean, self.slope, self._spread, self._common, self._latency = 1.0, 0.0, 0.0, 0.0, 1.0
@@ -93,8 +90,7 @@
         probes = list[api.Action]()
         # By what was finished: by what was sent, overdriven servers would pass for able ones.
         done = sum(s.done for s in self.servers.values()) / dt / max(1, len(self.mine)) - self._done_rate
-        # What cold ones are let do says nothing of what a warm one bears. Where it counted, each cold server
-        # cut the budget of the others, and a fleet that looked cold stood still for good.
+        # What cold ones are let do says nothing of what a warm one bears: a fleet that looked cold stood still.
         if done > 0 or sum(s.cold_at is None for s in self.mine) > len(self.mine) / 2:
             self._done_rate += 0.3 * done
         for s in self.servers.values():
@@ -161,11 +157,8 @@
                 break
 
     def _stay(self, cls: api.RequestClass) -> float:
-        """The stay at a server that work of a class may bring about, in seconds.
-
-        One queue serves all classes. Where each filled it to its own aim, those of long aims left no room for
-        the class of the shortest. A longer request may fill it by what it is longer, being most of it itself.
-        """
+        """The stay at a server that work of a class may bring about, in seconds. One queue serves all classes:
+        a longer request may fill it beyond the shortest aim by what it is longer, being most of it itself."""
         longer = self.base.get(cls.name, 0.0) - self.base.get(self._tightest, 0.0)
         return min(cls.aim * AIM_SHARE, self._patience + LONGER * max(0.0, longer))
 
@@ -238,8 +231,7 @@
             self.sizes.learn(r.units, ev.elapsed / base)
         mute = ev.status is Status.TIMEOUT and s.quiet is not None and now - s.quiet >= ev.elapsed - 1e-6
         # One connection that breaks is no dead server: more must, one behind the other (what was out together
-        # breaks together), with no answer in between, in a row that is as long as breaks are usual. Where the
-        # whole fleet breaks so often, a server that is dead but takes connections is found some tries later.
+        # breaks together), with no answer in between, in a row that is as long as breaks are usual.
         snapped, up = ev.status in (Status.UNREACHABLE, Status.DROPPED, Status.BROKEN), self.mine or [s]
         usual, outs = sorted(x.fails for x in up)[len(up) // 2], sum(x.out_until > now for x in up)
         vain = ev.status is Status.UNREACHABLE  # each such dial is a sign of its own
@@ -254,9 +246,8 @@
         if ev.status is Status.OK:
             s.cold_at = now if s.lost and s.cold_at is None else s.cold_at  # it may have restarted unseen
             s.lost, s.trial, s.out_for = False, False, s.out_for * (s.fails >= max(0.05, usual))
-        # Lost, it may come back restarted and cold: that takes dials in vain. Who takes one and breaks it is
-        # there, and one that keeps its connections and is silent hangs or is slow. A restart between two
-        # requests is not seen so; such a server is cold only once the list tells its birth.
+        # Lost, it may come back restarted and cold: that takes dials in vain. Who takes one and breaks it is there,
+        # and one that keeps its connections and is silent hangs or is slow.
         s.lost = s.lost or (dead and vain)
         few = dead or outs < len(up) / 2
         if bad and few and s.out_until <= now and s.fails > usual * (2 - dead) + 0.25:
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -22,36 +22,22 @@
     """All that one limiter decides: what is let in, where it goes, whether it is tried again, what is answered."""
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
-        self._check(settings)
         self._set, self._out = settings, list[Action]()
         rng = Random(seed)
         self.gate = Gate(now)
         self.fleet = Fleet(settings, rng, self.gate)
-        self.quotas = Quotas(settings, rng, now, lambda action: self._out.append(action))
         self._classes = Classes(settings)
         self._requests, self.why = dict[int, Request](), dict[str, int]()  # open ones; causes to log
+        self.quotas = Quotas(settings, rng, now, lambda a: self._out.append(a), self._requests, self._launch)
         self._timer, self._retries = 0, 10.0  # further attempts that may be made
         self._seen, self._ranks = deque[float](maxlen=300), list[float]()  # worth per work of the recent
         self._handlers: dict[type, Callable[[float, Any], None]] = {
             api.Request: self._arrive, api.Body: self._body, api.Began: self._began, api.Outcome: self._outcome,
             api.ServerList: self.fleet.listed, api.Suspend: self._suspend, api.Retune: self._retune,
-            api.Probed: self.fleet.probed, api.Heard: self.quotas.heard, api.Counted: self._counted,
-            api.TimerFired: lambda _now, _ev: None, api.Departed: lambda _now, ev: self._forget(ev.id),
+            api.Probed: self.fleet.probed, api.Heard: self.quotas.heard, api.Counted: self.quotas.calls.answered,
+            api.TimerFired: lambda _now, _ev: None, api.Departed: lambda now, ev: self._forget(now, ev.id),
         }  # fmt: skip
 
-    def _check(self, s: api.Settings) -> None:
-        one, above = ("gateways", "max_attempts"), ("cold_share", "fall_window")
-        for key in (*one, *above, "warm_after", "counter_timeout"):
-            if getattr(s, key) < (1 if key in one else 1e-9 if key in above else 0):
-                raise ValueError(f"impossible setting: {key}")
-
-    @property
-    def held(self) -> dict[str, float]:
-        """What is left of requests: all 0 once each has had its answer."""
-        accounts = sum(a.open for a in self.quotas.accounts.values())
-        return {"requests": len(self._requests), "of accounts": accounts,
-                "work": sum(s.open for s in self.fleet.servers.values())}  # fmt: skip
-
     def handle(self, now: float, event: api.Event) -> list[Action]:
         self._out, ticked = [], event == api.TimerFired(self._timer)
         self._handlers[type(event)](now, event)
@@ -101,16 +87,12 @@
         elif (verdict := self.quotas.judge(now, r)) is not None:
             self._launch(now, r, verdict)
 
-    def _counted(self, now: float, ev: api.Counted) -> None:
-        self.quotas.counted(now, ev, self._requests, self._launch)
-
     def _suspend(self, now: float, ev: api.Suspend) -> None:
         if self.fleet.suspended(now, ev):
             self._out.append(api.Ban(ev.server, ev.out))
 
     def _retune(self, now: float, ev: api.Retune) -> None:
         """Levels, loads and what is out go on; open requests keep the records that they were let in under."""
-        self._check(ev.settings)
         self._set = ev.settings
         self._classes.change(now, ev.settings)
         self.fleet.retune(now, ev.settings)
@@ -119,7 +101,14 @@
     def _launch(self, now: float, r: Request, verdict: Verdict) -> None:
         plan = r.account.plan
         earns = plan.over_worth > plan.over_cost and 0 < self.gate.reading < 0.6 * REFERENCE
-        if not (verdict.inside or earns):
+        room = verdict.inside and self.quotas.room_out(now, r, verdict)
+        if room is None:
+            return None
+        if not room and verdict.inside:
+            if verdict.counted:
+                self.quotas.count(now, r.account, own=-verdict.counted)
+            verdict = Verdict(False)
+        if not (room or earns):
             return self._end(now, r, verdict.why)
         # Requests held for the counter must not draw on the ceiling together.
         if not self.quotas.under_ceiling(r) or not self._send(now, r):
@@ -160,6 +149,7 @@
         if ev.whole and r.coming:
             r.coming = False
             r.begin(now)
+            self.quotas.whole(now, r)
             for s in r.out.values():
                 self._busy(now, r, s)
 
@@ -197,9 +187,9 @@
             r.ran = r.tries[ev.attempt]
         if ev.status is Status.REJECTED and not ev.finished:
             self._out.append(api.Fail(r.id))  # no other server would take it either
-            self._forget(r.id)
+            self._forget(now, r.id)
         elif ev.finished:
-            self._forget(ev.id)
+            self._forget(now, ev.id)
         elif not r.out:
             self._again(now, r, ev.status)
 
@@ -224,10 +214,11 @@
             self._out.append(api.Refuse(r.id, min(self._set.max_retry_after, short), why, left))
         else:
             self._out.append(api.Fail(r.id, why))
-        self._forget(r.id)
+        self._forget(now, r.id)
 
-    def _forget(self, request: int) -> None:
+    def _forget(self, now: float, request: int) -> None:
         if r := self._requests.pop(request, None):
+            self.quotas.free(now, r)
             for s in r.out.values():
                 s.ended(r.work if r.busy else 0.0)
                 r.account.open -= not r.coming
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -1,15 +1,17 @@
 """Quotas and what gateways tell each other of them: the accounts, the counter's calls, the messages."""
 
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Status
-from cypresspulley.policy.account import Account, Calls
+from cypresspulley.messages import KEYS
+from cypresspulley.policy.account import Account, Answered, Calls
 from cypresspulley.policy.request import Request
-from cypresspulley.policy.tells import KEY_DIGITS, Tells
+from cypresspulley.policy.slots import LASTS, Slots
+from cypresspulley.policy.tells import Tells
 from cypresspulley.policy.windows import Life, Windows
 
 FEW_CALLS = 4.0  # to the counter, that may be made at once
@@ -30,19 +32,18 @@
     """``emit`` takes the actions; they are this gateway's alone, and so are all accounts here."""
 
     def __init__(
-        self, settings: api.Settings, rng: Random, now: float, emit: Callable[[Action], None]
-    ) -> None:
+        self, settings: api.Settings, rng: Random, now: float, emit: Callable[[Action], None],
+        open_: dict[int, Request], launch: Callable[[float, Request, Verdict], None],
+    ) -> None:  # fmt: skip
+        self._open, self._launch = open_, launch
         self._set, self._rng, self._born, self._emit = settings, rng, now, emit
         self._plans = {p.name: p for p in settings.plans}
-        self.accounts, self.names = dict[tuple[str, str], Account](), dict[int, Account]()
+        self.accounts = dict[tuple[str, str], Account]()
         many = settings.may_tell and settings.inbox > 0 and settings.gateways > 1 and not settings.has_counter
         self.tells = Tells(now, settings.gateways, settings.inbox) if many else None
         self._keys = dict[int, Account]()  # by the part of a name that messages carry
-        self.calls = Calls(now, settings.gateways, rng.random())
+        self.calls = Calls(now, settings.gateways, rng.random(), emit)
         self._life = Life(settings, rng, now)
-        # Tries that wait for their window's count, by its name: the account, the window, the try, when it was asked.
-        # None stands for units that are given back: their answers come in turn too, and answer no try.
-        self._asked = dict[int, deque[tuple[Account, int, Request, float] | None]]()
 
     def retune(self, now: float, settings: api.Settings) -> None:
         """Other settings. Levels go on, under the new plans' bounds; an account of a dropped plan keeps its own."""
@@ -58,11 +59,10 @@
             plan = self._plans.get(ev.plan, api.Plan(ev.plan))
             most, counter = self._set.max_units, self._set.has_counter
             a = self.accounts[key] = Account(now, ev, plan, self._born, most, counter)
-            self.names[a.name] = a
             if self._life.vouched:
                 a.vouched()
             if self.tells is not None:
-                self._keys[a.name % 64**KEY_DIGITS] = a
+                self._keys[a.name % KEYS] = a
                 self.tells.met(now, a)
                 a.heard = now
         a.refill(now)
@@ -72,7 +72,11 @@
     def live(self, now: float) -> None:
         """The counter is asked whether this gateway was there before, when that is due."""
         if (call := self._life.call(now)) is not None:
-            self._emit(call)
+            self.calls.ask(now, call.name, call.lifetime, call.amount, self._told_of_life)
+
+    def _told_of_life(self, now: float, ev: api.Counted) -> None:
+        for account in self.accounts.values() if self._life.told(now, ev) else ():
+            account.vouched()
 
     def tick(self, now: float) -> None:
         """Once an interval: idle accounts go, what is owed to the counter is told."""
@@ -82,9 +86,12 @@
             grown = a.ceiling * a.share + a.keep * a.plan.ceiling_rate * (now - a.at)
             full = grown >= a.keep * a.plan.ceiling_burst
             if now - a.at > FORGET and not a.open and full:
-                del self.names[a.name], self.accounts[key]
-                self._keys.pop(a.name % 64**KEY_DIGITS, None)
-            elif abs(a.pending) > 1e-9 and now - a.asked > 1.0 and a.level < 0.7 * a.plan.burst:
+                del self.accounts[key]
+                self._keys.pop(a.name % KEYS, None)
+                continue
+            if a.slots is not None and a.slots.late(now) and self.calls.left(now) >= 1:
+                self._tell_out(now, a.slots)
+            if abs(a.pending) > 1e-9 and now - a.asked > 1.0 and a.level < 0.7 * a.plan.burst:
                 self.count(now, a)
 
     @staticmethod
@@ -105,54 +112,34 @@
         w, in_time = r.account.windows, r.deadline - now >= 3 * self._set.counter_timeout
         return w is not None and in_time and w.room(now, r.most) and self.calls.left(now) >= 1
 
-    def _ask(self, now: float, r: Request, windows: Windows) -> None:
-        name = windows.name(windows.index)
-        self._asked.setdefault(name, deque()).append((r.account, windows.index, r, now))
-        self.calls.made(now)
-        self._emit(api.Count(name, 2 * windows.length + 1, r.most))
-
     def give_back(self, now: float, r: Request) -> None:
         """What a window holds for a try that was not sent on."""
         windows = r.account.windows
         if r.granted is not None and windows is not None and int(now // windows.length) == r.granted:
-            self._take_off(windows, r.granted, r.most)
+            self._take_off(now, windows, r.granted, r.most)
         r.granted = None
 
-    def _take_off(self, windows: Windows, index: int, units: float) -> None:
-        name = windows.name(index)
-        self._asked.setdefault(name, deque()).append(None)
-        self._emit(api.Count(name, 2 * windows.length + 1, -units))
+    def _take_off(self, now: float, windows: Windows, index: int, units: float) -> None:
+        self.calls.ask(now, windows.name(index), 2 * windows.length + 1, -units, lambda _now, _ev: None)
 
-    def _window_answered(
-        self, now: float, ev: api.Counted, open_: dict[int, Request],
-        launch: Callable[[float, Request, Verdict], None],
-    ) -> None:  # fmt: skip
-        waiting = self._asked[ev.name]
-        asked = waiting.popleft()
-        if not waiting:
-            del self._asked[ev.name]
-        if asked is None:
-            return
-        a, index, r, made = asked
-        a.refill(now)
-        self.calls.ended(now, ev.status, made)
-        back, windows = 0.0, a.windows
+    def _window_answered(self, r: Request, index: int, now: float, ev: api.Counted) -> None:
+        r.account.refill(now)
+        back, windows = 0.0, r.account.windows
         if ev.status is Status.OK and windows is not None:
             fits, back = windows.granted(index, ev.total, r.most)
             r.granted = index if fits else None
-        if open_.get(r.id) is not r:
+        if self._open.get(r.id) is not r:
             self.give_back(now, r)  # its client left meanwhile
         elif r.granted is not None:
-            launch(now, r, self._plainly(now, r))
+            self._launch(now, r, self._plainly(now, r))
         else:
-            launch(now, r, Verdict(False, why="ceiling"))
+            self._launch(now, r, Verdict(False, why="ceiling"))
         if back and windows is not None:
-            self._take_off(windows, index, back)
+            self._take_off(now, windows, index, back)
 
     @staticmethod
     def _plainly(now: float, r: Request) -> Verdict:
-        """Inside its quota as far as is known here. A ceiling kept by its windows bounds what passes a quota
-        unseen, and calls are few: a second one for each try would be one too many."""
+        """Inside its quota as far as is known here: a ceiling kept by its windows bounds what passes unseen."""
         a = r.account
         return Verdict(min(a.plan.burst, a.level - a.others * (now - a.synced)) >= r.units, 0.0)
 
@@ -162,18 +149,18 @@
         if a.windows is not None or (a.thin and plan.ceiling_rate > 0 and self._set.has_counter):
             if a.windows is None or self.under_ceiling(r):
                 return self._plainly(now, r)
-            self._ask(now, r, a.windows)
+            index, life = a.windows.index, 2 * a.windows.length + 1
+            self.calls.ask(now, a.windows.name(index), life, r.most, partial(self._window_answered, r, index))
             return None
         expected = min(plan.burst, a.level - a.others * (now - a.synced))
         worst = min(0.9 * plan.burst * (1 - 1 / a.share), max(a.others, plan.rate) * (now - a.synced))
         plain = expected - worst - 0.1 * plan.burst >= r.units or a.share <= 1
-        many = plan.open_limit > 0 and a.open >= -(-plan.open_limit // a.share)  # past the even share
         # The fleet shares the counter: with few calls left one request in so many asks, and counts for all.
         chance = min(1.0, self.calls.left(now) / 2)
         calm = a.thin and expected - 0.3 * plan.rate * (now - a.synced) > 0.6 * plan.burst  # not long ago
         chance *= 0.3 if calm else 1.0
-        if many or plan.rate <= 0:
-            return Verdict(not many)
+        if plan.rate <= 0 or not self.room_out(now, r):
+            return Verdict(bool(self.room_out(now, r)))
         # Where calls are few the even share goes unasked, and they are left for what is beyond it.
         if a.thin and plan.open_limit == 0 and a.floor >= r.units and self.calls.left(now) < FEW_CALLS:
             return Verdict(True, 0.0)
@@ -190,7 +177,7 @@
             return Verdict(likely, 0.0 if a.thin else None)
         # Near the quota the counter is asked first, with the units where they will likely be granted.
         step = 0.0 if r.repeat and a.thin else r.units / (max(0.4, chance) if a.thin else 1.0)
-        self.count(now, a, r.id, step)
+        self.count(now, a, r, step)
         return None
 
     def sent(self, now: float, r: Request, verdict: Verdict) -> None:
@@ -211,51 +198,84 @@
         if counted is None and self._set.has_counter and due and a.share > 1:
             self.count(now, a)
 
-    def count(self, now: float, a: Account, held: int | None = None, own: float = 0) -> None:
+    def count(self, now: float, a: Account, r: Request | None = None, own: float = 0.0) -> None:
         """Tell the counter what is owed and ``own`` more, with the try that waits for its answer."""
         a.pending, a.level = a.pending + own, a.level - own
-        room = held is not None or own != 0 or self.calls.left(now) >= 1  # what is owed cannot wait
+        room = r is not None or own != 0 or self.calls.left(now) >= 1  # what is owed cannot wait
         if room and self._set.has_counter and a.plan.rate > 0:
-            a.calls.append((a.pending, held, own if held is not None else 0.0, now))
-            self._emit(api.Count(a.name, LIFETIME, a.pending))
-            self.calls.made(now)
-            a.pending, a.asked = 0.0, now
-
-    def counted(
-        self, now: float, ev: api.Counted, open_: dict[int, Request],
-        launch: Callable[[float, Request, Verdict], None],
+            step, a.pending, a.asked = a.pending, 0.0, now
+            then = partial(self._counted, a, step, r, own if r is not None else 0.0)
+            self.calls.ask(now, a.name, LIFETIME, step, then)
+
+    def room_out(self, now: float, r: Request, verdict: Verdict | None = None) -> bool | None:
+        """Whether its customer may have one more out, as far as is known here: the even share, where nobody can be
+        asked. With the verdict on its units it then counts as out; None where the counter is asked and it waits."""
+        a, most, slots = r.account, r.account.plan.open_limit, r.account.slots
+        if most <= 0 or r.slot:
+            return True
+        in_time = r.deadline - now >= 3 * self._set.counter_timeout
+        asks = slots is not None and not r.coming and in_time and self.calls.left(now) >= 1
+        room = (asks or a.open < -(-most // a.share)) and (slots is None or now >= slots.full_until)
+        if verdict is None or not room or slots is None or r.coming:
+            return room
+        r.slot = True
+        slots.change(now, 1)
+        if asks:
+            self._tell_out(now, slots, partial(self._out_told, r, slots, verdict))
+        return None if asks else True  # unasked, it is told with the next call
+
+    def whole(self, now: float, r: Request) -> None:
+        """The last byte of its body has come: from now on it counts as out."""
+        if r.out and not r.slot and r.account.slots is not None:
+            r.slot = True
+            r.account.slots.change(now, 1)
+
+    def _tell_out(self, now: float, slots: Slots, then: Answered = lambda _now, _ev: None) -> None:
+        name, amount, spell = slots.call()
+
+        def told(now: float, ev: api.Counted) -> None:
+            if ev.status in api.NEVER_ADDED:
+                slots.missed(spell, amount)
+            then(now, ev)
+
+        self.calls.ask(now, name, 2 * LASTS, amount, told)
+
+    def _out_told(self, r: Request, slots: Slots, verdict: Verdict, now: float, ev: api.Counted) -> None:
+        a, most = r.account, r.account.plan.open_limit
+        if self._open.get(r.id) is not r:
+            return  # its client left meanwhile
+        if not (ev.total <= most + 1e-6 if ev.status is Status.OK else a.open < -(-most // a.share)):
+            self.free(now, r)
+            slots.full_until = now + r.work / most
+        self._launch(now, r, verdict)
+
+    def free(self, now: float, r: Request) -> None:
+        """A try no longer counts among what is out."""
+        if r.slot and (slots := r.account.slots) is not None:
+            r.slot, slots.full_until = False, 0.0
+            slots.change(now, -1)
+            if slots.owed and now >= self.calls.silent_until:
+                self._tell_out(now, slots)
+
+    def _counted(
+        self, a: Account, step: float, r: Request | None, units: float, now: float, ev: api.Counted
     ) -> None:  # fmt: skip
         """The counter's answer; a try that waited for it is launched."""
-        if self._life.mine(ev.name):
-            if self._life.told(now, ev):
-                for account in self.accounts.values():
-                    account.vouched()
-            return None
-        if ev.name in self._asked:
-            return self._window_answered(now, ev, open_, launch)
-        a = self.names.get(ev.name)
-        if a is None or not a.calls:
-            return
-        step, held, units, made = a.calls.pop(0)
         a.refill(now)
-        self.calls.ended(now, ev.status, made)
         if ev.status is Status.OK:
             a.told(now, ev.total, step, units)
-        else:
-            # What may have been added is taken for added: told twice it would be used twice.
-            maybe = ev.status in (Status.TIMEOUT, Status.BROKEN, Status.SPOILT)
-            a.pending += 0.0 if maybe else step
-        r = open_.get(-1 if held is None else held)
-        own = r.units if r else 0.0
+        elif ev.status in api.NEVER_ADDED:  # else it is taken for added: told twice it would be used twice
+            a.pending += step
+        asked, r = r is not None, r if r is not None and self._open.get(r.id) is r else None
+        own = r.units if r is not None else 0.0
         left = a.level + units - own - (0 if ev.status is Status.OK else a.others * (now - a.synced))
-        if held is not None:
-            # Where the guess in the step was wrong the count gets the units back, or gets them at all.
-            used = own if left >= -1e-6 else 0.0
-            right = used if units == 0 else -units * (used == 0)
-            if right:
-                self.count(now, a, own=right)
-            if r is not None:
-                launch(now, r, Verdict(used > 0, (units or right) if used else 0.0))
+        # Where the guess in the step was wrong the count gets the units back, or gets them at all.
+        used = own if left >= -1e-6 else 0.0
+        right = used if units == 0 else -units * (used == 0)
+        if asked and right:
+            self.count(now, a, own=right)
+        if r is not None:
+            self._launch(now, r, Verdict(used > 0, (units or right) if used else 0.0))
         if a.pending > 0.25 * a.plan.burst and ev.status is Status.OK:
             self.count(now, a)
         a.level = max(a.level, 0.0)
--- a/cypresspulley/policy/request.py
+++ b/cypresspulley/policy/request.py
@@ -16,7 +16,7 @@
 
     __slots__ = (
         "account", "attempts", "born", "bound", "busy", "cls", "coming", "deadline", "due", "granted", "id", "inside",
-        "kept", "most", "out", "ran", "rank", "repeat", "tries", "ttl", "units", "work",
+        "kept", "most", "out", "ran", "rank", "repeat", "slot", "tries", "ttl", "units", "work",
     )  # fmt: skip
 
     def __init__(
@@ -28,6 +28,7 @@
         self.repeat, self.inside, self.ttl = ev.repeat, False, ev.ttl
         self.coming, self.kept, self.busy = ev.coming, True, False  # busy: its work counts at its server
         self.begin(now)
+        self.slot = False  # it counts among what its customer has out over all gateways
         self.granted: int | None = None  # the window of the ceiling that holds it, where no even share does
         self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
         self.tries, self.out = list["tuple[Server, float]"](), dict[int, "Server"]()
--- /dev/null
+++ b/cypresspulley/policy/slots.py
@@ -0,0 +1,47 @@
+"""What one customer has out over all gateways, where its plan limits that, as the shared counter has it.
+
+The even share of a limit of three is one at each of three gateways, whatever the others have out. Here each try adds
+one to a count of its customer and takes it off with its answer: the total is what is out over all. A count is named by
+a spell of time, so that what was lost on the way is forgotten with it; what is still out goes over to the next one.
+"""
+
+from cypresspulley.policy.windows import count_name
+
+LASTS = 8.0  # seconds of a spell
+
+
+class Slots:
+    """What one gateway has told of its part."""
+
+    __slots__ = ("_label", "full_until", "held", "owed", "spell")
+
+    def __init__(self, label: str) -> None:
+        self._label, self.spell = label, -1
+        self.held, self.owed = (
+            0,
+            0.0,
+        )  # tries here that are out or wait to be; what the count has not been told
+        self.full_until = 0.0  # until then there is most likely no room
+
+    def __repr__(self) -> str:
+        return f"<Slots {self.held} held, {self.owed:+.0f} to tell>"
+
+    def late(self, now: float) -> bool:
+        """Whether the count has not been told all: it is a new one, or calls were lost or left out."""
+        self.change(now, 0)
+        return self.owed != 0
+
+    def change(self, now: float, by: int) -> None:
+        """One more is out here, or one less."""
+        if (spell := int(now // LASTS)) != self.spell:
+            self.spell, self.owed = spell, float(self.held)
+        self.held, self.owed = self.held + by, self.owed + by
+
+    def call(self) -> tuple[int, float, int]:
+        """The count's name, the amount that brings it up to date, and its spell."""
+        owed, self.owed = self.owed, 0.0
+        return count_name(f"out {self._label}", self.spell), owed, self.spell
+
+    def missed(self, spell: int, amount: float) -> None:
+        """A call has certainly not been added: the next one makes up for it."""
+        self.owed += amount * (spell == self.spell)
--- a/cypresspulley/policy/windows.py
+++ b/cypresspulley/policy/windows.py
@@ -1,11 +1,9 @@
 """A customer's ceiling that all gateways keep by the shared counter, in windows of time that every clock names alike.
 
-An even share over many gateways is next to nothing: 25 units over 12 gateways are 2 each, filled at one in 3 s, and a
-gateway that starts has none. Here each window of length B / 2R has a count of its own, which starts at nothing, so that
-a gateway that knows nothing of the past reads from one answer all that was granted: what brings the count to B / 2 at
-most may go. A span of time that touches n windows is n - 2 of them long at least, and
-n (B / 2) <= B + R (n - 2) B / 2R: the store never falls below nothing, whoever sends, restarts or asks late. Counts
-that are lost add one window's units.
+An even share over many gateways is next to nothing, and a gateway that starts has none. Here each window of length
+B / 2R has a count of its own, which starts at nothing: what brings it to B / 2 at most may go. A span that touches n
+windows is n - 2 of them long at least, and n (B / 2) <= B + R (n - 2) B / 2R: the store never falls below nothing,
+whoever sends, restarts or asks late. Counts that are lost add one window's units.
 """
 
 from hashlib import blake2b
@@ -74,11 +72,9 @@
 class Life:
     """Whether this gateway is the first of its place for so long that all its stores are full.
 
-    A restart must take its even share of a ceiling for used. A fresh fleet need not: the counter tells the two apart.
-    Each life adds a random amount to the count of its place in this spell of time, and does so in each spell. Where
-    the count is the life's own, there was none before since the spell began. Lost answers do no harm: the count is
-    then the sum of some of its own amounts. A counter that lost its counts between two lives of a place vouches
-    wrongly, for as much as one even share at that place.
+    A restart must take its even share of a ceiling for used; a fresh fleet need not. In each spell of time each life
+    adds random amounts to the count of its place. Where the count is the sum of some of its own, there was none before
+    since the spell began. A counter that lost its counts between two lives vouches wrongly, for one even share.
     """
 
     def __init__(self, settings: api.Settings, rng: Random, now: float) -> None:
@@ -87,11 +83,11 @@
         self._back = max(full, default=0.0)  # seconds for which there must have been no other
         self._place, self._rng = settings.index, rng
         self._due, self._spell = now + rng.random() * AFTER, -1
-        self._own, self._out = (
+        self._own, self._clear = (
             list[tuple[int, float]](),
-            dict[int, int](),
-        )  # amounts by spell; calls out, by name
-        self._clear = set[int]()
+            set[int](),
+        )  # amounts by spell; spells with no others'
+        self._asked: int | None = None  # the spell that a call is out for
         self.vouched = False
 
     def __repr__(self) -> str:
@@ -100,7 +96,8 @@
     def call(self, now: float) -> api.Count | None:
         """The call that is due: all gateways start at once, so each waits for a part of a second of its own."""
         spell = int(now // SPELL)
-        if not self.wanted or now < self._due or self._out or (spell == self._spell and self._settled(spell)):
+        known = spell == self._spell and self._settled(spell)
+        if not self.wanted or now < self._due or self._asked is not None or known:
             return None
         if spell != self._spell:
             self._spell, self._own = spell, [mark for mark in self._own if mark[0] == spell - 1]
@@ -109,9 +106,8 @@
         amount = float(self._rng.randint(1, 9999)) if asked == spell else 0.0
         if amount:
             self._own.append((spell, amount))
-        name = count_name(f"life {self._place}", asked)
-        self._out[name] = asked
-        return api.Count(name, 2 * SPELL, amount)
+        self._asked = asked
+        return api.Count(count_name(f"life {self._place}", asked), 2 * SPELL, amount)
 
     def _early(self, now: float, spell: int) -> bool:
         return not self.vouched and not self._clear and now - spell * SPELL < self._back
@@ -119,17 +115,12 @@
     def _settled(self, spell: int) -> bool:
         return spell in self._clear or sum(at == spell for at, _ in self._own) >= MARKS
 
-    def mine(self, name: int) -> bool:
-        return name in self._out
-
     def told(self, now: float, ev: api.Counted) -> bool:
         """The counter's answer; whether this life is vouched for from now on."""
-        spell = self._out.pop(ev.name)
-        self._due = now + AFTER * self._rng.random()
-        if ev.status is not Status.OK:
-            vain = ev.status in (Status.FULL, Status.UNREACHABLE, Status.ERROR)
-            if vain and spell == self._spell and self._own:
-                self._own.pop()  # nothing was added
+        spell, self._asked, self._due = self._asked, None, now + AFTER * self._rng.random()
+        if ev.status in api.NEVER_ADDED and spell == self._spell and self._own:
+            self._own.pop()
+        if ev.status is not Status.OK or spell is None:
             return False
         amounts = [amount for at, amount in self._own if at == spell]
         sums = {sum(some) for n in range(len(amounts) + 1) for some in combinations(amounts, n)}
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -23,9 +23,8 @@
             largest = max(largest, len(quotas.accounts))
     lived = (quota.FORGET + 12.0) / EVERY
     assert largest <= lived, "an account that is idle for a minute and full is forgotten"
-    assert len(quotas.names) == len(quotas.accounts)
     quotas.tick(now + quota.FORGET + 10.0)
-    assert len(quotas.accounts) == len(quotas.names) == 0
+    assert not quotas.accounts
 
 
 def test_servers_that_come_and_go_are_forgotten_and_their_names_bounded() -> None:
--- a/tests/test_classes.py
+++ b/tests/test_classes.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cypresspulley import interface as api
+from cypresspulley.explore.examine import left_of
 from cypresspulley.net.frontend import BadRequestError, RequestReader
 from cypresspulley.policy.classes import HEARD, OLD, Classes
 from cypresspulley.settings import SettingsError, check_sound, check_whole
@@ -81,9 +82,9 @@
     for id in range(3):
         world.feed(w.request(id, plan="capped"))
     account = world.gateway.quotas.accounts["capped", "x"]
-    before = account.level, account.open, world.gateway.held["work"]
+    before = account.level, account.open, left_of(world.gateway)["work"]
     world.feed(api.Retune(replace(OTHER, plans=(replace(plan, rate=5.0),))))
-    assert (account.level, account.open, world.gateway.held["work"]) == before
+    assert (account.level, account.open, left_of(world.gateway)["work"]) == before
     assert account.plan.rate == 5.0
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,9 +13,10 @@
 
 from cypresspulley import interface as api
 from cypresspulley.__main__ import ConfigError, config_from
+from cypresspulley.messages import DIGITS, STEP
 from cypresspulley.net.peers import MAX_MESSAGE, Peers
 from cypresspulley.policy.account import Account
-from cypresspulley.policy.tells import DIGITS, HEARD_AT_MOST, STEP, Tells
+from cypresspulley.policy.tells import HEARD_AT_MOST, Tells
 from tests import world as w
 from tests.loopback import Limiter, Origin, Script, ask, listening, run, send_on
 from tests.test_program import config
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,6 +12,7 @@
 import pytest
 
 from cypresspulley import interface as api
+from cypresspulley.explore.examine import left_of
 from cypresspulley.net import frontend as net_frontend
 from cypresspulley.net import relay as net_relay
 from cypresspulley.net import upstream as net_upstream
@@ -374,7 +375,7 @@
             await ended.wait()
             while limiter.node.open_requests:
                 await asyncio.sleep(0.001)
-            assert gateway.held == {"requests": 0, "of accounts": 0, "work": 0}
+            assert not any(left_of(gateway).values())
             assert next(iter(gateway.quotas.accounts.values())).level <= level + 1.0, "its units stay charged"
             assert sum(isinstance(e, api.Request) for e in script.events) == 1
 
@@ -644,7 +645,7 @@
     world.gateway.handle(world.now + 60.2, api.Began(1, 0, "s0", 0.2, {}))
     assert server.open == 0.0 and server.quiet is None and request.account.open == 1
     world.gateway.handle(world.now + 99.0, api.Outcome(1, 0, "s0", api.Status.OK, 0.2, True, {}))
-    assert request.account.open == 0 and world.gateway.held["work"] == 0
+    assert request.account.open == 0 and left_of(world.gateway)["work"] == 0
 
 
 def test_a_body_that_is_spent_is_not_tried_again() -> None:
--- a/tests/test_rough.py
+++ b/tests/test_rough.py
@@ -153,8 +153,8 @@
 
 def test_calls_that_end_with_one_connection_of_the_counter_are_one_sign_of_silence() -> None:
     async def main() -> None:
-        # So little, and with a limit on what is out, that the counter is asked at once.
-        plans = (api.Plan("basic", rate=1.0, burst=4.0, open_limit=90),)
+        # So little that the counter is asked at once.
+        plans = (api.Plan("basic", rate=1.0, burst=4.0),)
         script = Deciding(replace(SETTINGS, plans=plans, has_counter=True, counter_timeout=0.05))
         script.now += 10.0  # what the others used since it was born may be more than is left
         accounts, origin = iter(range(1, 9)), Origin()
--- a/tests/test_symptoms.py
+++ b/tests/test_symptoms.py
@@ -9,7 +9,6 @@
 from cypresspulley import interface as api
 from cypresspulley.policy.account import Calls
 from cypresspulley.policy.fleet import Sizes
-from cypresspulley.policy.gateway import Gateway
 from tests import world as w
 
 
@@ -177,7 +176,7 @@
         world.serve()
     assert len(world.gateway.quotas.accounts) == 500
     world.advance(world.now + 70)
-    assert not world.gateway.quotas.accounts and not world.gateway.quotas.names
+    assert not world.gateway.quotas.accounts
 
 
 def test_a_stall_starts_the_loop_afresh() -> None:
@@ -227,7 +226,7 @@
 )
 def test_impossible_settings_name_the_key(field: str, value: float) -> None:
     with pytest.raises(ValueError, match=field):
-        Gateway(w.settings(**{field: value}), 1, 0.0)
+        w.settings(**{field: value})
 
 
 def test_a_gate_shut_on_one_request_a_second_opens_again_when_answers_are_quick() -> None:
@@ -405,16 +404,16 @@
     now, before = 100.0, calls.rate
     for _ in range(40):  # ten seconds of it: one call at a time goes out
         now = max(now, calls.silent_until)
-        calls.made(now)
-        calls.ended(now + 0.05, api.Status.TIMEOUT, now)
+        calls.ask(now, 1, 60.0, 1.0, lambda _now, _ev: None)
+        calls.answered(now + 0.05, api.Counted(1, api.Status.TIMEOUT))
         now += 0.05
     assert calls.rate >= 0.8 * before
     assert calls.left(now) == 0, "the last one is still silence"
     now = calls.silent_until
     assert calls.left(now) > 0
-    calls.made(now)
+    calls.ask(now, 1, 60.0, 1.0, lambda _now, _ev: None)
     assert calls.left(now) == 0, "one at a time"
-    calls.ended(now + 0.001, api.Status.OK, now)
+    calls.answered(now + 0.001, api.Counted(1, api.Status.OK, 1.0))
     assert calls.left(now + 0.001) > 1, "answered: as before"
 
 
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -107,7 +107,6 @@
     for step in range(60):
         if (call := life.call(now + step / 10)) is None:
             continue
-        assert life.mine(call.name)
         if refused:
             refused -= 1
             life.told(now + step / 10, api.Counted(call.name, api.Status.FULL))
