--- a/cypresspulley/rehearsal/scenario.py
+++ b/cypresspulley/rehearsal/scenario.py
@@ -92,7 +92,7 @@
 
 
 class Limiters(_Strict):
-    count: int = Field(3, ge=1, le=16)
+    count: int = Field(3, ge=1, le=64)
     sockets: int = Field(512, ge=64, le=4096)
     memory_mb: int = Field(192, ge=32, le=4096)
     max_attempts: int = Field(4, ge=1, le=10)
--- /dev/null
+++ b/tests/rehearsal/virtual/test_fleets.py
@@ -0,0 +1,41 @@
+"""Forty limiters and sixty servers in virtual time: what is harmless on one limiter and hurts on all."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from cypresspulley.policy.fleet import Fleet
+from cypresspulley.rehearsal.judge import Verdict, judge
+from cypresspulley.rehearsal.scenario import Scenario, load_scenario
+from cypresspulley.rehearsal.virtual.play import play_virtual
+
+NAMES = ("fleet-release", "fleet-hall-lost", "fleet-replaced")
+
+
+def shortened(name: str, seconds: float) -> Scenario:
+    return load_scenario(name).model_copy(update={"seconds": seconds})
+
+
+def played(scenario: Scenario) -> Verdict:
+    return judge(play_virtual(scenario, scenario.seed))
+
+
+@pytest.mark.parametrize("name", NAMES)
+def test_a_large_fleet_keeps_the_rules_and_its_goal(name: str) -> None:
+    verdict = played(shortened(name, 12.0))
+    assert verdict.kept and not verdict.void and not verdict.crash
+    assert verdict.met
+
+
+def test_a_fleet_that_learns_nothing_of_bad_servers_misses_its_goal(monkeypatch: pytest.MonkeyPatch) -> None:
+    learn = Fleet.learn
+
+    def forgetful(fleet: Fleet, now: float, r: Any, s: Any, ev: Any) -> None:
+        learn(fleet, now, r, s, ev)
+        s.fails, s.out_until, s.trial = 0.0, 0.0, False
+
+    monkeypatch.setattr(Fleet, "learn", forgetful)
+    verdict = played(shortened("fleet-release", 12.0))
+    assert verdict.kept and not verdict.met
