Ask a silent or broken discovery again within 1.5 s: drains were heard of past the grace

Cause: net/discovery.py waited four times as long after each failure, up to 16 s give or take a half (24 s), whatever the failure; what discovery has to tell counts as told 6 s later. One that is silent or breaks is asked again after 1.5 s at most, and one that has said nothing after 2.5 s is given up (5 s once it has spoken). The log says silence and no longer CancelledError. Ruled out: policy (no send to a server that its list had as draining), the relay, the loop.

--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -17,9 +17,14 @@
 log = logging.getLogger(__name__)
 
 SILENCE = 5.0  # an empty line comes every 2 s: past this the watch is dead, whatever the socket says
+FIRST = (
+    2.5  # the same for one that has said nothing yet: its first line comes at once, or when its turn has come
+)
 # Seconds until a watch is begun anew: the first time, and at most after a row of failures, each give or take a half.
-# A fixed time had a restarted fleet ask a busy discovery for whole lists together, 100 times a second, and get none.
-RETRY, RETRY_MOST = 0.25, 16.0
+# A fixed time had a restarted fleet ask a busy discovery for whole lists together, 100 times a second, and get none:
+# so one that says it is busy is left alone for long. One that is silent or breaks is not: what it has to tell counts
+# as told 6 s later, and a limiter that waited 16 s for it sent to drained servers past the grace.
+RETRY, RETRY_BUSY, RETRY_BROKEN = 0.25, 16.0, 1.0
 BUSY = frozenset(
     (429, 500, 502, 503, 504)
 )  # of discovery itself; any other refusal may be of the version asked for
@@ -63,7 +68,7 @@
     ) -> None:  # fmt: skip
         self._host, self._port, self._since, self._tell = host, port, since, tell
         self._draw, self._wait = draw, RETRY
-        self._buffer, self._failing = b"", False
+        self._buffer, self._failing, self._busy = b"", False, False
 
     async def follow(self) -> None:
         while True:
@@ -71,7 +76,11 @@
                 await self._watch()
             except (OSError, TimeoutError, httptools.HttpParserError) as error:
                 if not self._failing:  # once for a row of failures
-                    log.warning("the watch on discovery ended: %r", error.__context__ or error)
+                    silent = isinstance(error, TimeoutError)
+                    log.warning(
+                        "the watch on discovery ended: %s",
+                        "silence" if silent else repr(error.__context__ or error),
+                    )
                 self._failing = True
             except Exception:
                 log.exception("the watch on discovery failed")
@@ -79,11 +88,13 @@
 
     def pause(self) -> float:
         """Seconds until the next try: longer after each failure, and not those of other limiters."""
-        wait, self._wait = self._wait, min(RETRY_MOST, 4 * self._wait)
+        most = RETRY_BUSY if self._busy else RETRY_BROKEN
+        wait, self._wait = min(most, self._wait), min(most, 4 * self._wait)
         return wait * (0.5 + self._draw())
 
     async def _watch(self) -> None:
-        async with asyncio.timeout(SILENCE):
+        self._busy, silence = False, FIRST
+        async with asyncio.timeout(FIRST):
             reader, writer = await asyncio.open_connection(self._host, self._port)
         try:
             since = "" if self._since is None else f"&since={self._since}"
@@ -92,11 +103,12 @@
             self._buffer = b""
             self._parser = httptools.HttpResponseParser(self)
             while True:
-                async with asyncio.timeout(SILENCE):
+                async with asyncio.timeout(silence):
                     data = await reader.read(65536)
                 if not data:
                     raise ConnectionError("closed by discovery")
                 self._parser.feed_data(data)
+                silence = SILENCE
         finally:
             writer.transport.abort()
 
@@ -104,7 +116,8 @@
 
     def on_headers_complete(self) -> None:
         if (code := self._parser.get_status_code()) != 200:
-            if code not in BUSY:
+            self._busy = code in BUSY
+            if not self._busy:
                 self._since = None  # it may be the version that is not taken
             raise ConnectionError(f"status {code}")
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,16 @@
 
 from cypresspulley import interface as api
 from cypresspulley.net import discovery
-from cypresspulley.net.discovery import RETRY, RETRY_MOST, Discovery, Follower, Listing, listing_from
+from cypresspulley.net.discovery import (
+    FIRST,
+    RETRY,
+    RETRY_BROKEN,
+    RETRY_BUSY,
+    Discovery,
+    Follower,
+    Listing,
+    listing_from,
+)  # fmt: skip
 from tests.loopback import listening, run
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -133,14 +142,45 @@
     run(main())
 
 
-def test_each_try_waits_longer_than_the_one_before_and_apart_from_other_limiters() -> None:
-    def pauses(seed: int) -> list[float]:
-        watch = Discovery("127.0.0.1", 1, 41, lambda _: None, Random(seed).random)
-        return [watch.pause() for _ in range(9)]
+def pauses(seed: int, busy: bool) -> list[float]:
+    watch = Discovery("127.0.0.1", 1, 41, lambda _: None, Random(seed).random)
+    watch._busy = busy
+    return [watch.pause() for _ in range(9)]
+
+
+def test_a_discovery_that_is_silent_or_breaks_is_asked_again_before_its_news_count_as_told() -> None:
+    """What it has to tell counts as told after 6 s: a drain that came then was heard of 10 s and more too late."""
+    assert FIRST + 1.5 * RETRY_BROKEN < 6
+    assert all(max(pauses(seed, busy=False)) <= 1.5 * RETRY_BROKEN for seed in range(40))
+
+
+def test_a_watch_that_was_busy_once_and_then_silent_does_not_wait_as_for_a_busy_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(discovery, "FIRST", 0.05)
+    monkeypatch.setattr(discovery, "RETRY", 0.01)
+    waited = list[float]()
+
+    async def main() -> None:
+        busy = [b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"]
+        agent = Agent(busy, busy, busy, [], [HEAD, chunk(message(1))])
+        pause = Discovery.pause
 
-    each = [pauses(seed) for seed in range(40)]
+        def noted(watch: Discovery) -> float:
+            waited.append(pause(watch))
+            return 0.0
+
+        monkeypatch.setattr(Discovery, "pause", noted)
+        await follow(agent, 1, 5)
+
+    run(main())
+    assert len(waited) >= 4 and waited[3] <= 1.5 * RETRY_BROKEN
+
+
+def test_each_try_waits_longer_than_the_one_before_and_apart_from_other_limiters() -> None:
+    each = [pauses(seed, busy=True) for seed in range(40)]
     assert sum(first[0] for first in each) / 40 == pytest.approx(RETRY, rel=0.2)
-    assert all(RETRY_MOST / 2 <= last[-1] <= 1.5 * RETRY_MOST for last in each)
+    assert all(RETRY_BUSY / 2 <= last[-1] <= 1.5 * RETRY_BUSY for last in each)
     # What 40 limiters ask together in the busiest tenth of a second, at their fifth try.
     at = sorted(sum(waits[:5]) for waits in each)
     assert max(sum(t <= other < t + 0.1 for other in at) for t in at) <= 10
