--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -35,6 +35,7 @@
 if TYPE_CHECKING:
     from cypresspulley.accesslog import LogFile
     from cypresspulley.net.peers import Peers
+    from cypresspulley.plans.limiter import Plans
 
 log = logging.getLogger("cypresspulley")
 
@@ -225,6 +226,9 @@
     if offer is not None and not service.adopt(gateway, clock(), offer, upstream):
         gateway, offer = _gateway(config, clock), None
     decisions: Decisions = gateway if watched is None else watched(gateway)
+    plans = None
+    if operators.plans is not None:
+        decisions, plans = _plans(config, operators.plans, decisions, gateway, clock)
     if operators.tally is not None:
         from cypresspulley.tally import Tally
 
@@ -247,6 +251,8 @@
     follower.follow(*config.discovery, since)
     if counter is not None:
         counter.start()
+    if plans is not None:
+        plans.start()
 
     def retune(settings: api.Settings, timing: Timing) -> None:
         upstream.retune(timing.dial_timeout, timing.conn_idle)
@@ -276,10 +282,28 @@
         counter.close()
     if peers is not None:
         peers.close()
+    if plans is not None:
+        await plans.close()
     if access_log is not None:
         access_log.close()
 
 
+def _plans(
+    config: Config, table: tuple[str, str], decisions: Decisions, gateway: Gateway, clock: Callable[[], float]
+) -> tuple[Decisions, Plans]:
+    """The decisions by a plan book, where the operators name its writer; what is off is not even imported."""
+    try:
+        from cypresspulley.plans.limiter import Plans
+    except ImportError as error:
+        raise ConfigError(f"plans needs its extra: pip install 'cypresspulley[plans]' ({error})") from None
+    try:
+        address, token = split_address(table[0]), os.environ.get("FAWNSEAM_PLANS_TOKEN", "")
+        plans = Plans(address, token, table[1], os.environ.get("LB_NAME", "limiter"), clock)
+    except ValueError as error:
+        raise ConfigError(f"plans: {error}") from None
+    return plans.deciding(decisions, gateway, config.settings), plans
+
+
 def _gateway(config: Config, clock: Callable[[], float]) -> Gateway:
     try:
         return Gateway(config.settings, config.seed, clock())
--- a/cypresspulley/cli.py
+++ b/cypresspulley/cli.py
@@ -320,5 +320,207 @@
     sys.exit(command.learn_from(schema, capture, out))
 
 
+@main.group()
+def plans() -> None:
+    """Plans changing in service: versions, assignments, reservations, their writer and their store.
+
+    \b
+    Examples:
+      fawnseam plans serve book --installation vadodara --listen 127.0.0.1:8600
+      fawnseam plans change --store book --author meera --plan business --rate 3 --burst 12 \\
+        --ceiling-rate 5 --ceiling-burst 24 --effective +10
+      fawnseam plans check book
+    Exit codes: 0 done; 1 refused, or different, or damaged; 2 bad input; 3 the store or the writer cannot be used.
+    """
+
+
+_STORE = click.option(
+    "--store", type=click.Path(path_type=Path), help="The book's folder, where no writer serves it."
+)
+_TO = click.option(
+    "--to", metavar="HOST:PORT", help="The writer that serves the book (FAWNSEAM_PLANS_TOKEN)."
+)
+_NAME = click.option("--installation", default="", help="The installation; needed for a new store.")
+_AUTHOR = click.option("--author", required=True, help="Who wants it.")
+_REASON = click.option("--reason", default="", help="Why.")
+_DRY = click.option(
+    "--dry-run", is_flag=True, help="Change nothing; say what would be, and who would be over."
+)
+_JSON = click.option("--json", "as_json", is_flag=True, help="Tell it as JSON.")
+_EFFECTIVE = click.option("--effective", help="Unix milliseconds or +SECONDS; a lease ahead by itself.")
+
+
+def _instant(text: str | None) -> dict[str, int | str]:
+    if text is None:
+        return {}
+    return {"effective": int(text) if text.isdigit() else text}
+
+
+@plans.command("serve")
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--installation", default="", help="The installation; needed for a new store.")
+@click.option("--listen", default="127.0.0.1:8600", metavar="HOST:PORT", show_default=True)
+def plans_serve(folder: Path, installation: str, listen: str) -> None:
+    """Publish the book in FOLDER to limiters, and take changes, until SIGTERM."""
+    from cypresspulley.plans import command
+
+    host, _, port = listen.rpartition(":")
+    if not host or not port.isdigit():
+        raise click.BadParameter(f"expected HOST:PORT, got {listen!r}")
+    sys.exit(command.serve(folder, installation, host, int(port)))
+
+
+@plans.command("change")
+@_STORE
+@_TO
+@_NAME
+@click.option("--plan", required=True)
+@click.option("--rate", type=float, required=True, help="Units a second.")
+@click.option("--burst", type=float, required=True, help="Units.")
+@click.option("--ceiling-rate", type=float, default=0.0)
+@click.option("--ceiling-burst", type=float, default=0.0)
+@click.option("--worth", type=float, default=1.0, help="Of a unit.")
+@click.option("--cap", type=int, default=0, help="Requests out at once; 0: no cap.")
+@_EFFECTIVE
+@_AUTHOR
+@_REASON
+@_DRY
+@_JSON
+def plans_change(
+    store: Path | None, to: str | None, installation: str, plan: str, rate: float, burst: float, ceiling_rate: float,
+    ceiling_burst: float, worth: float, cap: int, effective: str | None, author: str, reason: str, dry_run: bool,
+    as_json: bool,
+) -> None:  # fmt: skip
+    """Give a plan new terms from an instant on."""
+    from cypresspulley.plans import command
+
+    terms = {
+        "rate": rate, "burst": burst, "ceiling_rate": ceiling_rate, "ceiling_burst": ceiling_burst, "worth": worth,
+        "cap": cap,
+    }  # fmt: skip
+    raw = {"wish": "change", "plan": plan, "terms": terms, **_instant(effective)}
+    told = {"author": author, "reason": reason, "dry_run": dry_run}
+    sys.exit(command.wish({**raw, **told}, store, to, installation, as_json))
+
+
+@plans.command("assign")
+@click.argument("account")
+@click.argument("plan")
+@_STORE
+@_TO
+@_NAME
+@_EFFECTIVE
+@_AUTHOR
+@_REASON
+@_DRY
+@_JSON
+def plans_assign(
+    account: str, plan: str, store: Path | None, to: str | None, installation: str, effective: str | None,
+    author: str, reason: str, dry_run: bool, as_json: bool,
+) -> None:  # fmt: skip
+    """Put ACCOUNT on PLAN from an instant on."""
+    from cypresspulley.plans import command
+
+    raw = {"wish": "assign", "account": account, "plan": plan, **_instant(effective)}
+    told = {"author": author, "reason": reason, "dry_run": dry_run}
+    sys.exit(command.wish({**raw, **told}, store, to, installation, as_json))
+
+
+@plans.command("reserve")
+@click.argument("key")
+@click.argument("account")
+@click.argument("units", type=float)
+@click.option("--start", required=True, help="Unix milliseconds or +SECONDS.")
+@click.option("--end", required=True, help="Unix milliseconds or +SECONDS.")
+@click.option("--fleet-rate", type=float, required=True, help="Units a second that the fleet may set aside.")
+@click.option("--purpose", default="")
+@_STORE
+@_TO
+@_NAME
+@_AUTHOR
+@_REASON
+@_DRY
+@_JSON
+def plans_reserve(
+    key: str, account: str, units: float, start: str, end: str, fleet_rate: float, purpose: str, store: Path | None,
+    to: str | None, installation: str, author: str, reason: str, dry_run: bool, as_json: bool,
+) -> None:  # fmt: skip
+    """Set UNITS aside for ACCOUNT's event; KEY names it, and the same again changes nothing."""
+    from cypresspulley.plans import command
+
+    window = {name: int(text) if text.isdigit() else text for name, text in (("start", start), ("end", end))}
+    raw = {
+        "wish": "reserve",
+        "key": key,
+        "account": account,
+        "units": units,
+        "fleet_rate": fleet_rate,
+        **window,
+    }
+    told = {"purpose": purpose, "author": author, "reason": reason, "dry_run": dry_run}
+    sys.exit(command.wish({**raw, **told}, store, to, installation, as_json))
+
+
+@plans.command("release")
+@click.argument("key")
+@_STORE
+@_TO
+@_NAME
+@_AUTHOR
+@_REASON
+@_JSON
+def plans_release(
+    key: str, store: Path | None, to: str | None, installation: str, author: str, reason: str, as_json: bool
+) -> None:
+    """Give back what is not drawn of a reservation; a second time changes nothing."""
+    from cypresspulley.plans import command
+
+    raw = {"wish": "release", "key": key, "author": author, "reason": reason}
+    sys.exit(command.wish(raw, store, to, installation, as_json))
+
+
+@plans.command("show")
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--at", type=int, help="Unix milliseconds; now by itself.")
+@_JSON
+def plans_show(folder: Path, at: int | None, as_json: bool) -> None:
+    """What is in force."""
+    from cypresspulley.plans import command
+
+    sys.exit(command.show(folder, at, as_json))
+
+
+@plans.command("history")
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.argument("name")
+@_JSON
+def plans_history(folder: Path, name: str, as_json: bool) -> None:
+    """All that was said of an account or a plan."""
+    from cypresspulley.plans import command
+
+    sys.exit(command.past(folder, name, as_json))
+
+
+@plans.command("diff")
+@click.argument("one", type=click.Path(path_type=Path))
+@click.argument("other", type=click.Path(path_type=Path))
+@_JSON
+def plans_diff(one: Path, other: Path, as_json: bool) -> None:
+    """Changes that only one of two books has."""
+    from cypresspulley.plans import command
+
+    sys.exit(command.diff(one, other, as_json))
+
+
+@plans.command("check")
+@click.argument("folder", type=click.Path(path_type=Path))
+@_JSON
+def plans_check(folder: Path, as_json: bool) -> None:
+    """What is damaged in a book's folder, and what can be saved; changes nothing."""
+    from cypresspulley.plans import command
+
+    sys.exit(command.examine(folder, as_json))
+
+
 if __name__ == "__main__":
     main()
--- a/cypresspulley/operators.py
+++ b/cypresspulley/operators.py
@@ -13,6 +13,7 @@
     "access_log": {"path": str},
     "keeper": {"url": str},
     "tally": {"every": float},
+    "plans": {"writer": str, "installation": str},
 }
 LEAST_TALLY = 0.1  # seconds
 OWN_CHECK = (
@@ -32,6 +33,7 @@
     keeper: str | None = None  # the URL of an engine that holds the shared counts
     graphql: tuple[str, dict[str, Any]] | None = None  # the file that it stands in, and the table
     tally: float | None = None  # seconds of the spells by which events and actions are counted
+    plans: tuple[str, str] | None = None  # the address of a plan book's writer, and the installation
 
 
 def load_operators(path: str) -> Operators:
@@ -52,7 +54,9 @@
     tally = raw.get("tally", {}).get("every")
     if tally is not None and tally < LEAST_TALLY:
         raise OperatorsError(f"{path}: tally.every: expected at least {LEAST_TALLY:g} seconds, got {tally:g}")
-    return Operators(access_log.replace("{name}", name) if access_log else None, keeper, graphql, tally)
+    plans = (raw["plans"]["writer"], raw["plans"]["installation"]) if "plans" in raw else None
+    log = access_log.replace("{name}", name) if access_log else None
+    return Operators(log, keeper, graphql, tally, plans)
 
 
 def _check(path: str, table: str, keys: Any) -> None:
--- /dev/null
+++ b/cypresspulley/plans/__init__.py
@@ -0,0 +1,1 @@
+"""Plans in service: versions, reservations, use across a change, and their store."""
--- /dev/null
+++ b/cypresspulley/plans/command.py
@@ -0,0 +1,190 @@
+"""What ``fawnseam plans`` does; its exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import http.client
+import json
+import os
+import signal
+import sys
+import time
+from contextlib import closing
+from pathlib import Path
+from typing import Any
+
+from cypresspulley.console import fail
+from cypresspulley.plans import book as books
+from cypresspulley.plans.book import Book, Change, Version
+from cypresspulley.plans.files import DiskFolder
+from cypresspulley.plans.office import Office
+from cypresspulley.plans.serve import PATH, Publisher, unix_ms
+from cypresspulley.plans.store import Store, check
+from cypresspulley.plans.wishes import carry_out, difference, history, reservation_json
+
+DONE, REFUSED, BAD_INPUT, BROKEN = 0, 1, 2, 3
+TOKEN = "FAWNSEAM_PLANS_TOKEN"
+CALL_WAIT = 10.0  # seconds
+
+
+def _say(told: Any, as_json: bool, text: str) -> None:
+    print(json.dumps(told) if as_json else text)
+
+
+def _when(instant: int) -> str:
+    return time.strftime("%Y-%m-%d %H:%M:%S", time.gmtime(instant / 1000)) + f".{instant % 1000:03} UTC"
+
+
+def _line(change: Change) -> str:
+    by = f"  by {change.author}" + (f": {change.reason}" if change.reason else "")
+    if isinstance(change, Version):
+        t = change.terms
+        ceiling = f", ceiling {t.ceiling_rate:g}/s of {t.ceiling_burst:g}" if t.ceiling_rate else ""
+        what = f"{change.plan} gives {t.rate:g}/s of {t.burst:g}{ceiling}"
+    else:
+        what = f"{change.account} is on {change.plan}"
+    return f"{change.stamp!s:>8}  from {_when(change.effective)}  {what}{by}"
+
+
+def _reading(folder: Path) -> Office:
+    """The office as it is stored, to look at: no lock, no new epoch, nothing written."""
+    if not folder.is_dir() or not check(DiskFolder(str(folder), write=False)):
+        raise ValueError(f"{folder}: holds no plan book; expected the folder of one")
+    return Office(Store(DiskFolder(str(folder), write=False), read_only=True), new_epoch=False)
+
+
+def serve(folder: Path, installation: str, host: str, port: int) -> int:
+    """Publish until SIGTERM or SIGINT."""
+    token = os.environ.get(TOKEN, "")
+    if not token:
+        return fail(f"{TOKEN}: expected the token that followers and operators will show", BAD_INPUT)
+    try:
+        with closing(DiskFolder(str(folder))) as held:
+            asyncio.run(_serving(Office(Store(held), installation), token, host, port))
+    except OSError as error:
+        return fail(error, BROKEN)
+    except ValueError as error:
+        return fail(f"{folder}: {error}", BAD_INPUT)
+    return DONE
+
+
+async def _serving(office: Office, token: str, host: str, port: int) -> None:
+    publisher = Publisher(office, token)
+    address = await publisher.listen(host, port)
+    print(f"fawnseam plans: {office!r} at {address[0]}:{address[1]}", file=sys.stderr, flush=True)
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    while not stop.is_set():
+        try:
+            await asyncio.wait_for(stop.wait(), 1.0)
+        except TimeoutError:
+            office.tick(unix_ms())
+    await publisher.close()
+
+
+def wish(raw: dict[str, Any], store: Path | None, to: str | None, installation: str, as_json: bool) -> int:
+    """One change, by the writer that serves, or by this process where none does."""
+    try:
+        if to is not None:
+            status, done = _call(to, raw)
+            if status != 200:
+                return fail(done.get("error", f"answered {status}"), REFUSED if status == 409 else BAD_INPUT)
+        elif store is not None:
+            with closing(DiskFolder(str(store))) as folder:
+                done = carry_out(Office(Store(folder), installation), raw, unix_ms())
+        else:
+            return fail("expected --store DIR, or --to HOST:PORT of a writer that serves", BAD_INPUT)
+    except OSError as error:
+        return fail(error, BROKEN)
+    except ValueError as error:
+        return fail(error, REFUSED)
+    _say(done, as_json, _told(done))
+    return REFUSED if done.get("at") == "refused" else DONE
+
+
+def _call(to: str, raw: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    host, _, port = to.rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"--to: expected HOST:PORT, got {to!r}")
+    connection = http.client.HTTPConnection(host, int(port), timeout=CALL_WAIT)
+    try:
+        headers = {"Authorization": f"Bearer {os.environ.get(TOKEN, '')}"}
+        connection.request("POST", PATH, json.dumps(raw), headers)
+        answer = connection.getresponse()
+        return answer.status, json.loads(answer.read(1 << 20))
+    finally:
+        connection.close()
+
+
+def _told(done: dict[str, Any]) -> str:
+    dry = "would be: " if done["dry_run"] else ""
+    if "change" not in done:
+        return f"{dry}{done['key']} of {done['account']}: {done['at']}, {done['units']:g} units"
+    lines = [dry + _line(books.change_from(done["change"], "change")).strip()]
+    for account, by in done["passed_by"].items():
+        lines.append(
+            f"  {account} may pass its new ceiling by {by:g} units: announced less than a lease ahead"
+        )
+    return "\n".join(lines)
+
+
+def show(store: Path, at: int | None, as_json: bool) -> int:
+    """What is in force."""
+    try:
+        office = _reading(store)
+    except (OSError, ValueError) as error:
+        return fail(error, BAD_INPUT)
+    at = unix_ms() if at is None else at
+    plans = [v for plan in sorted(office.book.plans) if (v := office.book.version(plan, at)) is not None]
+    found = [
+        a for name in sorted(office.book.accounts) if (a := office.book.assignment(name, at)) is not None
+    ]
+    reservations = [reservation_json(one) for one in office.reservations.all.values()]
+    told = {
+        "installation": office.book.installation, "epoch": office.epoch, "digest": office.book.digest(),
+        "plans": list(map(books.as_json, plans)), "accounts": list(map(books.as_json, found)),
+        "reservations": reservations,
+    }  # fmt: skip
+    lines = [repr(office), *map(_line, plans), *map(_line, found)]
+    lines += [f"{r['key']}: {r['account']}, {r['units']:g} units, {r['at']}" for r in reservations]
+    _say(told, as_json, "\n".join(lines))
+    return DONE
+
+
+def past(store: Path, name: str, as_json: bool) -> int:
+    """All that was said of one account or plan."""
+    try:
+        found = history(_reading(store).book, name)
+    except (OSError, ValueError) as error:
+        return fail(error, BAD_INPUT)
+    _say(list(map(books.as_json, found)), as_json, "\n".join(map(_line, found)))
+    return DONE
+
+
+def diff(one: Path, other: Path, as_json: bool) -> int:
+    """1 where the two books differ."""
+    try:
+        old, new = _reading(one).book, _reading(other).book
+    except (OSError, ValueError) as error:
+        return fail(error, BAD_INPUT)
+    gone, come = difference(new, old), difference(old, new)
+    told = {"only_first": list(map(books.as_json, gone)), "only_second": list(map(books.as_json, come))}
+    lines = [f"- {_line(change)}" for change in gone] + [f"+ {_line(change)}" for change in come]
+    _say(told, as_json, "\n".join(lines) or f"the same changes: {_same(old)}")
+    return REFUSED if gone or come else DONE
+
+
+def _same(book: Book) -> str:
+    return f"{len(book.stamps)}, digest {book.digest()}"
+
+
+def examine(store: Path, as_json: bool) -> int:
+    """What is damaged and what can be saved; 1 where no generation is good."""
+    try:
+        found = check(DiskFolder(str(store), write=False))
+    except OSError as error:
+        return fail(error, BAD_INPUT)
+    told = [{name: getattr(one, name) for name in one.__slots__} for one in found]
+    _say(told, as_json, "\n".join(map(str, found)) or f"{store}: holds no plan book")
+    return DONE if found and found[0].good else REFUSED
--- /dev/null
+++ b/cypresspulley/plans/limiter.py
@@ -0,0 +1,216 @@
+"""A limiter that goes by a plan book: between the node and the decisions, seeing each event and action.
+
+A request's plan becomes the one that its account is assigned to, the plans' terms those of the versions in force, from
+their instants on and before the request that comes at one. An account whose plan changes takes its levels along by the
+rule of ``carry.py``. Use is counted under the version that a request was admitted under, once for each try that may
+have run. Where there is no book yet the settings hold as they are. ``Planned`` does no I/O, its clock comes with each
+event; ``Plans`` is what a limiter starts and ends.
+"""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from typing import Any
+
+from cypresspulley import interface as api
+from cypresspulley.interface import Status
+from cypresspulley.plans.book import Stamp, Version
+from cypresspulley.plans.carry import Level
+from cypresspulley.plans.channel import Channel, EndedError, Where
+from cypresspulley.plans.export import Export
+from cypresspulley.plans.follow import At, Follower
+from cypresspulley.plans.reservations import MICRO
+from cypresspulley.plans.use import Gatherer, Key
+from cypresspulley.policy.account import Account
+from cypresspulley.policy.gateway import NEVER_RAN, Gateway
+
+log = logging.getLogger(__name__)
+
+PERIOD = 3600  # seconds of a period of use
+OVER_COST = 0.5  # of a plan that only the book knows
+UNVERSIONED = Stamp(0, 0)
+
+
+def plan_of(version: Version, base: api.Plan | None) -> api.Plan:
+    """A version as the decisions know plans; what the book does not say is the settings' own."""
+    t = version.terms
+    over_cost, over_worth = (base.over_cost, base.over_worth) if base is not None else (OVER_COST, 0.0)
+    return api.Plan(
+        version.plan, price=t.worth, rate=t.rate, burst=t.burst, open_limit=t.cap, over_worth=over_worth,
+        over_cost=over_cost, ceiling_rate=t.ceiling_rate, ceiling_burst=t.ceiling_burst,
+    )  # fmt: skip
+
+
+def _limits(rate: float, burst: float, share: int) -> tuple[float, float]:
+    """How an even share fills; one of no ceiling at all is always full."""
+    return (rate / max(1, share), burst / max(1, share)) if burst > 0 else (math.inf, math.inf)
+
+
+def _share_of(a: Account) -> Level:
+    """An account's even share of its ceiling, as if all of it were kept in shares."""
+    limits = _limits(a.plan.ceiling_rate, a.plan.ceiling_burst, a.share)
+    units = a.ceiling / a.keep if a.plan.ceiling_burst > 0 and a.keep > 0 else limits[1]
+    return Level(units, a.at, *limits)
+
+
+class Planned:
+    """``decide`` is what decides, ``gateway`` the levels behind it (the same, unless something watches)."""
+
+    def __init__(
+        self, decide: Any, gateway: Gateway, settings: api.Settings, follower: Follower, gatherer: Gatherer
+    ) -> None:  # fmt: skip
+        self._decide, self._gateway, self._base, self.follower = decide, gateway, settings, follower
+        self.gatherer = gatherer
+        self._seen: object = None  # the book and state that the terms in force were read from
+        self._due = 0  # Unix milliseconds at which the next version is in force
+        self._now = -math.inf  # of the last event
+        self._in_force = dict[str, Version]()
+        self._open = dict[int, tuple[Key, int]]()  # tries that have not been counted: what they would count
+
+    def __repr__(self) -> str:
+        return f"<Planned {len(self._in_force)} plans, {self.follower!r}, {self.gatherer!r}>"
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        actions = list[api.Action]()
+        if isinstance(event, api.Retune):
+            self._base, self._seen = event.settings, None
+        for at in self._instants(int(now * 1000)):
+            # Each at its own instant, however late it is looked at: stores fill by the old terms until then.
+            self._now = max(self._now, min(now, at / 1000))
+            if self._look(at) or isinstance(event, api.Retune):
+                actions += self._decide.handle(self._now, api.Retune(self._settings()))
+        self._now = max(self._now, now)
+        if isinstance(event, api.Retune):
+            return actions
+        if isinstance(event, api.Request):
+            event = self._bound(now, event)
+        elif isinstance(event, api.Outcome):
+            self._ended(event)
+        elif isinstance(event, api.Departed):
+            self._open.pop(event.id, None)
+        more: list[api.Action] = self._decide.handle(now, event)
+        for action in more:
+            if isinstance(action, api.Refuse | api.Fail):
+                self._open.pop(action.id, None)
+        return actions + more
+
+    def _instants(self, now: int) -> list[int]:
+        """When other terms may have come into force since the last look, in order; now at last, if anything has."""
+        self.follower.tick(now)
+        state = (self.follower.book, self.follower.at is At.LAPSED)
+        if self._seen == state and now < self._due:
+            return []
+        due = {v.effective for v in self._versions() if self._due <= v.effective < now}
+        self._seen = state
+        self._due = min((v.effective for v in self._versions() if v.effective > now), default=2**62)
+        return [*sorted(due), now]
+
+    def _versions(self) -> Iterator[Version]:
+        return (version for history in self.follower.book.plans.values() for version in history)
+
+    def _look(self, at: int) -> bool:
+        """Whether other terms are in force at an instant than at the last one that was looked at."""
+        before, book = self._in_force, self.follower.book
+        found = (self.follower.lowered(v, at) for plan in sorted(book.plans) if (v := book.version(plan, at)))
+        self._in_force = {version.plan: version for version in found}
+        return before != self._in_force
+
+    def _settings(self) -> api.Settings:
+        base = {plan.name: plan for plan in self._base.plans}
+        told = {name: plan_of(version, base.get(name)) for name, version in self._in_force.items()}
+        return replace(self._base, plans=tuple({**base, **told}.values()))
+
+    def _bound(self, now: float, ev: api.Request) -> api.Request:
+        """The request under the plan that its account is on now; its levels come along where that is another."""
+        assigned = self.follower.book.assignment(ev.account, int(now * 1000))
+        plan = ev.plan if assigned is None or assigned.plan not in self._in_force else assigned.plan
+        version = self._in_force.get(plan)
+        stamp = version.stamp if version is not None else UNVERSIONED
+        bound = ev if plan == ev.plan else replace(ev, plan=plan)
+        self._open[ev.id] = Key(ev.account, plan, stamp, int(now) // PERIOD), round(ev.units * MICRO)
+        self._carry(now, bound)
+        return bound
+
+    def _carry(self, now: float, ev: api.Request) -> None:
+        """An account whose plan has changed since it was last seen takes its levels along, by each plan in between; one
+        that is new here was full at most, and bounded by each change that there was."""
+        quotas = self._gateway.quotas
+        key = next((k for k in self._keys(ev) if k in quotas.accounts), None)
+        old = quotas.accounts[key] if key is not None else None
+        since = old.at if old is not None else 0.0
+        instants = self.follower.book.instants(ev.account, int(since * 1000), int(now * 1000))
+        if not instants and (key is None or key[0] == ev.plan):
+            return
+        ceiling = Level(math.inf, since, math.inf, math.inf)
+        if key is not None and old is not None:
+            del quotas.accounts[key]
+            ceiling = _share_of(old)
+        for at in instants:
+            if (version := self.follower.book.terms(ev.account, at, ev.plan)) is not None:
+                terms = self.follower.lowered(version, at).terms
+                ceiling = ceiling.carried(
+                    at / 1000, *_limits(terms.ceiling_rate, terms.ceiling_burst, ev.gateways)
+                )
+        new = quotas.account(now, ev)
+        if old is not None:
+            old.refill(now)
+            new.level, new.floor = min(new.level, old.level), min(new.floor, old.floor)
+        if new.plan.ceiling_rate > 0:
+            new.ceiling = min(new.ceiling, new.keep * ceiling.moved(now).units)
+            # A start that is vouched for gives nothing of that back.
+            new.drawn = max(new.drawn, new.keep * new.plan.ceiling_burst / new.share - new.ceiling)
+
+    def _keys(self, ev: api.Request) -> Iterator[tuple[str, str]]:
+        """Where the account may be known: under its plan, or under one that it had."""
+        yield ev.plan, ev.account
+        for name in {**self._in_force, **{plan.name: None for plan in self._base.plans}}:
+            yield name, ev.account
+
+    def _ended(self, ev: api.Outcome) -> None:
+        """An attempt that may have run counts its try's units, once; true units settle them."""
+        if ev.status in NEVER_RAN or ev.status is Status.CANCELLED:
+            return
+        if (counts := self._open.pop(ev.id, None)) is None:
+            return
+        key, units = counts
+        true = round(ev.units * MICRO) if ev.status is Status.OK and ev.units is not None else units
+        self.gatherer.used(key, true)
+
+
+class Plans:
+    """The connections of one limiter to a book's writer. ``token`` may not be empty."""
+
+    def __init__(
+        self, address: tuple[str, int], token: str, installation: str, name: str, clock: Callable[[], float]
+    ) -> None:
+        if not token:
+            raise ValueError("FAWNSEAM_PLANS_TOKEN: expected the token that the writer wants")
+        self._clock = clock
+        where, follower = Where(*address, token), Follower(installation)
+        # Without a disk the time of a start is what grows with each life.
+        self.gatherer = Gatherer(name, int(clock() * 1000))
+        self._export = Export(where, self.gatherer)
+        self._channel = Channel(where, follower, self._told, lambda: int(clock() * 1000), self.gatherer.epoch)
+
+    def deciding(self, decide: Any, gateway: Gateway, settings: api.Settings) -> Planned:
+        return Planned(decide, gateway, settings, self._channel.follower, self.gatherer)
+
+    def _told(self) -> None:
+        log.info("plans: %r", self._channel.follower)
+
+    def start(self) -> None:
+        self._channel.start()
+        self._export.start()
+
+    async def close(self) -> None:
+        """A planned end loses nothing where the writer can be reached."""
+        self._channel.close()
+        self._export.close()
+        self.gatherer.cut()
+        try:
+            await self._export.flush()
+        except (OSError, EOFError, EndedError, ValueError) as error:
+            log.warning("plans: %d records of use were not exported: %s", len(self.gatherer.waiting), error)
--- /dev/null
+++ b/cypresspulley/plans/office.py
@@ -0,0 +1,232 @@
+"""The writer: book, reservations and unexported use over one store. Each change is safe before it is in force.
+
+A start opens a new epoch, stored before anything is written under it. What was stored is all that is known: the office
+is the sum of its records, so that a start after any crash is the office as it was acknowledged, and at most what was
+written and not yet acknowledged besides.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import replace
+
+from cypresspulley.plans import book as books
+from cypresspulley.plans.book import (
+    Assignment,
+    Book,
+    BookError,
+    Change,
+    One,
+    Stamp,
+    Terms,
+    Version,
+    check_new,
+)  # fmt: skip
+from cypresspulley.plans.carry import slack
+from cypresspulley.plans.reservations import MICRO, Reservation, Reservations, Room, Wish
+from cypresspulley.plans.reservations import At as Stands
+from cypresspulley.plans.store import Record, Store, StoreError
+from cypresspulley.plans.use import Intake, record_from
+from cypresspulley.plans.use import Record as Use
+
+LEASE = 3_000  # milliseconds that followers may go by what they have without a beat
+
+
+class Office:
+    """One installation's plans. ``now`` is Unix time in milliseconds, from whoever calls."""
+
+    def __init__(self, store: Store, installation: str = "", new_epoch: bool = True) -> None:
+        self._store = store
+        self.book, self.epoch = Book(installation), 0
+        self.reservations, self.intake = Reservations(), Intake()
+        self.log = list[Change]()  # by number: the one of number n stands at n - 1
+        for number, record in enumerate(store.records):
+            self._replay(record, f"record {number}")
+        if not self.book.installation:
+            raise StoreError("installation: expected a name for a new store")
+        if new_epoch:
+            self.epoch += 1
+            self._store.put({"kind": "epoch", "epoch": self.epoch, "installation": self.book.installation})
+            self._store.commit()
+
+    def __repr__(self) -> str:
+        return f"<Office epoch {self.epoch}, {self.book!r}, {len(self.reservations.all)} reservations>"
+
+    # Reading what is there.
+
+    def _replay(self, record: Record, where: str) -> None:
+        kind = record.get("kind")
+        if kind == "epoch":
+            if self.book.installation not in ("", record["installation"]):
+                raise StoreError(
+                    f"{where}: of {record['installation']!r}; expected {self.book.installation!r}"
+                )
+            self.epoch = max(self.epoch, record["epoch"])
+            self.book = replace(self.book, installation=record["installation"])
+        elif kind in ("version", "assignment"):
+            change = books.change_from(record, where)
+            if change.stamp.seq != len(self.log) + 1:
+                raise StoreError(f"{where}: number {change.stamp.seq}; expected {len(self.log) + 1}")
+            self._known(self.book.taking(change), change)
+        elif kind == "use":
+            self.intake.take(record_from(record, where))
+        elif kind in ("taken", "totals"):
+            self.intake.restore(record)
+        elif kind == "reservation":
+            self._replay_reservation(record)
+        elif kind != "whole":
+            raise StoreError(f"{where}.kind: unknown: {kind!r:.60}")
+
+    def _known(self, book: Book, change: Change) -> None:
+        self.book = book
+        self.log.append(change)
+
+    def _replay_reservation(self, record: Record) -> None:
+        wish = Wish(**record["wish"])
+        one = Reservation(wish, Stands(record["at"]), record["drawn"], {}, record["given_back"])
+        one.corrections, one.past = record["corrections"], record["past"]
+        self.reservations.all[wish.key] = one
+
+    def _records(self) -> Iterator[Record]:
+        """All that is known, for a new generation."""
+        yield {"kind": "epoch", "epoch": self.epoch, "installation": self.book.installation}
+        yield from map(books.as_json, self.log)
+        yield from map(_reservation_record, self.reservations.all.values())
+        yield from self.intake.state()
+
+    def compact(self) -> None:
+        self._store.compact(self._records())
+
+    def _commit(self, *records: Record) -> None:
+        for record in records:
+            self._store.put(record)
+        self._store.commit()
+        if self._store.wants_compacting:
+            self.compact()
+
+    # Changes.
+
+    @property
+    def _next(self) -> Stamp:
+        return Stamp(self.epoch, self.book.last.seq + 1)
+
+    def version(
+        self, plan: str, terms: Terms, effective: int, now: int, author: str, reason: str = "", dry: bool = False
+    ) -> Version:  # fmt: skip
+        """A plan's terms from an instant on."""
+        return self._write(Version(plan, effective, self._next, terms, author, reason), now, dry)
+
+    def assign(
+        self, account: str, plan: str, effective: int, now: int, author: str, reason: str = "", dry: bool = False
+    ) -> Assignment:  # fmt: skip
+        """An account's plan from an instant on."""
+        return self._write(Assignment(account, effective, self._next, plan, author, reason), now, dry)
+
+    def _write(self, change: One, now: int, dry: bool) -> One:
+        if dry:
+            self._checked(change, now)
+        else:
+            self.take(change, now)
+        return change
+
+    def _checked(self, change: Change, now: int) -> Book:
+        books.change_from(books.as_json(change), "change")  # what a start could not read must not be stored
+        check_new(self.book, change, now)
+        return self.book.taking(change)
+
+    def take(self, change: Change, now: int) -> None:
+        """A new change: checked, stored, then in the book."""
+        book = self._checked(change, now)
+        self._commit(books.as_json(change))
+        self._known(book, change)
+
+    def passed_by(self, change: Change, now: int) -> dict[str, float]:
+        """Accounts whose ceiling the change lowers, and by how many units it may be passed: those that the last limiter
+        to hear admits. Nothing where the change was announced a lease ahead."""
+        late = max(0.0, (LEASE - (change.effective - now)) / 1000)
+        if isinstance(change, Assignment):
+            accounts = [change.account]
+            new = self.book.version(change.plan, change.effective)
+        else:
+            held = ((a, self.book.assignment(a, change.effective)) for a in self.book.accounts)
+            accounts = [a for a, on in held if on is not None and on.plan == change.plan]
+            new = change
+        found = dict[str, float]()
+        for account in accounts:
+            old = self.book.terms(account, change.effective - 1)
+            if old is None or new is None or old.terms.ceiling_rate <= 0 or new.terms.ceiling_rate <= 0:
+                continue
+            by = slack(
+                (old.terms.ceiling_rate, old.terms.ceiling_burst),
+                (new.terms.ceiling_rate, new.terms.ceiling_burst),
+                late,
+            )
+            if by > 0:
+                found[account] = by
+        return found
+
+    # Use.
+
+    def take_use(self, record: Use) -> bool:
+        """Whether a limiter's record may be acknowledged: it is stored, now or before."""
+        if self.intake.knows(record):
+            return self.intake.take(record)
+        self._commit(record.as_json())
+        return self.intake.take(record)
+
+    # Reservations.
+
+    def room(self, account: str, at: int, fleet_rate: float) -> Room:
+        """What the fleet (units a second that may be set aside) and the account's plan can hold."""
+        found = self.book.terms(account, at)
+        if found is None:
+            raise BookError(f"account: {account!r} has no plan at {at}; expected one that is assigned")
+        terms = found.terms
+        return Room(
+            int(fleet_rate * MICRO), int(terms.ceiling_rate * MICRO), int(terms.ceiling_burst * MICRO)
+        )
+
+    def reserve(self, wish: Wish, now: int, fleet_rate: float, dry: bool = False) -> Reservation:
+        """Set aside, or refuse; stored before it is said."""
+        if wish.end <= now:
+            raise BookError(f"end: expected an instant after {now}, got {wish.end}, which is past")
+        room = self.room(wish.account, wish.start, fleet_rate)
+        if wish.key in self.reservations.all:
+            return self.reservations.ask(wish, room)
+        try:
+            one = self.reservations.ask(wish, room)
+            if not dry:
+                self._commit(_reservation_record(one))
+        except OSError:
+            del self.reservations.all[wish.key]
+            raise
+        if dry:
+            del self.reservations.all[wish.key]
+        return one
+
+    def release(self, key: str) -> Reservation:
+        """Give back what is not drawn, once."""
+        known = self.reservations.all.get(key)
+        before = replace(known, flying=dict(known.flying)) if known is not None else None
+        one = self.reservations.release(key)
+        if before is not None and one.at is not before.at:
+            try:
+                self._commit(_reservation_record(one))
+            except OSError:
+                self.reservations.all[key] = before
+                raise
+        return one
+
+    def tick(self, now: int) -> list[Reservation]:
+        """Windows of reservations begin and end."""
+        changed = self.reservations.tick(now)
+        self._commit(*map(_reservation_record, changed))
+        return changed
+
+
+def _reservation_record(one: Reservation) -> Record:
+    wish = {name: getattr(one.wish, name) for name in Wish.__slots__}
+    return {
+        "kind": "reservation", "wish": wish, "at": one.at.value, "drawn": one.drawn,
+        "given_back": one.given_back, "corrections": one.corrections, "past": one.past,
+    }  # fmt: skip
--- /dev/null
+++ b/cypresspulley/plans/wishes.py
@@ -0,0 +1,140 @@
+"""What operators may ask of an office, as plain objects: the command line and the writer's HTTP side speak the same.
+
+``carry_out`` checks a wish whole, does it, and tells what was done; nothing is changed by a wish that is refused.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass
+from typing import Any
+
+from cypresspulley.plans import book as books
+from cypresspulley.plans.book import Book, BookError, Change
+from cypresspulley.plans.office import LEASE, Office
+from cypresspulley.plans.reservations import MICRO, Reservation, ReservationError, Wish
+from cypresspulley.plans.use import record_from
+
+log = logging.getLogger(__name__)
+
+KEYS = {
+    "change": {"plan", "terms", "effective"},
+    "assign": {"account", "plan", "effective"},
+    "reserve": {"key", "account", "start", "end", "units", "purpose", "fleet_rate"},
+    "release": {"key"},
+    "use": {"record"},
+}
+COMMON = {"wish", "author", "reason", "dry_run"}
+
+
+class WishError(ValueError):
+    """A wish that cannot be read; the text names the key and what was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Raw:
+    """A wish's keys, each read with a check."""
+
+    keys: dict[str, Any]
+
+    def text(self, name: str, default: str | None = None) -> str:
+        value = self.keys.get(name, default)
+        if not isinstance(value, str) or (not value and default is None):
+            raise WishError(f"{name}: expected a text, got {value!r:.60}")
+        return value
+
+    def instant(self, name: str, now: int, default: int | None = None) -> int:
+        """Unix milliseconds; a text ``+SECONDS`` counts from now."""
+        value = self.keys.get(name, default)
+        if isinstance(value, str) and value.startswith("+"):
+            try:
+                ahead = float(value[1:])
+            except ValueError:
+                ahead = float("nan")
+            if not 0 <= ahead < 1e9:
+                raise WishError(f"{name}: expected +SECONDS, got {value!r:.60}")
+            return now + round(ahead * 1000)
+        if isinstance(value, bool) or not isinstance(value, int) or not 0 <= value < 2**53:
+            raise WishError(f"{name}: expected Unix milliseconds or +SECONDS, got {value!r:.60}")
+        return value
+
+    def figure(self, name: str) -> float:
+        value = self.keys.get(name)
+        if (
+            isinstance(value, bool)
+            or not isinstance(value, int | float)
+            or not 0 < value <= books.MOST_FIGURE
+        ):
+            raise WishError(f"{name}: expected a number above 0, got {value!r:.60}")
+        return float(value)
+
+
+def carry_out(office: Office, raw: Any, now: int) -> dict[str, Any]:
+    """Do it; ``BookError``, ``ReservationError`` or ``WishError`` say why not, and nothing has changed then."""
+    if not isinstance(raw, dict) or raw.get("wish") not in KEYS:
+        raise WishError(f"wish: expected one of {', '.join(KEYS)}")
+    kind = raw["wish"]
+    if extra := set(raw) - KEYS[kind] - COMMON:
+        raise WishError(f"{min(extra)}: unknown; expected {', '.join(sorted(KEYS[kind] | COMMON))}")
+    keys = _Raw(raw)
+    author, dry = keys.text("author"), raw.get("dry_run", False) is True
+    if kind in ("change", "assign"):
+        done = _change(office, kind, keys, author, now, dry)
+    elif kind == "reserve":
+        done = _reserve(office, keys, now, dry)
+    elif kind == "use":
+        record = record_from(raw.get("record"))
+        return {"acknowledged": office.take_use(record), "key": record.idempotency_key}
+    else:
+        done = reservation_json(office.release(keys.text("key")))
+    if not dry:
+        log.info("plans: %s by %s: %s (%s)", kind, author, done, keys.text("reason", ""))
+    return {"wish": kind, "dry_run": dry, **done}
+
+
+def _change(office: Office, kind: str, keys: _Raw, author: str, now: int, dry: bool) -> dict[str, Any]:
+    effective, reason = keys.instant("effective", now, now + LEASE), keys.text("reason", "")
+    change: Change
+    if kind == "change":
+        terms = books.terms_from(keys.keys.get("terms"), "terms")
+        change = office.version(keys.text("plan"), terms, effective, now, author, reason, dry=True)
+    else:
+        told = keys.text("account"), keys.text("plan")
+        change = office.assign(*told, effective, now, author, reason, dry=True)
+    passed = office.passed_by(change, now)
+    if not dry:
+        office.take(change, now)
+    return {"change": books.as_json(change), "passed_by": passed}
+
+
+def _reserve(office: Office, keys: _Raw, now: int, dry: bool) -> dict[str, Any]:
+    wish = Wish(
+        keys.text("key"), keys.text("account"), keys.instant("start", now), keys.instant("end", now),
+        round(keys.figure("units") * MICRO), keys.text("purpose", ""),
+    )  # fmt: skip
+    return reservation_json(office.reserve(wish, now, keys.figure("fleet_rate"), dry))
+
+
+def reservation_json(one: Reservation) -> dict[str, Any]:
+    """A reservation for people and programs: units as numbers."""
+    w = one.wish
+    return {
+        "key": w.key, "account": w.account, "start": w.start, "end": w.end, "purpose": w.purpose, "at": one.at.value,
+        "units": w.units / MICRO, "drawn": one.drawn / MICRO, "given_back": one.given_back / MICRO,
+    }  # fmt: skip
+
+
+def difference(old: Book, new: Book) -> list[Change]:
+    """Changes that only the second one has, by stamp."""
+    return [change for change in new.changes() if change.stamp not in old.stamps]
+
+
+def history(book: Book, name: str) -> list[Change]:
+    """All that ever was said of an account, or of a plan, by instant."""
+    found: tuple[Change, ...] = (*book.accounts.get(name, ()), *book.plans.get(name, ()))
+    if not found:
+        raise BookError(f"{name!r}: neither an account nor a plan of {book.installation}")
+    return sorted(found, key=lambda change: change.key)
+
+
+__all__ = ["ReservationError", "WishError", "carry_out", "difference", "history", "reservation_json"]
--- /dev/null
+++ b/tests/plans/test_book.py
@@ -0,0 +1,162 @@
+"""Books: immutable, alike in any order, with what binds at each instant; bad input named."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cypresspulley.plans.book import (
+    Assignment,
+    Book,
+    BookError,
+    Change,
+    Stamp,
+    Terms,
+    Version,
+    as_json,
+    change_from,
+    check_new,
+)  # fmt: skip
+
+SMALL = Terms(1.0, 4.0, 2.0, 8.0)
+LARGE = Terms(3.0, 12.0, 5.0, 24.0)
+
+
+def book_of(*changes: Change) -> Book:
+    book = Book("vadodara")
+    for change in changes:
+        book = book.taking(change)
+    return book
+
+
+def changes(least: int = 0) -> st.SearchStrategy[list[Change]]:
+    names, instants = st.sampled_from("abc"), st.integers(0, 50)
+    version = st.tuples(st.just("v"), names, instants, st.sampled_from((SMALL, LARGE)))
+    assigned = st.tuples(st.just("a"), names, instants, names)
+
+    def stamped(drawn: list[tuple[Any, ...]]) -> list[Change]:
+        made = list[Change]()
+        for seq, (kind, name, at, what) in enumerate(drawn, 1):
+            stamp = Stamp(1 + seq // 5, seq)
+            made.append(Version(name, at, stamp, what) if kind == "v" else Assignment(name, at, stamp, what))
+        return made
+
+    return st.lists(st.one_of(version, assigned), min_size=least, max_size=12).map(stamped)
+
+
+@given(changes(), st.randoms(use_true_random=False))
+def test_the_same_changes_in_any_order_and_number_give_the_same_book(made: list[Change], rng: Any) -> None:
+    shuffled = made + [change for change in made if rng.random() < 0.3]
+    rng.shuffle(shuffled)
+    one, other = book_of(*made), book_of(*shuffled)
+    assert one == other and one.digest() == other.digest() and one.last == other.last
+    for at in range(0, 52, 3):
+        for name in "abc":
+            assert one.terms(name, at, "a") == other.terms(name, at, "a")
+
+
+@given(changes(1), st.integers(0, 51))
+def test_what_binds_is_the_last_whose_instant_has_come(made: list[Change], at: int) -> None:
+    book = book_of(*made)
+    for name in "abc":
+        due = [c for c in made if isinstance(c, Assignment) and c.account == name and c.effective <= at]
+        found = book.assignment(name, at)
+        assert found == max(due, key=lambda c: (c.effective, c.stamp), default=None)
+
+
+@given(changes())
+def test_a_change_survives_json(made: list[Change]) -> None:
+    for change in made:
+        assert change_from(json.loads(json.dumps(as_json(change))), "x") == change
+
+
+def test_a_version_that_was_kept_is_untouched_by_what_comes_after() -> None:
+    book = book_of(Version("p", 0, Stamp(1, 1), LARGE), Assignment("hotel", 0, Stamp(1, 2), "p"))
+    admitted = book.terms("hotel", 5)
+    after = book.taking(Version("p", 6, Stamp(1, 3), SMALL))
+    assert admitted is not None and admitted.terms is LARGE
+    found = after.terms("hotel", 6)
+    assert found is not None and found.terms is SMALL and book.terms("hotel", 6) is admitted
+
+
+def test_up_down_up_within_a_second_heard_in_other_orders_ends_alike() -> None:
+    base = (Version("s", 0, Stamp(1, 1), SMALL), Version("l", 0, Stamp(1, 2), LARGE))
+    moves = [Assignment("hotel", 1000 + 300 * n, Stamp(1, 3 + n), "lsl"[n]) for n in range(3)]
+    one, other = book_of(*base, *moves), book_of(*moves[::-1], *base[::-1])
+    assert one == other
+    bound = [v.plan for at in (1000, 1300, 1600) if (v := one.terms("hotel", at, "s")) is not None]
+    assert bound == ["l", "s", "l"]
+
+
+def test_one_stamp_with_two_contents_is_refused() -> None:
+    book = book_of(Version("p", 0, Stamp(1, 1), LARGE))
+    with pytest.raises(BookError, match=r"stamp 1\.1"):
+        book.taking(Version("p", 0, Stamp(1, 1), SMALL))
+
+
+BASE = book_of(Version("p", 0, Stamp(1, 1), LARGE), Assignment("hotel", 100, Stamp(1, 2), "p"))
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        (Assignment("hotel", 200, Stamp(1, 3), "nope"), "plan: 'nope'"),
+        (Assignment("hotel", 40, Stamp(1, 3), "p"), "effective: expected an instant from 50"),
+        (Assignment("hotel", 100, Stamp(1, 3), "p"), "effective: 100 is taken"),
+        (Assignment("hotel", 200, Stamp(1, 2), "p"), r"stamp: expected one above 1\.2"),
+        (Version("p", 200, Stamp(1, 3), Terms(3, 12, 2, 24)), "ceiling: expected at least the quota"),
+        (Version("p", 200, Stamp(1, 3), Terms(0, 12)), "rate: expected a number above 0"),
+        (Version("p", 200, Stamp(1, 3), Terms(float("nan"), 12)), "rate: expected"),
+        (Version("p", 200, Stamp(1, 3), Terms(1, 12, 5, 0)), "ceiling_rate, ceiling_burst"),
+    ],
+)
+def test_what_a_writer_must_not_take(change: Change, said: str) -> None:
+    with pytest.raises(BookError, match=said):
+        check_new(BASE, change, 50)
+
+
+@pytest.mark.parametrize(
+    ("change", "said"),
+    [
+        ([], "x.kind"),
+        ({"kind": "version"}, "x.stamp"),
+        ({"kind": "version", "stamp": [1, True]}, "x.effective"),
+        ({"kind": "version", "stamp": [1, True], "effective": 1}, "x.stamp"),
+        ({"kind": "version", "stamp": [1, 1], "effective": 1, "plan": ""}, "x.plan"),
+        (
+            {"kind": "version", "stamp": [1, 1], "effective": 1, "plan": "p", "terms": {"rate": 1}},
+            "x.terms.burst",
+        ),
+        (
+            {
+                "kind": "version",
+                "stamp": [1, 1],
+                "effective": 1,
+                "plan": "p",
+                "terms": {"rate": 1, "burst": 2, "q": 1},
+            },
+            "x.terms.q",
+        ),
+        ({"kind": "assignment", "stamp": [1, 1], "effective": 1, "plan": "p", "account": "a\n"}, "x.account"),
+    ],
+)
+def test_bad_changes_are_named_by_key_and_expectation(change: Any, said: str) -> None:
+    with pytest.raises(BookError, match=said.replace(".", r"\.")):
+        change_from(change, "x")
+
+
+KEYS = st.sampled_from(("kind", "stamp", "plan", "terms", "effective", "account"))
+PLAIN = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5)
+ANYTHING = st.recursive(PLAIN, lambda inner: st.lists(inner, max_size=3) | st.dictionaries(KEYS, inner))
+
+
+@given(ANYTHING)
+def test_whatever_comes_is_a_change_or_a_named_error(raw: Any) -> None:
+    try:
+        change_from(raw, "line 3")
+    except BookError as error:
+        assert str(error).startswith("line 3")
--- /dev/null
+++ b/tests/plans/test_churn.py
@@ -0,0 +1,133 @@
+"""Ceilings while plans change, and mutants of what keeps them: each is convicted, the shipped parts are acquitted."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from benchmarks.plan_churn import LIMITERS, Day, bound
+from cypresspulley import interface as api
+from cypresspulley.plans import reservations, use
+from cypresspulley.plans.book import Book, Stamp, Version
+from cypresspulley.plans.follow import Follower, Heard
+from cypresspulley.plans.limiter import Planned
+from cypresspulley.plans.reservations import At
+from tests.plans import test_follow, test_reservations, test_use
+
+SEEDS = range(6)
+
+
+def lowest(make: type[Planned] = Planned, follower: type[Follower] = Follower) -> float:
+    """On days that leave no slack: each change is heard of a lease ahead."""
+    return min(Day(seed, 20.0, 1.0, make, follower, calm=True).play().worst for seed in SEEDS)
+
+
+def test_no_ceiling_is_passed_beyond_the_slack() -> None:
+    days = [Day(seed, 20.0, every).play() for seed in SEEDS for every in (1.0, 5.0)]
+    assert -bound() <= min(day.worst for day in days) < 0 and sum(day.sent for day in days) > 500
+
+
+def test_what_is_announced_a_lease_ahead_leaves_no_slack() -> None:
+    assert -LIMITERS <= lowest() < 5
+
+
+def test_one_seed_is_one_day() -> None:
+    one, other = (Day(3, 10.0, 1.0).play() for _ in range(2))
+    assert (one.worst, one.sent) == (other.worst, other.sent)
+
+
+class Forgiving(Planned):
+    """An account starts anew with each plan."""
+
+    def _carry(self, now: float, ev: api.Request) -> None:
+        for key in self._keys(ev):
+            if key[0] != ev.plan:
+                self._gateway.quotas.accounts.pop(key, None)
+
+
+class Forgetful(Planned):
+    """Only the plan that an account is on when it is seen again counts, not those in between."""
+
+    def _carry(self, now: float, ev: api.Request) -> None:
+        book, self.follower.book = self.follower.book, Book("churn")
+        try:
+            super()._carry(now, ev)
+        finally:
+            self.follower.book = book
+
+
+class Old(Planned):
+    """The first plan that an account was seen on binds it for good."""
+
+    def _bound(self, now: float, ev: api.Request) -> api.Request:
+        self._first = getattr(self, "_first", None) or self.follower.book
+        book, self.follower.book = self.follower.book, self._first
+        try:
+            return super()._bound(now, ev)
+        finally:
+            self.follower.book = book
+
+
+@pytest.mark.parametrize("mutant", [Forgiving, Forgetful, Old])
+def test_a_limiter_that_does_not_go_by_the_change_is_convicted(mutant: type[Planned]) -> None:
+    assert lowest(mutant) < -2 * LIMITERS
+
+
+class Endless(Follower):
+    """A lease that is never over."""
+
+    def tick(self, now: int) -> tuple[Any, ...]:
+        return ()
+
+
+def test_without_its_lease_a_limiter_that_is_cut_off_goes_on_by_the_higher_ceiling() -> None:
+    follower = test_follow.following(2)
+    follower.__class__ = Endless
+    follower.change(1, Version("low", 10, Stamp(1, 3), test_follow.SMALL))
+    follower.tick(10**9)
+    found = follower.binding("hotel", 10**9)
+    assert found is not None and found.terms == test_follow.LARGE
+
+
+def fails(check: Callable[[], object]) -> bool:
+    try:
+        check()
+    except AssertionError:
+        return True
+    return False
+
+
+def test_an_epoch_ignored_is_convicted(monkeypatch: pytest.MonkeyPatch) -> None:
+    check = test_follow.test_a_writer_that_was_replaced_is_fenced
+    assert not fails(check)
+    monkeypatch.setattr(Follower, "_old_or_new", lambda self, epoch: None)
+    assert fails(check)
+
+
+def test_a_reservation_released_early_is_convicted(monkeypatch: pytest.MonkeyPatch) -> None:
+    check = test_reservations.test_a_release_while_drawn_on_settles_by_what_is_in_flight
+    assert not fails(check)
+    monkeypatch.setitem(reservations.TABLE, (At.ACTIVE, reservations.Heard.RELEASE), At.RELEASED)
+    assert fails(check)
+
+
+def test_use_taken_twice_is_convicted(monkeypatch: pytest.MonkeyPatch) -> None:
+    check = test_use.test_a_record_is_taken_once_and_acknowledged_each_time
+    assert not fails(check)
+
+    def take(intake: use.Intake, record: use.Record) -> bool:
+        for key, units in record.rows:
+            intake.totals[key] = intake.totals.get(key, 0) + units
+        return True
+
+    monkeypatch.setattr(use.Intake, "take", take)
+    assert fails(check)
+
+
+def test_the_table_fences_everywhere() -> None:
+    from cypresspulley.plans.follow import TABLE, Do
+    from cypresspulley.plans.follow import At as Stands
+
+    assert all(TABLE[at, Heard.STALE] == (at, (Do.DROP,)) for at in Stands)
--- /dev/null
+++ b/tests/plans/test_follow.py
@@ -0,0 +1,137 @@
+"""Following a book: each row of the table, lost and late messages in any order, epochs that fence, leases that end."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cypresspulley.plans.book import Assignment, Book, Change, Stamp, Terms, Version
+from cypresspulley.plans.follow import SKEW, TABLE, At, Do, Follower, Heard
+
+LARGE, SMALL = Terms(3.0, 12.0, 5.0, 24.0), Terms(1.0, 4.0, 2.0, 8.0)
+LEASE = 3000
+
+
+def change(seq: int, epoch: int = 1, at: int = 0) -> Change:
+    if seq % 2:
+        return Version("p", at + seq, Stamp(epoch, seq), LARGE if seq % 4 == 1 else SMALL)
+    return Assignment("hotel", at + seq, Stamp(epoch, seq), "p")
+
+
+def book(last: int, epoch: int = 1) -> Book:
+    found = Book("vadodara")
+    for seq in range(1, last + 1):
+        found = found.taking(change(seq, epoch))
+    return found
+
+
+def following(last: int = 4, epoch: int = 1, sent: int = 0) -> Follower:
+    follower = Follower("vadodara")
+    assert Do.REPLACE in follower.whole(epoch, book(last, epoch), sent, LEASE)
+    return follower
+
+
+def test_the_table_has_a_row_for_all_that_may_come() -> None:
+    wanted = {(at, heard) for at in At for heard in Heard} - {
+        *((at, Heard.KNOWN) for at in At),  # changes nothing anywhere
+        (At.EMPTY, Heard.OVER), (At.LAPSED, Heard.OVER),  # no lease
+        (At.BEHIND, Heard.GAP), (At.BEHIND, Heard.AHEAD),  # asked for already
+    }  # fmt: skip
+    assert set(TABLE) == wanted
+
+
+def test_a_gap_is_asked_for_and_nothing_behind_it_is_taken() -> None:
+    follower = following()
+    assert follower.change(1, change(6)) == (Do.ASK_FROM,)
+    assert [follower.at] == [At.BEHIND]
+    assert follower.book == book(4) and follower.change(1, change(7)) == ()
+    assert Do.APPLY in follower.change(1, change(5)) and Do.APPLY in follower.change(1, change(6))
+    assert follower.beat(1, Stamp(1, 6), 10, LEASE) == (Do.RENEW,)
+    assert [follower.at] == [At.CURRENT]
+    assert follower.change(1, change(6)) == () and follower.book == book(6)
+
+
+def test_a_writer_that_was_replaced_is_fenced() -> None:
+    follower = following(4, epoch=2)
+    for does in (
+        follower.change(1, change(5)),
+        follower.beat(1, Stamp(1, 9), 10, LEASE),
+        follower.whole(1, book(9), 10, LEASE),
+    ):
+        assert does == (Do.DROP,)
+    assert follower.book == book(4, 2) and follower.lease_until == LEASE - SKEW
+
+
+def test_a_new_writer_s_book_replaces_the_one_here() -> None:
+    follower = following(6)
+    assert follower.change(2, change(5, 2)) == (Do.ASK_ALL,) and follower.book == book(6)
+    assert Do.REPLACE in follower.whole(2, book(4, 2), 10, LEASE)
+    assert follower.epoch == 2 and follower.book == book(4, 2)
+
+
+def test_a_book_of_another_installation_is_dropped() -> None:
+    follower = following()
+    assert follower.whole(9, Book("semien"), 0, LEASE) == (Do.DROP,) and follower.book == book(4)
+
+
+def test_a_book_that_is_older_than_what_is_here_changes_nothing() -> None:
+    follower = following(6)
+    assert follower.whole(1, book(4), 10, LEASE) == () and follower.book == book(6)
+
+
+def test_when_the_lease_is_over_the_lower_ceiling_holds() -> None:
+    follower = following(2)  # the hotel is on LARGE
+    follower.change(1, Version("low", 10, Stamp(1, 3), SMALL))
+    assert follower.tick(LEASE - SKEW - 1) == ()
+    bound = follower.binding("hotel", 100)
+    assert bound is not None and bound.terms == LARGE
+    assert follower.tick(LEASE - SKEW) == (Do.FALL_BACK,) and follower.tick(LEASE) == ()
+    bound = follower.binding("hotel", LEASE)
+    assert bound is not None and (bound.terms.ceiling_rate, bound.terms.ceiling_burst) == (2.0, 8.0)
+    assert bound.terms.rate <= 2.0 and bound.terms.burst <= 8.0
+    assert follower.beat(1, Stamp(1, 3), 9000, LEASE) == (Do.RENEW, Do.RECOVER)
+    bound = follower.binding("hotel", 9001)
+    assert bound is not None and bound.terms == LARGE
+
+
+def test_a_beat_that_was_long_under_way_carries_little_lease() -> None:
+    follower = following()
+    follower.beat(1, Stamp(1, 4), 1000, LEASE)
+    assert follower.lease_until == 1000 + LEASE - SKEW
+    follower.beat(1, Stamp(1, 4), 500, LEASE)  # overtaken: it takes nothing away
+    assert follower.lease_until == 1000 + LEASE - SKEW
+
+
+@settings(max_examples=200)
+@given(st.integers(0, 2**32), st.integers(5, 30))
+def test_whatever_is_lost_doubled_or_swapped_the_book_is_a_prefix_and_ends_whole(
+    seed: int, last: int
+) -> None:
+    """Two writers, the first of which does not know that it was replaced; connections end and are made again."""
+    rng, follower = Random(seed), Follower("vadodara")
+    books = {1: book(last), 2: book(last, 2)}
+    for _ in range(last * 4):
+        epoch = rng.choice((1, 2))
+        seq = rng.randint(1, last)
+        before = follower.epoch
+        kind = rng.random()
+        if kind < 0.6:
+            follower.change(epoch, change(seq, epoch))
+        elif kind < 0.8:
+            follower.beat(epoch, Stamp(epoch, seq), rng.randint(0, 5000), LEASE)
+        else:
+            follower.whole(epoch, book(seq, epoch), 0, LEASE)
+        follower.tick(rng.randint(0, 9000))
+        assert follower.epoch >= before
+        known = follower.book.last.seq
+        assert follower.book == (book(known, follower.epoch) if known else Book("vadodara"))
+    follower.whole(2, books[2], 9000, LEASE)
+    assert follower.book == books[2] and follower.at is At.CURRENT
+
+
+@pytest.mark.parametrize("account", ["hotel", "unknown"])
+def test_without_a_book_nothing_binds(account: str) -> None:
+    assert Follower("vadodara").binding(account, 5, "p") is None
--- /dev/null
+++ b/tests/plans/test_reservations.py
@@ -0,0 +1,171 @@
+"""Reservations and levels over a change: tables, and a search for orders that give something twice."""
+
+from __future__ import annotations
+
+from itertools import product
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cypresspulley.plans.carry import Level, slack
+from cypresspulley.plans.reservations import (
+    OVER,
+    TABLE,
+    At,
+    Heard,
+    Reservation,
+    ReservationError,
+    Reservations,
+    Room,
+    Wish,
+    most_at_once,
+)  # fmt: skip
+
+WISH = Wish("ev", "hotel", 1000, 2000, 100)
+ROOMY = Room(10**9)
+
+
+def made(wish: Wish = WISH, room: Room = ROOMY) -> Reservations:
+    all_ = Reservations()
+    all_.ask(wish, room)
+    return all_
+
+
+@pytest.mark.parametrize(("at", "heard"), list(product(At, Heard)))
+def test_each_cell_of_the_table(at: At, heard: Heard) -> None:
+    one = Reservation(WISH, at, flying={"r": 5})
+    assert one.hear(heard) == ((at, heard) in TABLE)
+    assert one.at is TABLE.get((at, heard), at)
+    assert at not in OVER or one.at is at
+
+
+def test_a_release_while_drawn_on_settles_by_what_is_in_flight() -> None:
+    all_ = made()
+    all_.tick(1000)
+    assert all_.draw("ev", "r1", 30) and all_.draw("ev", "r2", 20) and all_.draw("ev", "r1", 30)
+    one = all_.release("ev")
+    assert one.at is At.DRAINING and one.given_back == 0 and not all_.draw("ev", "r3", 1)
+    all_.settle("ev", "r1", 35)
+    assert all_.release("ev").at is At.DRAINING  # a second time changes nothing
+    all_.settle("ev", "r2", 0)  # it never ran
+    assert all_.all["ev"].at is At.RELEASED and one.drawn == 35 and one.given_back == 65
+    assert all_.settle("ev", "r2", 50) == 0 and one.given_back == 65
+
+
+def test_the_window_s_end_lets_what_is_in_flight_end() -> None:
+    all_ = made()
+    all_.tick(1500)
+    assert all_.draw("ev", "r", 100) and not all_.draw("ev", "s", 1)
+    assert [r.at for r in all_.tick(2000)] == [At.DRAINING]
+    all_.settle("ev", "r", 90)
+    assert all_.all["ev"].at is At.EXPIRED and all_.all["ev"].given_back == 10
+    all_.correct("ev", 4)
+    assert all_.all["ev"].given_back == 10 and all_.all["ev"].corrections == 4
+
+
+def test_a_key_names_one_reservation() -> None:
+    all_ = made()
+    assert all_.ask(WISH, Room(0)) is all_.all["ev"]
+    with pytest.raises(ReservationError, match="names another"):
+        all_.ask(Wish("ev", "hotel", 1000, 2000, 101), ROOMY)
+    with pytest.raises(ReservationError, match="no reservation"):
+        all_.release("other")
+
+
+@pytest.mark.parametrize(
+    ("wish", "room", "at"),
+    [
+        (WISH, Room(100), At.HELD),
+        (WISH, Room(99), At.REFUSED),  # the fleet has less
+        (WISH, Room(100, 50, 50), At.HELD),  # out of the ceiling's rate and its burst
+        (WISH, Room(100, 50, 49), At.REFUSED),
+    ],
+)
+def test_only_what_plan_and_fleet_can_hold_is_admitted(wish: Wish, room: Room, at: At) -> None:
+    assert made(wish, room).all["ev"].at is at
+
+
+def test_what_others_hold_at_the_time_counts() -> None:
+    all_ = made()
+    assert all_.ask(Wish("b", "inn", 1999, 2999, 50), Room(149)).at is At.REFUSED
+    assert all_.ask(Wish("c", "inn", 2000, 3000, 50), Room(149)).at is At.HELD
+    all_.release("ev")
+    assert all_.ask(Wish("d", "inn", 1000, 2000, 100), Room(149)).at is At.HELD
+    assert most_at_once([]) == 0
+
+
+@pytest.mark.parametrize("bad", [Wish("", "h", 0, 1, 1), Wish("k", "h", 5, 5, 1), Wish("k", "h", 0, 1, 0)])
+def test_bad_wishes_are_refused(bad: Wish) -> None:
+    with pytest.raises(ReservationError, match="expected"):
+        made(bad)
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("draw"), st.integers(0, 9), st.integers(0, 60)),
+        st.tuples(st.just("settle"), st.integers(0, 9), st.integers(0, 60)),
+        st.tuples(st.just("release"), st.just(0), st.just(0)),
+        st.tuples(st.just("tick"), st.integers(0, 2500), st.just(0)),
+    ),
+    max_size=40,
+)
+
+
+@given(STEPS)
+def test_units_are_drawn_or_given_back_once_in_any_order(steps: list[tuple[str, int, int]]) -> None:
+    all_ = made()
+    one, settled, states = all_.all["ev"], 0, [At.HELD]
+    for kind, number, units in steps:
+        was_over, back = one.at in OVER, one.given_back
+        if kind == "draw":
+            all_.draw("ev", f"r{number}", units)
+        elif kind == "settle":
+            settled += units if f"r{number}" in one.flying else 0
+            all_.settle("ev", f"r{number}", units)
+        elif kind == "release":
+            all_.release("ev")
+        else:
+            all_.tick(number)
+        assert one.drawn == settled
+        assert not was_over or (one.at in OVER and one.given_back == back and not one.flying)
+        assert one.at not in OVER or one.given_back == max(0, WISH.units - one.drawn)
+        assert one.at is At.ACTIVE or one.left == 0
+        if one.at is not states[-1]:
+            states.append(one.at)
+    assert len(states) == len(set(states))  # no state twice
+
+
+FIGURES = st.floats(0.1, 50)
+
+
+@given(
+    st.lists(st.tuples(FIGURES, FIGURES), min_size=1, max_size=6), st.lists(FIGURES, min_size=6, max_size=6)
+)
+def test_shares_together_hold_no_more_than_the_whole(
+    terms: list[tuple[float, float]], gaps: list[float]
+) -> None:
+    """Up, down and up again: n shares that carry over hold at most what one store that does would."""
+    n, at = 5, 0.0
+    whole = Level(20.0, 0.0, 2.0, 20.0)
+    shares = [Level(20.0 / n * k / 2, 0.0, 2.0 / n, 20.0 / n) for k in range(n) if k <= 2] + [
+        Level(0, 0, 0.4, 4.0)
+    ] * 2
+    for (rate, burst), gap in zip(terms, gaps, strict=False):
+        at += gap
+        whole = whole.carried(at, rate, burst)
+        shares = [s.carried(at, rate / n, burst / n) for s in shares]
+        assert sum(s.units for s in shares) <= whole.units + 1e-9
+        assert whole.units <= burst + 1e-9
+
+
+def test_a_change_back_and_forth_gives_nothing_and_forgives_nothing() -> None:
+    level = Level(3.0, 0.0, 1.0, 20.0)
+    assert level.carried(1.0, 2.0, 8.0).carried(1.0, 1.0, 20.0).units == 4.0
+    assert Level(15.0, 0.0, 1.0, 20.0).carried(0.0, 2.0, 8.0).carried(0.0, 1.0, 20.0).units == 8.0
+    assert level.moved(-5.0) is level and level.drawn(4.0).units == -1.0
+
+
+def test_the_slack_is_what_the_last_to_hear_may_let_in() -> None:
+    assert slack((5.0, 24.0), (3.0, 12.0), 0.5) == pytest.approx(2 * 0.5 + 12)
+    assert slack((5.0, 24.0), (3.0, 12.0), 0.0) == 0 and slack((3.0, 12.0), (5.0, 24.0), 9.0) == 0
--- /dev/null
+++ b/tests/plans/test_serve.py
@@ -0,0 +1,235 @@
+"""The writer and its followers on loopback: snapshot, changes, a writer that dies, tokens, stalled and rude peers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+
+import pytest
+
+from cypresspulley.plans import serve
+from cypresspulley.plans.book import Terms
+from cypresspulley.plans.channel import Channel, Where
+from cypresspulley.plans.follow import At, Follower
+from cypresspulley.plans.office import Office
+from cypresspulley.plans.serve import Publisher, RefusedError, parse_head
+from cypresspulley.plans.store import Store
+from tests.plans.disk import Disk
+
+TOKEN = "t0ken"
+TERMS = Terms(1.0, 4.0, 2.0, 8.0)
+
+
+class Followed:
+    """A follower with its channel, and a way to wait for what it becomes."""
+
+    def __init__(self, address: tuple[str, int], token: str = TOKEN) -> None:
+        self.follower = Follower("vadodara")
+        self._news = asyncio.Event()
+        self.channel = Channel(Where(*address, token), self.follower, self._news.set, seed=1)
+        self.channel.start()
+
+    async def until(self, wanted: Callable[[], bool]) -> None:
+        async with asyncio.timeout(10):
+            while not wanted():
+                self._news.clear()
+                if not wanted():
+                    with suppress(TimeoutError):
+                        await asyncio.wait_for(self._news.wait(), 0.05)
+
+
+Play = Callable[[Publisher, Office, tuple[str, int]], Awaitable[None]]
+
+
+def with_writer(play: Play, disk: Disk | None = None) -> None:
+    async def run() -> None:
+        office = Office(Store(disk or Disk()), "vadodara")
+        publisher = Publisher(office, TOKEN, beat=0.05)
+        address = await publisher.listen("127.0.0.1", 0)
+        try:
+            await play(publisher, office, address)
+        finally:
+            await publisher.close()
+
+    asyncio.run(run())
+
+
+async def asked(address: tuple[str, int], raw: bytes) -> tuple[int, bytes]:
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(raw)
+    async with asyncio.timeout(5):
+        whole = await reader.read()
+    writer.close()
+    return int(whole.split(b" ", 2)[1]), whole.partition(b"\r\n\r\n")[2]
+
+
+def posted(body: bytes, token: str = TOKEN) -> bytes:
+    head = f"POST /v1/plans HTTP/1.1\r\nAuthorization: Bearer {token}\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def test_followers_get_the_book_and_each_change() -> None:
+    async def play(publisher: Publisher, office: Office, address: tuple[str, int]) -> None:
+        now = serve.unix_ms()
+        office.version("p", TERMS, now, now, "m")
+        followed = [Followed(address) for _ in range(3)]
+        for one in followed:
+            await one.until(lambda one=one: one.follower.book == office.book)  # type: ignore[misc]
+        wish = {"wish": "assign", "account": "hotel", "plan": "p", "effective": "+1", "author": "m"}
+        status, told = await asked(address, posted(json.dumps(wish).encode()))
+        assert status == 200 and json.loads(told)["change"]["account"] == "hotel"
+        for one in followed:
+            await one.until(lambda one=one: one.follower.book == office.book)  # type: ignore[misc]
+            assert one.follower.at is At.CURRENT and "hotel" in one.follower.book.accounts
+            one.channel.close()
+
+    with_writer(play)
+
+
+def test_a_writer_that_dies_is_followed_again_under_its_next_epoch() -> None:
+    disk = Disk()
+
+    async def run() -> None:
+        office = Office(Store(disk), "vadodara")
+        first = Publisher(office, TOKEN, beat=0.05)
+        address = await first.listen("127.0.0.1", 0)
+        office.version("p", TERMS, serve.unix_ms() + 10_000, serve.unix_ms(), "m")
+        one = Followed(address)
+        await one.until(lambda: one.follower.epoch == 1 and one.follower.book == office.book)
+        await first.close()
+        again = Office(Store(disk), "vadodara")
+        again.version("q", TERMS, serve.unix_ms() + 10_000, serve.unix_ms(), "m")
+        second = Publisher(again, TOKEN, beat=0.05)
+        await second.listen(*address)
+        await one.until(lambda: one.follower.epoch == 2 and one.follower.book == again.book)
+        assert set(one.follower.book.plans) == {"p", "q"}
+        one.channel.close()
+        await second.close()
+
+    asyncio.run(run())
+
+
+def test_a_follower_without_the_token_gets_nothing() -> None:
+    async def play(publisher: Publisher, office: Office, address: tuple[str, int]) -> None:
+        one = Followed(address, "wrong")
+        await one.until(lambda: "401" in one.channel.why)
+        assert one.follower.at is At.EMPTY and publisher.followers == 0
+        one.channel.close()
+
+    with_writer(play)
+
+
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (b"GET /v1/plans HTTP/1.1\r\n\r\n", 401),
+        (b"GET /v1/plans HTTP/1.1\r\nAuthorization: Bearer t0ken2\r\n\r\n", 401),
+        (b"GET /other HTTP/1.1\r\nAuthorization: Bearer t0ken\r\n\r\n", 404),
+        (b"PUT /v1/plans HTTP/1.1\r\nAuthorization: Bearer t0ken\r\n\r\n", 405),
+        (b"GET /v1/plans?epoch=x HTTP/1.1\r\nAuthorization: Bearer t0ken\r\n\r\n", 400),
+        (b"GET /v1/plans?since=-1 HTTP/1.1\r\nAuthorization: Bearer t0ken\r\n\r\n", 400),
+        (b"\xff\xfe\r\n\r\n", 400),
+        (b"x" * 20_000, 400),
+        (posted(b"{}", "wrong"), 401),
+        (posted(b"{"), 409),
+        (posted(b"{}"), 409),
+        (posted(b"[" * 60_000), 400),
+        (posted(json.dumps({"wish": "assign", "account": "h", "plan": "nope", "author": "m"}).encode()), 409),
+        (
+            posted(
+                json.dumps({"wish": "assign", "account": "h", "plan": "p", "author": "m", "x": 1}).encode()
+            ),
+            409,
+        ),
+        (posted(b"x" * 70_000), 413),
+        (
+            b"POST /v1/plans HTTP/1.1\r\nAuthorization: Bearer t0ken\r\nTransfer-Encoding: chunked\r\n\r\n",
+            400,
+        ),
+    ],
+)
+def test_what_is_no_call_is_told_and_changes_nothing(raw: bytes, status: int) -> None:
+    async def play(publisher: Publisher, office: Office, address: tuple[str, int]) -> None:
+        before = office.book
+        found, body = await asked(address, raw)
+        assert found == status and "error" in json.loads(body) and office.book is before
+
+    with_writer(play)
+
+
+def test_half_a_call_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(serve, "HEAD_WAIT", 0.05)
+
+    async def play(publisher: Publisher, office: Office, address: tuple[str, int]) -> None:
+        assert (await asked(address, b"GET /v1/pl"))[0] == 400
+        assert (await asked(address, posted(b"{}" * 10)[:-3]))[0] == 400
+
+    with_writer(play)
+
+
+def test_followers_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(serve, "MOST_FOLLOWERS", 1)
+
+    async def play(publisher: Publisher, office: Office, address: tuple[str, int]) -> None:
+        one = Followed(address)
+        await one.until(lambda: one.follower.at is At.CURRENT)
+        head = f"GET /v1/plans HTTP/1.1\r\nAuthorization: Bearer {TOKEN}\r\n\r\n"
+        assert (await asked(address, head.encode()))[0] == 503
+        one.channel.close()
+
+    with_writer(play)
+
+
+def test_a_full_disk_is_a_503_and_no_follower_hears_of_the_change() -> None:
+    disk = Disk()
+
+    async def play(publisher: Publisher, office: Office, address: tuple[str, int]) -> None:
+        disk.room = 3
+        terms = {"rate": 1, "burst": 2}
+        wish = {"wish": "change", "plan": "p", "terms": terms, "author": "m"}
+        status, body = await asked(address, posted(json.dumps(wish).encode()))
+        assert status == 503 and b"no space" in body and not office.book.plans
+
+    with_writer(play, disk)
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"no json\n", b"[]\n", b'{"kind":"beat"}\n', b'{"kind":"beat","epoch":1,"sent":1}\n',
+        b'{"kind":"beat","epoch":1,"sent":1,"lease":1,"last":[1]}\n', b'{"kind":"what","epoch":1,"sent":1,"lease":1}\n',
+        b'{"kind":"whole","epoch":1,"sent":1,"lease":1,"changes":-1}\n', b'{"kind":"change","epoch":1,"change":3}\n',
+        b'{"kind":"whole","epoch":1,"sent":1,"lease":1,"changes":1,"installation":"vadodara"}\n{"kind":"version"}\n',
+        b"x" * 100_000 + b"\n", b"[" * 50_000 + b"\n",
+    ],
+)  # fmt: skip
+def test_a_rude_writer_ends_its_connection_and_nothing_else(lines: bytes) -> None:
+    async def run() -> None:
+        async def rude(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + lines)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(rude, "127.0.0.1", 0)
+        one = Followed(server.sockets[0].getsockname()[:2])
+        await one.until(lambda: bool(one.channel.why))
+        assert one.follower.at is At.EMPTY and one.follower.book.last.seq == 0
+        one.channel.close()
+        server.close()
+
+    asyncio.run(run())
+
+
+def test_a_head_is_read_whole_or_refused() -> None:
+    call = parse_head(b"GET /v1/plans?epoch=3&since=7 HTTP/1.1\r\nauthorization:  Bearer t0ken ", TOKEN)
+    assert (call.epoch, call.since, call.body) == (3, 7, None)
+    with pytest.raises(RefusedError, match=r"HTTP/1\.1"):
+        parse_head(b"GET /v1/plans SPDY/3", TOKEN)
+
+
+def test_an_empty_token_is_refused() -> None:
+    with pytest.raises(ValueError, match="token"):
+        Publisher(Office(Store(Disk()), "vadodara"), "")
--- /dev/null
+++ b/tests/plans/test_store.py
@@ -0,0 +1,230 @@
+"""The store against a disk that loses what was not synced, at each single operation; and one that is full."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cypresspulley.plans.book import BookError, Terms
+from cypresspulley.plans.files import DiskFolder
+from cypresspulley.plans.office import Office
+from cypresspulley.plans.reservations import At, Wish
+from cypresspulley.plans.store import HEAD, Record, Store, StoreError, check, framed, read
+from tests.plans.disk import CrashError, Disk
+
+
+def plain(store: Store) -> list[Record]:
+    return [r for r in store.records if r.get("kind") != "whole"]
+
+
+def test_commits_survive_and_what_was_not_committed_is_gone() -> None:
+    disk = Disk()
+    store = Store(disk)
+    store.put({"n": 1})
+    store.put({"n": 2})
+    store.commit()
+    store.put({"n": 3})
+    assert plain(Store(disk)) == [{"n": 1}, {"n": 2}]
+
+
+@settings(deadline=None, max_examples=300)
+@given(st.integers(0, 60), st.integers(0, 2**32), st.lists(st.integers(1, 4), max_size=8), st.integers(0, 8))
+def test_at_whatever_operation_it_dies_what_was_acknowledged_is_there(
+    left: int, seed: int, groups: list[int], compact_after: int
+) -> None:
+    """Groups are whole or absent, in order, none that was acknowledged is missing, and at most one more is there."""
+    rng, disk, acknowledged, sent = Random(seed), Disk(), list[Record](), list[list[Record]]()
+    lives = 0
+    while lives < 3:
+        disk.left = left + lives
+        try:
+            store = Store(disk)
+            state = plain(store)
+            assert state[: len(acknowledged)] == acknowledged
+            extra = state[len(acknowledged) :]
+            assert not extra or extra == sent[-1]
+            acknowledged = state
+            for number, size in enumerate(groups):
+                sent.append([{"n": len(acknowledged) + k, "life": lives} for k in range(size)])
+                for record in sent[-1]:
+                    store.put(record)
+                store.commit()
+                acknowledged = acknowledged + sent[-1]
+                if number == compact_after:
+                    store.compact(acknowledged)
+        except CrashError:
+            pass
+        disk = disk.after_crash(rng)
+        lives += 1
+    assert plain(Store(disk))[: len(acknowledged)] == acknowledged
+
+
+def test_a_full_disk_takes_nothing_and_loses_nothing() -> None:
+    disk = Disk()
+    store = Store(disk)
+    store.put({"n": 1})
+    store.commit()
+    disk.room = 10
+    store.put({"n": 2, "text": "x" * 50})
+    with pytest.raises(OSError, match="no space"):
+        store.commit()
+    with pytest.raises(OSError, match="takes nothing more"):
+        store.commit()
+    assert plain(Store(disk)) == [{"n": 1}]
+
+
+def test_damage_in_the_middle_is_told_and_nothing_is_cut() -> None:
+    disk = Disk()
+    store = Store(disk)
+    for n in range(4):
+        store.put({"n": n})
+        store.commit()
+    (name,) = disk.names()
+    data = bytearray(disk.read(name))
+    at = bytes(data).index(b'{"n":1}')
+    data[at + 5] ^= 1
+    disk._live[name].whole = data
+    with pytest.raises(StoreError, match=rf"{name}: damaged at byte \d+, with 2 good records"):
+        Store(disk)
+    (found,) = check(disk)
+    assert found.damaged_at is not None and found.saved == 2 and not found.good and "DAMAGED" in str(found)
+    assert disk.read(name) == bytes(data)
+
+
+def test_a_torn_tail_is_cut_and_told() -> None:
+    disk = Disk()
+    Store(disk)
+    (name,) = disk.names()
+    whole = len(disk.read(name))
+    disk._live[name].whole += framed([{"n": 1}])[:-1]
+    (found,) = check(disk)
+    assert found.torn == len(framed([{"n": 1}])) - 1 and found.good
+    Store(disk)
+    assert len(disk.read(name)) == whole
+
+
+@given(st.binary(max_size=200))
+def test_whatever_bytes_are_read_without_an_error(data: bytes) -> None:
+    seen = read(HEAD + data)
+    assert (seen.end <= seen.size and read(data).records == ()) or data.startswith(HEAD)
+
+
+def test_one_writer_at_a_time(tmp_path: Path) -> None:
+    folder = DiskFolder(str(tmp_path))
+    with pytest.raises(OSError, match="one writer at a time"):
+        DiskFolder(str(tmp_path))
+    store = Store(folder)
+    store.put({"n": 1})
+    store.commit()
+    store.compact([{"n": 1}])
+    store.close()
+    folder.close()
+    assert plain(Store(DiskFolder(str(tmp_path)))) == [{"n": 1}]
+
+
+TERMS = (Terms(1, 4, 2, 8), Terms(3, 12, 5, 24))
+
+
+class Model:
+    """What a start may show: what was acknowledged, or that and the one thing that was under way."""
+
+    def __init__(self) -> None:
+        self.books, self.epoch = {Office(Store(Disk()), "vadodara").book.digest()}, 0
+        self.reserved = dict[str, set[At | None]]()
+
+    def check(self, office: Office) -> None:
+        assert office.epoch > self.epoch and office.book.digest() in self.books
+        for key, states in self.reserved.items():
+            found = office.reservations.all.get(key)
+            assert (found.at if found is not None else None) in states
+        self.acknowledge(office)
+
+    def acknowledge(self, office: Office) -> None:
+        self.epoch, self.books = office.epoch, {office.book.digest()}
+        self.reserved = {key: {one.at} for key, one in office.reservations.all.items()}
+
+
+def act(office: Office, model: Model, step: int, number: int, now: int) -> None:
+    """One thing that an operator wants; the model hears first what may come of it."""
+    if step == 0 or "p" not in office.book.plans:
+        change = office.version("p", TERMS[number % 2], now, now, "m", dry=True)
+        model.books.add(office.book.taking(change).digest())
+        office.take(change, now)
+    elif step == 1:
+        assigned = office.assign("hotel", "p", now, now, "m", dry=True)
+        model.books.add(office.book.taking(assigned).digest())
+        office.take(assigned, now)
+    elif step == 2 and office.book.assignment("hotel", now) is not None:
+        key = f"ev{now}"
+        model.reserved[key] = {None, At.HELD, At.REFUSED}
+        office.reserve(Wish(key, "hotel", now + 50, now + 60, 1), now, 1e6 if number % 2 else 1e-9)
+    elif model.reserved and step == 3:
+        key = max(model.reserved)
+        model.reserved[key].add(At.RELEASED)
+        office.release(key)
+    elif step == 4:
+        office.compact()
+    model.acknowledge(office)
+
+
+@settings(deadline=None, max_examples=300)
+@given(st.integers(0, 40), st.integers(0, 2**32), st.lists(st.integers(0, 4), min_size=1, max_size=12))
+def test_an_office_that_dies_at_any_write_is_as_it_was_acknowledged(
+    left: int, seed: int, steps: list[int]
+) -> None:
+    """No change lost, none half there, no reservation made or given back twice, and epochs only grow."""
+    rng, disk, model, now = Random(seed), Disk(), Model(), 1000
+    for life in range(4):
+        disk.left = None if life == 3 else left + life
+        try:
+            office = Office(Store(disk), "vadodara")
+            model.check(office)
+            for number, step in enumerate(steps):
+                now += 10
+                act(office, model, step, number, now)
+        except CrashError:
+            pass
+        disk = disk.after_crash(rng)
+
+
+def test_a_store_of_another_installation_is_refused() -> None:
+    disk = Disk()
+    Office(Store(disk), "vadodara")
+    with pytest.raises(StoreError, match="of 'vadodara'; expected 'semien'"):
+        Office(Store(disk), "semien")
+    with pytest.raises(StoreError, match="installation"):
+        Office(Store(Disk()))
+
+
+def test_what_is_refused_changes_nothing() -> None:
+    disk = Disk()
+    office = Office(Store(disk), "vadodara")
+    office.version("p", TERMS[0], 1000, 1000, "m")
+    before, digest = disk.read(disk.names()[0]), office.book.digest()
+    for bad in (Terms(float("inf"), 1), Terms(1, 1, 0.5, 1)):
+        with pytest.raises(BookError):
+            office.version("p", bad, 2000, 1000, "m")
+    with pytest.raises(BookError, match="has no plan"):
+        office.reserve(Wish("k", "inn", 2000, 3000, 1), 1000, 1e6)
+    assert disk.read(disk.names()[0]) == before and office.book.digest() == digest
+
+
+def test_a_full_disk_refuses_a_reservation_and_a_release_whole() -> None:
+    disk = Disk()
+    office = Office(Store(disk), "vadodara")
+    office.version("p", TERMS[0], 1000, 1000, "m")
+    office.assign("hotel", "p", 1000, 1000, "m")
+    office.reserve(Wish("a", "hotel", 2000, 3000, 1), 1000, 1e6)
+    disk.room = 3
+    with pytest.raises(OSError):
+        office.release("a")
+    assert office.reservations.all["a"].at is At.HELD
+    with pytest.raises(OSError):
+        office.reserve(Wish("b", "hotel", 2000, 3000, 1), 1000, 1e6)
+    assert "b" not in office.reservations.all
+    found = Office(Store(disk.after_crash(Random(1))), "vadodara")
+    assert found.reservations.all["a"].at is At.HELD and "b" not in found.reservations.all
