--- a/benchmarks/plan_churn.py
+++ b/benchmarks/plan_churn.py
@@ -24,8 +24,8 @@
 from cypresspulley.plans.book import Assignment, Book, Change, Stamp, Terms, Version
 from cypresspulley.plans.carry import Level
 from cypresspulley.plans.follow import SKEW, Do, Follower
+from cypresspulley.plans.lease import LEASE
 from cypresspulley.plans.limiter import Planned
-from cypresspulley.plans.office import LEASE
 from cypresspulley.plans.use import Gatherer
 from cypresspulley.policy.gateway import Gateway
 
--- a/cypresspulley/explore/schedule.py
+++ b/cypresspulley/explore/schedule.py
@@ -9,6 +9,7 @@
 
 from cypresspulley.rehearsal.plan import random_for
 from cypresspulley.rehearsal.scenario import (
+    BOOKED,
     FAULT_KEYS,
     OPERATED,
     SOCKETS_ONLY,
@@ -18,8 +19,8 @@
     server_names,
 )
 
-KINDS = tuple(sorted(FAULT_KEYS.keys() - OPERATED))
-WITH_OPERATORS = tuple(sorted(FAULT_KEYS.keys() - SOCKETS_ONLY))  # what the door brings beside them
+KINDS = tuple(sorted(FAULT_KEYS.keys() - OPERATED - BOOKED))
+WITH_OPERATORS = tuple(sorted(FAULT_KEYS.keys() - SOCKETS_ONLY - BOOKED))  # what the door brings beside them
 MOST_FAULTS = 4
 FEWEST_SERVERS = 4
 IMPATIENT = 0.03  # share of the clients that go away: more than on a usual day
--- a/cypresspulley/plans/files.py
+++ b/cypresspulley/plans/files.py
@@ -40,6 +40,45 @@
         """Return when names that were made, changed or removed are on the disk."""
 
 
+class MemoryFolder:
+    """A folder that lasts as long as its process: for rehearsals, and installations that want no more."""
+
+    def __init__(self) -> None:
+        self._files = dict[str, bytearray]()
+
+    def names(self) -> list[str]:
+        return list(self._files)
+
+    def read(self, name: str) -> bytes:
+        return bytes(self._files[name])
+
+    def append(self, name: str) -> File:
+        return MemoryFile(self._files.setdefault(name, bytearray()))
+
+    def rename(self, old: str, new: str) -> None:
+        self._files[new] = self._files.pop(old)
+
+    def remove(self, name: str) -> None:
+        del self._files[name]
+
+    def sync(self) -> None: ...
+
+
+class MemoryFile:
+    def __init__(self, data: bytearray) -> None:
+        self._data = data
+
+    def write(self, data: bytes) -> None:
+        self._data += data
+
+    def sync(self) -> None: ...
+
+    def cut(self, size: int) -> None:
+        del self._data[size:]
+
+    def close(self) -> None: ...
+
+
 class DiskFile:
     def __init__(self, path: str) -> None:
         self._fd = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
--- a/cypresspulley/plans/office.py
+++ b/cypresspulley/plans/office.py
@@ -23,14 +23,13 @@
     check_new,
 )  # fmt: skip
 from cypresspulley.plans.carry import slack
+from cypresspulley.plans.lease import LEASE
 from cypresspulley.plans.reservations import MICRO, Reservation, Reservations, Room, Wish
 from cypresspulley.plans.reservations import At as Stands
 from cypresspulley.plans.store import Record, Store, StoreError
 from cypresspulley.plans.use import Intake, record_from
 from cypresspulley.plans.use import Record as Use
 
-LEASE = 3_000  # milliseconds that followers may go by what they have without a beat
-
 
 class Office:
     """One installation's plans. ``now`` is Unix time in milliseconds, from whoever calls."""
--- a/cypresspulley/plans/serve.py
+++ b/cypresspulley/plans/serve.py
@@ -24,7 +24,8 @@
 
 from cypresspulley.plans import book as books
 from cypresspulley.plans.book import Change
-from cypresspulley.plans.office import LEASE, Office
+from cypresspulley.plans.lease import LEASE
+from cypresspulley.plans.office import Office
 from cypresspulley.plans.wishes import carry_out
 
 log = logging.getLogger(__name__)
--- a/cypresspulley/plans/wishes.py
+++ b/cypresspulley/plans/wishes.py
@@ -11,7 +11,8 @@
 
 from cypresspulley.plans import book as books
 from cypresspulley.plans.book import Book, BookError, Change
-from cypresspulley.plans.office import LEASE, Office
+from cypresspulley.plans.lease import LEASE
+from cypresspulley.plans.office import Office
 from cypresspulley.plans.reservations import MICRO, Reservation, ReservationError, Wish
 from cypresspulley.plans.use import record_from
 
--- a/cypresspulley/rehearsal/limiters.py
+++ b/cypresspulley/rehearsal/limiters.py
@@ -125,6 +125,12 @@
                 f"cannot write {self._path}: {error.strerror}: free the disk or choose --logs"
             ) from None
 
+    def follow(self, host: str, port: int) -> None:
+        """From its next start on it follows the plan book whose writer is there."""
+        path = self._folder / f"{self.name}-operators.toml"
+        path.write_text(f'[plans]\nwriter = "{host}:{port}"\ninstallation = "rehearsal"\n')
+        self._command = [*self._command, "--operators", str(path)]
+
     async def start(self) -> None:
         self.lives += 1
         await self._begin()
--- a/cypresspulley/rehearsal/records.py
+++ b/cypresspulley/rehearsal/records.py
@@ -216,6 +216,18 @@
     out: bool
 
 
+@dataclass(frozen=True, slots=True)
+class PlanMoved:
+    """From ``t`` on an account has this ceiling; it was announced ``ahead`` seconds before."""
+
+    t: float
+    account: str
+    plan: str
+    ceiling_rate: float
+    ceiling_burst: float
+    ahead: float
+
+
 @dataclass(frozen=True, slots=True)
 class Tallied:
     """The keeper did a call (``added`` false: turned away)."""
@@ -291,7 +303,7 @@
 
 Record = (
     Day | Sent | Answered | Broke | Unreached | Left | Surplus | LimiterState | ServerState | Arrived | Ran
-    | Replied | Ended | Listed | Banned | Tallied | Probed | Happened | Lateness | Complaint | Usage | End
+    | Replied | Ended | Listed | Banned | PlanMoved | Tallied | Probed | Happened | Lateness | Complaint | Usage | End
 )  # fmt: skip
 KINDS: dict[str, type[Record]] = {kind.__name__.lower(): kind for kind in Record.__args__}
 
--- a/cypresspulley/rehearsal/scenario.py
+++ b/cypresspulley/rehearsal/scenario.py
@@ -47,11 +47,16 @@
     "keeper-break": frozenset(()),
     "keeper-spoilt": frozenset(("lasts", "size")),
     "discovery-silent": frozenset(("lasts",)),
+    "plan-churn": frozenset(("lasts", "every", "ahead", "size", "count")),
+    "limiter-off-book": frozenset(("targets", "count", "lasts")),
+    "writer-stop": frozenset(("back_after",)),
 }
 
 
 # What operators do at the door; the search draws them only where it is asked to.
 OPERATED = frozenset(("limiter-drain", "limiter-upgrade", "server-by-hand"))
+# What changes plans in service: such a day has a plan book, which its limiters follow.
+BOOKED = frozenset(("plan-churn", "limiter-off-book", "writer-stop"))
 SOCKETS_ONLY = frozenset(("limiter-upgrade",))  # two processes: not in virtual time
 
 
@@ -184,6 +189,7 @@
     after: int = Field(1, ge=1, le=1_000_000, description="turns or writes of the limiter until it is killed")
     add_ms: Positive = 40.0
     every: Positive = 2.0
+    ahead: NotNegative = Field(0.0, description="seconds by which a change of plan is announced", le=60)
     reuse_address: bool = False
 
     @model_validator(mode="after")
@@ -239,6 +245,11 @@
         """Whether operators call on its limiters: then these have a door."""
         return any(fault.kind in OPERATED for fault in self.faults)
 
+    @property
+    def booked(self) -> bool:
+        """Whether its limiters follow a plan book."""
+        return any(fault.kind in BOOKED for fault in self.faults)
+
     @property
     def on_sockets_only(self) -> bool:
         return any(fault.kind in SOCKETS_ONLY for fault in self.faults)
@@ -267,6 +278,13 @@
             raise ValueError("graphql: expected classes that are safe and unsafe, for queries and mutations")
         if self.graphql is not None and self.load.capture is not None:
             raise ValueError("graphql: expected drawn arrivals, not load.capture")
+        churns = [fault for fault in self.faults if fault.kind == "plan-churn"]
+        if self.booked and not (churns and any(plan.ceiling > 0 for plan in self.plans)):
+            raise ValueError(
+                "fault: a plan book wants a plan-churn, and a plan with a ceiling for it to move"
+            )
+        if any(fault.size > 1 for fault in churns):
+            raise ValueError("fault: the size of a plan-churn is the lower plan's part; expected at most 1")
         low, high = self.load.spread
         if not 1 <= low <= high <= self.limiters.count:
             raise ValueError(f"load.spread: {low}..{high}; expected 1 <= low <= high <= limiters.count")
--- /dev/null
+++ b/cypresspulley/rehearsal/standins/bookkeeper.py
@@ -0,0 +1,97 @@
+"""A day's plan book: the shipped writer, at an address for each limiter, with changes drawn from the day's seed."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from random import Random
+
+from cypresspulley.plans.book import Terms
+from cypresspulley.plans.files import MemoryFolder
+from cypresspulley.plans.office import Office
+from cypresspulley.plans.serve import Publisher
+from cypresspulley.plans.store import Store
+from cypresspulley.rehearsal.records import PlanMoved
+from cypresspulley.rehearsal.scenario import PlanRow
+from cypresspulley.rehearsal.standins.stage import Stage
+
+INSTALLATION, TOKEN = "rehearsal", "rehearsal"
+LOWER = "-low"  # behind a plan's name: the one that its accounts are moved to and back from
+
+
+def terms_of(plan: PlanRow, part: float = 1.0) -> Terms:
+    """A plan's terms, or a part of them; a ceiling never stands under its quota."""
+    ceiling = plan.ceiling * part
+    return Terms(
+        plan.rate * part, plan.burst * part, plan.rate * ceiling, plan.burst * ceiling, plan.price, plan.open_limit
+    )  # fmt: skip
+
+
+class Bookkeeper:
+    """``part`` is the lower plan's part of a plan with a ceiling."""
+
+    def __init__(self, stage: Stage, plans: tuple[PlanRow, ...], part: float, rng: Random) -> None:
+        self._stage, self._rng, self._folder = stage, rng, MemoryFolder()
+        self._ceilings = {plan.name: plan for plan in plans if plan.ceiling > 0}
+        self._part, self._low = part, set[str]()  # accounts that are on the lower plan
+        self.addresses = dict[str, tuple[str, int]]()  # of a limiter's way to the writer
+        self._publishers = dict[str, Publisher]()
+        os.environ["FAWNSEAM_PLANS_TOKEN"] = TOKEN  # limiters of this process and its children read it there
+        self.office = Office(Store(self._folder), INSTALLATION)
+        now = stage.unix_ms()
+        for plan in plans:
+            self.office.version(plan.name, terms_of(plan), now, now, "rehearsal")
+            if plan.ceiling > 0:
+                self.office.version(plan.name + LOWER, terms_of(plan, part), now, now, "rehearsal")
+
+    def __repr__(self) -> str:
+        return f"<Bookkeeper {self.office!r}, {len(self._publishers)} ways open>"
+
+    async def open(self, limiter: str) -> None:
+        """Let a limiter reach the writer, at the same address as before."""
+        if limiter in self._publishers:
+            return
+        clock = self._stage.unix_ms
+        publisher = self._publishers[limiter] = Publisher(self.office, TOKEN, clock)
+        self.addresses[limiter] = await publisher.listen(*self.addresses[limiter])
+
+    async def shut(self, limiter: str) -> None:
+        """Its connection ends, and new ones are refused."""
+        if (publisher := self._publishers.pop(limiter, None)) is not None:
+            await publisher.close()
+
+    async def stop(self, back_after: float) -> None:
+        """The writer dies, and another starts from what was stored: a new epoch."""
+        ways = list(self._publishers)
+        for limiter in ways:
+            await self.shut(limiter)
+        await asyncio.sleep(back_after)
+        self.office = Office(Store(self._folder), INSTALLATION)
+        for limiter in ways:
+            await self.open(limiter)
+
+    async def churn(self, accounts: list[tuple[str, str]], until: float, every: float, ahead: float) -> None:
+        """Move accounts (with their plans) down and up again, one each ``every`` seconds."""
+        chosen = [(account, plan) for account, plan in accounts if plan in self._ceilings]
+        while chosen and self._stage.now() < until:
+            self._move(*self._rng.choice(chosen), ahead)
+            await asyncio.sleep(every)
+
+    def _move(self, account: str, plan: str, ahead: float) -> None:
+        down = account not in self._low
+        row, part = self._ceilings[plan], self._part if down else 1.0
+        now = self._stage.unix_ms()
+        effective = now + round(ahead * 1000) + 1
+        if any(one.effective == effective for one in self.office.book.accounts.get(account, ())):
+            return
+        self.office.assign(account, plan + LOWER * down, effective, now, "rehearsal", "churn")
+        (self._low.add if down else self._low.discard)(account)
+        terms = terms_of(row, part)
+        at = effective / 1000 - self._stage.unix_ms(0) / 1000
+        self._stage.record(PlanMoved(at, account, plan, terms.ceiling_rate, terms.ceiling_burst, ahead))
+        for publisher in self._publishers.values():
+            publisher.changed()
+
+    async def close(self) -> None:
+        for limiter in list(self._publishers):
+            await self.shut(limiter)
--- a/cypresspulley/rehearsal/timeline.py
+++ b/cypresspulley/rehearsal/timeline.py
@@ -106,6 +106,11 @@
         self.lives = self._lives()
         self.told = self._told()
         self.bans = self._bans()
+        self.moves = defaultdict[str, list[log.PlanMoved]](
+            list
+        )  # changes of an account's ceiling, by instant
+        for r in sorted((r for r in self.records if isinstance(r, log.PlanMoved)), key=lambda r: r.t):
+            self.moves[r.account].append(r)
         if not any(isinstance(r, log.End) for r in self.records):
             self.gaps.append("the log has no end record")
 
--- a/cypresspulley/rehearsal/virtual/play.py
+++ b/cypresspulley/rehearsal/virtual/play.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from contextvars import copy_context
+from dataclasses import replace
 from functools import partial
 from hashlib import blake2b
 from pathlib import Path
@@ -86,6 +87,9 @@
         seed = f"{random_for(self._seed, 'limiter', self.name, self.lives).getrandbits(64):016x}"
         self._raw = {"name": self.name, "listen": listen, "seed": seed, **raw}
 
+    def follow(self, host: str, port: int) -> None:
+        self._operators = replace(self._operators, plans=(f"{host}:{port}", "rehearsal"))
+
     def _config(self) -> Config:
         return config_from(json.loads(json.dumps(self._raw)))
 
