Let limiters draw on reservations: an event's plan for the window, released and settled once

A reservation that is held becomes a plan of its own that its account is on for the window: the plan's quota with the units on top, a tenth of them as burst, under the ceiling as it was; limiters need nothing new. A release puts the account back and withdraws what would have moved it later; drawn is what limiters told under the event's plan, 15 s after the last draw, and later use is a correction. Way not taken: tokens of the reservation dealt out to limiters, which want an answer from the writer for each try or a split that dies with a limiter. Assignments can be withdrawn now, kept in the history; alike in any order (hypothesis found two withdrawals of one that were not).

--- a/cypresspulley/plans/book.py
+++ b/cypresspulley/plans/book.py
@@ -109,7 +109,25 @@
         return f"{self.account} on {self.plan}@{self.stamp} from {self.effective}"
 
 
-Change = Version | Assignment
+@dataclass(frozen=True, slots=True)
+class Withdrawal:
+    """An assignment that is not to come into force after all; the history keeps both."""
+
+    target: Stamp
+    effective: int  # when it was said
+    stamp: Stamp
+    author: str = ""
+    reason: str = ""
+
+    @property
+    def key(self) -> tuple[int, Stamp]:
+        return self.effective, self.stamp
+
+    def __str__(self) -> str:
+        return f"withdrawal of {self.target} by {self.stamp}"
+
+
+Change = Version | Assignment | Withdrawal
 One = TypeVar("One", Version, Assignment)
 
 
@@ -117,6 +135,8 @@
     """A change as it is stored and published."""
     stamp = [change.stamp.epoch, change.stamp.seq]
     told = {"effective": change.effective, "stamp": stamp, "author": change.author, "reason": change.reason}
+    if isinstance(change, Withdrawal):
+        return {"kind": "withdrawal", "target": [change.target.epoch, change.target.seq], **told}
     if isinstance(change, Assignment):
         return {"kind": "assignment", "account": change.account, "plan": change.plan, **told}
     # Figures as floats, whole ones too: a book must read back what it wrote, to the digest.
@@ -130,6 +150,12 @@
     return int(raw)
 
 
+def _stamp(raw: Any, where: str) -> Stamp:
+    if not isinstance(raw, list) or len(raw) != 2:
+        raise BookError(f"{where}: expected [epoch, seq], got {raw!r:.60}")
+    return Stamp(_whole(raw[0], where), _whole(raw[1], where))
+
+
 def _text(raw: Any, where: str, most: int = MOST_NAME, least: int = 1) -> str:
     if not isinstance(raw, str) or not least <= len(raw) <= most or not raw.isprintable():
         raise BookError(f"{where}: expected {least} to {most} printable characters, got {raw!r:.60}")
@@ -159,18 +185,15 @@
 
 def change_from(raw: Any, where: str) -> Change:
     """A change from JSON, checked whole."""
-    if not isinstance(raw, dict) or raw.get("kind") not in ("version", "assignment"):
-        raise BookError(f"{where}.kind: expected version or assignment")
-    stamp = raw.get("stamp")
-    if not isinstance(stamp, list) or len(stamp) != 2:
-        raise BookError(f"{where}.stamp: expected [epoch, seq], got {stamp!r:.60}")
-    told = (
-        _whole(raw.get("effective"), f"{where}.effective"),
-        Stamp(_whole(stamp[0], f"{where}.stamp"), _whole(stamp[1], f"{where}.stamp")),
-    )
-    plan = _text(raw.get("plan"), f"{where}.plan")
+    if not isinstance(raw, dict) or raw.get("kind") not in ("version", "assignment", "withdrawal"):
+        raise BookError(f"{where}.kind: expected version, assignment or withdrawal")
+    stamp = _stamp(raw.get("stamp"), f"{where}.stamp")
+    told = _whole(raw.get("effective"), f"{where}.effective"), stamp
+    plan = "" if raw["kind"] == "withdrawal" else _text(raw.get("plan"), f"{where}.plan")
     author = _text(raw.get("author", ""), f"{where}.author", least=0)
     reason = _text(raw.get("reason", ""), f"{where}.reason", MOST_TEXT, 0)
+    if raw["kind"] == "withdrawal":
+        return Withdrawal(_stamp(raw.get("target"), f"{where}.target"), *told, author, reason)
     if raw["kind"] == "version":
         return Version(plan, *told, terms_from(raw.get("terms"), f"{where}.terms"), author, reason)
     return Assignment(_text(raw.get("account"), f"{where}.account"), *told, plan, author, reason)
@@ -197,6 +220,9 @@
     accounts: Map[str, tuple[Assignment, ...]] = field(default_factory=Map)
     stamps: Map[Stamp, Change] = field(default_factory=Map)
     last: Stamp = Stamp(0, 0)  # the newest; 0.0 in a book without changes
+    withdrawn: Map[Stamp, Stamp] = field(
+        default_factory=Map
+    )  # assignments that do not hold, by what withdrew them
 
     def __repr__(self) -> str:
         return f"<Book of {self.installation}: {len(self.plans)} plans, {len(self.accounts)} accounts, {self.last}>"
@@ -208,13 +234,21 @@
             return self
         if known is not None:
             raise BookError(f"stamp {change.stamp}: {change}; the book has {known} under it")
-        plans, accounts = self.plans, self.accounts
+        plans, accounts, withdrawn = self.plans, self.accounts, self.withdrawn
         if isinstance(change, Version):
             plans = plans.set(change.plan, _with(plans.get(change.plan, ()), change))
-        else:
+        elif isinstance(change, Withdrawal):
+            first = min(change.stamp, withdrawn.get(change.target, change.stamp))
+            withdrawn = withdrawn.set(change.target, first)
+            if isinstance(target := self.stamps.get(change.target), Assignment):
+                left = tuple(one for one in accounts.get(target.account, ()) if one.stamp != target.stamp)
+                accounts = accounts.set(target.account, left)
+        elif change.stamp not in withdrawn:
             accounts = accounts.set(change.account, _with(accounts.get(change.account, ()), change))
+        elif change.account not in accounts:
+            accounts = accounts.set(change.account, ())
         stamps = self.stamps.set(change.stamp, change)
-        return Book(self.installation, plans, accounts, stamps, max(self.last, change.stamp))
+        return Book(self.installation, plans, accounts, stamps, max(self.last, change.stamp), withdrawn)
 
     def version(self, plan: str, at: int) -> Version | None:
         """The version of a plan in force at an instant."""
@@ -274,6 +308,11 @@
         )
     if change.stamp <= book.last:
         raise BookError(f"stamp: expected one above {book.last}, got {change.stamp}")
+    if isinstance(change, Withdrawal):
+        target = book.stamps.get(change.target)
+        if not isinstance(target, Assignment) or change.target in book.withdrawn or target.effective <= now:
+            raise BookError(f"target: expected an assignment to come after {now}, got {target}")
+        return
     if isinstance(change, Version):
         if (problem := next(change.terms.problems(), None)) is not None:
             raise BookError(f"terms.{problem}")
--- a/cypresspulley/plans/command.py
+++ b/cypresspulley/plans/command.py
@@ -15,7 +15,7 @@
 
 from cypresspulley.console import fail
 from cypresspulley.plans import book as books
-from cypresspulley.plans.book import Book, Change, Version
+from cypresspulley.plans.book import Book, Change, Version, Withdrawal
 from cypresspulley.plans.files import DiskFolder
 from cypresspulley.plans.office import Office
 from cypresspulley.plans.serve import PATH, Publisher, unix_ms
@@ -41,6 +41,8 @@
         t = change.terms
         ceiling = f", ceiling {t.ceiling_rate:g}/s of {t.ceiling_burst:g}" if t.ceiling_rate else ""
         what = f"{change.plan} gives {t.rate:g}/s of {t.burst:g}{ceiling}"
+    elif isinstance(change, Withdrawal):
+        what = f"{change.target} does not come into force"
     else:
         what = f"{change.account} is on {change.plan}"
     return f"{change.stamp!s:>8}  from {_when(change.effective)}  {what}{by}"
--- a/cypresspulley/plans/office.py
+++ b/cypresspulley/plans/office.py
@@ -20,16 +20,21 @@
     Stamp,
     Terms,
     Version,
+    Withdrawal,
     check_new,
 )  # fmt: skip
 from cypresspulley.plans.carry import slack
+from cypresspulley.plans.events import MARK, drawn, event_plan, event_terms
 from cypresspulley.plans.lease import LEASE
-from cypresspulley.plans.reservations import MICRO, Reservation, Reservations, Room, Wish
+from cypresspulley.plans.reservations import MICRO, OVER, Reservation, Reservations, Room, Wish
 from cypresspulley.plans.reservations import At as Stands
 from cypresspulley.plans.store import Record, Store, StoreError
 from cypresspulley.plans.use import Intake, record_from
 from cypresspulley.plans.use import Record as Use
 
+LIMITERS = "limiters"  # what stands for all their draws while a reservation is drawn on
+SETTLE = 15_000  # milliseconds in which limiters end what they have in hand under the event's plan, and tell their use
+
 
 class Office:
     """One installation's plans. ``now`` is Unix time in milliseconds, from whoever calls."""
@@ -62,13 +67,15 @@
                 )
             self.epoch = max(self.epoch, record["epoch"])
             self.book = replace(self.book, installation=record["installation"])
-        elif kind in ("version", "assignment"):
+        elif kind in ("version", "assignment", "withdrawal"):
             change = books.change_from(record, where)
             if change.stamp.seq != len(self.log) + 1:
                 raise StoreError(f"{where}: number {change.stamp.seq}; expected {len(self.log) + 1}")
             self._known(self.book.taking(change), change)
         elif kind == "use":
-            self.intake.take(record_from(record, where))
+            use = record_from(record, where)
+            self._late(use)
+            self.intake.take(use)
         elif kind in ("taken", "totals"):
             self.intake.restore(record)
         elif kind == "reservation":
@@ -84,6 +91,9 @@
         wish = Wish(**record["wish"])
         one = Reservation(wish, Stands(record["at"]), record["drawn"], {}, record["given_back"])
         one.corrections, one.past = record["corrections"], record["past"]
+        one.plan, one.since = record["plan"], record["since"]
+        if one.at in (Stands.ACTIVE, Stands.DRAINING):
+            one.flying[LIMITERS] = 0
         self.reservations.all[wish.key] = one
 
     def _records(self) -> Iterator[Record]:
@@ -131,6 +141,13 @@
     def _checked(self, change: Change, now: int) -> Book:
         books.change_from(books.as_json(change), "change")  # what a start could not read must not be stored
         check_new(self.book, change, now)
+        if isinstance(change, Assignment):
+            for one in self.reservations.all.values():
+                held = one.at in (Stands.HELD, Stands.ACTIVE) and one.wish.account == change.account
+                if held and one.wish.start <= change.effective < one.wish.end:
+                    raise BookError(
+                        f"account: {change.account} has reservation {one.wish.key} then; release it first"
+                    )
         return self.book.taking(change)
 
     def take(self, change: Change, now: int) -> None:
@@ -143,10 +160,12 @@
         """Accounts whose ceiling the change lowers, and by how many units it may be passed: those that the last limiter
         to hear admits. Nothing where the change was announced a lease ahead."""
         late = max(0.0, (LEASE - (change.effective - now)) / 1000)
+        accounts = list[str]()
+        new: Version | None = None
         if isinstance(change, Assignment):
             accounts = [change.account]
             new = self.book.version(change.plan, change.effective)
-        else:
+        elif isinstance(change, Version):
             held = ((a, self.book.assignment(a, change.effective)) for a in self.book.accounts)
             accounts = [a for a, on in held if on is not None and on.plan == change.plan]
             new = change
@@ -171,6 +190,7 @@
         if self.intake.knows(record):
             return self.intake.take(record)
         self._commit(record.as_json())
+        self._late(record)
         return self.intake.take(record)
 
     # Reservations.
@@ -186,7 +206,7 @@
         )
 
     def reserve(self, wish: Wish, now: int, fleet_rate: float, dry: bool = False) -> Reservation:
-        """Set aside, or refuse; stored before it is said."""
+        """Set aside, or refuse; stored before it is said, with the event's plan that limiters go by."""
         if wish.end <= now:
             raise BookError(f"end: expected an instant after {now}, got {wish.end}, which is past")
         room = self.room(wish.account, wish.start, fleet_rate)
@@ -194,33 +214,118 @@
             return self.reservations.ask(wish, room)
         try:
             one = self.reservations.ask(wish, room)
-            if not dry:
-                self._commit(_reservation_record(one))
-        except OSError:
-            del self.reservations.all[wish.key]
+            changes = self._event(one, now) if one.at is Stands.HELD else []
+            self._store_event(one, changes, dry)
+        except (OSError, BookError):
+            self.reservations.all.pop(wish.key, None)
             raise
         if dry:
             del self.reservations.all[wish.key]
         return one
 
-    def release(self, key: str) -> Reservation:
-        """Give back what is not drawn, once."""
+    def _event(self, one: Reservation, now: int) -> list[Change]:
+        """The event's plan, the account's way to it at the window's begin, and back at its end."""
+        wish = one.wish
+        start = max(wish.start, now)
+        base = self.book.terms(wish.account, start)
+        assert base is not None  # there is room by its terms
+        if any(self._meets(wish, other) for other in self.reservations.all.values() if other is not one):
+            raise BookError(
+                f"start, end: {wish.account} has another reservation then; expected one at a time"
+            )
+        one.plan = event_plan(base.plan, wish.key)
+        epoch, seq, end = self.epoch, self._next.seq, self._free(wish.account, wish.end)
+        told = ("reservations", f"reservation {wish.key}")
+        return [
+            Version(one.plan, start, Stamp(epoch, seq), event_terms(base.terms, wish), *told),
+            Assignment(wish.account, self._free(wish.account, start), Stamp(epoch, seq + 1), one.plan, *told),
+            Assignment(wish.account, end, Stamp(epoch, seq + 2), base.plan, *told),
+        ]
+
+    @staticmethod
+    def _meets(wish: Wish, other: Reservation) -> bool:
+        """Whether both are of one account, and open at one time."""
+        there = other.wish
+        together = there.start < wish.end and wish.start < there.end
+        return other.at not in OVER and there.account == wish.account and together
+
+    def _free(self, account: str, instant: int) -> int:
+        """The instant, or the next one that no other assignment of the account has."""
+        taken = {one.effective for one in self.book.accounts.get(account, ())}
+        while instant in taken:
+            instant += 1
+        return instant
+
+    def _store_event(self, one: Reservation, changes: list[Change], dry: bool = False) -> None:
+        """One commit for the reservation and what limiters hear of it; then it is in force."""
+        book = self.book
+        for change in changes:
+            books.change_from(books.as_json(change), "change")
+            book = book.taking(change)
+        if dry:
+            return
+        self._commit(_reservation_record(one), *map(books.as_json, changes))
+        for change in changes:
+            self._known(self.book.taking(change), change)
+
+    def release(self, key: str, now: int) -> Reservation:
+        """No new draws from now on; what is not drawn is given back once limiters have told all they used."""
         known = self.reservations.all.get(key)
         before = replace(known, flying=dict(known.flying)) if known is not None else None
+        if known is not None and known.at in (Stands.HELD, Stands.ACTIVE):
+            known.since = now
         one = self.reservations.release(key)
         if before is not None and one.at is not before.at:
             try:
-                self._commit(_reservation_record(one))
+                self._store_event(one, self._back(one, now))
             except OSError:
                 self.reservations.all[key] = before
                 raise
         return one
 
+    def _back(self, one: Reservation, now: int) -> list[Change]:
+        """The account's way off the event's plan at once; what would have put it there or back later is withdrawn."""
+        plan, _, _ = one.plan.rpartition(MARK)
+        if not plan:
+            return []
+        account, seq = one.wish.account, self._next.seq
+        reason = "reservations", f"release of {one.wish.key}"
+        mine = [a for a in self.book.accounts.get(account, ()) if f"reservation {one.wish.key}" == a.reason]
+        changes: list[Change] = [
+            Withdrawal(a.stamp, now, Stamp(self.epoch, seq + n), *reason)
+            for n, a in enumerate(a for a in mine if a.effective > now)
+        ]
+        assigned = self.book.assignment(account, now)
+        if assigned is not None and assigned.plan == one.plan:
+            back = Stamp(self.epoch, seq + len(changes))
+            changes.append(Assignment(account, self._free(account, now + 1), back, plan, *reason))
+        return changes
+
     def tick(self, now: int) -> list[Reservation]:
-        """Windows of reservations begin and end."""
+        """Windows of reservations begin and end; what drains settles once all use has had time to come."""
         changed = self.reservations.tick(now)
-        self._commit(*map(_reservation_record, changed))
-        return changed
+        for one in self.reservations.all.values():
+            if one.at is Stands.ACTIVE:
+                one.flying.setdefault(LIMITERS, 0)
+            elif one.at is Stands.DRAINING:
+                one.since = one.since or now
+                if now >= one.since + SETTLE:
+                    self.reservations.settle(one.wish.key, LIMITERS, drawn(one.wish, self._used(one)))
+                    changed.append(one)
+        unique = {id(one): one for one in changed}
+        self._commit(*map(_reservation_record, unique.values()))
+        return list(unique.values())
+
+    def _used(self, one: Reservation) -> int:
+        """Micro-units that limiters have told of under the event's plan."""
+        return sum(units for key, units in self.intake.totals.items() if key.plan == one.plan)
+
+    def _late(self, record: Use) -> None:
+        """Use that comes after its reservation has settled is a correction of it, and changes nothing given back."""
+        over = {one.plan: one for one in self.reservations.all.values() if one.plan and one.at in OVER}
+        for key, units in record.rows:
+            if (one := over.get(key.plan)) is not None:
+                self.reservations.correct(one.wish.key, units)
 
 
 def _reservation_record(one: Reservation) -> Record:
@@ -228,4 +333,5 @@
     return {
         "kind": "reservation", "wish": wish, "at": one.at.value, "drawn": one.drawn,
         "given_back": one.given_back, "corrections": one.corrections, "past": one.past,
+        "plan": one.plan, "since": one.since,
     }  # fmt: skip
--- a/cypresspulley/plans/reservations.py
+++ b/cypresspulley/plans/reservations.py
@@ -86,6 +86,8 @@
     given_back: int = 0
     corrections: int = 0  # micro-units that were settled after it was over
     past: bool = False  # its window is
+    plan: str = ""  # the event's plan, under which limiters draw on it
+    since: int = 0  # Unix milliseconds from which it takes no new draws
 
     def __repr__(self) -> str:
         w = self.wish
--- a/cypresspulley/plans/wishes.py
+++ b/cypresspulley/plans/wishes.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from cypresspulley.plans import book as books
-from cypresspulley.plans.book import Book, BookError, Change
+from cypresspulley.plans.book import Book, BookError, Change, Version, Withdrawal
 from cypresspulley.plans.lease import LEASE
 from cypresspulley.plans.office import Office
 from cypresspulley.plans.reservations import MICRO, Reservation, ReservationError, Wish
@@ -87,7 +87,7 @@
         record = record_from(raw.get("record"))
         return {"acknowledged": office.take_use(record), "key": record.idempotency_key}
     else:
-        done = reservation_json(office.release(keys.text("key")))
+        done = reservation_json(office.release(keys.text("key"), now))
     if not dry:
         log.info("plans: %s by %s: %s (%s)", kind, author, done, keys.text("reason", ""))
     return {"wish": kind, "dry_run": dry, **done}
@@ -130,9 +130,17 @@
     return [change for change in new.changes() if change.stamp not in old.stamps]
 
 
+def _of(book: Book, change: Change) -> str:
+    """The account or plan that a change is of."""
+    if isinstance(change, Withdrawal):
+        target = book.stamps.get(change.target)
+        return "" if target is None else _of(book, target)
+    return change.plan if isinstance(change, Version) else change.account
+
+
 def history(book: Book, name: str) -> list[Change]:
     """All that ever was said of an account, or of a plan, by instant."""
-    found: tuple[Change, ...] = (*book.accounts.get(name, ()), *book.plans.get(name, ()))
+    found = [change for change in book.changes() if _of(book, change) == name]
     if not found:
         raise BookError(f"{name!r}: neither an account nor a plan of {book.installation}")
     return sorted(found, key=lambda change: change.key)
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -569,6 +569,10 @@
             busiest = sorted(accounts, key=lambda a: (-self._asked[a[0]], a[0]))
             few = [a for a in busiest if self._ceiling_of(a[1]) > 0][: spec.count]
             self._spawn(self.books.churn(few, fault.until, spec.every, spec.ahead))
+        elif fault.kind == "plan-reserve" and self.books is not None:
+            asked = [(account.id, account.plan) for account in self.plan.accounts if self._asked[account.id]]
+            most = sorted(asked, key=lambda a: (-self._asked[a[0]], a[0]))[: spec.count]
+            self._spawn(self.books.reserve(most, lasts, spec.size))
         elif fault.kind == "writer-stop" and self.books is not None:
             self._spawn(self.books.stop(spec.back_after))
         elif fault.kind == "keeper-empty":
--- a/cypresspulley/rehearsal/scenario.py
+++ b/cypresspulley/rehearsal/scenario.py
@@ -50,13 +50,14 @@
     "plan-churn": frozenset(("lasts", "every", "ahead", "size", "count")),
     "limiter-off-book": frozenset(("targets", "count", "lasts")),
     "writer-stop": frozenset(("back_after",)),
+    "plan-reserve": frozenset(("lasts", "count", "size")),
 }
 
 
 # What operators do at the door; the search draws them only where it is asked to.
 OPERATED = frozenset(("limiter-drain", "limiter-upgrade", "server-by-hand"))
 # What changes plans in service: such a day has a plan book, which its limiters follow.
-BOOKED = frozenset(("plan-churn", "limiter-off-book", "writer-stop"))
+BOOKED = frozenset(("plan-churn", "plan-reserve", "limiter-off-book", "writer-stop"))
 SOCKETS_ONLY = frozenset(("limiter-upgrade",))  # two processes: not in virtual time
 
 
--- a/cypresspulley/rehearsal/standins/bookkeeper.py
+++ b/cypresspulley/rehearsal/standins/bookkeeper.py
@@ -6,9 +6,10 @@
 import os
 from random import Random
 
-from cypresspulley.plans.book import Terms
+from cypresspulley.plans.book import BookError, Terms
 from cypresspulley.plans.files import MemoryFolder
 from cypresspulley.plans.office import Office
+from cypresspulley.plans.reservations import MICRO, At, Wish
 from cypresspulley.plans.serve import Publisher
 from cypresspulley.plans.store import Store
 from cypresspulley.rehearsal.records import PlanMoved
@@ -32,6 +33,7 @@
 
     def __init__(self, stage: Stage, plans: tuple[PlanRow, ...], part: float, rng: Random) -> None:
         self._stage, self._rng, self._folder = stage, rng, MemoryFolder()
+        self._plans = {plan.name: plan for plan in plans}
         self._ceilings = {plan.name: plan for plan in plans if plan.ceiling > 0}
         self._part, self._low = part, set[str]()  # accounts that are on the lower plan
         self.addresses = dict[str, tuple[str, int]]()  # of a limiter's way to the writer
@@ -77,6 +79,26 @@
             self._move(*self._rng.choice(chosen), ahead)
             await asyncio.sleep(every)
 
+    async def reserve(self, accounts: list[tuple[str, str]], lasts: float, part: float) -> None:
+        """Set allowance aside for accounts, a part of what their plans give meanwhile, and release it half way."""
+        now, keys = self._stage.unix_ms(), list[str]()
+        for account, plan in accounts:
+            units = round(part * self._plans[plan].rate * lasts * MICRO)
+            wish = Wish(f"ev-{account}", account, now + 300, now + round(lasts * 1000), units, "rehearsal")
+            if self.office.book.assignment(account, now) is None:
+                self.office.assign(account, plan, now, now, "rehearsal")
+            keys += [wish.key] if self.office.reserve(wish, now, 1e6).at is At.HELD else []
+        self._changed()
+        await asyncio.sleep(lasts / 2)
+        self.office.tick(self._stage.unix_ms())
+        for key in keys:
+            self.office.release(key, self._stage.unix_ms())
+        self._changed()
+
+    def _changed(self) -> None:
+        for publisher in self._publishers.values():
+            publisher.changed()
+
     def _move(self, account: str, plan: str, ahead: float) -> None:
         down = account not in self._low
         row, part = self._ceilings[plan], self._part if down else 1.0
@@ -84,13 +106,15 @@
         effective = now + round(ahead * 1000) + 1
         if any(one.effective == effective for one in self.office.book.accounts.get(account, ())):
             return
-        self.office.assign(account, plan + LOWER * down, effective, now, "rehearsal", "churn")
+        try:
+            self.office.assign(account, plan + LOWER * down, effective, now, "rehearsal", "churn")
+        except BookError:
+            return  # it has a reservation then
         (self._low.add if down else self._low.discard)(account)
         terms = terms_of(row, part)
         at = effective / 1000 - self._stage.unix_ms(0) / 1000
         self._stage.record(PlanMoved(at, account, plan, terms.ceiling_rate, terms.ceiling_burst, ahead))
-        for publisher in self._publishers.values():
-            publisher.changed()
+        self._changed()
 
     async def close(self) -> None:
         for limiter in list(self._publishers):
--- a/tests/plans/test_book.py
+++ b/tests/plans/test_book.py
@@ -17,6 +17,7 @@
     Stamp,
     Terms,
     Version,
+    Withdrawal,
     as_json,
     change_from,
     check_new,
@@ -38,14 +39,22 @@
     version = st.tuples(st.just("v"), names, instants, st.sampled_from((SMALL, LARGE)))
     assigned = st.tuples(st.just("a"), names, instants, names)
 
+    withdrawn = st.tuples(st.just("w"), names, instants, st.integers(1, 12))
+
     def stamped(drawn: list[tuple[Any, ...]]) -> list[Change]:
         made = list[Change]()
         for seq, (kind, name, at, what) in enumerate(drawn, 1):
             stamp = Stamp(1 + seq // 5, seq)
-            made.append(Version(name, at, stamp, what) if kind == "v" else Assignment(name, at, stamp, what))
+            if kind == "w":
+                target = next((c.stamp for c in made if c.stamp.seq == what), None)
+                made.append(Withdrawal(target or stamp, at, stamp))
+            else:
+                made.append(
+                    Version(name, at, stamp, what) if kind == "v" else Assignment(name, at, stamp, what)
+                )
         return made
 
-    return st.lists(st.one_of(version, assigned), min_size=least, max_size=12).map(stamped)
+    return st.lists(st.one_of(version, assigned, withdrawn), min_size=least, max_size=12).map(stamped)
 
 
 @given(changes(), st.randoms(use_true_random=False))
@@ -63,7 +72,9 @@
 def test_what_binds_is_the_last_whose_instant_has_come(made: list[Change], at: int) -> None:
     book = book_of(*made)
     for name in "abc":
-        due = [c for c in made if isinstance(c, Assignment) and c.account == name and c.effective <= at]
+        gone = {c.target for c in made if isinstance(c, Withdrawal)}
+        all_ = [c for c in made if isinstance(c, Assignment) and c.account == name and c.stamp not in gone]
+        due = [c for c in all_ if c.effective <= at]
         found = book.assignment(name, at)
         assert found == max(due, key=lambda c: (c.effective, c.stamp), default=None)
 
@@ -108,6 +119,8 @@
         (Assignment("hotel", 40, Stamp(1, 3), "p"), "effective: expected an instant from 50"),
         (Assignment("hotel", 100, Stamp(1, 3), "p"), "effective: 100 is taken"),
         (Assignment("hotel", 200, Stamp(1, 2), "p"), r"stamp: expected one above 1\.2"),
+        (Withdrawal(Stamp(1, 1), 60, Stamp(1, 3)), "target: expected an assignment to come"),
+        (Withdrawal(Stamp(9, 9), 60, Stamp(1, 3)), "target: expected an assignment to come"),
         (Version("p", 200, Stamp(1, 3), Terms(3, 12, 2, 24)), "ceiling: expected at least the quota"),
         (Version("p", 200, Stamp(1, 3), Terms(0, 12)), "rate: expected a number above 0"),
         (Version("p", 200, Stamp(1, 3), Terms(float("nan"), 12)), "rate: expected"),
@@ -124,8 +137,9 @@
     [
         ([], "x.kind"),
         ({"kind": "version"}, "x.stamp"),
-        ({"kind": "version", "stamp": [1, True]}, "x.effective"),
-        ({"kind": "version", "stamp": [1, True], "effective": 1}, "x.stamp"),
+        ({"kind": "version", "stamp": [1, True]}, "x.stamp"),
+        ({"kind": "version", "stamp": [1, 1]}, "x.effective"),
+        ({"kind": "withdrawal", "stamp": [1, 1], "effective": 1, "target": 3}, "x.target"),
         ({"kind": "version", "stamp": [1, 1], "effective": 1, "plan": ""}, "x.plan"),
         (
             {"kind": "version", "stamp": [1, 1], "effective": 1, "plan": "p", "terms": {"rate": 1}},
--- a/tests/plans/test_store.py
+++ b/tests/plans/test_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from random import Random
 
@@ -148,26 +149,41 @@
         self.reserved = {key: {one.at} for key, one in office.reservations.all.items()}
 
 
-def act(office: Office, model: Model, step: int, number: int, now: int) -> None:
+def outcome_of(office: Office, disk: Disk, do: Callable[[Office], object]) -> str:
+    """The book's digest after something that an office does, tried on a twin."""
+    twin_disk = Disk()
+    for name in disk.names():
+        twin_disk.append(name).write(disk.read(name))
+    twin = Office(Store(twin_disk), new_epoch=False)
+    twin.epoch = office.epoch
+    do(twin)
+    return twin.book.digest()
+
+
+def act(office: Office, disk: Disk, model: Model, step: int, number: int, now: int) -> None:
     """One thing that an operator wants; the model hears first what may come of it."""
+    do: Callable[[Office], object] | None = None
     if step == 0 or "p" not in office.book.plans:
-        change = office.version("p", TERMS[number % 2], now, now, "m", dry=True)
-        model.books.add(office.book.taking(change).digest())
-        office.take(change, now)
+        do = lambda o: o.version("p", TERMS[number % 2], now, now, "m")  # noqa: E731
     elif step == 1:
-        assigned = office.assign("hotel", "p", now, now, "m", dry=True)
-        model.books.add(office.book.taking(assigned).digest())
-        office.take(assigned, now)
+        do = lambda o: o.assign("hotel", "p", now, now, "m")  # noqa: E731
     elif step == 2 and office.book.assignment("hotel", now) is not None:
-        key = f"ev{now}"
-        model.reserved[key] = {None, At.HELD, At.REFUSED}
-        office.reserve(Wish(key, "hotel", now + 50, now + 60, 1), now, 1e6 if number % 2 else 1e-9)
+        wish = Wish(f"ev{now}", "hotel", now + 50, now + 60, 1)
+        model.reserved[wish.key] = {None, At.HELD, At.REFUSED}
+        do = lambda o: o.reserve(wish, now, 1e6 if number % 2 else 1e-9)  # noqa: E731
     elif model.reserved and step == 3:
         key = max(model.reserved)
         model.reserved[key].add(At.RELEASED)
-        office.release(key)
+        do = lambda o: o.release(key, now)  # noqa: E731
     elif step == 4:
         office.compact()
+    if do is not None:
+        try:
+            model.books.add(outcome_of(office, disk, do))
+        except BookError:
+            model.acknowledge(office)
+            return  # the twin refused it, and so would the office
+        do(office)
     model.acknowledge(office)
 
 
@@ -185,7 +201,7 @@
             model.check(office)
             for number, step in enumerate(steps):
                 now += 10
-                act(office, model, step, number, now)
+                act(office, disk, model, step, number, now)
         except CrashError:
             pass
         disk = disk.after_crash(rng)
@@ -221,10 +237,10 @@
     office.reserve(Wish("a", "hotel", 2000, 3000, 1), 1000, 1e6)
     disk.room = 3
     with pytest.raises(OSError):
-        office.release("a")
+        office.release("a", 1000)
     assert office.reservations.all["a"].at is At.HELD
     with pytest.raises(OSError):
-        office.reserve(Wish("b", "hotel", 2000, 3000, 1), 1000, 1e6)
+        office.reserve(Wish("b", "hotel", 4000, 5000, 1), 1000, 1e6)
     assert "b" not in office.reservations.all
     found = Office(Store(disk.after_crash(Random(1))), "vadodara")
     assert found.reservations.all["a"].at is At.HELD and "b" not in found.reservations.all
