Export each try that may have run, under the limiter's own name; measure it beside servers

Cause: __main__.py named the writer of use by LB_NAME, which limiters of one process share, so that two of three had their records taken for conflicting ones. The configuration's name is used now. A try whose client left, or which failed while an attempt was out, counts as well.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -298,7 +298,9 @@
         raise ConfigError(f"plans needs its extra: pip install 'cypresspulley[plans]' ({error})") from None
     try:
         address, token = split_address(table[0]), os.environ.get("FAWNSEAM_PLANS_TOKEN", "")
-        plans = Plans(address, token, table[1], os.environ.get("LB_NAME", "limiter"), clock)
+        # Its use is told under this name: two limiters of one name would each be taken for the other.
+        name = str(config.raw.get("name") or os.environ.get("LB_NAME") or "limiter")
+        plans = Plans(address, token, table[1], name, clock)
     except ValueError as error:
         raise ConfigError(f"plans: {error}") from None
     return plans.deciding(decisions, gateway, config.settings), plans
--- a/cypresspulley/plans/limiter.py
+++ b/cypresspulley/plans/limiter.py
@@ -69,6 +69,7 @@
         self._now = -math.inf  # of the last event
         self._in_force = dict[str, Version]()
         self._open = dict[int, tuple[Key, int]]()  # tries that have not been counted: what they would count
+        self._out = dict[int, int]()  # attempts of these that are out
 
     def __repr__(self) -> str:
         return f"<Planned {len(self._in_force)} plans, {self.follower!r}, {self.gatherer!r}>"
@@ -90,11 +91,13 @@
         elif isinstance(event, api.Outcome):
             self._ended(event)
         elif isinstance(event, api.Departed):
-            self._open.pop(event.id, None)
+            self._over(event.id)
         more: list[api.Action] = self._decide.handle(now, event)
         for action in more:
-            if isinstance(action, api.Refuse | api.Fail):
-                self._open.pop(action.id, None)
+            if isinstance(action, api.Send):
+                self._out[action.id] = self._out.get(action.id, 0) + 1
+            elif isinstance(action, api.Refuse | api.Fail):
+                self._over(action.id)
         return actions + more
 
     def _instants(self, now: int) -> list[int]:
@@ -169,12 +172,21 @@
         for name in {**self._in_force, **{plan.name: None for plan in self._base.plans}}:
             yield name, ev.account
 
+    def _over(self, id: int) -> None:
+        """A try is over with no answer of a server: it may have run where an attempt is still out."""
+        counts, out = self._open.pop(id, None), self._out.pop(id, 0)
+        if counts is not None and out > 0:
+            self.gatherer.used(*counts)
+
     def _ended(self, ev: api.Outcome) -> None:
         """An attempt that may have run counts its try's units, once; true units settle them."""
-        if ev.status in NEVER_RAN or ev.status is Status.CANCELLED:
+        if (counts := self._open.get(ev.id)) is None:
             return
-        if (counts := self._open.pop(ev.id, None)) is None:
+        if ev.status in NEVER_RAN:
+            self._out[ev.id] = self._out.get(ev.id, 1) - 1
             return
+        del self._open[ev.id]
+        self._out.pop(ev.id, None)
         key, units = counts
         true = round(ev.units * MICRO) if ev.status is Status.OK and ev.units is not None else units
         self.gatherer.used(key, true)
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -698,6 +698,9 @@
             director.stage.record(log.LimiterState(director.stage.now(), limiter.name, "stopping"))
             limiter.signal(signal.SIGTERM)
     await asyncio.gather(*(limiter.gone() for limiter in director.limiters.values()))
+    if director.books is not None:
+        told = sum(director.books.office.intake.totals.values())
+        director.stage.record(log.Exported(director.stage.now(), told))
     for limiter in director.limiters.values():
         director.stage.record(
             log.Usage(
--- a/cypresspulley/rehearsal/records.py
+++ b/cypresspulley/rehearsal/records.py
@@ -228,6 +228,14 @@
     ahead: float
 
 
+@dataclass(frozen=True, slots=True)
+class Exported:
+    """The use that limiters have told the plan book's writer by the day's end, in micro-units."""
+
+    t: float
+    units: int
+
+
 @dataclass(frozen=True, slots=True)
 class Tallied:
     """The keeper did a call (``added`` false: turned away)."""
@@ -303,7 +311,8 @@
 
 Record = (
     Day | Sent | Answered | Broke | Unreached | Left | Surplus | LimiterState | ServerState | Arrived | Ran
-    | Replied | Ended | Listed | Banned | PlanMoved | Tallied | Probed | Happened | Lateness | Complaint | Usage | End
+    | Replied | Ended | Listed | Banned | PlanMoved | Exported | Tallied | Probed | Happened | Lateness | Complaint
+    | Usage | End
 )  # fmt: skip
 KINDS: dict[str, type[Record]] = {kind.__name__.lower(): kind for kind in Record.__args__}
 
--- a/tests/capture/test_replay.py
+++ b/tests/capture/test_replay.py
@@ -171,7 +171,12 @@
     assert fawnseam("capture", "scrub", str(capture), "--out", str(clean)).returncode == 0
     assert len(clean.read_text().splitlines()) == len(captured())
     verdict = tmp_path / "verdict.json"
-    played = fawnseam("replay", str(capture), "--to", "2", "--json", str(verdict))
+    for _ in range(
+        3
+    ):  # a run that the machine was too busy for is void, and says so with 3: it is played again
+        played = fawnseam("replay", str(capture), "--to", "2", "--json", str(verdict))
+        if played.returncode != 3:
+            break
     assert played.returncode == 0 and json.loads(verdict.read_text())["scenario"] == "replay"
     scenario = tmp_path / "mine.toml"
     scenario.write_text(f'name="mine"\nabout="x"\nseconds=9\n[load]\ncapture="{capture}"\nspeed=2\n')
