--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -166,39 +166,39 @@
         # By Little's law: work out is the finished work a second times the stay that is wanted; four a server
         # over all gates at least. Quick answers give a thin gate three more, a load the chance of one.
         up, stay, part = self.mine, self._stay(r.cls), 1 - RESERVE * 0.5 * (1 - r.rank)
-        total, least = stay * sum(s.rate for s in up), 3.0 * len(self.ring) / self._set.gateways
+        rates, least = sum([s.rate for s in up]), 3.0 * len(self.ring) / self._set.gateways
         slack = max(self._rng.random(), 3.0 - 2.5 * self._gate.reading / REFERENCE) * (least < 3)
-        fleet = max(total, self._gate.mean * least) + self._gate.mean * slack
+        fleet = max(stay * rates, self._gate.mean * least) + self._gate.mean * slack
         # Rates are a mean of seconds and lag; where answers are quick a burst may have twice the work out.
         calm = max(0.0, 1 - self._gate.reading / (PLAIN_ROOM * REFERENCE))
         fleet *= 1 + calm * (self._gate.sum is not None)
         # Where answers are owed for long nothing new goes: a cut, hung or lost server. All alike is slowness.
         quiet = [s for s in up if s.quiet is not None and now - s.quiet > self._patience]
         quiet = quiet if len(quiet) <= len(up) / 2 else []
-        if sum(s.open for s in up if s not in quiet and s.out_until <= now) + 0.5 * r.work > fleet * part:
+        if sum([s.open for s in up if s.out_until <= now and s not in quiet]) + 0.5 * r.work > fleet * part:
             return None
-        least = max(0.5 * total / max(1, len(up)), 3.5 * self._gate.mean)
+        least = max(0.5 * stay * rates / max(1, len(up)), 3.5 * self._gate.mean)
         group, first = up, r.ran[0].entry if r.ran else None
         if first and r.cls.effect is Effect.KEYED and r.cls.scope is not api.Scope.ALL:  # it may have run
             group = [s for s in self.ring if s.entry.zone == first.zone]
             group = [s for s in group if r.cls.scope is not api.Scope.CELL or s.entry.cell == first.cell]
-        pool = [s for s in group if s not in [x for x, _ in r.tries]] or group
+        pool = [s for s in group if all(s is not x for x, _ in r.tries)] or group if r.tries else group
         well = [s for s in pool if s.out_until <= now and not (s.trial and s.open > 0) and s not in quiet]
         well = pool if all(s.out_until > now for s in up) else well  # every server is out: any beats none
         fit = [s for s in well if s.open + r.work * 0.5 <= max(stay * s.rate, least) * part]
         fit = [s for s in fit if s.cold_at is None or self._cold_room(now, s, r)]
-        return self._least(now, fit, r)
+        return self._least(now, fit, r, rates)
 
-    def _least(self, now: float, fit: list[Server], r: Request) -> Server | None:
+    def _least(self, now: float, fit: list[Server], r: Request, rates: float) -> Server | None:
         """The server of the least expected wait, by its own reports where this gateway meets each seldom.
 
         A report is of a moment past: it fades into the mean of the others', and what was sent since counts on top.
         Whose own answers come more often than reports are renewed knows more than these tell: with three gateways
         that believed them all, each report drew all of them to one server.
         """
-        told = [s for s in self.mine if now - s.told_at < FADED]
-        often = sum(s.rate for s in self.mine) > SELDOM * self._gate.mean * len(self.mine)
-        if often or len(told) * 2 < len(self.mine) or not told:
+        often = rates > SELDOM * self._gate.mean * len(self.mine)
+        told = [] if often else [s for s in self.mine if now - s.told_at < FADED]
+        if not told or len(told) * 2 < len(self.mine):
             fit = self._rng.sample(fit, 2) if len(fit) > 2 else fit
             costs = {s.place: max(1.0, s.slow) * (s.open + r.work) / max(0.05, 1 - s.fails) ** 2 for s in fit}
             return min(fit, key=lambda s: costs[s.place], default=None)
@@ -232,7 +232,8 @@
         mute = ev.status is Status.TIMEOUT and s.quiet is not None and now - s.quiet >= ev.elapsed - 1e-6
         # One connection that breaks is no dead server: more must, one behind the other (what was out together
         # breaks together), with no answer in between, in a row that is as long as breaks are usual.
-        snapped, up = ev.status in (Status.UNREACHABLE, Status.DROPPED, Status.BROKEN), self.mine or [s]
+        snapped = ev.status in (Status.UNREACHABLE, Status.DROPPED, Status.BROKEN)
+        up = [s] if ev.status is Status.OK and not s.out_for else self.mine or [s]
         usual, outs = sorted(x.fails for x in up)[len(up) // 2], sum(x.out_until > now for x in up)
         vain = ev.status is Status.UNREACHABLE  # each such dial is a sign of its own
         if snapped:
