--- a/cypresspulley/plans/book.py
+++ b/cypresspulley/plans/book.py
@@ -275,14 +275,6 @@
         versions = (v.effective for plan in plans for v in self.plans.get(plan, ()))
         return sorted(moves | {at for at in versions if after < at <= until})
 
-    def ahead(self, account: str, at: int, fallback: str = "") -> list[Version]:
-        """Versions that will bind an account by what is announced: of its plans to come, and of its plan now."""
-        assigned = self.assignment(account, at)
-        plan = assigned.plan if assigned else fallback
-        coming = [a for a in self.accounts.get(account, ()) if a.effective > at]
-        seen = [v for v in self.plans.get(plan, ()) if v.effective > at]
-        return seen + [v for a in coming if (v := self.version(a.plan, a.effective)) is not None]
-
     def lowest_ceiling(self, at: int) -> tuple[float, float]:
         """The lowest ceiling's rate and burst of all plans, by versions now and to come; (0, 0) where none has one."""
         found = [v.terms for history in self.plans.values() for v in history if v.effective >= at]
