--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -36,6 +36,7 @@
     from cypresspulley.accesslog import LogFile
     from cypresspulley.net.peers import Peers
     from cypresspulley.plans.limiter import Plans
+    from cypresspulley.together import Together
 
 log = logging.getLogger("cypresspulley")
 
@@ -199,10 +200,12 @@
     reread: Callable[[], Config] = configured,
     watched: Callable[[Gateway], Decisions] | None = None,
     opened: Callable[[Service], None] | None = None,
+    wall: Callable[[], float] = time.time,
 ) -> None:
     """Run one limiter until SIGTERM or SIGINT. All that it takes from the machine is the running loop, Unix time
     from ``clock`` and, at SIGHUP, the configuration from ``reread``. ``watched`` may put something between the
-    decisions and the node that sees every event and action; ``opened`` gets what the operators' door calls on."""
+    decisions and the node that sees every event and action; ``opened`` gets what the operators' door calls on;
+    ``wall`` is the wall clock, which may step: only what limiters do together looks at it."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -229,11 +232,15 @@
     plans = None
     if operators.plans is not None:
         decisions, plans = _plans(config, operators.plans, decisions, gateway, clock)
+    together = None
+    if operators.fleet is not None:
+        together = _together(config, operators, clock, wall)
+        decisions = together.deciding(decisions, gateway)
     if operators.tally is not None:
         from cypresspulley.tally import Tally
 
         decisions = Tally(decisions, operators.tally, config.settings.warm_after, lambda: upstream.dials)
-    node, access_log = _node(config.settings, decisions, clock, upstream, counter, operators)
+    node, access_log = _node(config.settings, decisions, clock, upstream, counter, operators, together)
     if config.known is not None and offer is None:
         node.listed(config.known)
     peers = await _peers(config, node)
@@ -253,6 +260,11 @@
         counter.start()
     if plans is not None:
         plans.start()
+    if together is not None:
+        try:
+            await together.start()
+        except OSError as error:
+            raise ConfigError(f"fleet: cannot listen: {error}") from None
 
     def retune(settings: api.Settings, timing: Timing) -> None:
         upstream.retune(timing.dial_timeout, timing.conn_idle)
@@ -268,6 +280,8 @@
     log.info("ready")
     await stop.wait()
     log.info("stopping")
+    if together is not None:
+        together.leave()
     if not service.leave():
         await asyncio.sleep(ACCEPT_FOR)  # clients do not know yet: what they still open is taken and answered
     await frontend.close(ANSWER_WITHIN)
@@ -284,6 +298,8 @@
         peers.close()
     if plans is not None:
         await plans.close()
+    if together is not None:
+        await together.close()
     if access_log is not None:
         access_log.close()
 
@@ -306,6 +322,21 @@
     return plans.deciding(decisions, gateway, config.settings), plans
 
 
+def _together(
+    config: Config, operators: Operators, clock: Callable[[], float], wall: Callable[[], float]
+) -> Together:
+    """What limiters do together, where the operators' file has a fleet; what is off is not even imported."""
+    try:
+        from cypresspulley.together import Together
+
+        name = str(config.raw.get("name") or os.environ.get("LB_NAME") or "limiter")
+        return Together(operators, name, config.settings, config.seed, clock, wall)
+    except ImportError as error:
+        raise ConfigError(f"fleet needs its extra: pip install 'cypresspulley[fleet]' ({error})") from None
+    except (OperatorsError, OSError) as error:
+        raise ConfigError(str(error)) from None
+
+
 def _gateway(config: Config, clock: Callable[[], float]) -> Gateway:
     try:
         return Gateway(config.settings, config.seed, clock())
@@ -397,11 +428,12 @@
 
 def _node(
     settings: api.Settings, gateway: Decisions, clock: Callable[[], float], upstream: Upstream,
-    counter: Counter | None, operators: Operators,
+    counter: Counter | None, operators: Operators, together: Together | None,
 ) -> tuple[Node, LogFile | None]:  # fmt: skip
     """The node, with an access log where the operators want one; what is off is not even imported."""
     if operators.access_log is None:
-        return Node(settings, gateway, clock, upstream, counter), None
+        plain = Node if together is None else together.node(Node)
+        return plain(settings, gateway, clock, upstream, counter), None
     from cypresspulley.accesslog import LogFile, LoggedNode
 
     try:
@@ -409,7 +441,8 @@
     except OSError as error:
         raise ConfigError(f"cannot write the access log: {error}") from None
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, file.reopen)
-    return LoggedNode(settings, gateway, clock, upstream, counter, file), file
+    logged = LoggedNode if together is None else together.node(LoggedNode)
+    return logged(settings, gateway, clock, upstream, counter, file), file
 
 
 def _operators(arguments: list[str]) -> Operators:
--- /dev/null
+++ b/cypresspulley/fleet/options.py
@@ -0,0 +1,73 @@
+"""The operators' table ``[fleet]``: checked key by key before anything starts.
+
+    [fleet]
+    installation = "vadodara"              # members of other installations are not heard
+    listen = "10.0.0.5:8700"               # UDP: where this limiter's datagrams come in
+    advertise = "10.0.0.5:8700"            # where others reach it; default: listen
+    seeds = ["10.0.0.5:8700", "10.0.0.6:8700"]   # some members' addresses; its own may be among them
+    period_ms = 500                        # of probes; 50 to 10000
+
+``FAWNSEAM_FLEET_KEY`` holds the key of the digest over each datagram, 16 characters at least, the same at all members.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from typing import Any
+
+from cypresspulley.fleet.records import NAME_FORM
+from cypresspulley.net.http import split_address
+from cypresspulley.operators import OperatorsError
+
+LEAST_KEY = 16  # characters
+MOST_SEEDS = 64
+PERIODS = (50, 10_000)  # ms
+
+
+@dataclass(frozen=True, slots=True)
+class FleetOptions:
+    """``period`` in seconds; addresses are host and port."""
+
+    installation: str
+    listen: tuple[str, int]
+    advertise: str
+    seeds: tuple[str, ...]
+    period: float
+    key: bytes = field(repr=False)
+
+
+def options_from(table: dict[str, Any], path: str, key: str) -> FleetOptions:
+    """The table as options; ``OperatorsError`` names file, key and what was expected."""
+
+    def fail(name: str, expected: str) -> OperatorsError:
+        return OperatorsError(f"{path}: fleet.{name}: expected {expected}, got {table.get(name)!r:.60}")
+
+    known = ("installation", "listen", "advertise", "seeds", "period_ms")
+    if extra := set(table) - set(known):
+        raise OperatorsError(f"{path}: fleet.{min(extra)}: unknown; expected {', '.join(known)}")
+    installation, listen = table.get("installation"), table.get("listen")
+    if not isinstance(installation, str) or not re.fullmatch(NAME_FORM, installation):
+        raise fail("installation", "a name of at most 40 letters, digits, dots and dashes")
+    advertise, seeds = table.get("advertise", listen), table.get("seeds")
+    for name, address in (("listen", listen), ("advertise", advertise)):
+        if not _address(address):
+            raise fail(name, "an address host:port")
+    whole = isinstance(seeds, list) and len(seeds) <= MOST_SEEDS and all(_address(seed) for seed in seeds)
+    if not isinstance(seeds, list) or not whole:
+        raise fail("seeds", f"a list of at most {MOST_SEEDS} addresses host:port")
+    period = table.get("period_ms", 500)
+    if not isinstance(period, int) or isinstance(period, bool) or not PERIODS[0] <= period <= PERIODS[1]:
+        raise fail("period_ms", f"whole milliseconds from {PERIODS[0]} to {PERIODS[1]}")
+    if len(key) < LEAST_KEY:
+        raise OperatorsError(f"FAWNSEAM_FLEET_KEY: expected a key of at least {LEAST_KEY} characters")
+    return FleetOptions(
+        installation, split_address(str(listen)), str(advertise), tuple(seeds), period / 1000, key.encode()
+    )
+
+
+def _address(text: object) -> bool:
+    try:
+        return isinstance(text, str) and split_address(text)[1] > 0
+    except ValueError:
+        return False
--- /dev/null
+++ b/cypresspulley/fleet/records.py
@@ -0,0 +1,127 @@
+"""Records of the fleet's view: members, rows, and what others may ask of the view. No logic beyond their order.
+
+Terms are those of SWIM (Das, Gupta, Motivala 2002): member, incarnation, suspicion. A *life* is a process's own: the
+wall clock in milliseconds at its start, or one above its former life where that is larger. Times that are passed in
+(``now``) are seconds of one clock that never steps; nothing here reads a clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple, Protocol
+
+MOST_ROW = 200  # bytes of one subsystem's row
+MOST_SUBSYSTEMS = 4
+MOST_DOCUMENT = 65_536  # bytes of a document, which rows name by its digest
+NAME_FORM = r"[A-Za-z0-9][A-Za-z0-9._-]{0,39}"
+
+
+class State(IntEnum):
+    """A member's state; of one life and incarnation the higher one holds."""
+
+    JOINING = 0  # it has said that it is here, and has not yet the others' view
+    ALIVE = 1
+    LEAVING = 2  # it ends in order: it is not suspected, and takes nothing new
+    SUSPECTED = 3
+    LEFT = 4
+    DEAD = 5
+
+    @property
+    def present(self) -> bool:
+        """Whether it counts as running: all but those that have left or are dead."""
+        return self < State.LEFT
+
+
+class Rank(NamedTuple):
+    """The order of what is known of one member: the larger one holds. A merge takes the larger (a join of a chain)."""
+
+    life: int
+    incarnation: int
+    state: State
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One limiter as the view knows it. ``address`` (``host:port``) is where others send datagrams to it."""
+
+    name: str
+    life: int
+    incarnation: int
+    state: State
+    zone: str = ""
+    address: str = ""
+
+    @property
+    def rank(self) -> Rank:
+        return Rank(self.life, self.incarnation, self.state)
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """What a member says of itself for one subsystem. Only its owner writes it; a dead life's row ends with it.
+
+    ``age`` is the seconds since a version of it was last confirmed by its owner, as far as this process knows.
+    """
+
+    owner: str
+    life: int
+    version: int
+    state: State
+    age: float
+    body: bytes
+
+
+class FleetView(Protocol):
+    """What ``lanes`` and ``closing`` may ask of the view, and say through it."""
+
+    @property
+    def me(self) -> str:
+        """This limiter's own name."""
+        ...
+
+    @property
+    def life(self) -> int:
+        """This process's life; it may rise once, when the others know a later one of this name."""
+        ...
+
+    def members(self) -> tuple[Member, ...]:
+        """All members that are present, this one among them, sorted by name."""
+        ...
+
+    def member(self, name: str) -> Member | None:
+        """What is known of one, dead ones included; None for one that was never heard of or is forgotten."""
+        ...
+
+    def rows(self, now: float, subsystem: str) -> tuple[Row, ...]:
+        """The rows of all present members that have one, this one's own among them, sorted by owner."""
+        ...
+
+    def publish(self, subsystem: str, body: bytes) -> None:
+        """Say this in place of what was said before. ``ValueError`` over ``MOST_ROW`` bytes."""
+        ...
+
+    def settled(self, now: float) -> bool:
+        """Whether this digest equals that of every member that is held alive, as last told by them."""
+        ...
+
+    def heard(self, now: float, within: float) -> int:
+        """How many other present members have been heard from directly in so many seconds."""
+        ...
+
+    def clock_error(self, now: float) -> tuple[float, float] | None:
+        """Bounds (low, high), in seconds, on this wall clock minus the middle of the others', by round trips of probes;
+        None where too few of the others are known. ``low > 0`` means: this clock is surely ahead by at least that."""
+        ...
+
+    def offer(self, body: bytes) -> str:
+        """Hold a document for others to fetch; its digest, 32 hex digits. ``ValueError`` over ``MOST_DOCUMENT``."""
+        ...
+
+    def want(self, digest: str) -> None:
+        """Fetch a document from whichever member has it; ``document`` gives it once it is here."""
+        ...
+
+    def document(self, digest: str) -> bytes | None:
+        """A document that is held, checked against its digest."""
+        ...
--- a/cypresspulley/operators.py
+++ b/cypresspulley/operators.py
@@ -14,12 +14,18 @@
     "keeper": {"url": str},
     "tally": {"every": float},
     "plans": {"writer": str, "installation": str},
+    "history": {"path": str},
 }
 LEAST_TALLY = 0.1  # seconds
 OWN_CHECK = (
     "graphql",
+    "fleet",
+    "lanes",
+    "closing",
 )  # tables that the tool behind them checks, which is imported only where they are there
 
+NEEDS_FLEET = ("lanes", "closing", "history")
+
 
 class OperatorsError(ValueError):
     """A file that cannot be used; the text names file, key and what was expected."""
@@ -34,6 +40,10 @@
     graphql: tuple[str, dict[str, Any]] | None = None  # the file that it stands in, and the table
     tally: float | None = None  # seconds of the spells by which events and actions are counted
     plans: tuple[str, str] | None = None  # the address of a plan book's writer, and the installation
+    fleet: tuple[str, dict[str, Any]] | None = None  # these three: the file that it stands in, and the table
+    lanes: tuple[str, dict[str, Any]] | None = None
+    closing: tuple[str, dict[str, Any]] | None = None
+    history: str | None = None  # path of this process's history; ``{name}`` and ``{life}`` are filled in
 
 
 def load_operators(path: str) -> Operators:
@@ -49,14 +59,19 @@
         _check(path, table, keys)
     access_log = raw.get("access_log", {}).get("path")
     name = os.environ.get("LB_NAME", "limiter")
-    graphql = (path, raw["graphql"]) if "graphql" in raw else None
+    own = {table: (path, raw[table]) if table in raw else None for table in OWN_CHECK}
     keeper = raw.get("keeper", {}).get("url")
     tally = raw.get("tally", {}).get("every")
     if tally is not None and tally < LEAST_TALLY:
         raise OperatorsError(f"{path}: tally.every: expected at least {LEAST_TALLY:g} seconds, got {tally:g}")
     plans = (raw["plans"]["writer"], raw["plans"]["installation"]) if "plans" in raw else None
     log = access_log.replace("{name}", name) if access_log else None
-    return Operators(log, keeper, graphql, tally, plans)
+    for table in NEEDS_FLEET:
+        if table in raw and "fleet" not in raw:
+            raise OperatorsError(f"{path}: {table}: expected [fleet] beside it, whose view it goes by")
+    history = raw.get("history", {}).get("path")
+    history = history.replace("{name}", name) if history else None
+    return Operators(log, keeper, tally=tally, plans=plans, history=history, **own)
 
 
 def _check(path: str, table: str, keys: Any) -> None:
--- /dev/null
+++ b/cypresspulley/together.py
@@ -0,0 +1,91 @@
+"""Joins what limiters do together: the fleet's view, lanes, closing, and the history of this process.
+
+Imported only where the operators' file has ``[fleet]``. Arrows: ``lanes`` and ``closing`` read the view and write their own
+row of it; neither knows the other, and the decisions know none of the three.
+"""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from cypresspulley import interface as api
+from cypresspulley.fleet.limiter import Fleet
+from cypresspulley.fleet.options import options_from as fleet_options
+from cypresspulley.histories.writer import AnyHistory, History, NoHistory
+from cypresspulley.net.node import Decisions, Node
+from cypresspulley.operators import Operators, OperatorsError
+from cypresspulley.policy.gateway import Gateway
+
+if TYPE_CHECKING:
+    from cypresspulley.closing.limiter import Closing
+    from cypresspulley.lanes.limiter import Lanes
+
+
+class Together:
+    """What one limiter of a fleet starts and ends.
+
+    ``clock`` never steps, ``wall`` is the wall clock as the machine has it; both are Unix seconds. ``OperatorsError``
+    names file, key and what was expected; ``ImportError`` an extra that is missing.
+    """
+
+    def __init__(
+        self, operators: Operators, name: str, settings: api.Settings, seed: int,
+        clock: Callable[[], float], wall: Callable[[], float],
+    ) -> None:  # fmt: skip
+        assert operators.fleet is not None
+        path, table = operators.fleet
+        options = fleet_options(table, path, os.environ.get("FAWNSEAM_FLEET_KEY", ""))
+        self.history: AnyHistory = NoHistory()
+        if operators.history is not None:
+            self.history = History(operators.history, clock, wall)
+        self.fleet = Fleet(options, name, settings.zone, seed, clock, wall, self.history)
+        self._clock, self._wall, self._settings, self._operators = clock, wall, settings, operators
+        self.lanes: Lanes | None = None
+        self.closing: Closing | None = None
+        if operators.closing is not None:
+            from cypresspulley.closing.limiter import Closing
+            from cypresspulley.closing.options import options_from as closing_options
+
+            path, table = operators.closing
+            self.closing = Closing(
+                closing_options(table, path, settings), self.fleet.view, clock, wall, self.history
+            )
+
+    def deciding(self, decide: Decisions, gateway: Gateway) -> Decisions:
+        """The decisions with lanes before them, where the operators want these."""
+        if self._operators.lanes is None:
+            return decide
+        from cypresspulley.lanes.limiter import Lanes
+        from cypresspulley.lanes.options import options_from as lanes_options
+
+        path, table = self._operators.lanes
+        options = lanes_options(table, path, self._settings)
+        self.lanes = Lanes(options, self.fleet.view, gateway, self._settings, self.history, self._clock)
+        return self.lanes.deciding(decide)
+
+    def node(self, kind: type[Node]) -> type[Node]:
+        """The class of the node: one that keeps answers, where closing is on."""
+        return kind if self.closing is None else self.closing.node(kind)
+
+    async def start(self) -> None:
+        """``OSError`` where the address for datagrams cannot be had."""
+        await self.fleet.start()
+        for part in (self.lanes, self.closing):
+            if part is not None:
+                part.start()
+
+    def leave(self) -> None:
+        """The process has begun to end: it says so, so that nobody suspects it."""
+        self.fleet.leave()
+
+    async def close(self) -> None:
+        for part in (self.lanes, self.closing):
+            if part is not None:
+                part.close()
+        await self.fleet.close()
+        self.history.close()
+
+
+__all__ = ["OperatorsError", "Together"]
