--- a/cypresspulley/histories/events.py
+++ b/cypresspulley/histories/events.py
@@ -51,7 +51,17 @@
     # Sums of one period at this limiter, each an object by lane: units asked and passed, inside quota and beyond;
     # ``shares`` what it may let pass a second inside quota by lane; ``floors`` each lane's floor, the same unit;
     # ``bears`` what the whole fleet bears, units a second; ``state`` the state in which the period was.
-    Kind.LANES_PERIOD: ("state", "seconds", "asked", "passed", "asked_over", "passed_over", "shares", "floors", "bears"),
+    Kind.LANES_PERIOD: (
+        "state",
+        "seconds",
+        "asked",
+        "passed",
+        "asked_over",
+        "passed_over",
+        "shares",
+        "floors",
+        "bears",
+    ),
     # One try that a lane turned away. ``spell`` is the number of the spell and ``until`` its end (Unix seconds by the
     # shared reckoning of spells); ``inside`` whether it was inside its quota.
     Kind.LANES_TURNED: ("id", "account", "lane", "inside", "spell", "until"),
