--- a/cypresspulley/histories/events.py
+++ b/cypresspulley/histories/events.py
@@ -1,9 +1,9 @@
 """The kinds of events of a history, and which facts each has: what processes write and checkers read.
 
-A history is one file a process and life, JSON lines, each ``{"seq", "wall", "mono", "kind", ...facts}``: ``seq`` counts
-from 0 in a life without a gap, ``wall`` is Unix seconds by the process's own wall clock (which may be wrong), ``mono``
-seconds of its clock that never steps. The first event of a file is ``start``. Times of the harness's own history are the
-true ones. Facts are numbers, strings, booleans, and lists or objects of these.
+A history is one file a process and life, JSON lines, each ``{"seq", "wall", "mono", "kind", ...facts}``: ``seq``
+counts from 0 in a life without a gap, ``wall`` is Unix seconds by the process's own wall clock (which may be wrong),
+``mono`` seconds of its clock that never steps. The first event of a file is ``start``. Times of the harness's own
+history are the true ones. Facts are numbers, strings, booleans, and lists or objects of these.
 """
 
 from __future__ import annotations
@@ -67,8 +67,8 @@
     Kind.LANES_TURNED: ("id", "account", "lane", "inside", "spell", "until"),
     # A calendar version is held (``state`` "held"), in force ("force") or refused ("refused", ``why`` says it).
     Kind.CALENDAR: ("version", "state", "in_force", "why"),
-    # A closing was noticed: one identity (place, version, ordinal) once in a life; ``at`` the instant, ``dropped`` how many
-    # kept answers went with it.
+    # A closing was noticed: one identity (place, version, ordinal) once in a life; ``at`` the instant, ``dropped`` how
+    # many kept answers went with it.
     Kind.CLOSED: ("place", "version", "ordinal", "at", "dropped"),
     # An answer is kept from now on: ``key`` names it, ``generation`` that of the moment ``sent`` (wall) at which its
     # request went to a server.
@@ -83,11 +83,12 @@
     # The harness. ``on`` true at a fault's begin, false at its end; ``kind_of`` is the scenario's kind of fault.
     Kind.FAULT: ("kind_of", "targets", "on"),
     # A client's try and its end. ``made`` is the true moment at which a server made the answer, null where none did;
-    # ``kept`` whether it came from what a limiter had kept; ``asked`` is when its server call was sent, null if unknown.
+    # ``kept`` whether it came from what a limiter had kept.
     Kind.CALL: ("id", "account", "plan", "cls", "limiter"),
     Kind.ANSWER: ("id", "status", "made", "kept"),
-    # What is true of the day, for the checkers: ``closings`` a list of [account, unix second] pairs; ``premium`` and
-    # ``lanes`` as the scenario has them; ``clock_bound`` seconds.
+    # What is true of the day, for the checkers: ``closings`` a list of [account, unix second] pairs, each instant at which
+    # what was kept for the account has to be gone; ``lanes`` the names of plans lane by lane, the premium first;
+    # ``clock_bound`` and ``seconds`` (of the day) in seconds.
     Kind.TRUTH: ("closings", "lanes", "clock_bound", "seconds"),
     # A purge by hand as the operator sees it.
     Kind.PURGE_CALL: ("id", "account", "limiter"),
--- a/cypresspulley/histories/writer.py
+++ b/cypresspulley/histories/writer.py
@@ -1,7 +1,7 @@
 """Writes a process's history: one JSON line an event, each handed to the machine whole before the next begins.
 
-A SIGKILL loses at most the line that is being written. Nothing here is on a request's way unless a history is on; a disk
-that fails ends the history, never the limiter.
+A SIGKILL loses at most the line that is being written. Nothing here is on a request's way unless a history is on; a
+disk that fails ends the history, never the limiter.
 """
 
 from __future__ import annotations
--- a/cypresspulley/together.py
+++ b/cypresspulley/together.py
@@ -1,7 +1,7 @@
 """Joins what limiters do together: the fleet's view, lanes, closing, and the history of this process.
 
-Imported only where the operators' file has ``[fleet]``. Arrows: ``lanes`` and ``closing`` read the view and write their own
-row of it; neither knows the other, and the decisions know none of the three.
+Imported only where the operators' file has ``[fleet]``. Arrows: ``lanes`` and ``closing`` read the view and write their
+own row of it; neither knows the other, and the decisions know none of the three.
 """
 
 from __future__ import annotations
