--- /dev/null
+++ b/tests/test_together_off.py
@@ -0,0 +1,39 @@
+"""What limiters do together is off by itself: not imported, and wrong tables end a start with a line that names them."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from cypresspulley.operators import OperatorsError, load_operators
+
+ROOMS = ("fleet", "lanes", "closing", "histories", "together")
+# What the rooms alone want: none of it may come with a start that has them off.
+LIBRARIES = ("msgspec", "cachetools", "tzdata", "zoneinfo")
+
+
+def test_off_nothing_of_it_is_imported() -> None:
+    asked = "import sys, cypresspulley.__main__; print(*sys.modules)"
+    loaded = subprocess.run([sys.executable, "-c", asked], capture_output=True, text=True, check=True)
+    found = {name.removeprefix("cypresspulley.").split(".")[0] for name in loaded.stdout.split()}
+    assert not found & {*ROOMS, *LIBRARIES}
+
+
+@pytest.mark.parametrize("table", ["lanes", "closing", "history"])
+def test_a_table_without_the_fleet_it_goes_by_is_refused(tmp_path: Path, table: str) -> None:
+    file = tmp_path / "operators.toml"
+    file.write_text(f'[{table}]\npath = "history.jsonl"\n')
+    with pytest.raises(OperatorsError, match=rf"operators\.toml: {table}: expected \[fleet\] beside it"):
+        load_operators(str(file))
+
+
+def test_the_tables_reach_the_tools_that_check_them(tmp_path: Path) -> None:
+    file = tmp_path / "operators.toml"
+    file.write_text('[fleet]\nlisten = "127.0.0.1:1"\n[history]\npath = "of-{name}-{life}.jsonl"\n')
+    operators = load_operators(str(file))
+    assert operators.fleet == (str(file), {"listen": "127.0.0.1:1"})
+    assert operators.history == "of-limiter-{life}.jsonl"
+    assert operators.lanes is None and operators.closing is None
