--- a/tests/test_together_off.py
+++ b/tests/test_together_off.py
@@ -1,4 +1,4 @@
-"""What limiters do together is off by itself: not imported, and wrong tables end a start with a line that names them."""
+"""What limiters do together is off by itself: not imported; wrong tables end a start with one line."""
 
 from __future__ import annotations
 
