--- /dev/null
+++ b/benchmarks/fleet_bed.py
@@ -0,0 +1,241 @@
+"""A fleet's detectors in virtual time: a network that loses, delays, doubles and cuts, and processes that stop.
+
+Shared by ``benchmarks/fleet_view.py`` and the tests. Only the detectors run, with their datagrams as real bytes; there
+is no loop, no socket and no limiter. One seed is one trace.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+from cypresspulley.fleet.detector import (
+    Action,
+    Begin,
+    Changed,
+    Datagram,
+    Detector,
+    End,
+    Event,
+    Leave,
+    Send,
+    Settled,
+    Tick,
+)
+from cypresspulley.fleet.records import Member, State
+from cypresspulley.fleet.wire import Codec
+
+EPOCH = 1_800_000_000.0  # Unix seconds at the bed's zero
+KEY = b"a key of the bed only"
+BUFFERED = 2_000  # datagrams that wait for a process that stands still
+
+Cut = Callable[[str, str], bool]  # from, to: whether the way is cut
+
+
+@dataclass
+class Host:
+    """One process. ``offset`` is its wall clock less the true one, in seconds."""
+
+    name: str
+    detector: Detector
+    offset: float = 0.0
+    lag: float = 0.0  # seconds that all it hears comes late
+    running: bool = True
+    paused: bool = False
+    timer: float = float("inf")
+    buffer: list[bytes] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class News:
+    """What one observer's view changed to."""
+
+    at: float
+    observer: str
+    member: Member
+    cause: str
+
+
+class Bed:
+    """``delay`` in seconds, the mean of an exponential above ``least``; ``loss`` and ``double`` are probabilities."""
+
+    def __init__(
+        self, seed: int, period: float = 0.5, loss: float = 0.0, delay: float = 0.002, least: float = 0.0002,
+        double: float = 0.0,
+    ) -> None:  # fmt: skip
+        self.rng, self.period = Random(seed), period
+        self.loss, self.delay, self.least, self.double = loss, delay, least, double
+        self.now = 0.0
+        self.hosts = dict[str, Host]()
+        self.cuts = list[Cut]()
+        self.news = list[News]()
+        self.settled = list[tuple[float, str, bool]]()
+        self.tap: Callable[[str, str, bytes], None] | None = None
+        self.sent = 0
+        self._queue = list[tuple[float, int, str, str, bytes]]()
+        self._drawn = 0
+        self._calls = dict[int, Callable[[], None]]()
+
+    # Processes
+
+    def start(
+        self, name: str, seeds: Sequence[str] = (), offset: float = 0.0, known: Iterable[Member] = (),
+        installation: str = "bed", key: bytes = KEY, rows: dict[str, bytes] | None = None,
+    ) -> Host:  # fmt: skip
+        """A process of this name begins now; ``seeds`` are names, ``known`` members it holds from the start."""
+        life = round((EPOCH + self.now + offset) * 1000)
+        me = Member(name, life, 0, State.JOINING, "abc"[len(self.hosts) % 3], address(name))
+        rng = Random(self.rng.getrandbits(64))
+        seeded = tuple(address(seed) for seed in seeds)
+        detector = Detector(me, Codec(installation, key), seeded, self.period, rng)
+        host = self.hosts[name] = Host(name, detector, offset)
+        for member in known:
+            if member.name == name:
+                detector.view.put(self.now, member)
+            else:
+                detector.view.merge(self.now, member)
+        for subsystem, body in (rows or {}).items():
+            detector.view.publish(self.now, subsystem, body)
+        self._hand(host, Begin())
+        return host
+
+    def fleet(self, size: int, warm: bool = True, seeds: int = 2) -> list[str]:
+        """So many members; warm ones know each other from the start."""
+        names = [f"l{n}" for n in range(size)]
+        life = round(EPOCH * 1000)
+        known = [
+            Member(name, life, 0, State.ALIVE, "abc"[n % 3], address(name)) for n, name in enumerate(names)
+        ]
+        for name in names:
+            self.start(name, names[:seeds], known=known if warm else ())
+        return names
+
+    def kill(self, name: str) -> None:
+        self.hosts[name].running = False
+
+    def pause(self, name: str) -> None:
+        self.hosts[name].paused = True
+
+    def resume(self, name: str) -> None:
+        host = self.hosts[name]
+        host.paused = False
+        waiting, host.buffer = host.buffer, []
+        for data in waiting:
+            self._hand(host, Datagram(data))
+        self._due(host)
+
+    def leave(self, name: str, after: float = 1.0) -> None:
+        """It says that it ends, and ends so many seconds later."""
+        host = self.hosts[name]
+        self._hand(host, Leave())
+
+        def end() -> None:
+            self._hand(host, End())
+            host.running = False
+
+        self.at(self.now + after, end)
+
+    def live(self) -> list[Host]:
+        return [host for host in self.hosts.values() if host.running]
+
+    # Time
+
+    def at(self, when: float, call: Callable[[], None]) -> None:
+        self._drawn += 1
+        self._calls[self._drawn] = call
+        heapq.heappush(self._queue, (when, self._drawn, "", "call", b""))
+
+    def run(self, until: float, stop: Callable[[], bool] | None = None, every: float = 0.1) -> bool:
+        """Run to the instant, or until ``stop``, asked ``every`` so many seconds, says so; whether it has."""
+        look = self.now + every
+        while self._queue and self._queue[0][0] <= until:
+            when, number, name, what, data = heapq.heappop(self._queue)
+            while stop is not None and look <= when:
+                self.now = look
+                look += every
+                if stop():
+                    heapq.heappush(self._queue, (when, number, name, what, data))
+                    return True
+            self.now = when
+            if what == "call":
+                self._calls.pop(number)()
+                continue
+            host = self.hosts[name]
+            if not host.running:
+                continue
+            if what == "tick":
+                if host.timer == when and not host.paused:
+                    host.timer = float("inf")
+                    self._hand(host, Tick())
+            elif not host.paused:
+                self._hand(host, Datagram(data))
+            elif len(host.buffer) < BUFFERED:
+                host.buffer.append(data)
+        self.now = until
+        return stop is not None and stop()
+
+    # What there is to see
+
+    def agree(self) -> bool:
+        """Whether all live processes have one digest, and it is of just them."""
+        live = self.live()
+        first = live[0].detector.view
+        return first.present == len(live) and all(h.detector.view.digest == first.digest for h in live)
+
+    def deaths(self) -> list[News]:
+        return [news for news in self.news if news.member.state is State.DEAD]
+
+    def states(self, name: str) -> set[State | None]:
+        """The states in which the live ones hold a member."""
+        held = [host.detector.view.get(name) for host in self.live() if host.name != name]
+        return {member.state if member else None for member in held}
+
+    # Within
+
+    def wall(self, host: Host) -> float:
+        return EPOCH + self.now + host.offset
+
+    def _hand(self, host: Host, event: Event) -> None:
+        for action in host.detector.handle(self.now, self.wall(host), event):
+            self._do(host, action)
+        self._due(host)
+
+    def _due(self, host: Host) -> None:
+        due = max(self.now, host.detector.due)
+        if due < host.timer or host.timer < self.now:
+            host.timer = due
+            if due < float("inf"):
+                self._push(due, host.name, "tick", b"")
+
+    def _do(self, host: Host, action: Action) -> None:
+        match action:
+            case Send(where, data):
+                self.carry(host.name, where.partition(":")[0], data)
+            case Changed(member, cause):
+                self.news.append(News(self.now, host.name, member, cause))
+            case Settled(settled, _, _):
+                self.settled.append((self.now, host.name, settled))
+
+    def carry(self, source: str, target: str, data: bytes) -> None:
+        """The network: what is sent comes late, twice, or not at all."""
+        self.sent += 1
+        if self.tap is not None:
+            self.tap(source, target, data)
+        host = self.hosts.get(target)
+        if host is None or any(cut(source, target) for cut in self.cuts):
+            return
+        rng = self.rng
+        for _ in range(1 + (self.double > 0 and rng.random() < self.double)):
+            if self.loss == 0 or rng.random() >= self.loss:
+                late = self.least + rng.expovariate(1 / self.delay) + host.lag
+                self._push(self.now + late, target, "datagram", data)
+
+    def _push(self, when: float, name: str, what: str, data: bytes) -> None:
+        self._drawn += 1
+        heapq.heappush(self._queue, (when, self._drawn, name, what, data))
+
+
+def address(name: str) -> str:
+    return f"{name}:7000"
--- /dev/null
+++ b/cypresspulley/fleet/documents.py
@@ -0,0 +1,96 @@
+"""Documents that members fetch from each other by digest, in numbered parts. No I/O and no clock."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from hashlib import blake2b
+
+from cypresspulley.fleet.records import MOST_DOCUMENT
+from cypresspulley.fleet.wire import DIGEST, PART, Fetch, Part
+
+MOST_HELD = 16  # documents; the one that was longest not asked for goes first
+MOST_WANTED = 8
+AT_ONCE = 8  # parts that one request asks for
+
+
+class Documents:
+    """Those that are held, and the parts of those that are wanted."""
+
+    def __init__(self) -> None:
+        self._held = OrderedDict[bytes, bytes]()
+        self._wanted = dict[
+            bytes, tuple[int, dict[int, bytes]]
+        ]()  # by digest: of how many (0 unknown), the parts
+
+    def __repr__(self) -> str:
+        return f"<Documents: {len(self._held)} held, {len(self._wanted)} wanted>"
+
+    def offer(self, body: bytes) -> str:
+        if len(body) > MOST_DOCUMENT:
+            raise ValueError(f"document: expected at most {MOST_DOCUMENT} bytes, got {len(body)}")
+        digest = blake2b(body, digest_size=DIGEST).digest()
+        self._wanted.pop(digest, None)
+        self._held[digest] = body
+        self._held.move_to_end(digest)
+        while len(self._held) > MOST_HELD:
+            self._held.popitem(last=False)
+        return digest.hex()
+
+    def want(self, digest: str) -> None:
+        """``ValueError`` for what is no digest. Of more than ``MOST_WANTED`` the oldest wish is given up."""
+        key = bytes.fromhex(digest)
+        if len(key) != DIGEST:
+            raise ValueError(f"document: expected a digest of {2 * DIGEST} hex digits, got {digest!r:.60}")
+        if key not in self._held and key not in self._wanted:
+            while len(self._wanted) >= MOST_WANTED:
+                del self._wanted[next(iter(self._wanted))]
+            self._wanted[key] = (0, {})
+
+    def get(self, digest: str) -> bytes | None:
+        key = bytes.fromhex(digest)
+        body = self._held.get(key)
+        if body is not None:
+            self._held.move_to_end(key)
+        return body
+
+    def wanted(self) -> list[bytes]:
+        return list(self._wanted)
+
+    def request(self, digest: bytes) -> Fetch | None:
+        """What to ask for next; None for what is not wanted."""
+        if digest not in self._wanted:
+            return None
+        of, parts = self._wanted[digest]
+        missing = [number for number in range(of or AT_ONCE) if number not in parts][:AT_ONCE]
+        mask = sum(1 << number for number in missing)
+        return Fetch(digest, mask.to_bytes((max(missing, default=0) + 8) // 8, "little"))
+
+    def parts(self, request: Fetch) -> list[Part] | None:
+        """The answer to a request, ``AT_ONCE`` parts at most; None where the document is not held."""
+        body = self._held.get(request.digest)
+        if body is None:
+            return None
+        self._held.move_to_end(request.digest)
+        of = max(1, -(-len(body) // PART))
+        mask = int.from_bytes(request.parts, "little")
+        asked = [number for number in range(of) if mask >> number & 1][:AT_ONCE]
+        return [Part(request.digest, n, of, body[n * PART : (n + 1) * PART]) for n in asked]
+
+    def take(self, part: Part) -> bool:
+        """Lay a part to the others; whether the next ones may be asked for now (all that were asked for are here)."""
+        if part.digest not in self._wanted or part.number >= part.of:
+            return False
+        of, parts = self._wanted[part.digest]
+        if of and of != part.of:  # one of two lies, and which cannot be told: begin anew
+            self._wanted[part.digest] = (0, {})
+            return False
+        parts[part.number] = part.body
+        self._wanted[part.digest] = (part.of, parts)
+        if len(parts) < part.of:
+            return len(parts) % AT_ONCE == 0
+        body = b"".join(parts[number] for number in range(part.of))
+        if blake2b(body, digest_size=DIGEST).digest() == part.digest and len(body) <= MOST_DOCUMENT:
+            self.offer(body)
+        else:
+            self._wanted[part.digest] = (0, {})
+        return False
--- /dev/null
+++ b/cypresspulley/fleet/limiter.py
@@ -0,0 +1,248 @@
+"""One limiter's part in its fleet: the detector on a UDP socket, and the view that other rooms read.
+
+Replies go to the address that a member tells of itself, never to where a datagram came from.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+import socket
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any
+
+from cypresspulley.fleet import timing
+from cypresspulley.fleet.detector import (
+    Action,
+    Begin,
+    Changed,
+    Datagram,
+    Detector,
+    End,
+    Event,
+    Leave,
+    Rose,
+    Send,
+    Settled,
+    Tick,
+)
+from cypresspulley.fleet.options import FleetOptions
+from cypresspulley.fleet.records import NAME_FORM, Member, Row, State
+from cypresspulley.fleet.wire import Codec
+from cypresspulley.histories.events import Kind
+from cypresspulley.histories.writer import AnyHistory
+from cypresspulley.net.http import split_address
+from cypresspulley.operators import OperatorsError
+
+log = logging.getLogger(__name__)
+
+SIZE = 8  # members for which the stated bounds are, where no other number is given
+MOST_ZONE = 64  # characters
+MOST_ADDRESSES = 4096  # of members, taken apart once
+BUFFER = 1 << 20  # bytes of the socket's receive buffer: a second of a burst of whole exchanges
+
+
+class Fleet:
+    """This process's member of the fleet. ``clock`` never steps, ``wall`` is Unix seconds as the machine has it.
+
+    ``bounds`` are other rooms' stated bounds in seconds, by the names in ``histories.events.BOUNDS``; ``size`` is how
+    many members the view's own are for. ``OperatorsError`` where the name or zone cannot be told to others.
+    """
+
+    def __init__(
+        self, options: FleetOptions, name: str, zone: str, seed: int,
+        clock: Callable[[], float], wall: Callable[[], float], history: AnyHistory,
+        bounds: Mapping[str, float] | None = None, size: int = SIZE,
+    ) -> None:  # fmt: skip
+        if not re.fullmatch(NAME_FORM, name):
+            raise OperatorsError(
+                f"LB_NAME: expected at most 40 letters, digits, dots and dashes, got {name!r:.60}"
+            )
+        if len(zone) > MOST_ZONE:
+            raise OperatorsError(f"zone: expected at most {MOST_ZONE} characters, got {zone!r:.80}")
+        self._options, self._clock, self._wall, self._history = options, clock, wall, history
+        self._bounds, self._size = dict(bounds or {}), size
+        self._zone, self._me = zone, name
+        me = Member(name, max(1, round(wall() * 1000)), 0, State.JOINING, zone, options.advertise)
+        codec = Codec(options.installation, options.key)
+        self.detector = Detector(me, codec, options.seeds, options.period, Random(f"{seed}/{name}"))
+        self.view = Seen(self.detector, clock, wall)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._due = float("inf")
+        self._addresses = dict[str, tuple[str, int] | None]()
+
+    def __repr__(self) -> str:
+        return f"<Fleet {self._me} {'open' if self._transport is not None else 'shut'}: {self.detector!r}>"
+
+    async def start(self) -> None:
+        """Open the socket and knock at the seeds. ``OSError`` where the address cannot be had."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            lambda: _Receiver(self), local_addr=self._options.listen
+        )
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
+        self._open_history(self.view.life)
+        self.take(Begin())
+
+    def leave(self) -> None:
+        """Say that this process ends, so that nobody suspects it."""
+        self.take(Leave())
+
+    async def close(self) -> None:
+        """Say that it has ended, and close the socket. No other call after it does anything."""
+        if self._transport is None:
+            return
+        self.take(End())
+        if self._timer is not None:
+            self._timer.cancel()
+        self._transport.close()
+        self._transport = None
+        self._history.put(Kind.END, reason="closed")
+        await asyncio.sleep(0)  # the transport closes in the loop's next turn
+
+    def take(self, event: Event) -> None:
+        """Hand one event to the detector and do what it says. A datagram that is not read right ends nothing."""
+        if self._transport is None:
+            return
+        for action in self.detector.handle(self._clock(), self._wall(), event):
+            self._do(action)
+        self._set_timer()
+
+    def _do(self, action: Action) -> None:
+        match action:
+            case Send(address, data):
+                self._send(address, data)
+            case Changed(member, cause):
+                log.info(
+                    "%s of life %d is %s (%s)", member.name, member.life, member.state.name.lower(), cause
+                )
+                self._history.put(
+                    Kind.MEMBER, member=member.name, life=member.life, incarnation=member.incarnation,
+                    state=member.state.name.lower(), cause=cause,
+                )  # fmt: skip
+            case Settled(settled, digest, members):
+                self._history.put(Kind.SETTLED, settled=settled, digest=f"{digest:016x}", members=members)
+            case Rose(life):
+                log.warning("others know a later life of %s: this one is %d from here on", self._me, life)
+                self._history.put(Kind.END, reason="life")
+                self._open_history(life)
+
+    def _open_history(self, life: int) -> None:
+        self._history.opened_at(life)
+        period = self._options.period
+        mine = {
+            "detect": timing.detect_bound(self._size, period),
+            "settle": timing.settle_bound(self._size, period),
+        }
+        facts: dict[str, Any] = {"name": self._me, "life": life, "zone": self._zone, "period": period}
+        self._history.put(Kind.START, **facts, bounds=mine | self._bounds)
+
+    def _send(self, address: str, data: bytes) -> None:
+        if address not in self._addresses:
+            if len(self._addresses) >= MOST_ADDRESSES:
+                self._addresses.clear()
+            try:
+                host, port = split_address(address)
+                self._addresses[address] = (host, port) if port > 0 else None
+            except ValueError:
+                self._addresses[address] = None
+        where = self._addresses[address]
+        if where is None or self._transport is None:
+            self.detector.counts["no address"] += 1
+            return
+        try:
+            self._transport.sendto(data, where)
+        except (
+            OSError,
+            ValueError,
+        ) as error:  # what a member tells as its address may be of another family, or no host
+            self.detector.counts["unsent"] += 1
+            log.debug("to %s: %s", address, error)
+
+    def _set_timer(self) -> None:
+        """Keep one timer, at or before the detector's next instant."""
+        due = self.detector.due
+        if self._timer is not None:
+            if self._due <= due:
+                return
+            self._timer.cancel()
+        self._timer = None
+        if due < float("inf"):
+            self._due = due
+            wait = max(0.0, due - self._clock())
+            self._timer = asyncio.get_running_loop().call_later(wait, self._tick)
+
+    def _tick(self) -> None:
+        self._timer = None
+        if self.detector.due <= self._clock():
+            self.take(Tick())
+        else:
+            self._set_timer()
+
+
+class Seen:
+    """The view as other rooms see it: ``records.FleetView``."""
+
+    def __init__(self, detector: Detector, clock: Callable[[], float], wall: Callable[[], float]) -> None:
+        self._detector, self._clock, self._wall = detector, clock, wall
+
+    def __repr__(self) -> str:
+        return f"<Seen {self._detector!r}>"
+
+    @property
+    def me(self) -> str:
+        return self._detector.view.me
+
+    @property
+    def life(self) -> int:
+        return self._detector.view.myself.life
+
+    def members(self) -> tuple[Member, ...]:
+        return self._detector.view.members()
+
+    def member(self, name: str) -> Member | None:
+        return self._detector.view.get(name)
+
+    def rows(self, now: float, subsystem: str) -> tuple[Row, ...]:
+        return self._detector.view.rows(now, subsystem)
+
+    def publish(self, subsystem: str, body: bytes) -> None:
+        self._detector.view.publish(self._clock(), subsystem, body)
+
+    def settled(self, now: float) -> bool:
+        return self._detector.settled()
+
+    def heard(self, now: float, within: float) -> int:
+        return self._detector.heard(now, within)
+
+    def clock_error(self, now: float) -> tuple[float, float] | None:
+        detector = self._detector
+        return detector.clocks.error(now, self._wall(), len(detector.view.others()))
+
+    def offer(self, body: bytes) -> str:
+        return self._detector.documents.offer(body)
+
+    def want(self, digest: str) -> None:
+        self._detector.documents.want(digest)
+
+    def document(self, digest: str) -> bytes | None:
+        return self._detector.documents.get(digest)
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Hands datagrams to the fleet. An error that the machine tells of (a port that is shut) is no news of a member."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        self._fleet.take(Datagram(data))
+
+    def error_received(self, exc: Exception) -> None:
+        self._fleet.detector.counts["refused"] += 1
--- /dev/null
+++ b/cypresspulley/fleet/view.py
@@ -0,0 +1,381 @@
+"""What one limiter holds of its fleet: members, rows, and what is still to be sent on. No I/O and no clock.
+
+The view is a lattice. Of one name it holds a pair: the member, a chain ordered by rank (life, incarnation, state) and,
+between equal ranks, by zone and address; and for each subsystem a row, a chain ordered by (life, version, body). A
+merge takes the larger of each: a product of chains, so that it is commutative, associative and idempotent, and any
+order and any doubling of the same claims ends in the same view. A row counts only while its owner is present in the
+very life of the row; rows of lower lives are dropped, which no later merge can tell from keeping them. (A row of an
+unknown member is not taken: it comes again with the member, by the next exchange.)
+
+Two things are no part of the lattice, and of no digest: how old a row is (it only ever gets younger by a merge), and
+that a tombstone is forgotten after ``TOMBSTONE`` seconds or beyond ``MOST_TOMBSTONES``.
+
+The digest of members is over those that are present, so that one who has forgotten a tombstone agrees with one who
+has not. The digest of rows is over those that have not changed for a while: what its owner says anew every period
+would otherwise let no two members ever agree.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from functools import lru_cache
+from hashlib import blake2b
+from operator import attrgetter
+
+from msgspec import Raw
+
+from cypresspulley.fleet import timing
+from cypresspulley.fleet.records import MOST_ROW, MOST_SUBSYSTEMS, Member, Row, State
+from cypresspulley.fleet.wire import BUCKETS, Cell, Entry, raw, size
+
+MOST_MEMBERS = 4096  # present ones; a new name beyond is not taken
+MOST_TOMBSTONES = 4096
+TOMBSTONE = (
+    48 * 3600.0
+)  # seconds: twice what a datagram may be old by its sender's clock (``detector.STALE``)
+QUIET = 10.0  # seconds after which a row that has not changed counts for the digest
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A row as it is held. ``confirmed`` and ``changed`` are instants of the clock that never steps."""
+
+    life: int
+    version: int
+    body: bytes
+    confirmed: float
+    changed: float
+
+
+class View:
+    """``me`` is this limiter as it starts."""
+
+    def __init__(self, me: Member) -> None:
+        self.me = me.name
+        self.queue = Queue()
+        self.changed = float("-inf")  # when the digest of members last changed
+        self.digest = self.rows_digest = 0
+        self._members = dict[str, Member]()
+        self._rows = dict[str, dict[str, Held]]()
+        self._ended = dict[str, float]()  # tombstones by name, in order of their instants
+        self._marks = dict[str, tuple[int, int]]()  # what each name adds to the two digests
+        self._buckets = [0] * BUCKETS
+        self._in_bucket = [set[str]() for _ in range(BUCKETS)]
+        self._soon_quiet = dict[str, float]()  # when to look whether a name's rows have gone quiet
+        self._present = 0
+        self._others: tuple[str, ...] | None = None  # until who is present changes
+        self.put(float("-inf"), me)
+
+    def __repr__(self) -> str:
+        ended = len(self._ended)
+        return f"<View of {self.me}: {self._present} present, {ended} tombstones, digest {self.digest:016x}>"
+
+    @property
+    def myself(self) -> Member:
+        return self._members[self.me]
+
+    @property
+    def present(self) -> int:
+        """How many members are present, this one among them."""
+        return self._present
+
+    def get(self, name: str) -> Member | None:
+        return self._members.get(name)
+
+    def others(self) -> Sequence[str]:
+        """Names of all other present members, in the order in which they were first heard of."""
+        if self._others is None:
+            held = self._members.items()
+            self._others = tuple(name for name, member in held if member.state.present and name != self.me)
+        return self._others
+
+    def members(self) -> tuple[Member, ...]:
+        found = (member for member in self._members.values() if member.state.present)
+        return tuple(sorted(found, key=attrgetter("name")))
+
+    def ended(self, now: float, within: float) -> list[Member]:
+        """Members that are held dead since so many seconds at most."""
+        recent = (self._members[name] for name, at in self._ended.items() if now - at <= within)
+        return [member for member in recent if member.state is State.DEAD]
+
+    def merge(self, now: float, member: Member) -> bool:
+        """Join a claim into the view; whether this changed it."""
+        held = self._members.get(member.name)
+        if held is None:
+            if member.state.present and self._present >= MOST_MEMBERS:
+                return False
+        elif _order(member) <= _order(held):
+            return False
+        self.put(now, member)
+        return True
+
+    def put(self, now: float, member: Member) -> None:
+        """Hold this of a member in place of what was held; the caller knows that it is the larger."""
+        name = member.name
+        held = self._members.get(name)
+        if change := member.state.present - (held is not None and held.state.present):
+            self._present += change
+            self._others = None
+        self._members[name] = member
+        self._ended.pop(name, None)
+        if not member.state.present:
+            self._ended[name] = now
+        if (
+            name != self.me
+            and held is not None
+            and held.life != member.life
+            and (rows := self._rows.get(name))
+        ):
+            self._rows[name] = {key: row for key, row in rows.items() if row.life >= member.life}
+            for key in rows.keys() - self._rows[name].keys():
+                self.queue.drop((name, key))
+        self._in_bucket[bucket(name)].add(name)
+        self._mark(now, name)
+        self.prune(now)
+
+    def prune(self, now: float) -> None:
+        """Forget tombstones that are old, or the oldest where there are too many."""
+        while self._ended:
+            name, at = next(iter(self._ended.items()))
+            if now - at < TOMBSTONE and len(self._ended) <= MOST_TOMBSTONES:
+                return
+            del self._ended[name], self._members[name]
+            self._rows.pop(name, None)
+            self._in_bucket[bucket(name)].discard(name)
+            self._marks.pop(name, None)
+            self.queue.drop_name(name)
+
+    # Rows
+
+    def publish(self, now: float, subsystem: str, body: bytes) -> None:
+        """A row of this member's own. ``ValueError`` where it is too long or one subsystem too many."""
+        if len(body) > MOST_ROW:
+            raise ValueError(f"row of {subsystem}: expected at most {MOST_ROW} bytes, got {len(body)}")
+        mine = self._rows.setdefault(self.me, {})
+        if subsystem not in mine and len(mine) >= MOST_SUBSYSTEMS:
+            raise ValueError(f"row of {subsystem}: expected at most {MOST_SUBSYSTEMS} subsystems")
+        version = mine[subsystem].version + 1 if subsystem in mine else 1
+        self._hold(now, self.me, subsystem, Held(self.myself.life, version, body, now, now))
+
+    def merge_row(self, now: float, cell: Cell) -> bool:
+        """Join a row that another told; whether it changed what is held. Nobody tells this member its own."""
+        member = self._members.get(cell.owner)
+        if member is None or cell.owner == self.me or cell.life < member.life:
+            return False
+        rows = self._rows.setdefault(cell.owner, {})
+        held = rows.get(cell.subsystem)
+        if held is None and len(rows) >= MOST_SUBSYSTEMS:
+            return False
+        confirmed = now - cell.age / 1000
+        if held is not None:
+            known, told = (held.life, held.version, held.body), (cell.life, cell.version, cell.body)
+            if told < known:
+                return False
+            if told == known:
+                if confirmed > held.confirmed:
+                    rows[cell.subsystem] = replace(held, confirmed=confirmed)
+                return False
+        self._hold(now, cell.owner, cell.subsystem, Held(cell.life, cell.version, cell.body, confirmed, now))
+        return True
+
+    def confirm(self, now: float, owner: str, life: int, versions: int) -> None:
+        """The owner has just said the sum of its rows' versions: if that is the sum of those held, they are young."""
+        rows = self._rows.get(owner)
+        if rows and versions == sum(row.version for row in rows.values() if row.life == life):
+            for key, row in rows.items():
+                if row.life == life:
+                    rows[key] = replace(row, confirmed=now)
+
+    def versions(self) -> int:
+        """The sum of this member's own rows' versions, as told in each datagram."""
+        return sum(row.version for row in self._rows.get(self.me, {}).values())
+
+    def relive(self, now: float) -> None:
+        """This member has a new life: its own rows are said again in it."""
+        rows = self._rows.pop(self.me, {})
+        self._rows[self.me] = {}
+        for key, row in rows.items():
+            self._hold(now, self.me, key, replace(row, life=self.myself.life, confirmed=now, changed=now))
+
+    def rows(self, now: float, subsystem: str) -> tuple[Row, ...]:
+        found = list[Row]()
+        for name, rows in self._rows.items():
+            row, member = rows.get(subsystem), self._members[name]
+            if row is not None and member.state.present and row.life == member.life:
+                age = 0.0 if name == self.me else max(0.0, now - row.confirmed)
+                found.append(Row(name, row.life, row.version, member.state, age, row.body))
+        return tuple(sorted(found, key=attrgetter("owner")))
+
+    def turn(self, now: float) -> None:
+        """Let rows that have gone quiet count for the digest, and forget old tombstones. Once a period."""
+        while self._soon_quiet:
+            name, at = next(iter(self._soon_quiet.items()))
+            if at > now:
+                break
+            del self._soon_quiet[name]
+            if name in self._members:
+                self._mark(now, name)
+                changed = max((row.changed for row in self._rows.get(name, {}).values()), default=now - QUIET)
+                if changed + QUIET > now:
+                    self._soon_quiet[name] = changed + QUIET
+        self.prune(now)
+
+    # For datagrams
+
+    def bucket_digests(self) -> bytes:
+        return b"".join(value.to_bytes(8, "big") for value in self._buckets)
+
+    def differing(self, buckets: bytes) -> int:
+        """The mask of buckets whose digests are not these."""
+        mine = self.bucket_digests()
+        return sum(1 << n for n in range(BUCKETS) if mine[8 * n : 8 * n + 8] != buckets[8 * n : 8 * n + 8])
+
+    def keys(self, mask: int) -> list[tuple[int, str, str]]:
+        """Keys of what is held of present members in these buckets, in order."""
+        found = list[tuple[int, str, str]]()
+        for number in range(BUCKETS):
+            if mask >> number & 1:
+                for name in sorted(self._in_bucket[number]):
+                    if self._members[name].state.present:
+                        found.append((number, name, ""))
+                        found.extend((number, name, key) for key in sorted(self._valid_rows(name)))
+        return found
+
+    def entry(self, name: str, by: str = "") -> Raw:
+        """A member as it is told to others."""
+        member = self._members[name]
+        return raw(
+            Entry(name, member.life, member.incarnation, member.state, member.zone, member.address, by)
+        )
+
+    def cell(self, now: float, name: str, subsystem: str) -> Raw | None:
+        """A row as it is told to others; None where there is none to tell."""
+        row = self._valid_rows(name).get(subsystem)
+        if row is None or not self._members[name].state.present:
+            return None
+        age = 0 if name == self.me else max(0, round((now - row.confirmed) * 1000))
+        return raw(Cell(name, subsystem, row.life, row.version, age, row.body))
+
+    def better_row(self, name: str, subsystem: str, cell: Cell | None) -> bool:
+        """Whether the row held is larger than the one told, None for none told."""
+        row = self._valid_rows(name).get(subsystem)
+        if row is None:
+            return False
+        return cell is None or (row.life, row.version, row.body) > (cell.life, cell.version, cell.body)
+
+    def _valid_rows(self, name: str) -> dict[str, Held]:
+        member = self._members.get(name)
+        if member is None:
+            return {}
+        return {key: row for key, row in self._rows.get(name, {}).items() if row.life == member.life}
+
+    def _hold(self, now: float, owner: str, subsystem: str, row: Held) -> None:
+        self._rows.setdefault(owner, {})[subsystem] = row
+        self._soon_quiet.setdefault(owner, now + QUIET)
+        self.queue.add((owner, subsystem), None)
+        self._mark(now, owner)
+
+    def _mark(self, now: float, name: str) -> None:
+        """Bring what this name adds to the digests up to date."""
+        member = self._members[name]
+        whole = rows = 0
+        if member.state.present:
+            whole = _hash(
+                f"{member.life}/{member.incarnation}/{int(member.state)}/{name}/{member.zone}/{member.address}".encode()
+            )
+            for key, row in self._rows.get(name, {}).items():
+                if row.life == member.life and now - row.changed >= QUIET:
+                    rows ^= _hash(f"{name}/{key}/{row.life}/{row.version}/".encode() + row.body)
+        before = self._marks.get(name, (0, 0))
+        if before == (whole, rows):
+            return
+        if before[0] != whole:
+            self.changed = now
+        self._marks[name] = (whole, rows)
+        self.digest ^= before[0] ^ whole
+        self.rows_digest ^= before[1] ^ rows
+        self._buckets[bucket(name)] ^= before[0] ^ whole ^ before[1] ^ rows
+
+
+class Queue:
+    """What is to be sent on: members before rows, and of each what was sent least before what was sent more."""
+
+    def __init__(self) -> None:
+        self._levels: tuple[list[dict[tuple[str, str], Raw | None]], ...] = ([], [])
+        self._at = dict[tuple[str, str], int]()  # the level in which a key stands
+
+    def __len__(self) -> int:
+        return len(self._at)
+
+    def add(self, key: tuple[str, str], told: Raw | None) -> None:
+        """``key`` is a name and a subsystem, "" for the member itself, whose record is ``told``."""
+        self.drop(key)
+        levels = self._levels[bool(key[1])]
+        if not levels:
+            levels.append({})
+        levels[0][key] = told
+        self._at[key] = 0
+
+    def drop(self, key: tuple[str, str]) -> None:
+        level = self._at.pop(key, None)
+        if level is not None:
+            del self._levels[bool(key[1])][level][key]
+
+    def drop_name(self, name: str) -> None:
+        for key in [key for key in self._at if key[0] == name]:
+            self.drop(key)
+
+    def take(self, now: float, view: View, room: int) -> tuple[list[Raw], list[Raw]]:
+        """Records of members and rows for one datagram, ``room`` bytes at most; each counts as sent once."""
+        most = timing.times_sent(view.present)
+        told: tuple[list[Raw], list[Raw]] = ([], [])
+        sent = list[tuple[tuple[str, str], Raw | None]]()
+        for kind in (0, 1):
+            for level in self._levels[kind]:
+                for key, record in level.items():
+                    ready = record if record is not None else view.cell(now, *key)
+                    if ready is None:  # a row that has ended meanwhile
+                        sent.append((key, None))
+                        self._at[key] = most
+                        continue
+                    if size(ready) > room:
+                        break
+                    room -= size(ready)
+                    told[kind].append(ready)
+                    sent.append((key, record))
+                else:
+                    continue
+                break  # whoever was sent least comes first, also where a smaller one would still fit
+        for key, record in sent:
+            self._sent(key, record, most)
+        return told
+
+    def _sent(self, key: tuple[str, str], record: Raw | None, most: int) -> None:
+        level = self._at[key]
+        if level + 1 >= most:
+            levels = self._levels[bool(key[1])]
+            for one in levels:
+                one.pop(key, None)
+            del self._at[key]
+            return
+        levels = self._levels[bool(key[1])]
+        del levels[level][key]
+        if len(levels) <= level + 1:
+            levels.append({})
+        levels[level + 1][key] = record
+        self._at[key] = level + 1
+
+
+@lru_cache(maxsize=2 * (MOST_MEMBERS + MOST_TOMBSTONES))
+def bucket(name: str) -> int:
+    """The bucket of a name, the same at all members."""
+    return blake2b(name.encode(), digest_size=1).digest()[0] % BUCKETS
+
+
+def _hash(data: bytes) -> int:
+    return int.from_bytes(blake2b(data, digest_size=8).digest(), "big")
+
+
+def _order(member: Member) -> tuple[int, int, int, str, str]:
+    return (*member.rank, member.zone, member.address)
--- /dev/null
+++ b/cypresspulley/fleet/wire.py
@@ -0,0 +1,234 @@
+"""Datagrams between members: what they say, and how a member tells one that it can believe from all others.
+
+    byte 0        form of the datagram (``FORM``)
+    bytes 1-16    BLAKE2b over form and body, keyed with the installation's key (RFC 7693)
+    rest          body: MessagePack, an array of the fields of ``Envelope``
+
+Nothing is read of a body before its digest has been found right; a body that then has not exactly the expected fields,
+each inside its bounds, is dropped whole. An old or doubled datagram has a right digest: see ``detector.Window``.
+"""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Sequence
+from hashlib import blake2b
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Raw, Struct
+
+from cypresspulley.fleet.records import MOST_ROW, NAME_FORM, Member, State
+
+FORM = 1
+MOST_BYTES = 1200  # of a datagram: below the least path that IPv6 promises (1280), with room for headers
+DIGEST = 16  # bytes
+HEAD = 1 + DIGEST
+BUCKETS = 64  # of names, by which two members compare what they hold
+PART = 900  # bytes of a document in one datagram
+MOST_PARTS = 73  # ceil(MOST_DOCUMENT / PART)
+MOST_ENTRIES = 64  # in one datagram; a record of a true member takes more than 20 bytes
+
+Name = Annotated[str, Meta(min_length=1, max_length=40, pattern=f"^{NAME_FORM}$")]
+NoName = Annotated[str, Meta(max_length=40)]
+Zone = Annotated[str, Meta(max_length=64)]
+Address = Annotated[str, Meta(max_length=80)]
+Count = Annotated[int, Meta(ge=0, le=2**62)]
+Hash64 = Annotated[int, Meta(ge=0)]  # MessagePack itself ends at 2**64 - 1
+Hash = Annotated[bytes, Meta(min_length=16, max_length=16)]
+
+
+class Entry(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """A member as it is told. ``by`` is who suspects or has found it dead, "" where nobody does."""
+
+    name: Name
+    life: Count
+    incarnation: Count
+    state: State
+    zone: Zone
+    address: Address
+    by: NoName = ""
+
+    def member(self) -> Member:
+        return Member(self.name, self.life, self.incarnation, self.state, self.zone, self.address)
+
+
+class Cell(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """One subsystem's row of one member; ``age`` in ms since its owner confirmed it, as the sender knows."""
+
+    owner: Name
+    subsystem: Name
+    life: Count
+    version: Count
+    age: Count
+    body: Annotated[bytes, Meta(max_length=MOST_ROW)]
+
+
+class Ping(Struct, array_like=True, frozen=True, tag=1, forbid_unknown_fields=True):
+    """Asks for an ``Ack``. ``to`` is the name of who is meant, "" for whoever is at the address."""
+
+    nonce: Count
+    to: NoName
+
+
+class Ack(Struct, array_like=True, frozen=True, tag=2, forbid_unknown_fields=True):
+    nonce: Count
+
+
+class Ask(Struct, array_like=True, frozen=True, tag=3, forbid_unknown_fields=True):
+    """Asks the receiver to ping another; answered by ``Reached`` or, in time, by ``Missed``."""
+
+    nonce: Count
+    to: Name
+    address: Address
+
+
+class Reached(Struct, array_like=True, frozen=True, tag=4, forbid_unknown_fields=True):
+    nonce: Count
+
+
+class Missed(Struct, array_like=True, frozen=True, tag=5, forbid_unknown_fields=True):
+    """The asked one answers, the one that it was asked to ping did not (Lifeguard's nack)."""
+
+    nonce: Count
+
+
+class Gossip(Struct, array_like=True, frozen=True, tag=6, forbid_unknown_fields=True):
+    """Nothing but what stands beside it."""
+
+
+class Compare(Struct, array_like=True, frozen=True, tag=7, forbid_unknown_fields=True):
+    """Digests of all buckets of names, 8 bytes each; asks for ``Piece`` datagrams of those that differ."""
+
+    number: Count
+    buckets: Annotated[bytes, Meta(min_length=BUCKETS * 8, max_length=BUCKETS * 8)]
+
+
+Key = tuple[Annotated[int, Meta(ge=0, le=BUCKETS)], NoName, NoName]  # bucket, name, subsystem ("" its member)
+
+
+class Piece(Struct, array_like=True, frozen=True, tag=8, forbid_unknown_fields=True):
+    """Beside it stands all that the sender holds with keys in (``after``, ``upto``] in the buckets of ``mask``."""
+
+    number: Count
+    mask: Hash64
+    after: Key
+    upto: Key
+    last: bool
+
+
+class Amend(Struct, array_like=True, frozen=True, tag=9, forbid_unknown_fields=True):
+    """Beside it stands what the other's pieces lacked. What it knows better in turn it answers by ``Gossip``."""
+
+
+class Fetch(Struct, array_like=True, frozen=True, tag=10, forbid_unknown_fields=True):
+    """Asks for parts of a document: those whose bit is set."""
+
+    digest: Hash
+    parts: Annotated[bytes, Meta(max_length=(MOST_PARTS + 7) // 8)]
+
+
+class Part(Struct, array_like=True, frozen=True, tag=11, forbid_unknown_fields=True):
+    digest: Hash
+    number: Annotated[int, Meta(ge=0, lt=MOST_PARTS)]
+    of: Annotated[int, Meta(ge=1, le=MOST_PARTS)]
+    body: Annotated[bytes, Meta(max_length=PART)]
+
+
+class Lacks(Struct, array_like=True, frozen=True, tag=12, forbid_unknown_fields=True):
+    digest: Hash
+
+
+Message = Ping | Ack | Ask | Reached | Missed | Gossip | Compare | Piece | Amend | Fetch | Part | Lacks
+
+
+class Envelope(Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """One datagram's body.
+
+    ``number`` counts the sender's datagrams in its life; ``wall`` its wall clock in ms; ``members`` and ``rows`` its
+    digests; ``versions`` the sum of its own rows' versions; ``me`` itself.
+    """
+
+    installation: Name
+    number: Count
+    wall: Count
+    members: Hash64
+    rows: Hash64
+    versions: Count
+    me: Entry
+    message: Message
+    entries: Annotated[list[Entry], Meta(max_length=MOST_ENTRIES)]
+    cells: Annotated[list[Cell], Meta(max_length=MOST_ENTRIES)]
+
+
+class Unreadable(Exception):  # noqa: N818 - it names a datagram, no fault of this program
+    """A datagram that is dropped; ``cause`` is a word for the counters."""
+
+    def __init__(self, cause: str) -> None:
+        super().__init__(cause)
+        self.cause = cause
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def raw(value: Struct) -> Raw:
+    """A value's bytes, to be laid into a datagram as they are."""
+    return Raw(_encoder.encode(value))
+
+
+def size(value: Raw) -> int:
+    """Bytes that it takes in a datagram."""
+    return memoryview(value).nbytes
+
+
+class Codec:
+    """Datagrams of one installation under one key."""
+
+    def __init__(self, installation: str, key: bytes) -> None:
+        self._installation = installation
+        self._key = blake2b(
+            key, digest_size=32, person=b"fawnseam-fleet"
+        ).digest()  # any length of key will do
+
+    def __repr__(self) -> str:
+        return f"<Codec {self._installation}>"
+
+    def encode(
+        self,
+        head: tuple[int, int, int, int, int],
+        me: Raw,
+        message: Raw,
+        entries: Sequence[Raw],
+        cells: Sequence[Raw],
+    ) -> bytes:
+        """``head`` is number, wall, members, rows and versions, as in ``Envelope``; the caller minds the size."""
+        body = _encoder.encode((self._installation, *head, me, message, entries, cells))
+        form = bytes((FORM,))
+        return form + self._digest(form, body) + body
+
+    def decode(self, data: bytes) -> Envelope:
+        """What a datagram says; ``Unreadable`` with the cause ``long``, ``cut``, ``form``, ``digest``, ``garbled`` or
+        ``foreign``."""
+        if len(data) > MOST_BYTES:
+            raise Unreadable("long")
+        if len(data) <= HEAD:
+            raise Unreadable("cut")
+        if data[0] != FORM:
+            raise Unreadable("form")
+        body = data[HEAD:]
+        if not hmac.compare_digest(self._digest(data[:1], body), data[1:HEAD]):
+            raise Unreadable("digest")
+        try:
+            envelope = _decoder.decode(body)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            raise Unreadable("garbled") from None
+        if envelope.installation != self._installation:
+            raise Unreadable("foreign")
+        return envelope
+
+    def _digest(self, form: bytes, body: bytes) -> bytes:
+        keyed = blake2b(form, key=self._key, digest_size=DIGEST)
+        keyed.update(body)
+        return keyed.digest()
--- /dev/null
+++ b/tests/fleet/test_detector.py
@@ -0,0 +1,274 @@
+"""The detector's table, transition by transition."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from cypresspulley.fleet import timing, wire
+from cypresspulley.fleet.detector import (
+    STALE,
+    Begin,
+    Changed,
+    Datagram,
+    Detector,
+    Leave,
+    Rose,
+    Send,
+    Tick,
+)
+from cypresspulley.fleet.records import Member, State
+
+KEY = b"0123456789abcdef"
+CODEC = wire.Codec("bed", KEY)
+WALL = 1_800_000_000.0
+LIFE = 1_700_000_000_000
+
+
+class One:
+    """One detector, and a hand that writes others' datagrams."""
+
+    def __init__(self, *others: str, seeds: tuple[str, ...] = (), period: float = 1.0) -> None:
+        self.now, self.number = 0.0, 100
+        me = Member("me", LIFE, 0, State.JOINING, "a", "me:1")
+        self.detector = Detector(me, CODEC, seeds, period, Random(1))
+        self.sent = list[tuple[str, wire.Envelope]]()
+        self.changes = list[tuple[str, State, str]]()
+        self.rose = list[int]()
+        self.do(Begin())
+        for name in others:
+            self.hear(name)
+        self.sent.clear()
+        self.changes.clear()
+
+    def do(self, event: Begin | Tick | Datagram | Leave) -> None:
+        for action in self.detector.handle(self.now, WALL + self.now, event):
+            match action:
+                case Send(address, data):
+                    self.sent.append((address, CODEC.decode(data)))
+                case Changed(member, cause):
+                    self.changes.append((member.name, member.state, cause))
+                case Rose(life):
+                    self.rose.append(life)
+
+    def hear(
+        self, name: str, message: wire.Message | None = None, state: State = State.ALIVE, incarnation: int = 0,
+        told: tuple[wire.Entry, ...] = (), life: int = LIFE, number: int | None = None, wall: float = WALL,
+        digest: int | None = None,
+    ) -> bytes:  # fmt: skip
+        self.number += 1
+        me = wire.Entry(name, life, incarnation, state, "b", f"{name}:1", "")
+        view = self.detector.view
+        head = (
+            number or self.number,
+            round((wall + self.now) * 1000),
+            digest or view.digest,
+            view.rows_digest,
+            0,
+        )
+        records = [wire.raw(entry) for entry in told]
+        data = CODEC.encode(head, wire.raw(me), wire.raw(message or wire.Gossip()), records, [])
+        self.do(Datagram(data))
+        return data
+
+    def wait(self, seconds: float) -> None:
+        end = self.now + seconds
+        while self.detector.due <= end:
+            self.now = max(self.now, self.detector.due)
+            self.do(Tick())
+        self.now = end
+
+    def state(self, name: str) -> State | None:
+        held = self.detector.view.get(name)
+        return held.state if held else None
+
+    def pings(self, name: str) -> list[wire.Ping]:
+        messages = (envelope.message for _, envelope in self.sent)
+        return [m for m in messages if isinstance(m, wire.Ping) and m.to == name]
+
+
+def claim(name: str, state: State, incarnation: int = 0, by: str = "", life: int = LIFE) -> wire.Entry:
+    return wire.Entry(name, life, incarnation, state, "b", f"{name}:1", by)
+
+
+def test_one_that_no_probe_reaches_is_suspected_and_then_dead() -> None:
+    one = One("x")
+    one.wait(2.5)
+    assert one.changes == [("x", State.SUSPECTED, "probe")]
+    one.wait(timing.suspicion(2, 0))
+    assert one.changes[1:] == [("x", State.DEAD, "probe")]
+
+
+def test_others_are_asked_to_probe_and_their_word_counts() -> None:
+    one = One("x", "y", "z")
+    asks = list[tuple[str, wire.Ask]]()
+    while not asks:
+        one.wait(0.05)
+        asks = [(where, e.message) for where, e in one.sent if isinstance(e.message, wire.Ask)]
+    assert len(asks) == 2  # all others but the one in question
+    target, nonce = asks[0][1].to, asks[0][1].nonce
+    helper = asks[0][0].partition(":")[0]
+    assert helper != target
+    one.hear(helper, wire.Reached(nonce))
+    one.wait(0.5)
+    assert one.state(target) is not State.SUSPECTED
+
+
+def test_an_answer_counts_only_from_the_one_that_was_asked() -> None:
+    one = One("x", "y")
+    while not one.pings("x"):
+        one.wait(0.1)
+    nonce = one.pings("x")[-1].nonce
+    one.hear("y", wire.Ack(nonce))
+    one.hear("x", wire.Ack(nonce + 1))
+    assert one.detector.counts["unasked"] == 2
+    one.hear("x", wire.Ack(nonce))
+    assert one.detector.counts["unasked"] == 2
+    one.hear("x", wire.Ack(nonce))
+    assert one.detector.counts["unasked"] == 3
+
+
+def test_a_death_that_is_told_is_a_suspicion_first() -> None:
+    one = One("x", "y", "z")
+    one.hear("y", told=(claim("x", State.DEAD, by="y"),))
+    assert one.state("x") is State.SUSPECTED
+    one.hear("x", incarnation=1)
+    assert one.changes == [("x", State.SUSPECTED, "told"), ("x", State.ALIVE, "refuted")]
+    one.hear("y", told=(claim("x", State.DEAD, incarnation=1, by="y"),))
+    one.wait(timing.told(4) + 0.1)
+    assert one.state("x") is State.DEAD and one.changes[-1] == ("x", State.DEAD, "told")
+
+
+def test_more_accusers_shorten_a_suspicion_and_the_same_one_twice_does_not() -> None:
+    def lasts(*accusers: str) -> float:
+        one = One(*"abcdefx")
+        one.detector._round = ["x"] * 99  # its own probes are of x only: nobody else falls under suspicion
+        for name in accusers:
+            one.hear(name, told=(claim("x", State.SUSPECTED, by=name),))
+        while one.state("x") is not State.DEAD:
+            one.wait(0.05)
+        return one.now
+
+    alone, three = lasts("a"), lasts("a", "b", "c")
+    assert lasts("a", "a", "a") == alone > three >= timing.suspicion(8, 3)
+
+
+def test_of_itself_it_refutes_above_what_is_told() -> None:
+    one = One("x")
+    one.hear("x", told=(claim("me", State.SUSPECTED, 4, by="x"),))
+    me = one.detector.view.myself
+    assert (me.incarnation, me.state) == (5, State.ALIVE) or me.state is State.JOINING
+    one.hear("x", told=(claim("me", State.DEAD, 5, by="x"),))
+    assert one.detector.view.myself.incarnation == 6
+    one.hear("x", told=(claim("me", State.DEAD, 5, by="x"),))
+    assert one.detector.view.myself.incarnation == 6
+
+
+def test_a_later_life_of_its_name_lifts_its_own_above_and_says_its_rows_anew() -> None:
+    one = One("x")
+    one.detector.view.publish(0.0, "lanes", b"row")
+    one.hear("x", told=(claim("me", State.DEAD, 7, by="x", life=LIFE + 3_600_000),))
+    assert one.rose == [LIFE + 3_600_001]
+    assert [row.life for row in one.detector.view.rows(0.0, "lanes")] == [LIFE + 3_600_001]
+    for n in range(20):
+        one.hear("x", told=(claim("me", State.ALIVE, 0, life=LIFE + 4_000_000 + n * 10),))
+    assert len(one.rose) == 8 and one.detector.counts["usurped"] == 13
+
+
+def test_a_leaver_is_left_when_it_no_longer_answers_and_never_suspected() -> None:
+    one = One("x", "y")
+    one.hear("x", state=State.LEAVING, incarnation=1)
+    one.hear("y", told=(claim("x", State.SUSPECTED, 0, by="y"),))
+    one.wait(9)
+    assert [change for change in one.changes if change[0] == "x"] == [
+        ("x", State.LEAVING, "told"),
+        ("x", State.LEFT, "probe"),
+    ]
+
+
+def test_leaving_is_said_at_once_above_any_suspicion() -> None:
+    one = One("x", "y")
+    one.do(Leave())
+    assert {where for where, _ in one.sent} == {"x:1", "y:1"}
+    assert all(e.me.state is State.LEAVING and e.me.incarnation == 1 for _, e in one.sent)
+
+
+def test_one_that_stood_still_accuses_nobody_of_what_it_did_not_hear() -> None:
+    one = One("x", "y", "z")
+    while not any(isinstance(e.message, wire.Ping) for _, e in one.sent):
+        one.wait(0.05)
+    assert one.state("x") is one.state("y") is one.state("z") is State.ALIVE
+    one.hear("y", told=(claim("x", State.SUSPECTED, by="y"),))
+    one.now += 60
+    one.do(Tick())
+    assert one.detector.counts["stalls"] == 1 and one.detector.health > 0
+    assert one.state("x") is State.SUSPECTED and one.state("y") is one.state("z") is State.ALIVE
+    one.wait(1.0)
+    assert one.state("x") is State.SUSPECTED
+    one.hear("x", incarnation=1)
+    assert one.state("x") is State.ALIVE
+
+
+def test_a_replayed_datagram_changes_nothing() -> None:
+    one = One("x", "y")
+    data = one.hear("x", digest=77)
+    one.wait(0.01)
+    one.hear("x", incarnation=1)
+    detector = one.detector
+    before = (detector.view.digest, detector.heard(one.now, 0.0), detector.settled(), len(one.changes))
+    one.wait(0.3)
+    one.do(Datagram(data))
+    assert detector.counts["replayed"] == 1 and detector.heard(one.now, 0.2) == 0
+    assert before[0] == detector.view.digest and before[2:] == (detector.settled(), len(one.changes))
+
+
+@pytest.mark.parametrize("life", [LIFE - 5, LIFE])
+def test_an_old_life_never_comes_back(life: int) -> None:
+    one = One("x")
+    old = one.hear("x", number=5_000)
+    one.hear("x", life=LIFE + 1)
+    one.hear("x", life=life, incarnation=99)
+    one.do(Datagram(old))
+    held = one.detector.view.get("x")
+    assert held is not None and (held.life, held.incarnation) == (LIFE + 1, 0)
+    told = [e.entries for where, e in one.sent if where == "x:1" and e.entries]
+    assert any(entry.life == LIFE + 1 for entries in told for entry in entries)
+
+
+def test_a_datagram_of_another_day_is_dropped() -> None:
+    one = One()
+    one.hear("x", wall=WALL - STALE - 10)
+    one.hear("y", wall=WALL + STALE + 10)
+    assert one.detector.counts["stale"] == 2 and one.state("x") is None and one.state("y") is None
+    one.hear("x", wall=WALL - 3600)
+    assert one.state("x") is State.ALIVE
+
+
+def test_seeds_are_asked_ever_more_seldom_but_always() -> None:
+    one = One(seeds=("s:1", "me:1"))
+    one.wait(200)
+    knocks = sum(1 for where, e in one.sent if where == "s:1" and isinstance(e.message, wire.Ping))
+    assert 10 <= knocks <= 60 and one.detector.view.myself.state is State.JOINING
+    assert {where for where, _ in one.sent} == {"s:1"}
+
+
+def test_one_without_other_seeds_is_alive_at_once() -> None:
+    assert One(seeds=("me:1",)).detector.view.myself.state is State.ALIVE
+
+
+def test_a_ping_meant_for_another_is_not_answered() -> None:
+    one = One("x")
+    one.hear("x", wire.Ping(5, "former"))
+    assert not one.sent and one.detector.counts["astray"] == 1
+    one.hear("x", wire.Ping(5, "me"))
+    assert [(where, e.message) for where, e in one.sent] == [("x:1", wire.Ack(5))]
+
+
+def test_relays_and_timers_stay_bounded_under_a_flood() -> None:
+    one = One("x")
+    for n in range(300):
+        one.hear("x", wire.Ask(n, "y", "y:1"))
+        one.hear("x", told=(claim("z", State.DEAD, n, by="x"), claim("x", State.SUSPECTED, n)))
+    assert one.detector.counts["relays refused"] == 300 - 64
+    assert len(one.detector._timers) < 1_000
--- /dev/null
+++ b/tests/fleet/test_limiter.py
@@ -0,0 +1,158 @@
+"""Fleets over loopback datagrams: real sockets, uvloop, port 0."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from cypresspulley.fleet.limiter import Fleet
+from cypresspulley.fleet.options import FleetOptions
+from cypresspulley.fleet.records import Member, State
+from cypresspulley.histories.events import FACTS, Kind
+from cypresspulley.histories.writer import AnyHistory, History, NoHistory
+from cypresspulley.operators import OperatorsError
+from tests.loopback import run
+
+PERIOD = 0.05  # seconds
+
+
+def port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def fleet(
+    name: str, at: int, *seeds: int, history: AnyHistory | None = None, back: float = 0.0,
+    advertise: int | None = None,
+) -> Fleet:  # fmt: skip
+    addresses = tuple(f"127.0.0.1:{seed}" for seed in seeds)
+    own = f"127.0.0.1:{advertise or at}"
+    options = FleetOptions("test", ("127.0.0.1", at), own, addresses, PERIOD, b"0123456789abcdef")
+    wall = (lambda: time.time() - back) if back else time.time
+    return Fleet(options, name, "a", 1, time.monotonic, wall, history or NoHistory())
+
+
+async def until(what: Callable[[], bool]) -> None:
+    """The run itself is bounded: only a fault waits long."""
+    while not what():
+        await asyncio.sleep(PERIOD / 5)
+
+
+def events(path: Path) -> list[dict[str, Any]]:
+    return [msgspec.json.decode(line) for line in path.read_bytes().splitlines()]
+
+
+def test_three_limiters_settle_share_rows_and_documents_and_one_leaves(tmp_path: Path) -> None:
+    async def main() -> None:
+        ports = [port() for _ in range(3)]
+        history = History(str(tmp_path / "l0-{life}.jsonl"), time.monotonic, time.time)
+        all_of = [fleet(f"l{n}", ports[n], *ports[:2], history=history if n == 0 else None) for n in range(3)]
+        for one in all_of:
+            await one.start()
+        views = [one.view for one in all_of]
+        await until(
+            lambda: all(len(view.members()) == 3 and view.settled(time.monotonic()) for view in views)
+        )
+        views[2].publish("lanes", b"row of l2")
+        digest = views[1].offer(b"calendar" * 5_000)
+        views[0].want(digest)
+        await until(lambda: any(row.body == b"row of l2" for row in views[0].rows(time.monotonic(), "lanes")))
+        await until(lambda: views[0].document(digest) == b"calendar" * 5_000)
+        await until(lambda: views[0].clock_error(time.monotonic()) is not None)
+        low, high = views[0].clock_error(time.monotonic()) or (1.0, -1.0)
+        assert low <= 0.05 and high >= -0.05 and high - low < 1.0
+        assert views[0].heard(time.monotonic(), 60.0) == 2
+        all_of[2].leave()
+        await asyncio.sleep(PERIOD)
+        await all_of[2].close()
+        await until(
+            lambda: all((m := view.member("l2")) is not None and m.state is State.LEFT for view in views[:2])
+        )
+        await all_of[0].close()
+        await all_of[1].close()
+        (path,) = tmp_path.iterdir()
+        written = events(path)
+        assert written[0]["kind"] == Kind.START and set(written[0]["bounds"]) == {"detect", "settle"}
+        assert written[-1]["kind"] == Kind.END
+        for event in written:
+            assert set(FACTS[Kind(event["kind"])]) <= set(event)
+        states = [event["state"] for event in written if event.get("member") == "l2"]
+        assert states[-1] == "left" and "suspected" not in states
+        assert any(event["kind"] == Kind.SETTLED and event["settled"] for event in written)
+
+    run(main())
+
+
+def test_one_that_returns_with_its_clock_set_back_has_a_new_life_and_a_new_history(tmp_path: Path) -> None:
+    async def main() -> None:
+        first, second = port(), port()
+        a, b = fleet("a", first, first), fleet("b", second, first)
+        await a.start()
+        await b.start()
+        await until(lambda: len(a.view.members()) == 2)
+        life = b.view.life
+        b._transport.abort()  # type: ignore[union-attr]  # as a SIGKILL: no last word
+        assert b._timer is not None
+        b._timer.cancel()
+        history = History(str(tmp_path / "b-{life}.jsonl"), time.monotonic, time.time)
+        again = fleet("b", second, first, history=history, back=3600.0)
+        await asyncio.sleep(PERIOD)
+        await again.start()
+        await until(
+            lambda: (m := a.view.member("b")) is not None and m.life == life + 1 and m.state is State.ALIVE
+        )
+        assert again.view.life == life + 1
+        await until(lambda: again.view.clock_error(time.monotonic()) is not None)
+        low, high = again.view.clock_error(time.monotonic()) or (0.0, 0.0)
+        assert -3601 < low <= high < -3599
+        await again.close()
+        await a.close()
+        lives = [events(path)[0]["life"] for path in sorted(tmp_path.iterdir())]
+        assert len(lives) == 2 and lives[0] < life and lives[1] == life + 1
+
+    run(main())
+
+
+def test_replies_go_to_the_advertised_address_and_rubbish_ends_nothing() -> None:
+    async def main() -> None:
+        loop = asyncio.get_running_loop()
+        heard = list[bytes]()
+
+        class Relay(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, addr: object) -> None:
+                heard.append(data)
+                out.sendto(data, ("127.0.0.1", second))
+
+        first, second, front = port(), port(), port()
+        out, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0))
+        relay, _ = await loop.create_datagram_endpoint(Relay, local_addr=("127.0.0.1", front))
+        a, b = fleet("a", first, first), fleet("b", second, first, advertise=front)
+        await a.start()
+        await b.start()
+        for rubbish in (b"", b"\x01", bytes(2_000), b"\x01" + bytes(100)):
+            out.sendto(rubbish, ("127.0.0.1", first))
+        await until(lambda: a.view.settled(0.0) and len(a.view.members()) == 2)
+        await until(lambda: sum(a.detector.counts[cause] for cause in ("cut", "long", "digest")) >= 3)
+        assert heard  # all that b hears came through the relay
+        a.detector.view.merge(0.0, Member("bad", 1, 0, State.ALIVE, "", "no address"))
+        await until(lambda: a.detector.counts["no address"] > 0)
+        for one in (a, b):
+            await one.close()
+            one.leave()
+        relay.close()
+        out.close()
+
+    run(main())
+
+
+def test_a_name_that_cannot_be_told_is_an_error_of_the_operators() -> None:
+    with pytest.raises(OperatorsError, match="LB_NAME: expected at most 40 letters"):
+        fleet("a/b", 1)
