Read histories back and check what fleet, lanes and closing promise

A line that a full disk took in part now ends a history: it left a line cut in the middle, which no reader should allow.

--- /dev/null
+++ b/cypresspulley/histories/check.py
@@ -0,0 +1,27 @@
+"""All checkers by name, over the histories of one play."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cypresspulley.histories import check_closing, check_fleet, check_lanes
+from cypresspulley.histories.read import Histories
+from cypresspulley.histories.verdict import Verdict
+
+CHECKERS: dict[str, Callable[[Histories], Verdict]] = {
+    checker.NAME: checker.check for checker in (check_fleet, check_lanes, check_closing)
+}
+
+
+def check_all(histories: Histories, names: Iterable[str]) -> list[Verdict]:
+    """The verdicts of the checkers of these names, in their order. ``ValueError`` for a name that there is not."""
+    wanted = list(names)
+    if unknown := [name for name in wanted if name not in CHECKERS]:
+        raise ValueError(f"checker {unknown[0]!r}: expected one of {', '.join(CHECKERS)}")
+    return [CHECKERS[name](histories) for name in wanted]
+
+
+def as_json(verdicts: Iterable[Verdict]) -> list[dict[str, Any]]:
+    """What ``rehearse --json`` shows under ``histories``."""
+    return [verdict.as_json() for verdict in verdicts]
--- a/cypresspulley/histories/writer.py
+++ b/cypresspulley/histories/writer.py
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 MOST_BYTES = 64 * 1024 * 1024  # of one history: a day's rehearsal writes some MB
+MOST_EVENTS = 1_000_000  # of one life in memory
 
 
 class NoHistory:
@@ -59,7 +60,9 @@
         try:
             if self._bytes > MOST_BYTES:
                 raise OSError(f"over {MOST_BYTES} bytes")
-            os.write(self._file, line)  # one call a line: what is killed between two lines loses none
+            # One call a line: what is killed between two lines loses none. A full disk takes part of one and no error.
+            if os.write(self._file, line) != len(line):
+                raise OSError("a line was written in part")
         except OSError as error:
             log.error("the history ends here: %s: %s", self._path, error)
             self.close()
@@ -70,4 +73,42 @@
             self._file = None
 
 
-AnyHistory = History | NoHistory
+class MemoryHistory:
+    """A history kept in a list, for plays in virtual time: the same events as ``History`` writes, as plain objects.
+
+    ``lives`` has one list of events for each life that was opened, in the order in which they were.
+    """
+
+    def __init__(self, clock: Callable[[], float], wall: Callable[[], float]) -> None:
+        self._clock, self._wall = clock, wall
+        self.lives: list[list[dict[str, Any]]] = []
+        self._open = False
+
+    def __repr__(self) -> str:
+        state = "open" if self._open else "shut"
+        return f"<MemoryHistory of {len(self.lives)} lives, {len(self.events)} events, {state}>"
+
+    @property
+    def events(self) -> list[dict[str, Any]]:
+        """Those of the last life that was opened."""
+        return self.lives[-1] if self.lives else []
+
+    def opened_at(self, life: int) -> None:
+        self.lives.append([])
+        self._open = True
+
+    def put(self, kind: Kind, **facts: Any) -> None:
+        if not self._open:
+            return
+        events = self.lives[-1]
+        event = {"seq": len(events), "wall": self._wall(), "mono": self._clock(), "kind": str(kind), **facts}
+        events.append(msgspec.to_builtins(event))  # a copy: what the writer changes later stays out
+        if len(events) >= MOST_EVENTS:
+            log.error("the history ends here: over %d events", MOST_EVENTS)
+            self.close()
+
+    def close(self) -> None:
+        self._open = False
+
+
+AnyHistory = History | NoHistory | MemoryHistory
