Judge settling by the faults that unsettle, and try each excuse of the checkers both ways

Change: only faults of datagrams, pauses and ends unsettle; tests for the leaver that is alive again before its end, a kill that is known by the next life, a purge that others have not heard of yet, what is served after its yes.

--- a/cypresspulley/histories/check_fleet.py
+++ b/cypresspulley/histories/check_fleet.py
@@ -18,7 +18,7 @@
 
 from cypresspulley.histories.forms import Event, MemberSeen, Settled
 from cypresspulley.histories.read import Histories
-from cypresspulley.histories.timeline import APART, ENDED, OF_THE_FLEET, Life, Timeline, bound, events_of
+from cypresspulley.histories.timeline import APART, ENDED, Life, Timeline, bound, events_of
 from cypresspulley.histories.verdict import Line, Tally, Verdict, line
 
 NAME = "fleet"
@@ -189,13 +189,7 @@
     ):  # of no moments there is one end too many
         running = [life for life in times.lives if life.begin <= begin and life.end >= end]
         bounds = [bound(life.history, "settle") for life in running]
-        disturbed = any(
-            span.kind.startswith(OF_THE_FLEET)
-            and span.kind not in ENDED
-            and span.begin <= begin
-            and span.end > begin
-            for span in times.faults
-        )
+        disturbed = any(span.unsettles and span.begin <= begin < span.end for span in times.faults)
         if len(running) < 2 or disturbed or None in bounds:
             continue
         within = max(limit for limit in bounds if limit is not None)
@@ -210,7 +204,7 @@
     """Moments that may unsettle the view, whether a process ended or woke there, and the event."""
     for span in times.faults:
         assert times.harness is not None
-        if span.kind.startswith(OF_THE_FLEET):
+        if span.unsettles or span.kind in ENDED:
             yield span.begin, span.kind in ENDED, line(times.harness, span.event)
             if span.end < times.stop:
                 yield span.end, False, line(times.harness, span.event)
--- a/cypresspulley/histories/timeline.py
+++ b/cypresspulley/histories/timeline.py
@@ -26,7 +26,7 @@
 ENDED = KILLED | {"limiter-restart"}
 SILENT = frozenset(("limiter-pause",))
 PARTED = frozenset(("fleet-cut", "fleet-oneway", "fleet-flap", "fleet-partition"))
-OF_THE_FLEET = ("limiter-", "fleet-")  # how the kinds begin that may unsettle the view
+OF_THE_FLEET = "fleet-"  # how the kinds begin that befall datagrams
 APART = 0.02  # seconds by which two processes' clocks that never step may differ on one machine
 
 
@@ -43,6 +43,11 @@
     end: float
     event: Fault
 
+    @property
+    def unsettles(self) -> bool:
+        """Whether the view may be unsettled while it lasts. A clock that is off is no reason."""
+        return self.kind in SILENT or self.kind in PARTED or self.kind.startswith(OF_THE_FLEET)
+
     def meets(self, begin: float, end: float) -> bool:
         return self.begin <= end and begin <= self.end
 
--- a/tests/histories/plays.py
+++ b/tests/histories/plays.py
@@ -140,9 +140,10 @@
             row(10.0 * spell + 3, name, Kind.LANES_LET, f"tin-{4 - spell}", "tin", spell) for spell in (1, 3)
         ]
         rows.append(row(40.2, name, Kind.LANES_STATE, "calm", 0.3))
-        rows += [
-            period(float(at), name, "calm", (40, 20, 20), (40, 20, 20), (10, 10)) for at in range(42, 50)
-        ]
+        rows.append(
+            period(41.0, name, "calm", (40, 40, 40), (40, 38, 30), (10, 10))
+        )  # began before it was calm
+        rows += [period(at, name, "calm", (40, 20, 20), (40, 20, 20), (10, 10)) for at in (42.0, 43.0, 44.0)]
     return rows
 
 
@@ -186,6 +187,7 @@
     rows += [
         row(30.1, "a", Kind.PURGE, "mill", "a", 1, 1, "asked", []),
         row(30.1, "a", Kind.PURGE, "mill", "a", 1, 1, "applied", []),
+        row(30.3, "b", Kind.SERVED, 6, "mill", "m", 0, BEGIN + 5.9),  # it has not heard of it yet
         row(30.5, "b", Kind.PURGE, "mill", "a", 1, 1, "applied", []),
         row(30.9, "a", Kind.PURGE, "mill", "a", 1, 1, "yes", []),
     ]
--- a/tests/histories/test_checkers.py
+++ b/tests/histories/test_checkers.py
@@ -95,6 +95,9 @@
         seen(14.5, "a", "d", "alive", "told", 1, 1), seen(14.6, "a", "d", "dead", "told", 1, 1)
     )(rows)),
     ("fleet", "no way back", "alive after it left", plus(seen(90.0, "a", "b", "alive", "told", 3))),
+    ("fleet", "no way back", "alive before it has ended, after it left", lambda rows: plus(
+        seen(50.5, "c", "b", "left"), seen(50.7, "c", "b", "alive", "told", 1), seen(50.9, "c", "b", "left", "told", 1),
+        )(without(process="c", member="b", at=51.1)(rows))),
     ("fleet", "detected", "a kill that one never knew", lambda rows: without(process="b", member="d", state="dead")(
         without(process="b", member="d", life=2)(rows))),
     ("fleet", "detected", "a kill known too late", lambda rows: plus(seen(15.0, "b", "d", "dead", "probe"))(
@@ -133,6 +136,8 @@
         row(33.0, "b", Kind.SERVED, 74, "mill", "m", 0, BEGIN + 5.9))),
     ("closing", "purged in time", "served at the issuer at once", plus(
         row(30.2, "a", Kind.SERVED, 74, "mill", "m", 0, BEGIN + 5.9))),
+    ("closing", "purged in time", "served after the yes", plus(
+        row(31.5, "b", Kind.SERVED, 74, "mill", "m", 0, BEGIN + 5.9))),
     ("closing", "doubt", "served in doubt", plus(row(41.0, "a", Kind.SERVED, 75, "mill", "m", 1, BEGIN + 34.9))),
     ("closing", "doubt", "kept in doubt", plus(row(41.0, "b", Kind.KEPT, "mill", "n", 1, BEGIN + 40.9))),
     ("closing", "doubt", "kept before it was sure", plus(row(0.2, "b", Kind.KEPT, "mill", "n", 0, BEGIN + 0.1))),
@@ -213,6 +218,20 @@
     assert not any(verdict.kept for verdict in check_all(empty, CHECKERS))
 
 
+def test_a_kill_is_known_too_by_the_next_life_of_that_name() -> None:
+    rows = [
+        *day(20.0),
+        fault(5.0, "limiter-kill", "b"),
+        *(start(at, name) for at, name in ((0, "a"), (0, "b"), (6, "b:2"))),
+    ]
+    rows += [seen(0.5, "a", "b", "alive"), seen(6.5, "a", "b", "alive", "told", 0, 2)]
+    rows += [
+        row(at, name, Kind.SETTLED, True, "two", 2) for at, name in ((1, "a"), (1, "b"), (7, "a"), (7, "b:2"))
+    ]
+    verdict = CHECKERS["fleet"](histories(rows))
+    assert verdict.kept and verdict.promises["detected"] == 1, verdict.findings
+
+
 def test_a_fault_without_an_end_lasts_to_the_end_of_the_play() -> None:
     rows = [*day(20.0), fault(1.0, "limiter-pause", "b"), *(start(0.0, name) for name in "ab")]
     rows += [
