Keep answers of lookups until business close, gone at all limiters at one instant

Need: lookups that are safe to repeat are asked over and over; what is kept for an account must never be served after its place's close, a change or a purge, at any limiter.

Generations are compared at serving, never fired by timers. A lease to keep is drawn from rounds that rows carry (each has seen all others a round before), so calendars and purges are agreed by rows of a fixed size. Wall clocks are trusted within a bound by the view; a purge by hand at PUT /v1/accounts/{id}/purge is yes only when all have it or hold no lease.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -236,6 +236,8 @@
     if operators.fleet is not None:
         together = _together(config, operators, clock, wall)
         decisions = together.deciding(decisions, gateway)
+        if together.closing is not None:
+            service.purge = together.closing.purge
     if operators.tally is not None:
         from cypresspulley.tally import Tally
 
@@ -272,7 +274,14 @@
         frontend.reader.retune(settings)
         service.retuned()
 
-    loop.add_signal_handler(signal.SIGHUP, Reload(config, follower, counter, reread, retune))
+    reload = Reload(config, follower, counter, reread, retune)
+
+    def hangup() -> None:
+        reload()
+        if together is not None and together.closing is not None:
+            together.closing.reload()
+
+    loop.add_signal_handler(signal.SIGHUP, hangup)
     if alone:  # where many limiters share a process, what one freezes stays for good
         gc.collect()
         gc.freeze()  # what is here now stays: the collector need not walk it again
--- a/cypresspulley/accesslog.py
+++ b/cypresspulley/accesslog.py
@@ -116,6 +116,13 @@
         self._born[request.event.id] = (now - request.took, now)
         super().arrived(request)
 
+    def kept(self, request: ClientRequest, size: int) -> None:
+        """A kept answer was given in place of a server's (``closing/node.py``)."""
+        assert request.event is not None
+        now = self._clock()
+        self._born[request.event.id] = (now - request.took, now)
+        self._told(request, 0, "served", 200, "kept", size)
+
     def departed(self, request: ClientRequest) -> None:
         opened = self._open.get(request.event.id) if request.event is not None else None
         super().departed(request)
--- a/cypresspulley/closing/calendar.py
+++ b/cypresspulley/closing/calendar.py
@@ -125,6 +125,10 @@
     def line(self, place: str) -> Timeline:
         return self._lines[place]
 
+    def reaches(self, t: float) -> bool:
+        """Whether it can tell the closings round an instant: not centuries after it came into force."""
+        return t < self.in_force + (MOST_DAYS - 2 * STEP_DAYS) * 86_400
+
     def generation(self, place: str, t: float) -> int:
         """Of what is kept there: it grows with each closing and each version, and says which one."""
         return self.version * GENERATIONS + min(self._lines[place].ordinal(t), GENERATIONS - 1)
--- /dev/null
+++ b/cypresspulley/closing/certainty.py
@@ -0,0 +1,55 @@
+"""Whether this limiter may keep and serve at this moment, and an account's generation then. No I/O and no clock."""
+
+from __future__ import annotations
+
+import math
+
+from cypresspulley.closing.book import Book
+from cypresspulley.closing.doubt import Doubt, Sleep, WallClock
+from cypresspulley.closing.lease import Lease
+from cypresspulley.closing.options import Options
+from cypresspulley.fleet.records import FleetView
+
+STEPS = 16  # of the lease's rounds in a lease, at most
+MOST_STEP = 0.5  # seconds
+
+
+class Certainty:
+    """``alone``: no other limiter belongs to the installation. ``now`` never steps, ``wall`` may."""
+
+    def __init__(self, options: Options, view: FleetView, alone: bool) -> None:
+        self._bound, self._view, self._alone = options.clock_bound, view, alone
+        self.book = Book()
+        self.lease = Lease(options.lease, min(MOST_STEP, options.lease / STEPS))
+        self.trust, self.sleep = WallClock(options.clock_bound, options.lease, alone), Sleep()
+
+    def __repr__(self) -> str:
+        return f"<Certainty {self.book!r}, {self.lease!r}, {self.trust!r}>"
+
+    def doubt(self, now: float, wall: float) -> Doubt:
+        """The table of ``Doubt``, from its top."""
+        self.sleep.check(now)
+        if not self._alone:
+            if not self.lease.held(now):
+                return Doubt.STARTING if self.lease.base == -math.inf else Doubt.CUT
+            if self.lease.base <= self.sleep.woke:
+                return Doubt.WOKEN
+        if clock := self.clock(now, wall):
+            return clock
+        calendar = self.book.at(wall)
+        return Doubt.CALENDAR if calendar is None or not calendar.reaches(wall) else Doubt.NONE
+
+    def clock(self, now: float, wall: float) -> Doubt:
+        """Whether the wall clock may be acted on."""
+        return self.trust.look(now, wall, self._view.clock_error)
+
+    def generation(self, account: str, wall: float) -> int | None:
+        """Where there is no doubt: the account's generation at an instant; None for one that does not ask for keeping,
+        and within the clocks' bound of a closing or of another version."""
+        calendar = self.book.at(wall)
+        place = calendar.accounts.get(account) if calendar is not None else None
+        if calendar is None or place is None or self.book.turning(wall, self._bound):
+            return None
+        if calendar.line(place).near(wall, self._bound):
+            return None
+        return calendar.generation(place, wall)
--- /dev/null
+++ b/cypresspulley/closing/limiter.py
@@ -0,0 +1,255 @@
+"""Closing at one limiter: joins what is kept, whether it may be served at this moment, purges and calendars.
+
+Decisions are in the modules beside this one; here they meet the fleet's view, a timer that looks at it, and the
+history. The timer spreads and learns; no promise hangs on it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from hashlib import blake2s
+
+from cypresspulley.closing.book import Taken, encode
+from cypresspulley.closing.calendar import Calendar
+from cypresspulley.closing.calendars import Calendars
+from cypresspulley.closing.certainty import Certainty
+from cypresspulley.closing.doubt import Doubt
+from cypresspulley.closing.keep import Keep, Kept, Key
+from cypresspulley.closing.node import keeping
+from cypresspulley.closing.noticed import Closed, Noticed
+from cypresspulley.closing.options import Options
+from cypresspulley.closing.peers import Peers
+from cypresspulley.closing.purging import Purging, check_account
+from cypresspulley.fleet.records import FleetView
+from cypresspulley.histories.events import Kind
+from cypresspulley.histories.writer import AnyHistory
+from cypresspulley.net.node import Node
+
+log = logging.getLogger(__name__)
+
+TICK = 0.1  # seconds between two looks at the view
+LINGER = 5.0  # seconds for which a change whose outcome nobody knows may still be running at a server
+ALL = "*"  # in the history, for all accounts
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """The moment at which a lookup was sent to a server, by both clocks, and the generation that its answer is of."""
+
+    mono: float
+    wall: float
+    generation: int
+
+
+class Closing:
+    """``clock`` never steps, ``wall`` may. ``named`` is how many limiters the operators' file names, this one among
+    them: where it is the only one there is nobody to agree with."""
+
+    def __init__(
+        self, options: Options, view: FleetView, clock: Callable[[], float], wall: Callable[[], float],
+        history: AnyHistory, named: int = 2,
+    ) -> None:  # fmt: skip
+        alone = named <= 1
+        self.options, self.keep = (
+            options,
+            Keep(options.most_answers, options.most_bytes, options.keep_seconds),
+        )
+        self._clock, self._wall, self._history = clock, wall, history
+        self.sure, self.peers = Certainty(options, view, alone), Peers(view, options, named)
+        self.purging = Purging(self.peers, self.sure.lease, history, alone)
+        self.calendars = Calendars(options, view, self.sure.book, history, alone, self._drop_all)
+        self.doubt, self._noticed = Doubt.STARTING, Noticed()
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __repr__(self) -> str:
+        return f"<Closing {self.doubt or 'keeps'}, {self.keep!r}, {self.sure!r}, {self.peers!r}>"
+
+    def node(self, kind: type[Node]) -> type[Node]:
+        """A node that serves from what is kept, and otherwise as ``kind`` does."""
+        return keeping(kind, self)
+
+    def begin(self) -> None:
+        """The view is there from now on; ``look`` is to be called every ``TICK``."""
+        self._history.put(Kind.DOUBT, doubt=True, cause=self.doubt.value)
+        calendar = self.options.calendar
+        self.calendars.take(calendar, encode(calendar), self.sure.trust.highest)
+        self.look()
+
+    def start(self) -> None:
+        """Begin, and look at the fleet from now on."""
+        self.begin()
+        self._timer = asyncio.get_running_loop().call_later(TICK, self._tick)
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self.purging.close()
+
+    def reload(self) -> None:
+        """Read the calendar file again; one that cannot be taken changes nothing but the log and the history."""
+        self.calendars.reload(self._wall(), self.sure.trust.highest)
+
+    def tell(self, calendar: Calendar) -> None:
+        """A calendar of this limiter's operators, as from its file; ``OperatorsError`` says why it cannot be taken."""
+        self.calendars.tell(calendar, self._wall(), self.sure.trust.highest)
+
+    # What the node asks. Each answer is by the moment, not by what a timer left.
+
+    def asks(self, account: str) -> bool:
+        """Whether an account asks for keeping, by the calendar in force or the one that follows."""
+        book = self.sure.book
+        return any(
+            calendar is not None and account in calendar.accounts for calendar in (book.current, book.newest)
+        )
+
+    def generation(self, account: str) -> int | None:
+        """The account's generation now; None where nothing may be kept or served from what is kept."""
+        now, wall = self._clock(), self._wall()
+        return None if self._look_for_doubt(now, wall) else self.sure.generation(account, wall)
+
+    def served(self, id: str, account: str, key: Key) -> tuple[Kept, float] | None:
+        """A kept answer and its age in seconds, where one may be served for a request."""
+        generation = self.generation(account)
+        if generation is None:
+            return None
+        now = self._clock()
+        kept = self.keep.get(key, generation, now)
+        if kept is None:
+            return None
+        self._history.put(
+            Kind.SERVED, id=id, account=account, key=_name(key), generation=kept.generation, made=kept.wall
+        )
+        return kept, now - kept.sent
+
+    def sending(self, account: str) -> Sent | None:
+        """A lookup goes to a server now; None where its answer may not be kept, whenever it comes."""
+        now, wall = self._clock(), self._wall()
+        generation = self.generation(account)
+        return None if generation is None else Sent(now, wall, generation)
+
+    def answered(self, account: str, key: Key, sent: Sent, headers: bytes, body: bytes) -> None:
+        """Its answer has come: it is kept if it is of this generation still, and nothing has changed meanwhile."""
+        if self.generation(account) != sent.generation:
+            return
+        kept = Kept(account, sent.generation, sent.mono, sent.wall, headers, body)
+        if self.keep.put(key, kept, self._clock()):
+            self._history.put(
+                Kind.KEPT, account=account, key=_name(key), generation=sent.generation, sent=sent.wall
+            )
+
+    def changing(self, account: str) -> None:
+        """A request that is not safe to repeat has come: nothing of its account is served or kept until its end."""
+        self.keep.begin(account)
+
+    def changed(self, account: str, tried: bool, sure: bool) -> None:
+        """It has its final answer. ``tried``: it went to a server; ``sure``: nothing of it still runs there."""
+        now = self._clock()
+        if not tried:
+            return self.keep.end(account, -float("inf"), now)
+        self.keep.end(account, now if sure else now + LINGER, now)
+        self.purging.issue(account)
+        if not sure:
+            self.purging.again(account, now + LINGER)
+
+    async def purge(self, account: str) -> tuple[str, ...]:
+        """Purge by hand: the names of who may still have something kept, none where it is gone everywhere.
+
+        ``ValueError`` for what is no account. Returns within the options' ``purge`` seconds and a tick.
+        """
+        check_account(account)
+        now = self._clock()
+        self.keep.purge(account, now, now)
+        number, answer = self.purging.issue(account), self.purging.wait(now + self.options.purge)
+        self.look()
+        missing = await answer
+        self.purging.told(account, self.peers.me, number, "no" if missing else "yes", missing)
+        return missing
+
+    # Looking at the fleet, and at the clock.
+
+    def _tick(self) -> None:
+        self._timer = asyncio.get_running_loop().call_later(TICK, self._tick)
+        try:
+            self.look()
+        except Exception:  # a fault must not end the looks: without them the lease runs out, and that is all
+            log.exception("closing: a look at the fleet failed")
+
+    def look(self) -> None:
+        """Take in what the view knows, say what is new here, and notice what the clock has brought."""
+        now, wall, sure = self._clock(), self._wall(), self.sure
+        sure.sleep.look(now)
+        if self.peers.look(now):
+            self._drop_all()  # the last purges of who has gone may not have come here
+        self._hear_purges(now)
+        self.calendars.fetch(now, self.peers.newest(), sure.trust.highest)
+        for account in self.purging.due(now):
+            self.keep.purge(account, now, now)
+            self.purging.issue(account)
+        sure.lease.agree(now, self.peers.agreed(sure.book))
+        sure.lease.see(now, self.peers.rows)
+        needed = self.peers.needed()
+        if needed is not None:
+            sure.lease.hear(now, needed)
+        self.peers.say(sure.book, sure.lease)
+        if not sure.clock(now, wall):
+            self._turn(wall)
+        self._look_for_doubt(now, wall)
+        self.purging.answer(now)
+
+    def _hear_purges(self, now: float) -> None:
+        for issuer, numbers, more in self.peers.news():
+            if more:
+                self._drop_all()
+                self.purging.told(ALL, issuer, self.peers.applied.count(issuer), "applied")
+            for number, account in numbers:
+                self.keep.purge(account, now, now)
+                self.purging.told(account, issuer, number, "applied")
+
+    def _drop_all(self) -> None:
+        self.keep.purge_all(self._clock())
+
+    def _look_for_doubt(self, now: float, wall: float) -> Doubt:
+        """Whether there is doubt at this moment; its begin and end are told."""
+        doubt = self.sure.doubt(now, wall)
+        if doubt is not self.doubt:
+            if bool(doubt) is not bool(self.doubt):
+                self._history.put(Kind.DOUBT, doubt=bool(doubt), cause=(doubt or self.doubt).value)
+            if doubt is Doubt.CUT:
+                self._drop_all()
+            self.doubt = doubt
+        return doubt
+
+    def _turn(self, wall: float) -> None:
+        """The clock is trusted: closings and versions whose instants have come are noticed, each once."""
+        book = self.sure.book
+        before, turned = book.current, book.advance(wall)
+        gone = self._noticed.notice(before, book.current, wall)
+        if turned and book.current is not None:
+            self.calendars.told(book.current, Taken.FORCE)
+        if (turned or gone) and book.current is not None and book.current.reaches(wall):
+            self._give_back(gone, book.current, wall)
+
+    def _give_back(self, closings: list[Closed], calendar: Calendar, wall: float) -> None:
+        """The memory of what may not be served any more; the closings are told."""
+
+        def stays(kept: Kept) -> bool:
+            place = calendar.accounts.get(kept.account)
+            return place is not None and calendar.generation(place, wall) == kept.generation
+
+        dropped = dict[str, int]()
+        for kept in self.keep.sweep(stays):
+            place = calendar.accounts.get(kept.account, "")
+            dropped[place] = dropped.get(place, 0) + 1
+        for closed in closings:
+            self._history.put(
+                Kind.CLOSED, place=closed.place, version=closed.version, ordinal=closed.ordinal,
+                at=float(closed.at), dropped=dropped.pop(closed.place, 0),
+            )  # fmt: skip
+
+
+def _name(key: Key) -> str:
+    """A kept answer's name in the history."""
+    return blake2s(repr(key).encode(), digest_size=8).hexdigest()
--- a/cypresspulley/closing/options.py
+++ b/cypresspulley/closing/options.py
@@ -5,7 +5,7 @@
     keep = ["lookup"]               # classes of the settings whose answers may be kept: those that are safe to repeat
     clock_bound_ms = 250            # by which two wall clocks may differ; within it of a close nothing is kept
     lease_ms = 8000                 # after which a limiter that is cut off keeps nothing
-    lost_seconds = 30               # for which a limiter that was lost without leaving holds up keeping at all others
+    lost_seconds = 600              # for which a limiter that was lost without leaving holds up keeping at all others
     purge_ms = 5000                 # for the answer to a purge by hand
     keep_seconds = 3600             # for which an answer is kept, at most
     most_answers = 20000            # that are kept at one limiter
@@ -63,7 +63,7 @@
     path: str = ""  # of the calendar file; "": it is never read again
     clock_bound: float = 0.25
     lease: float = 8.0
-    lost: float = 30.0
+    lost: float = 600.0
     purge: float = 5.0
     keep_seconds: float = 3600.0
     most_answers: int = 20_000
@@ -79,7 +79,7 @@
 NUMBERS: dict[str, tuple[int, int, int]] = {
     "clock_bound_ms": (10, 60_000, 250),
     "lease_ms": (500, 60_000, 8000),
-    "lost_seconds": (0, 86_400, 30),
+    "lost_seconds": (0, 86_400, 600),
     "purge_ms": (100, 60_000, 5000),
     "keep_seconds": (1, 7 * 86_400, 3600),
     "most_answers": (1, 1_000_000, 20_000),
--- /dev/null
+++ b/cypresspulley/closing/peers.py
@@ -0,0 +1,101 @@
+"""The fleet's view as closing reads it, and the row that this limiter says through it. No I/O and no clock."""
+
+from __future__ import annotations
+
+from hashlib import blake2s
+
+from cypresspulley.closing.book import Book
+from cypresspulley.closing.calendar import ZONES_VERSION
+from cypresspulley.closing.lease import Lease, Life
+from cypresspulley.closing.options import Options
+from cypresspulley.closing.purges import Applied, Issued
+from cypresspulley.closing.roster import Roster
+from cypresspulley.closing.row import AGREED, Said
+from cypresspulley.closing.row import decode as read_row
+from cypresspulley.closing.row import encode as write_row
+from cypresspulley.fleet.records import FleetView, Row
+
+SUBSYSTEM = "closing"
+
+
+class Peers:
+    """``rows`` are those of the others that are present; None where one says nothing that can be read."""
+
+    def __init__(self, view: FleetView, options: Options, named: int) -> None:
+        self._view = view
+        self.roster = Roster(options.lost, named)
+        self.issued, self.applied = Issued(), Applied()
+        self.rows = dict[Life, Said | None]()
+        self._read = dict[str, tuple[int, int, Said | None]]()  # by owner: life, version, its row
+        self._said = b""
+        # Limiters that reckon with other bounds or other time zones must not rely on each other.
+        self._ground = f"{ZONES_VERSION} {options.lease} {options.clock_bound} {options.lost}"
+
+    def __repr__(self) -> str:
+        return f"<Peers {len(self.rows)} present, {self.roster!r}>"
+
+    @property
+    def me(self) -> Life:
+        return Life(self._view.me, self._view.life)
+
+    def look(self, now: float) -> bool:
+        """Take the view in; whether a life that was there has gone."""
+        members = self._view.members()
+        gone = self.roster.look(now, members, self._view.member)
+        rows = self._view.rows(now, SUBSYSTEM)
+        self._read = {row.owner: self._reading(row) for row in rows if row.owner != self._view.me}
+        self.rows = {
+            Life(member.name, member.life): self._of(member.name, member.life)
+            for member in members
+            if member.name != self._view.me
+        }
+        self.roster.told(said.roster for said in self.rows.values() if said is not None)
+        self.applied.forget(set(self.rows))
+        return any(life.name != self._view.me for life in gone)
+
+    def _reading(self, row: Row) -> tuple[int, int, Said | None]:
+        known = self._read.get(row.owner)
+        if known is not None and known[:2] == (row.life, row.version):
+            return known
+        return row.life, row.version, read_row(row.body)
+
+    def _of(self, name: str, life: int) -> Said | None:
+        read = self._read.get(name)
+        return read[2] if read is not None and read[0] == life else None
+
+    def news(self) -> list[tuple[Life, list[tuple[int, str]], bool]]:
+        """Purges of others that are new here: issuer, numbers and accounts, whether there were more than are named."""
+        found = list[tuple[Life, list[tuple[int, str]], bool]]()
+        for life, said in self.rows.items():
+            numbers, more = self.applied.hear(life, said) if said is not None else ([], False)
+            if numbers or more:
+                found.append((life, numbers, more))
+        return found
+
+    def newest(self) -> tuple[int, str] | None:
+        """Version and digest of the newest calendar that another holds."""
+        return max(((s.version, s.digest.hex()) for s in self.rows.values() if s is not None), default=None)
+
+    def needed(self) -> dict[Life, Said | None] | None:
+        """The rows of all that have to agree; None where they are no majority, or nobody else was ever seen."""
+        others = [life for life in self.roster.needed if life.name != self._view.me]
+        if not others or not self.roster.enough(len(others) + 1):
+            return None
+        return {life: self.rows.get(life) for life in others}
+
+    def agreed(self, book: Book) -> bytes:
+        """What this limiter agrees to: who is needed, which calendar is the newest, and by which bounds it reckons."""
+        lives = {life for life in self.roster.needed if life.name != self._view.me} | {self.me}
+        text = repr((sorted(map(tuple, lives)), book.rank, self._ground))
+        return blake2s(text.encode(), digest_size=AGREED).digest()
+
+    def say(self, book: Book, lease: Lease) -> None:
+        """This limiter's row, where it has changed."""
+        said = Said(
+            lease.round, lease.since, lease.agreed, book.rank[0], bytes.fromhex(book.digest), self.roster.size,
+            self.issued.count, self.issued.recent,
+        )  # fmt: skip
+        body = write_row(said)
+        if body != self._said:
+            self._view.publish(SUBSYSTEM, body)
+            self._said = body
--- /dev/null
+++ b/cypresspulley/closing/purges.py
@@ -0,0 +1,59 @@
+"""Purges numbered by issuer and life, as they travel in rows of a fixed size. No I/O and no clock.
+
+A row says how many purges its owner has issued in this life and names the accounts of the last of them. Who sees it
+knows what it has applied of that owner already; where more are new than are named, everything that is kept goes.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+from cypresspulley.closing.lease import Life
+from cypresspulley.closing.row import MOST_RECENT, Said, pack
+
+MOST_ISSUERS = 4096
+
+
+class Issued:
+    """This limiter's own."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self._recent = deque[bytes](maxlen=MOST_RECENT)
+
+    def issue(self, account: str) -> int:
+        """Number one more."""
+        self.count += 1
+        self._recent.append(pack(account))
+        return self.count
+
+    @property
+    def recent(self) -> bytes:
+        return b"".join(self._recent)
+
+
+class Applied:
+    """What was applied here of others'."""
+
+    def __init__(self) -> None:
+        self._counts = dict[Life, int]()
+
+    def hear(self, issuer: Life, said: Said) -> tuple[list[tuple[int, str]], bool]:
+        """Numbers and accounts that are new in a row, and whether there were more of which it names no account."""
+        done = self._counts.get(issuer, 0)
+        if said.purges <= done:
+            return [], False
+        self._counts[issuer] = said.purges
+        accounts = said.accounts
+        first = said.purges - len(accounts) + 1
+        new = [(first + at, account) for at, account in enumerate(accounts) if first + at > done]
+        return new, done + 1 < first
+
+    def count(self, issuer: Life) -> int:
+        """How many of an issuer's purges were applied."""
+        return self._counts.get(issuer, 0)
+
+    def forget(self, present: set[Life]) -> None:
+        """Bound the table: an issuer that is gone says nothing more."""
+        if len(self._counts) > MOST_ISSUERS:
+            self._counts = {life: count for life, count in self._counts.items() if life in present}
--- /dev/null
+++ b/cypresspulley/closing/purging.py
@@ -0,0 +1,112 @@
+"""Purges: this limiter's own, numbered and told, and the answer to one by hand: gone everywhere, or who may have it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from cypresspulley.closing.lease import Lease, Life
+from cypresspulley.closing.peers import Peers
+from cypresspulley.closing.row import ACCOUNT
+from cypresspulley.histories.events import Kind
+from cypresspulley.histories.writer import AnyHistory
+
+ACCOUNTS = 2**33  # of the protocol's account numbers
+
+
+def check_account(account: str) -> None:
+    """``ValueError`` for what is no account."""
+    if not ACCOUNT.fullmatch(account) or int(account, 16) >= ACCOUNTS:
+        raise ValueError("expected an account of 16 hex digits in lower case, below 2**33")
+
+
+class Waiting(NamedTuple):
+    """A purge by hand that has no answer yet: the lease's round at which it was said, and its latest end."""
+
+    round: int
+    until: float
+    done: asyncio.Future[tuple[str, ...]]
+
+
+class Purging:
+    """``alone``: there is nobody else to ask."""
+
+    def __init__(self, peers: Peers, lease: Lease, history: AnyHistory, alone: bool) -> None:
+        self._peers, self._lease, self._history, self._alone = peers, lease, history, alone
+        self._waiting = list[Waiting]()
+        self._again = dict[
+            str, float
+        ]()  # accounts whose change may still be running: when they are purged again
+
+    def __repr__(self) -> str:
+        return f"<Purging {self._peers.issued.count} issued, {len(self._waiting)} waiting, {len(self._again)} to come>"
+
+    def issue(self, account: str) -> int:
+        """Number one more of this limiter's own, which has applied it."""
+        number = self._peers.issued.issue(account)
+        for what in ("asked", "applied"):
+            self.told(account, self._peers.me, number, what)
+        return number
+
+    def told(self, account: str, issuer: Life, number: int, what: str, missing: tuple[str, ...] = ()) -> None:
+        self._history.put(
+            Kind.PURGE, account=account, issuer=issuer.name, life=issuer.life, number=number, what=what,
+            missing=list(missing),
+        )  # fmt: skip
+
+    def again(self, account: str, at: float) -> None:
+        """Its change may still be running until then."""
+        self._again[account] = at
+
+    def due(self, now: float) -> list[str]:
+        """Accounts whose change has surely ended by now."""
+        found = [account for account, at in self._again.items() if at <= now]
+        for account in found:
+            del self._again[account]
+        return found
+
+    def wait(self, until: float) -> asyncio.Future[tuple[str, ...]]:
+        """For the answer to a purge that was issued now."""
+        done: asyncio.Future[tuple[str, ...]] = asyncio.get_running_loop().create_future()
+        self._waiting.append(Waiting(self._lease.round, until, done))
+        return done
+
+    def close(self) -> None:
+        """What has no answer gets none: its caller's connection ends with the process."""
+        for waiting in self._waiting:
+            waiting.done.cancel()
+        self._waiting.clear()
+
+    def answer(self, now: float) -> None:
+        """Tell those whose answer is known by now."""
+        for waiting in list(self._waiting):
+            missing = [] if waiting.done.done() else self._missing(now, waiting.round)
+            # Who is not there to say so holds its lease beyond the time that the caller is given.
+            hopeless = any(
+                self._lease.out(life) > waiting.until for life in missing if life not in self._peers.rows
+            )
+            if missing and not hopeless and now < waiting.until:
+                continue
+            self._waiting.remove(waiting)
+            if not waiting.done.done():
+                waiting.done.set_result(tuple(sorted({life.name for life in missing})))
+
+    def _missing(self, now: float, round: int) -> list[Life]:
+        """Who may have something kept from before a purge that this limiter said at a round of its own."""
+        if self._alone:
+            return []
+        rows = self._peers.rows
+        has = {life for life in rows if self._has(life, round)}
+        missing = [life for life in {*self._lease.known(), *rows} - has if now < self._lease.out(life)]
+        if not missing and not self._peers.roster.enough(len(has) + 1):
+            return [
+                self._peers.me
+            ]  # cut off, or just started: others may keep whom this limiter does not know of
+        return missing
+
+    def _has(self, life: Life, round: int) -> bool:
+        """Rule (1) of the lease: at ``round`` + 2 it has seen this limiter's row of ``round`` + 1, and acted on it."""
+        said = self._peers.rows[life]
+        if said is None or said.agreed != self._lease.agreed:
+            return False
+        return said.round > said.since and said.round >= round + 2
--- a/cypresspulley/net/door.py
+++ b/cypresspulley/net/door.py
@@ -27,6 +27,7 @@
 MOST = 8192  # bytes of a call, head and body: the longest has a server's id in its path
 SILENCE = 1.5  # seconds for a call to come whole
 ANSWER = 0.8  # seconds for its answer, which is due within one
+PURGED = 61.0  # and for that to a purge, which waits for all other limiters: closing.purge_ms bounds it
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
     409: "Conflict", 413: "Content Too Large", 500: "Internal Server Error", 503: "Service Unavailable",
@@ -37,6 +38,7 @@
     (re.compile(r"/v1/servers/([^/]{1,1024})/resume"), "PUT", "resume"),
     (re.compile(r"/v1/limiter/drain"), "PUT", "drain"),
     (re.compile(r"/v1/limiter/activate"), "PUT", "activate"),
+    (re.compile(r"/v1/accounts/([^/]{1,64})/purge"), "PUT", "purge"),
 )
 
 
@@ -171,11 +173,12 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, caller: _Caller, name: str, id: str) -> None:
+        within = PURGED if name == "purge" else ANSWER
         try:
-            async with asyncio.timeout(ANSWER):
+            async with asyncio.timeout(within):
                 reply = await self._handler(name, id)
         except TimeoutError:
-            reply = Reply(503, {"error": f"not in force within {ANSWER:g} s"})
+            reply = Reply(503, {"error": f"not in force within {within:g} s"})
         except Exception:
             log.exception("a call of the operators failed")
             reply = Reply(500, {"error": "a fault of the limiter; its log says more"})
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -6,7 +6,7 @@
 import json
 import logging
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from cypresspulley.lifecycle import Lifecycle, Step
@@ -40,6 +40,8 @@
         self._ghosts: Ghosts | None = None
         self._drained = False  # as inherited, until the process serves
         self._tasks = set[asyncio.Task[None]]()
+        # Purges what all limiters keep of an account: who may still have something; None where nothing is kept.
+        self.purge: Callable[[str], Awaitable[tuple[str, ...]]] | None = None
 
     # Starting, alone or after a predecessor.
 
@@ -120,11 +122,24 @@
             return Reply(200 if self.life.ready else 503, state)
         if self._node is None:
             return Reply(503, state | {"error": "the process starts; call again"})
+        if name == "purge":
+            return await self._purge(id)
         reply = self._apply(name, id)
         if reply.status == 200 and not await self._tell(name, id, None):
             return Reply(503, {"error": "the other process of this upgrade did not answer; call again"})
         return reply
 
+    async def _purge(self, account: str) -> Reply:
+        if self.purge is None:
+            return Reply(404, {"account": account, "error": "nothing is kept here: closing is off"})
+        try:
+            missing = await self.purge(account)
+        except ValueError as error:
+            return Reply(400, {"account": account, "error": str(error)})
+        if missing:
+            return Reply(503, {"account": account, "missing": list(missing)})
+        return Reply(200, {"account": account, "purged": True})
+
     async def _tell(self, name: str, id: str, source: Peer | None) -> bool:
         peers = (self._successor, self._predecessor)
         others = [peer.tell(name, id) for peer in peers if peer is not None and peer is not source]
--- a/cypresspulley/together.py
+++ b/cypresspulley/together.py
@@ -49,8 +49,9 @@
             from cypresspulley.closing.options import options_from as closing_options
 
             path, table = operators.closing
+            named = len({options.advertise, *options.seeds})
             self.closing = Closing(
-                closing_options(table, path, settings), self.fleet.view, clock, wall, self.history
+                closing_options(table, path, settings), self.fleet.view, clock, wall, self.history, named
             )
 
     def deciding(self, decide: Decisions, gateway: Gateway) -> Decisions:
