--- a/cypresspulley/histories/events.py
+++ b/cypresspulley/histories/events.py
@@ -21,6 +21,7 @@
     LANES_STATE = "lanes.state"
     LANES_PERIOD = "lanes.period"
     LANES_TURNED = "lanes.turned"
+    LANES_LET = "lanes.let"
     CALENDAR = "closing.calendar"
     CLOSED = "closing.closed"
     KEPT = "closing.kept"
@@ -48,9 +49,10 @@
     Kind.SETTLED: ("settled", "digest", "members"),
     # ``state``: calm, pressed, shedding or easing; ``pressure`` is the number that the table goes by.
     Kind.LANES_STATE: ("state", "pressure"),
-    # Sums of one period at this limiter, each an object by lane: units asked and passed, inside quota and beyond;
-    # ``shares`` what it may let pass a second inside quota by lane; ``floors`` each lane's floor, the same unit;
-    # ``bears`` what the whole fleet bears, units a second; ``state`` the state in which the period was.
+    # Sums of one period at this limiter, each an object by lane in the lanes' order, premium first: units asked and
+    # passed, inside quota and beyond; ``shares`` what this limiter may let pass a second inside quota by lane;
+    # ``floors`` its part of each lane's floor, the same unit; ``bears`` what the whole fleet bears, units a second;
+    # ``state`` the state in which the period was. Written at the period's end, ``seconds`` after its begin.
     Kind.LANES_PERIOD: (
         "state",
         "seconds",
@@ -65,6 +67,8 @@
     # One try that a lane turned away. ``spell`` is the number of the spell and ``until`` its end (Unix seconds by the
     # shared reckoning of spells); ``inside`` whether it was inside its quota.
     Kind.LANES_TURNED: ("id", "account", "lane", "inside", "spell", "until"),
+    # The first try inside its quota that a lane let pass for this account in this spell, while this limiter sheds.
+    Kind.LANES_LET: ("account", "lane", "spell"),
     # A calendar version is held (``state`` "held"), in force ("force") or refused ("refused", ``why`` says it).
     Kind.CALENDAR: ("version", "state", "in_force", "why"),
     # A closing was noticed: one identity (place, version, ordinal) once in a life; ``at`` the instant, ``dropped`` how
@@ -86,9 +90,9 @@
     # ``kept`` whether it came from what a limiter had kept.
     Kind.CALL: ("id", "account", "plan", "cls", "limiter"),
     Kind.ANSWER: ("id", "status", "made", "kept"),
-    # What is true of the day, for the checkers: ``closings`` a list of [account, unix second] pairs, each instant at which
-    # what was kept for the account has to be gone; ``lanes`` the names of plans lane by lane, the premium first;
-    # ``clock_bound`` and ``seconds`` (of the day) in seconds.
+    # What is true of the day, for the checkers: ``closings`` a list of [account, unix second] pairs, each instant at
+    # which what was kept for the account has to be gone; ``lanes`` a list for each lane, of its plans' names, premium
+    # first; ``clock_bound`` and ``seconds`` (of the day) in seconds.
     Kind.TRUTH: ("closings", "lanes", "clock_bound", "seconds"),
     # A purge by hand as the operator sees it.
     Kind.PURGE_CALL: ("id", "account", "limiter"),
--- /dev/null
+++ b/cypresspulley/lanes/stores.py
@@ -0,0 +1,78 @@
+"""Whether a try is inside its account's quota, as the decisions behind would most likely call it.
+
+Read from the decisions' own levels, which this never changes: stores that fill until the moment of the question. What a
+lane turned away drew nothing there, so an account that gives way would seem inside however much it asks: what it was
+turned away inside quota is drawn from a store of its own here. In doubt a try is inside, since the decisions judge it
+once more.
+"""
+
+from __future__ import annotations
+
+import math
+
+from cachetools import LRUCache
+
+from cypresspulley import interface as api
+from cypresspulley.policy.account import RECENT, Account
+from cypresspulley.policy.quota import Quotas
+
+MOST_STORES = 20_000  # accounts that were turned away, the longest unseen forgotten
+
+
+def level_at(a: Account, now: float) -> float:
+    """Units that an account's store seems to hold at ``now``: what ``Account.refill`` would make of it."""
+    plan, dt = a.plan, max(0.0, now - a.at)
+    if a.heard:
+        used = a.others * RECENT * (1 - math.exp(-dt / RECENT))
+        return min(plan.burst, a.level + plan.rate * dt - used)
+    paid = min(a.debt, plan.rate * dt)
+    unread = plan.rate * (now - a.synced) * (a.share > 1)
+    return min(plan.burst + unread, a.level + plan.rate * dt - paid)
+
+
+def floor_at(a: Account, now: float) -> float:
+    """Units of this limiter's even share of the store."""
+    return min(a.floor_cap, a.floor + a.plan.rate / a.share * max(0.0, now - a.at))
+
+
+class Stores:
+    """Reckons by the decisions' ``quotas``, and by what was turned away here."""
+
+    def __init__(self, quotas: Quotas, settings: api.Settings) -> None:
+        self._quotas, self._set = quotas, settings
+        self._plans = {plan.name: plan for plan in settings.plans}
+        self._turned = LRUCache[tuple[str, str], tuple[float, float]](MOST_STORES)  # level, as of when
+
+    def __repr__(self) -> str:
+        return f"<Stores {len(self._turned)} turned away>"
+
+    def retune(self, settings: api.Settings) -> None:
+        self._set = settings
+        self._plans = {plan.name: plan for plan in settings.plans}
+
+    def inside(self, now: float, ev: api.Request) -> bool:
+        """Whether a try that comes now is inside its quota."""
+        a = self._quotas.accounts.get((ev.plan, ev.account))
+        plan = a.plan if a is not None else self._plans.get(ev.plan)
+        if plan is None or plan.rate <= 0:
+            return a is None or plan is None or not 0 < plan.open_limit <= a.open
+        if (ev.plan, ev.account) in self._turned and self._level(now, plan, ev) < ev.units:
+            return False
+        if a is None:
+            return ev.units <= plan.burst + 1e-9
+        if 0 < plan.open_limit <= a.open:
+            return False
+        if level_at(a, now) >= ev.units:
+            return True
+        alone = a.thin or not self._set.has_counter or now < self._quotas.calls.silent_until
+        return alone and floor_at(a, now) >= ev.units
+
+    def turned(self, now: float, ev: api.Request) -> None:
+        """A lane turned away a first try that was inside: it would have drawn its units."""
+        plan = self._plans.get(ev.plan)
+        if plan is not None and plan.rate > 0 and not ev.repeat:
+            self._turned[ev.plan, ev.account] = self._level(now, plan, ev) - ev.units, now
+
+    def _level(self, now: float, plan: api.Plan, ev: api.Request) -> float:
+        level, at = self._turned.get((ev.plan, ev.account), (plan.burst, now))
+        return min(plan.burst, level + plan.rate * max(0.0, now - at))
