Tell of rows taken, so that one of an old life can be seen in a history

Need: 'rows of an old life taken' left no event. Change: fleet.row, once an owner, life and subsystem, and the promise 'no old row'; generations are not compared over a change of the calendar's version.

--- a/cypresspulley/histories/check_closing.py
+++ b/cypresspulley/histories/check_closing.py
@@ -21,6 +21,7 @@
 
 from cypresspulley.histories.forms import (
     Answer,
+    Calendar,
     Call,
     Closed,
     Doubt,
@@ -184,7 +185,9 @@
     kept: dict[tuple[str, str], Kept] = {}
     newest: dict[str, Kept] = {}
     for event in history.events:
-        if isinstance(event, Kept):
+        if isinstance(event, Calendar) and event.state == "force":
+            newest.clear()  # another version numbers its generations anew
+        elif isinstance(event, Kept):
             before = newest.get(event.account)
             if before is not None:
                 _differ(tally, truth, history, before, event)
--- a/cypresspulley/histories/check_fleet.py
+++ b/cypresspulley/histories/check_fleet.py
@@ -2,6 +2,7 @@
 
     suspected first     a process's own detector calls nobody dead whom it did not suspect in that incarnation
     no false death      nobody is called dead that has answered for longer than the bound, whatever struck it before
+    no old row          no row of a life is taken by who has held a later life of its owner
     no way back         what one process holds of a member never falls in rank, and no ended life is ever present again
     detected            every kill is known at every survivor within the bound
     settled             while nothing disturbs it, the view is nowhere unsettled or unequal for longer than the bound
@@ -16,7 +17,7 @@
 from collections.abc import Iterator, Sequence
 from itertools import pairwise
 
-from cypresspulley.histories.forms import Event, MemberSeen, Settled
+from cypresspulley.histories.forms import Event, MemberSeen, RowTaken, Settled
 from cypresspulley.histories.read import Histories
 from cypresspulley.histories.timeline import APART, ENDED, Life, Timeline, bound, events_of
 from cypresspulley.histories.verdict import Line, Tally, Verdict, line
@@ -37,6 +38,7 @@
         _false_deaths(tally, times, one, origins)
         _way_back(tally, times, one)
         _leavers(tally, times, one)
+        _old_rows(tally, one)
     for life in times.lives:
         if life.killed is not None:
             _detected(tally, times, life, told)
@@ -149,6 +151,20 @@
                 tally.found("leaver in peace", text, [one.line(leaving[seen.life]), one.line(seen)])
 
 
+def _old_rows(tally: Tally, one: _Told) -> None:
+    latest: dict[str, MemberSeen] = {}
+    for event in one.history.events:
+        if isinstance(event, MemberSeen):
+            if event.member not in latest or event.life > latest[event.member].life:
+                latest[event.member] = event
+        elif isinstance(event, RowTaken):
+            tally.checked("no old row")
+            held = latest.get(event.owner)
+            if held is not None and event.life < held.life:
+                text = f"{one.name} took a row of {event.owner} in a life below the one that it held"
+                tally.found("no old row", text, [one.line(held), one.line(event)])
+
+
 def _detected(tally: Tally, times: Timeline, killed: Life, told: Sequence[_Told]) -> None:
     """Every survivor that held the killed one present knows within the bound: of the death, or of the next life."""
     assert killed.killed is not None and times.harness is not None
--- a/cypresspulley/histories/events.py
+++ b/cypresspulley/histories/events.py
@@ -18,6 +18,7 @@
     END = "end"
     MEMBER = "fleet.member"
     SETTLED = "fleet.settled"
+    ROW = "fleet.row"
     LANES_STATE = "lanes.state"
     LANES_PERIOD = "lanes.period"
     LANES_TURNED = "lanes.turned"
@@ -47,6 +48,8 @@
     Kind.MEMBER: ("member", "life", "incarnation", "state", "cause"),
     # ``settled`` became true or false; ``digest`` is this process's, ``members`` how many it holds present.
     Kind.SETTLED: ("settled", "digest", "members"),
+    # A row of another member was taken for the first time in that life of its owner.
+    Kind.ROW: ("owner", "life", "subsystem"),
     # ``state``: calm, pressed, shedding or easing; ``pressure`` is the number that the table goes by.
     Kind.LANES_STATE: ("state", "pressure"),
     # Sums of one period at this limiter, each an object by lane in the lanes' order, premium first: units asked and
--- a/cypresspulley/histories/forms.py
+++ b/cypresspulley/histories/forms.py
@@ -45,6 +45,12 @@
     members: int
 
 
+class RowTaken(Event, frozen=True, kw_only=True, tag=str(Kind.ROW)):
+    owner: str
+    life: int
+    subsystem: str
+
+
 class LanesState(Event, frozen=True, kw_only=True, tag=str(Kind.LANES_STATE)):
     state: str
     pressure: float
@@ -166,6 +172,7 @@
     Kind.END: End,
     Kind.MEMBER: MemberSeen,
     Kind.SETTLED: Settled,
+    Kind.ROW: RowTaken,
     Kind.LANES_STATE: LanesState,
     Kind.LANES_PERIOD: LanesPeriod,
     Kind.LANES_TURNED: LanesTurned,
--- a/tests/histories/plays.py
+++ b/tests/histories/plays.py
@@ -78,6 +78,7 @@
         rows += [row(20.1, name, Kind.SETTLED, False, "x", 4), seen(20.1, name, "d", "alive", "told", 0, 2)]
         rows.append(row(21.0, name, Kind.SETTLED, True, "five", 4))
     rows += [start(20.0, "d:2"), *(seen(20.2, "d:2", name, "alive") for name in "abc")]
+    rows += [row(at, "a", Kind.ROW, "d", life, "lanes") for at, life in ((2.0, 1), (20.5, 2))]
     rows.append(row(21.0, "d:2", Kind.SETTLED, True, "five", 4))
     # c is stopped for five seconds, is called dead by a, and refutes it.
     rows += [fault(30.0, "limiter-pause", "c"), fault(35.0, "limiter-pause", "c", False)]
--- a/tests/histories/test_checkers.py
+++ b/tests/histories/test_checkers.py
@@ -89,6 +89,7 @@
         (*one[:3], {**one[3], "kind_of": "fleet-partial"}) if one[3].get("kind_of") == "fleet-cut" else one
         for one in rows
     ]),
+    ("fleet", "no old row", "of a life that was over", plus(row(20.6, "a", Kind.ROW, "d", 1, "closing"))),
     ("fleet", "no way back", "an old life again", plus(seen(90.0, "a", "d", "alive", "told", 7, 1))),
     ("fleet", "no way back", "a lower incarnation", plus(seen(90.0, "d:2", "c", "alive", "told", 0))),
     ("fleet", "no way back", "alive after it was killed", lambda rows: plus(
