Part the node from closing, echo purges in rows, follow a fleet's rounds at once

Found by the fleet in virtual time (tests/closing/world.py) and by its mutants: a lost limiter dropped everything at each look for as long as it was lost; who joined late climbed one round a datagram and held all up for half a minute; the node named a class that it did not import, so each lookup of an account that keeps ended without an answer.

A purge by hand is now acknowledged by rows that name it, not by two rounds alone.

--- a/cypresspulley/closing/keep.py
+++ b/cypresspulley/closing/keep.py
@@ -34,6 +34,15 @@
     body: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """The moment at which a lookup was sent to a server, by both clocks, and the generation that its answer is of."""
+
+    mono: float
+    wall: float
+    generation: int
+
+
 class _Answers(LRUCache[Key, Kept]):
     """The least lately used give way; which keys an account has is known at all times."""
 
--- a/cypresspulley/closing/lease.py
+++ b/cypresspulley/closing/lease.py
@@ -27,6 +27,7 @@
 
 ROUNDS = 64  # of which the times are kept: a lease that goes back further has run out long since
 MOST_SEEN = 4096  # lives of others
+MOST_ROUND = 2**50  # that is gone along with: no fleet lives for so long
 
 
 class Life(NamedTuple):
@@ -75,6 +76,7 @@
         if len(rows) < len(others):
             self.cause = "cut" if None in others.values() else "disagreed"
             return
+        self._catch_up(now, max((said.round for said in rows), default=0))
         self._take_step(now, [said.round for said in rows])
         if not rows or not all(said.round > said.since for said in rows):
             self.cause = "starting"
@@ -82,6 +84,12 @@
         self.cause = ""
         self._extend(min(said.round for said in rows) - 1)
 
+    def _catch_up(self, now: float, most: int) -> None:
+        """Who has just begun to agree begins where the others are: rule (1) says nothing of that round."""
+        if self.round == self.since and self.round < most < MOST_ROUND:
+            self.round = self.since = most
+            self._said.append((most, now))
+
     def _take_step(self, now: float, rounds: list[int]) -> None:
         """Rule (1). Who is behind follows at once; who leads waits for ``step``."""
         least = min(rounds, default=self.round)
@@ -103,6 +111,10 @@
         seen = self._seen.get(life)
         return -math.inf if seen is None else seen[1] + DRIFT * self._length
 
+    def counted(self, now: float, seconds: float) -> bool:
+        """Whether all others had heard of this limiter within so many seconds."""
+        return now < self.base + seconds
+
     def known(self) -> tuple[Life, ...]:
         """All whose row was ever seen, as far as that is remembered."""
         return tuple(self._seen)
--- a/cypresspulley/closing/limiter.py
+++ b/cypresspulley/closing/limiter.py
@@ -9,7 +9,6 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
 from hashlib import blake2s
 
 from cypresspulley.closing.book import Taken, encode
@@ -17,7 +16,7 @@
 from cypresspulley.closing.calendars import Calendars
 from cypresspulley.closing.certainty import Certainty
 from cypresspulley.closing.doubt import Doubt
-from cypresspulley.closing.keep import Keep, Kept, Key
+from cypresspulley.closing.keep import Keep, Kept, Key, Sent
 from cypresspulley.closing.node import keeping
 from cypresspulley.closing.noticed import Closed, Noticed
 from cypresspulley.closing.options import Options
@@ -35,15 +34,6 @@
 ALL = "*"  # in the history, for all accounts
 
 
-@dataclass(frozen=True, slots=True)
-class Sent:
-    """The moment at which a lookup was sent to a server, by both clocks, and the generation that its answer is of."""
-
-    mono: float
-    wall: float
-    generation: int
-
-
 class Closing:
     """``clock`` never steps, ``wall`` may. ``named`` is how many limiters the operators' file names, this one among
     them: where it is the only one there is nobody to agree with."""
@@ -59,7 +49,7 @@
         )
         self._clock, self._wall, self._history = clock, wall, history
         self.sure, self.peers = Certainty(options, view, alone), Peers(view, options, named)
-        self.purging = Purging(self.peers, self.sure.lease, history, alone)
+        self.purging = Purging(self.peers, self.sure.lease, history, options.lost, alone)
         self.calendars = Calendars(options, view, self.sure.book, history, alone, self._drop_all)
         self.doubt, self._noticed = Doubt.STARTING, Noticed()
         self._timer: asyncio.TimerHandle | None = None
@@ -69,7 +59,7 @@
 
     def node(self, kind: type[Node]) -> type[Node]:
         """A node that serves from what is kept, and otherwise as ``kind`` does."""
-        return keeping(kind, self)
+        return keeping(kind, self, self.options.keep)
 
     def begin(self) -> None:
         """The view is there from now on; ``look`` is to be called every ``TICK``."""
@@ -162,7 +152,8 @@
         check_account(account)
         now = self._clock()
         self.keep.purge(account, now, now)
-        number, answer = self.purging.issue(account), self.purging.wait(now + self.options.purge)
+        number = self.purging.issue(account)
+        answer = self.purging.wait(number, now + self.options.purge)
         self.look()
         missing = await answer
         self.purging.told(account, self.peers.me, number, "no" if missing else "yes", missing)
--- a/cypresspulley/closing/node.py
+++ b/cypresspulley/closing/node.py
@@ -7,17 +7,14 @@
 from __future__ import annotations
 
 import re
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from cypresspulley import interface as api
-from cypresspulley.closing.keep import Key
+from cypresspulley.closing.keep import Kept, Key, Sent
 from cypresspulley.net.frontend import ClientRequest
 from cypresspulley.net.node import Node
 from cypresspulley.net.upstream import Exchange
 
-if TYPE_CHECKING:
-    from cypresspulley.closing.limiter import Closing, Sent
-
 # Of requests that ask for more than what class, target and plan say, and of answers that are not for whoever asks the
 # same: RFC 9111, 3 and 4.1. ``Age`` stands on what somebody else has kept already.
 PRIVATE_REQUEST = re.compile(rb"(?im)^(?:range|if-[a-z-]+|cache-control|pragma|authorization|cookie):")
@@ -26,6 +23,22 @@
 )
 
 
+class Keeping(Protocol):
+    """What a node asks and tells: ``closing.limiter.Closing``."""
+
+    def asks(self, account: str) -> bool: ...
+
+    def served(self, id: str, account: str, key: Key) -> tuple[Kept, float] | None: ...
+
+    def sending(self, account: str) -> Sent | None: ...
+
+    def answered(self, account: str, key: Key, sent: Sent, headers: bytes, body: bytes) -> None: ...
+
+    def changing(self, account: str) -> None: ...
+
+    def changed(self, account: str, tried: bool, sure: bool) -> None: ...
+
+
 class _Lookup:
     """An open request whose answer may be kept."""
 
@@ -36,9 +49,8 @@
         self.sent = dict[int, Sent | None]()  # by attempt
 
 
-def keeping(kind: type[Node], closing: Closing) -> type[Node]:
-    """The class over ``kind``."""
-    keep = closing.options.keep
+def keeping(kind: type[Node], closing: Keeping, keep: frozenset[str]) -> type[Node]:
+    """The class over ``kind``; ``keep`` names the classes of requests whose answers are kept."""
 
     class KeepingNode(kind):  # type: ignore[valid-type, misc]
         def __init__(self, *arguments: Any) -> None:
--- a/cypresspulley/closing/peers.py
+++ b/cypresspulley/closing/peers.py
@@ -93,7 +93,7 @@
         """This limiter's row, where it has changed."""
         said = Said(
             lease.round, lease.since, lease.agreed, book.rank[0], bytes.fromhex(book.digest), self.roster.size,
-            self.issued.count, self.issued.recent,
+            self.issued.count, self.issued.recent, self.applied.echoes,
         )  # fmt: skip
         body = write_row(said)
         if body != self._said:
--- a/cypresspulley/closing/purges.py
+++ b/cypresspulley/closing/purges.py
@@ -7,13 +7,19 @@
 from __future__ import annotations
 
 from collections import deque
+from hashlib import blake2s
 
 from cypresspulley.closing.lease import Life
-from cypresspulley.closing.row import MOST_RECENT, Said, pack
+from cypresspulley.closing.row import ECHO, ISSUER, MOST_ECHOES, MOST_RECENT, Said, pack
 
 MOST_ISSUERS = 4096
 
 
+def echo(issuer: Life, count: int) -> bytes:
+    """That the first so many purges of an issuer are applied."""
+    return blake2s(repr(tuple(issuer)).encode(), digest_size=ISSUER).digest() + count.to_bytes(ECHO - ISSUER)
+
+
 class Issued:
     """This limiter's own."""
 
@@ -36,13 +42,14 @@
     """What was applied here of others'."""
 
     def __init__(self) -> None:
-        self._counts = dict[Life, int]()
+        self._counts = dict[Life, int]()  # whose news came last stands last
 
     def hear(self, issuer: Life, said: Said) -> tuple[list[tuple[int, str]], bool]:
         """Numbers and accounts that are new in a row, and whether there were more of which it names no account."""
         done = self._counts.get(issuer, 0)
         if said.purges <= done:
             return [], False
+        self._counts.pop(issuer, None)
         self._counts[issuer] = said.purges
         accounts = said.accounts
         first = said.purges - len(accounts) + 1
@@ -53,6 +60,12 @@
         """How many of an issuer's purges were applied."""
         return self._counts.get(issuer, 0)
 
+    @property
+    def echoes(self) -> bytes:
+        """For this limiter's row: what it was the last to apply."""
+        last = list(self._counts)[-MOST_ECHOES:]
+        return b"".join(echo(issuer, self._counts[issuer]) for issuer in last)
+
     def forget(self, present: set[Life]) -> None:
         """Bound the table: an issuer that is gone says nothing more."""
         if len(self._counts) > MOST_ISSUERS:
--- a/cypresspulley/closing/purging.py
+++ b/cypresspulley/closing/purging.py
@@ -6,7 +6,9 @@
 from typing import NamedTuple
 
 from cypresspulley.closing.lease import Lease, Life
+from cypresspulley.closing.options import DRIFT
 from cypresspulley.closing.peers import Peers
+from cypresspulley.closing.purges import echo
 from cypresspulley.closing.row import ACCOUNT
 from cypresspulley.histories.events import Kind
 from cypresspulley.histories.writer import AnyHistory
@@ -21,18 +23,20 @@
 
 
 class Waiting(NamedTuple):
-    """A purge by hand that has no answer yet: the lease's round at which it was said, and its latest end."""
+    """A purge by hand that has no answer yet: its number, the lease's round at which it was said, its latest end."""
 
+    number: int
     round: int
     until: float
     done: asyncio.Future[tuple[str, ...]]
 
 
 class Purging:
-    """``alone``: there is nobody else to ask."""
+    """``alone``: there is nobody else to ask. ``lost``: seconds for which a lost limiter holds up all others."""
 
-    def __init__(self, peers: Peers, lease: Lease, history: AnyHistory, alone: bool) -> None:
+    def __init__(self, peers: Peers, lease: Lease, history: AnyHistory, lost: float, alone: bool) -> None:
         self._peers, self._lease, self._history, self._alone = peers, lease, history, alone
+        self._lost = lost / DRIFT
         self._waiting = list[Waiting]()
         self._again = dict[
             str, float
@@ -65,10 +69,10 @@
             del self._again[account]
         return found
 
-    def wait(self, until: float) -> asyncio.Future[tuple[str, ...]]:
+    def wait(self, number: int, until: float) -> asyncio.Future[tuple[str, ...]]:
         """For the answer to a purge that was issued now."""
         done: asyncio.Future[tuple[str, ...]] = asyncio.get_running_loop().create_future()
-        self._waiting.append(Waiting(self._lease.round, until, done))
+        self._waiting.append(Waiting(number, self._lease.round, until, done))
         return done
 
     def close(self) -> None:
@@ -80,7 +84,7 @@
     def answer(self, now: float) -> None:
         """Tell those whose answer is known by now."""
         for waiting in list(self._waiting):
-            missing = [] if waiting.done.done() else self._missing(now, waiting.round)
+            missing = [] if waiting.done.done() else self._missing(now, waiting)
             # Who is not there to say so holds its lease beyond the time that the caller is given.
             hopeless = any(
                 self._lease.out(life) > waiting.until for life in missing if life not in self._peers.rows
@@ -91,22 +95,26 @@
             if not waiting.done.done():
                 waiting.done.set_result(tuple(sorted({life.name for life in missing})))
 
-    def _missing(self, now: float, round: int) -> list[Life]:
-        """Who may have something kept from before a purge that this limiter said at a round of its own."""
+    def _missing(self, now: float, waiting: Waiting) -> list[Life]:
+        """Who may have something kept from before a purge."""
         if self._alone:
             return []
         rows = self._peers.rows
-        has = {life for life in rows if self._has(life, round)}
+        has = {life for life in rows if self._has(life, waiting)}
         missing = [life for life in {*self._lease.known(), *rows} - has if now < self._lease.out(life)]
-        if not missing and not self._peers.roster.enough(len(has) + 1):
-            return [
-                self._peers.me
-            ]  # cut off, or just started: others may keep whom this limiter does not know of
-        return missing
-
-    def _has(self, life: Life, round: int) -> bool:
-        """Rule (1) of the lease: at ``round`` + 2 it has seen this limiter's row of ``round`` + 1, and acted on it."""
+        # Nobody goes on without this limiter before ``lost`` seconds, or while most others have just heard it. Cut off
+        # for longer, or just started, it does not know who keeps.
+        counted = self._lease.counted(now, self._lost) or self._peers.roster.enough(len(has) + 1)
+        return missing if missing or counted else [self._peers.me]
+
+    def _has(self, life: Life, waiting: Waiting) -> bool:
+        """It says so itself, or by rule (1) of the lease: at two rounds later it has seen this limiter's row of the one
+        after the purge, and acted on it."""
         said = self._peers.rows[life]
-        if said is None or said.agreed != self._lease.agreed:
+        if said is None:
             return False
-        return said.round > said.since and said.round >= round + 2
+        if said.echoed(echo(self._peers.me, waiting.number)):
+            return True
+        return (
+            said.agreed == self._lease.agreed and said.round > said.since and said.round >= waiting.round + 2
+        )
--- a/cypresspulley/closing/roster.py
+++ b/cypresspulley/closing/roster.py
@@ -38,9 +38,9 @@
     def look(
         self, now: float, present: Iterable[Member], known: Callable[[str], Member | None]
     ) -> frozenset[Life]:  # fmt: skip
-        """Take the view in; the lives that were needed and are there no more."""
+        """Take the view in; the lives that were there at the last look and are no more."""
         here = {member.name: member.life for member in present}
-        before = {Life(name, life) for name, life in self._lives.items()}
+        before = {Life(name, life) for name, life in self._lives.items() if name not in self._since}
         self._lives |= here
         for name in [name for name in self._lives if name not in here]:
             member = known(name)
--- a/cypresspulley/closing/row.py
+++ b/cypresspulley/closing/row.py
@@ -8,17 +8,20 @@
 
 from cypresspulley.fleet.records import MOST_ROW
 
-MOST_RECENT = 18  # accounts of purges that a row names
+MOST_RECENT = 16  # accounts of purges that a row names
 ACCOUNT_BYTES = 5  # an account is a number below 2**33
+MOST_ECHOES, ECHO = 3, 11  # issuers whose last purge a row says to be applied; bytes of each
 MOST_NUMBER = 2**53
 AGREED, DIGEST = 8, 16  # bytes
+ISSUER = 6  # bytes of an echo that name the issuer; its count follows
 ACCOUNT = re.compile(r"[0-9a-f]{16}")
 
 
 class Said(msgspec.Struct, array_like=True, frozen=True):
     """A row. ``round``, ``since`` and ``agreed`` are the lease's (``lease.py``); ``version`` and ``digest`` name the
     newest calendar that its owner holds; ``roster`` is how many limiters it knows of; ``purges`` how many purges it has
-    issued in this life, ``recent`` the accounts of the last of them, the newest last."""
+    issued in this life, ``recent`` the accounts of the last of them, the newest last; ``echoes`` which purges of others
+    it was the last to apply (``purges.echo``)."""
 
     round: int
     since: int
@@ -28,6 +31,12 @@
     roster: int
     purges: int
     recent: bytes
+    echoes: bytes
+
+    def echoed(self, echo: bytes) -> bool:
+        """Whether it says that it has applied so many purges of that issuer, or more."""
+        parts = (self.echoes[at : at + ECHO] for at in range(0, len(self.echoes), ECHO))
+        return any(part[:ISSUER] == echo[:ISSUER] and part >= echo for part in parts)
 
     @property
     def accounts(self) -> list[str]:
@@ -63,4 +72,6 @@
     count, rest = divmod(len(said.recent), ACCOUNT_BYTES)
     if rest or count > min(MOST_RECENT, said.purges):
         return None
+    if len(said.echoes) % ECHO or len(said.echoes) > MOST_ECHOES * ECHO:
+        return None
     return said
--- /dev/null
+++ b/tests/closing/test_parts.py
@@ -0,0 +1,431 @@
+"""The modules without I/O one by one: what is kept, rows, leases, who is needed, purges, the clock's trust."""
+
+from __future__ import annotations
+
+from datetime import date, time
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cypresspulley.closing.book import Book, Taken, decode, encode
+from cypresspulley.closing.calendar import Calendar, Place
+from cypresspulley.closing.doubt import GAP, Doubt, Sleep, WallClock
+from cypresspulley.closing.keep import LATEST, Keep, Kept, Key
+from cypresspulley.closing.lease import Lease, Life
+from cypresspulley.closing.noticed import Noticed
+from cypresspulley.closing.options import DRIFT, MOST_ACCOUNTS
+from cypresspulley.closing.purges import Applied, Issued
+from cypresspulley.closing.roster import FORGET, Roster
+from cypresspulley.closing.row import MOST_RECENT, Said
+from cypresspulley.closing.row import decode as read_row
+from cypresspulley.closing.row import encode as write_row
+from cypresspulley.fleet.records import MOST_DOCUMENT, MOST_ROW, Member, State
+from cypresspulley.operators import OperatorsError
+from tests.closing.world import BEGIN
+
+A, B = "00000000b4d65521", "000000001c0ffee1"
+
+
+def key(number: int) -> Key:
+    return "lookup", "basic", b"/%d" % number
+
+
+def kept(account: str = A, generation: int = 1, sent: float = 10.0, size: int = 10) -> Kept:
+    return Kept(account, generation, sent, BEGIN + sent, b"", b"x" * size)
+
+
+# What is kept.
+
+
+def test_an_answer_is_served_at_its_generation_only_and_for_so_long() -> None:
+    keep = Keep(10, 100_000, 60.0)
+    keep.put(key(1), kept(), 11.0)
+    assert keep.get(key(1), 1, 20.0) is not None and keep.get(key(1), 2, 20.0) is None
+    assert keep.get(key(1), 1, 20.0) is None  # it went
+    keep.put(key(1), kept(), 11.0)
+    assert keep.get(key(1), 1, 69.9) is not None and keep.get(key(1), 1, 70.0) is None
+
+
+def test_answers_and_bytes_are_bounded_and_the_least_lately_used_goes() -> None:
+    keep = Keep(3, 100_000, 60.0)
+    for number in range(3):
+        assert keep.put(key(number), kept(), 11.0)
+    assert keep.get(key(0), 1, 12.0) is not None
+    keep.put(key(3), kept(), 11.0)
+    assert len(keep) == 3 and keep.get(key(1), 1, 12.0) is None and keep.get(key(0), 1, 12.0) is not None
+    small = Keep(100, 2000, 60.0)
+    assert not small.put(key(0), kept(size=5000), 11.0)
+    for number in range(100):
+        small.put(key(number), kept(size=400), 11.0)
+    assert len(small) == 2
+
+
+def test_a_purge_drops_its_account_and_what_was_sent_before_it_comes_to_nothing() -> None:
+    keep = Keep(10, 100_000, 60.0)
+    keep.put(key(1), kept(), 11.0)
+    keep.put(key(2), kept(B), 11.0)
+    assert keep.purge(A, 20.0, 20.0) == 1
+    assert keep.get(key(1), 1, 21.0) is None and keep.get(key(2), 1, 21.0) is not None
+    assert not keep.put(key(1), kept(sent=20.0), 21.0) and keep.put(key(1), kept(sent=20.1), 21.0)
+    assert keep.purge_all(30.0) == 2 and not keep.put(key(3), kept(B, sent=29.0), 31.0)
+
+
+def test_floors_are_bounded_and_never_lowered(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("cypresspulley.closing.keep.MOST_FLOORS", 3)
+    keep = Keep(10, 100_000, 60.0)
+    for number in range(5):
+        keep.purge(f"{number:016x}", 20.0 + number, 20.0 + number)
+    for number in range(5):
+        assert not keep.put(key(number), kept(f"{number:016x}", sent=20.0 + number), 25.0)
+    assert keep.put(key(9), kept(sent=25.0), 25.0)
+    assert not keep.put(
+        key(8), kept(sent=26.0), 26.5 + LATEST
+    )  # a floor that is forgotten may have been above it
+
+
+def test_while_a_change_is_under_way_nothing_of_its_account_is_kept_or_served() -> None:
+    keep = Keep(10, 100_000, 60.0)
+    keep.put(key(1), kept(), 11.0)
+    keep.begin(A)
+    keep.begin(A)
+    assert len(keep) == 0 and not keep.put(key(1), kept(sent=12.0), 13.0) and keep.put(key(2), kept(B), 13.0)
+    keep.end(A, 14.0, 14.0)
+    assert not keep.put(key(1), kept(sent=14.5), 15.0)  # the other one is still open
+    keep.end(A, 16.0, 16.0)
+    assert not keep.put(key(1), kept(sent=16.0), 17.0) and keep.put(key(1), kept(sent=16.1), 17.0)
+
+
+def test_an_earlier_requests_answer_takes_no_later_ones_place() -> None:
+    keep = Keep(10, 100_000, 60.0)
+    assert keep.put(key(1), kept(sent=12.0), 13.0) and not keep.put(key(1), kept(sent=11.0), 13.0)
+
+
+def test_the_index_by_account_goes_with_what_it_names() -> None:
+    keep, rng = Keep(5, 4000, 60.0), Random(1)
+    for step in range(500):
+        keep.put(
+            key(rng.randrange(20)), kept(rng.choice((A, B)), sent=float(step), size=rng.randrange(900)), step
+        )
+        if rng.random() < 0.1:
+            keep.purge(rng.choice((A, B)), float(step), float(step))
+    answers = keep._answers
+    assert {each for keys in answers.by_account.values() for each in keys} == set(answers)
+
+
+# Rows.
+
+
+def said(
+    round: int = 5, since: int = 0, agreed: bytes = b"agreed!!", purges: int = 0, recent: bytes = b""
+) -> Said:
+    return Said(round, since, agreed, 1, b"d" * 16, 3, purges, recent, b"")
+
+
+def test_the_largest_row_fits() -> None:
+    most = Said(
+        2**53 - 1,
+        2**53 - 1,
+        b"a" * 8,
+        2**53 - 1,
+        b"d" * 16,
+        4096,
+        2**53 - 1,
+        b"\xff" * 5 * MOST_RECENT,
+        b"e" * 33,
+    )
+    assert len(write_row(most)) <= MOST_ROW and read_row(write_row(most)) == most
+
+
+@given(st.binary(max_size=300))
+def test_foreign_bytes_are_no_row(body: bytes) -> None:
+    found = read_row(body)
+    assert found is None or read_row(write_row(found)) == found
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        [5, 6, b"a" * 8, 1, b"d" * 16, 3, 0, b"", b""],  # since the future
+        [-1, 0, b"a" * 8, 1, b"d" * 16, 3, 0, b"", b""],
+        [2**60, 0, b"a" * 8, 1, b"d" * 16, 3, 0, b"", b""],
+        [5, 0, b"a" * 7, 1, b"d" * 16, 3, 0, b"", b""],
+        [5, 0, b"a" * 8, 1, b"d" * 15, 3, 0, b"", b""],
+        [5, 0, b"a" * 8, 1, b"d" * 16, 3, 9, b"x" * 6, b""],
+        [5, 0, b"a" * 8, 1, b"d" * 16, 3, 1, b"x" * 10, b""],  # more accounts than purges
+        [5, 0, b"a" * 8, 1, b"d" * 16, 3, 9, b"", b"e" * 12],
+        [5, 0, b"a" * 8, 1, b"d" * 16, 3, 9, b"", b"e" * 44],
+        [5, 0, b"a" * 8, 1, b"d" * 16, 3, 99, b"x" * 5 * (MOST_RECENT + 1), b""],
+    ],
+)
+def test_a_row_that_says_what_cannot_be_is_none(row: list[object]) -> None:
+    assert read_row(msgspec.msgpack.encode(row)) is None
+
+
+# Purges.
+
+
+def test_purges_are_applied_once_each_and_a_gap_drops_everything() -> None:
+    issued, applied, life = Issued(), Applied(), Life("n1", 7)
+
+    def heard() -> tuple[list[tuple[int, str]], bool]:
+        return applied.hear(life, said(purges=issued.count, recent=issued.recent))
+
+    issued.issue(A)
+    issued.issue(B)
+    assert heard() == ([(1, A), (2, B)], False) and heard() == ([], False)
+    for _ in range(MOST_RECENT):
+        issued.issue(A)
+    numbers, more = heard()
+    assert len(numbers) == MOST_RECENT and not more
+    for _ in range(MOST_RECENT + 1):
+        issued.issue(A)
+    assert heard()[1]
+    assert applied.hear(Life("n1", 8), said(purges=1, recent=issued.recent[:5])) == ([(1, A)], False)
+
+
+# Rounds and leases, held against what each really had seen of the others.
+
+
+class Talker:
+    """A limiter that notes, at each of its steps, which of the others' sayings it had seen."""
+
+    def __init__(self, name: str) -> None:
+        self.life, self.lease = Life(name, 1), Lease(4.0, 0.25)
+        self.seen = dict[
+            Life, tuple[Said, float]
+        ]()  # of others: the newest saying here, and when it was said
+        self.agreed = b"one  one"
+
+    def look(self, now: float, others: list[Talker]) -> None:
+        rows = {
+            o.life: self.seen[o.life][0] if o.life in self.seen else None for o in others if o is not self
+        }
+        self.lease.agree(now, self.agreed)
+        self.lease.see(now, rows)
+        self.lease.hear(now, rows)
+
+    def says(self) -> Said:
+        return said(self.lease.round, self.lease.since, self.lease.agreed)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(st.integers(0, 2**32), st.integers(2, 5))
+def test_whoever_holds_a_lease_was_heard_by_all_within_it_and_waiting_for_its_end_is_enough(
+    seed: int, count: int
+) -> None:
+    """Sayings are late, lost and come out of order only forwards; now and then one agrees to something else."""
+    rng = Random(seed)
+    talkers, now, held = [Talker(f"n{n}") for n in range(count)], 0.0, 0
+    deaf_until = dict[tuple[Life, Life], float]()
+    for _ in range(600):
+        now += 0.05
+        one = rng.choice(talkers)
+        if rng.random() < 0.003:
+            one.agreed = rng.choice((b"one  one", b"two  two"))
+        if rng.random() < 0.2:
+            for other in talkers:
+                other.agreed = one.agreed
+        if rng.random() < 0.005:
+            deaf_until[rng.choice(talkers).life, one.life] = now + rng.uniform(1, 12)
+        one.look(now, talkers)
+        for other in talkers:
+            if other is not one and rng.random() < 0.8 and deaf_until.get((other.life, one.life), 0.0) <= now:
+                other.seen[one.life] = (one.says(), now)
+        for holder in talkers:
+            if not holder.lease.held(now):
+                continue
+            held += 1
+            for other in talkers:
+                if other is holder:
+                    continue
+                assert now - other.seen[holder.life][1] < 4.0  # heard within the lease
+                other.look(now, talkers)
+                assert other.lease.out(holder.life) > now  # who waits for its end waits long enough
+    assert held or count > 3
+
+
+def test_one_that_agrees_to_something_else_holds_up_all_and_is_named() -> None:
+    talkers = [Talker(f"n{n}") for n in range(3)]
+    for step in range(60):
+        now = step * 0.1
+        if step == 30:
+            talkers[2].agreed = b"two  two"
+        for one in talkers:
+            one.look(now, talkers)
+            for other in talkers:
+                other.seen[one.life] = (one.says(), now)
+    assert talkers[0].lease.cause == "disagreed" and talkers[0].lease.until < 3.1 + 4.0
+    assert not talkers[0].lease.held(7.1)
+
+
+def test_a_huge_round_from_a_foreign_peer_lengthens_no_lease() -> None:
+    lease, one, two = Lease(4.0, 0.25), Life("a", 1), Life("b", 1)
+    for step in range(40):
+        lease.agree(step * 0.1, b"agreed!!")
+        lease.hear(step * 0.1, {one: said(2**50), two: said(0)})
+    assert not lease.held(4.0) and lease.round <= 2**50 and lease.cause == "starting"
+
+
+# Who is needed.
+
+
+def member(name: str, life: int = 1, state: State = State.ALIVE) -> Member:
+    return Member(name, life, 0, state)
+
+
+def test_a_lost_limiter_is_needed_for_a_while_and_counts_for_the_half_for_longer() -> None:
+    roster, gone = Roster(30.0, 1), {"c": member("c", 1, State.DEAD)}
+    assert not roster.look(0.0, [member("a"), member("b"), member("c")], gone.get)
+    assert roster.look(1.0, [member("a"), member("b")], gone.get) == {Life("c", 1)}
+    assert Life("c", 1) in roster.needed
+    roster.look(32.0, [member("a"), member("b")], gone.get)
+    assert roster.needed == {Life("a", 1), Life("b", 1)} and roster.size == 3
+    assert roster.enough(2) and not roster.enough(1)
+    roster.look(2.0 + FORGET, [member("a"), member("b")], gone.get)
+    assert roster.size == 2
+
+
+def test_one_that_left_is_not_waited_for_and_a_new_life_is_another() -> None:
+    roster, gone = Roster(30.0, 1), {"c": member("c", 1, State.LEFT)}
+    roster.look(0.0, [member("a"), member("c")], gone.get)
+    roster.look(1.0, [member("a")], gone.get)
+    assert roster.needed == {Life("a", 1)} and roster.size == 1
+    assert roster.look(2.0, [member("a", 2)], gone.get) == {Life("a", 1)}
+    assert roster.needed == {Life("a", 2)}
+
+
+def test_who_has_just_started_reckons_with_those_that_others_know_and_the_operators_name() -> None:
+    roster = Roster(30.0, 3)
+    roster.look(0.0, [member("a")], lambda _name: None)
+    assert not roster.enough(1) and roster.enough(2)
+    roster.told([8, 5])
+    assert not roster.enough(4) and roster.enough(5)
+
+
+# Calendars.
+
+
+def calendar(
+    version: int, in_force: float, at: time = time(18), accounts: dict[str, str] | None = None
+) -> Calendar:
+    place = Place(
+        "v", "Asia/Kolkata", ((at,),) * 7, frozenset({date(2026, 12, 25)}), {date(2026, 12, 24): ()}
+    )
+    return Calendar(version, in_force, {"v": place}, {A: "v"} if accounts is None else accounts)
+
+
+def test_a_calendar_goes_round_as_a_document() -> None:
+    there = calendar(7, BEGIN + 0.25)
+    back = decode(encode(there))
+    assert back.places == there.places and back.accounts == there.accounts
+    assert (back.version, back.in_force) == (7, BEGIN + 0.25) and encode(back) == encode(there)
+
+
+def test_as_many_accounts_as_a_file_may_have_fit_into_a_document() -> None:
+    assert (
+        len(encode(calendar(7, BEGIN, accounts={f"{n:016x}": "v" for n in range(MOST_ACCOUNTS)})))
+        <= MOST_DOCUMENT
+    )
+
+
+@given(st.binary(max_size=200))
+def test_foreign_bytes_are_no_calendar(body: bytes) -> None:
+    with pytest.raises(OperatorsError):
+        decode(body)
+
+
+def test_a_newer_version_replaces_what_has_not_come_into_force() -> None:
+    book = Book()
+    first, second, third = calendar(1, BEGIN), calendar(2, BEGIN + 100), calendar(3, BEGIN + 200)
+    assert book.take(first, "a", BEGIN + 1) is Taken.FORCE
+    assert book.take(second, "b", BEGIN + 2) is Taken.HELD
+    assert book.take(third, "c", BEGIN + 3) is Taken.HELD and book.take(second, "b", BEGIN + 3) is Taken.OLDER
+    assert book.at(BEGIN + 150) is first and book.at(BEGIN + 200) is third
+    assert not book.advance(BEGIN + 199) and book.advance(BEGIN + 200) and book.current is third
+    assert book.turning(BEGIN + 199.8, 0.25) and not book.turning(BEGIN + 199.7, 0.25)
+
+
+def test_of_two_calendars_with_one_number_all_take_the_same() -> None:
+    books = Book(), Book()
+    one, other = calendar(1, BEGIN), calendar(1, BEGIN, time(17))
+    for book, order in zip(books, ((one, other), (other, one)), strict=True):
+        for each in order:
+            book.take(each, "1" if each is one else "2", BEGIN)
+    assert books[0].newest is books[1].newest is other
+
+
+def test_a_closing_is_noticed_once_and_each_version_has_its_own() -> None:
+    noticed, first = Noticed(), calendar(1, BEGIN)
+    second = calendar(2, BEGIN + 86_400, time(17))
+    close = BEGIN + 12.5 * 3600
+    assert noticed.notice(None, first, close - 5) == []
+    assert [each.at for each in noticed.notice(first, first, close)] == [close]
+    assert noticed.notice(first, first, close) == [] == noticed.notice(first, first, close - 3600)
+    assert noticed.notice(first, first, close + 1) == []
+    found = noticed.notice(first, second, BEGIN + 2 * 86_400)
+    assert [(each.version, each.at) for each in found] == [(2, BEGIN + 86_400 + 11.5 * 3600)]
+
+
+# The clock's trust.
+
+BOUND, SETTLE = 0.25, 8.0
+
+
+def never(_now: float) -> None:
+    return None
+
+
+def test_a_clock_that_nobody_can_compare_is_not_trusted_unless_there_is_nobody() -> None:
+    assert WallClock(BOUND, SETTLE, False).look(0.0, BEGIN, never) is Doubt.UNKNOWN
+    assert WallClock(BOUND, SETTLE, True).look(0.0, BEGIN, never) is Doubt.NONE
+
+
+@pytest.mark.parametrize(
+    ("error", "doubt"),
+    [((-0.1, 0.1), ""), ((-0.05, 0.13), "clock"), ((-0.13, 0.0), "clock"), ((3600.0, 3600.1), "clock")],
+)
+def test_a_clock_is_trusted_where_it_is_surely_within_half_the_bound(
+    error: tuple[float, float], doubt: str
+) -> None:
+    clock = WallClock(BOUND, SETTLE, False)
+    clock.look(0.0, BEGIN, lambda _now: (0.0, 0.0))
+    assert clock.look(1.0, BEGIN + 1, lambda _now: error) == doubt
+
+
+def test_a_step_is_seen_before_the_view_knows_of_it_and_trust_comes_back_later() -> None:
+    clock = WallClock(BOUND, SETTLE, False)
+
+    def fine(_now: float) -> tuple[float, float]:
+        return -0.01, 0.01
+
+    assert clock.look(0.0, BEGIN, fine) is Doubt.NONE
+    assert clock.look(0.01, BEGIN + 0.01 + 0.07, fine) is Doubt.STEPPED
+    assert clock.look(7.9, BEGIN + 7.9 + 0.07, fine) is Doubt.STEPPED
+    assert clock.look(8.2, BEGIN + 8.2 + 0.07, fine) is Doubt.NONE
+
+
+def test_a_clock_that_steps_back_is_behind_until_it_has_caught_up() -> None:
+    clock = WallClock(BOUND, SETTLE, True)
+    assert clock.look(0.0, BEGIN + 100, never) is Doubt.NONE
+    assert clock.look(1.0, BEGIN, never) is Doubt.BEHIND and clock.highest == BEGIN + 100
+    assert clock.look(101.0, BEGIN + 100.5, never) is Doubt.NONE
+
+
+def test_a_reading_that_is_not_trusted_is_never_the_highest() -> None:
+    clock = WallClock(BOUND, SETTLE, False)
+    clock.look(0.0, BEGIN, lambda _now: (0.0, 0.0))
+    assert clock.look(1.0, BEGIN + 3600, lambda _now: (0.0, 0.0)) is Doubt.STEPPED and clock.highest == BEGIN
+
+
+def test_a_gap_between_looks_is_a_sleep_also_while_the_next_is_due() -> None:
+    sleep = Sleep()
+    for step in range(10):
+        sleep.look(step * 0.1)
+    sleep.check(0.9 + GAP)
+    assert sleep.woke < 0
+    sleep.check(0.95 + GAP)
+    assert sleep.woke == 0.95 + GAP
+    assert DRIFT > 1
