--- /dev/null
+++ b/benchmarks/together_plays.py
@@ -0,0 +1,294 @@
+"""Days in virtual time for ``together_mutants``: each returns the histories of its processes and of who played it.
+
+    lanes      four gateways before modelled servers, 2.5 times what these bear for 45 seconds (``tests.lanes.day``)
+    closing    four limiters with clocks of their own over two closings: one paused, one stepped back, one cut off,
+               purges, handovers
+               (``tests.closing.world``)
+    fleet      eight detectors on a network that loses: a kill and return, a pause, a cut, a leaver (``fleet_bed``)
+
+The worlds are those that the rooms try themselves on; here only the histories leave them, and the checkers judge.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from datetime import UTC, datetime
+from functools import partial
+from random import Random
+from typing import Any
+
+from benchmarks.fleet_bed import EPOCH, Bed, Host
+from cypresspulley.closing.keep import Key
+from cypresspulley.closing.limiter import Closing
+from cypresspulley.closing.options import DRIFT, Options, calendar_from
+from cypresspulley.fleet import timing
+from cypresspulley.fleet.detector import Action, Changed, Rose, Settled
+from cypresspulley.fleet.view import View
+from cypresspulley.fleet.wire import Cell
+from cypresspulley.histories.events import Kind
+from cypresspulley.histories.read import HARNESS, Histories, from_memory
+from cypresspulley.histories.writer import MemoryHistory
+from cypresspulley.lanes.limiter import inversion_bound
+from tests.closing import world as closing_world
+from tests.lanes import day as lanes_day
+
+
+def begin(
+    history: MemoryHistory, name: str, life: int, bounds: dict[str, float] | None = None
+) -> MemoryHistory:
+    """A life's first event."""
+    history.opened_at(life)
+    history.put(Kind.START, name=name, life=life, zone="", period=0.5, bounds=bounds or {})
+    return history
+
+
+def lanes(seed: int = 3) -> Histories:
+    """Calm, far more than the fleet bears, calm again; premium alone asks for all of what it bears."""
+    told: list[MemoryHistory] = []
+    bounds = {"inversion": inversion_bound(lanes_day.LANES, 0.5)}
+
+    def history(clock: Callable[[], float]) -> MemoryHistory:
+        told.append(begin(MemoryHistory(clock, clock), f"limiter-{len(told)}", 1, bounds))
+        return told[-1]
+
+    lanes_day.History = history  # type: ignore[assignment,misc]
+    shape = lanes_day.Shape(spans=((10.0, 0.5), (45.0, 2.5), (15.0, 0.5)), bears=40.0, limiters=4, servers=4)
+    lanes_day.Day(shape, seed, lanes_day.with_lanes).run()
+    return from_memory([events for one in told for events in one.lives])
+
+
+class Judged(Bed):
+    """The fleet's bed with a history for each process, and the harness's."""
+
+    def __init__(self, seed: int, size: int) -> None:
+        super().__init__(seed, loss=0.02, double=0.01)
+        self._size = size
+        self._told = dict[str, MemoryHistory]()
+        self._lives = list[MemoryHistory]()
+        self._views = dict[int, str]()  # by the view's identity: whose it is
+        self._rows = set[tuple[int, str, int, str]]()
+        self.harness = begin(MemoryHistory(self._clock, self._clock), HARNESS, 1)
+        self.harness.put(Kind.TRUTH, closings=[], lanes=[], clock_bound=0.0, seconds=0.0)
+
+    def _clock(self) -> float:
+        return EPOCH + self.now
+
+    def start(  # type: ignore[override]
+        self, name: str, seeds: Sequence[str] = (), offset: float = 0.0, **more: Any
+    ) -> Host:  # fmt: skip
+        history = MemoryHistory(self._clock, lambda: self._clock() + offset)
+        self._told[name] = history
+        self._lives.append(history)
+        return super().start(name, seeds, offset, **more)
+
+    def leave(self, name: str, after: float = 1.0) -> None:
+        super().leave(name, after)
+        self.at(self.now + after, lambda: self._told[name].put(Kind.END, reason="asked to"))
+
+    def _do(self, host: Host, action: Action) -> None:
+        history = self._told[host.name]
+        if not history.lives or isinstance(action, Rose):
+            self._views[id(host.detector.view)] = host.name
+            size = self._size
+            bounds = {"detect": timing.detect_bound(size, 0.5), "settle": timing.settle_bound(size, 0.5)}
+            begin(history, host.name, host.detector.view.myself.life, bounds)
+        match action:
+            case Changed(member, cause):
+                history.put(
+                    Kind.MEMBER, member=member.name, life=member.life, incarnation=member.incarnation,
+                    state=member.state.name.lower(), cause=cause,
+                )  # fmt: skip
+            case Settled(settled, digest, members):
+                history.put(Kind.SETTLED, settled=settled, digest=f"{digest:016x}", members=members)
+        super()._do(host, action)
+
+    def row(self, view: View, cell: Cell) -> None:
+        """A row was taken: told once in a life of its owner."""
+        key = id(view), cell.owner, cell.life, cell.subsystem
+        if id(view) in self._views and key not in self._rows:
+            self._rows.add(key)
+            history = self._told[self._views[id(view)]]
+            history.put(Kind.ROW, owner=cell.owner, life=cell.life, subsystem=cell.subsystem)
+
+    def fault(self, kind: str, targets: list[str], on: bool) -> None:
+        self.harness.put(Kind.FAULT, kind_of=kind, targets=targets, on=on)
+
+    def histories(self) -> Histories:
+        self.harness.put(Kind.END, reason="over")
+        return from_memory([*(events for one in self._lives for events in one.lives), *self.harness.lives])
+
+
+def fleet(seed: int = 1) -> Histories:
+    """Each trouble has time to settle before the next one."""
+    bed, names = Judged(seed, 8), [f"l{n}" for n in range(8)]
+    merge = View.merge_row  # what a mutant may have put there
+
+    def told(view: View, now: float, cell: Cell) -> bool:
+        taken = merge(view, now, cell)
+        if taken:
+            bed.row(view, cell)
+        return taken
+
+    View.merge_row = told  # type: ignore[method-assign,assignment]
+    caught: list[tuple[str, bytes]] = []
+    bed.tap = lambda source, target, data: caught.append((target, data)) if source == "l7" else None
+    for name in names:
+        bed.start(name, names[:2], rows={"lanes": name.encode()})
+    bed.run(40.0)
+    bed.tap = None
+    bed.fault("limiter-kill", ["l7"], True)
+    bed.kill("l7")
+    bed.run(95.0)
+    bed.start("l7", names[:2], rows={"lanes": b"its second life"})
+    bed.run(100.0)
+    for target, data in caught:  # what the network held back all the time
+        bed.carry("l7", target, data)
+    bed.run(135.0)
+    bed.fault("limiter-pause", ["l3"], True)
+    bed.pause("l3")
+    bed.run(140.0)
+    bed.fault("limiter-pause", ["l3"], False)
+    bed.resume("l3")
+    bed.run(185.0)
+    left = {"l0", "l1", "l2"}
+    bed.fault("fleet-cut", sorted(left), True)
+    bed.cuts.append(lambda a, b: (a in left) != (b in left))
+    bed.run(215.0)
+    bed.cuts.clear()
+    bed.fault("fleet-cut", sorted(left), False)
+    bed.run(260.0)
+    bed.leave("l6")
+    bed.run(320.0)
+    return bed.histories()
+
+
+ACCOUNTS = tuple(f"{number:016x}" for number in range(1, 5))
+CALENDAR: dict[str, Any] = {
+    "version": 1,
+    "in_force": datetime(2026, 11, 30, tzinfo=UTC),
+    "places": {
+        "pune": {"zone": "Asia/Kolkata", "weekdays": {"tue": ["05:31", "05:32:30"]}}
+    },  # seconds 60 and 150
+    "accounts": dict.fromkeys(ACCOUNTS, "pune"),
+}
+LEASE = 3.0
+
+
+class Desk:
+    """Clients and operators of a closing world, and the harness's history of what they asked and got."""
+
+    def __init__(self, seed: int) -> None:
+        calendar = calendar_from(CALENDAR, "the play")
+        self.options = Options(calendar, frozenset(("lookup",)), lease=LEASE, purge=4.0, lost=6.0)
+        self._lives = list[MemoryHistory]()
+        self.world = closing_world.World(seed, make=self._make, named=4)
+        self._rng, self._asked = Random(seed), 0
+        clock = lambda: self.world.now  # noqa: E731  # the true time is both of the harness's clocks
+        self.harness = begin(MemoryHistory(clock, clock), HARNESS, 1)
+        closings = calendar.line("pune").between(closing_world.BEGIN, closing_world.BEGIN + 200)
+        pairs = [[account, float(at)] for account in ACCOUNTS for _, at in closings]
+        self.harness.put(
+            Kind.TRUTH, closings=pairs, lanes=[], clock_bound=self.options.clock_bound, seconds=200.0
+        )
+
+    def _make(
+        self, options: Options, view: closing_world.View, clock: Callable[[], float], wall: Callable[[], float],
+        history: object, named: int,
+    ) -> Closing:  # fmt: skip
+        told = MemoryHistory(lambda: self.world.now, wall)
+        bounds = {"clock": options.clock_bound, "purge": DRIFT * options.lease + 0.5}
+        self._lives.append(begin(told, view.me, view.life, bounds))
+        return Closing(options, view, clock, wall, told, named)
+
+    def lookup(self, limiter: closing_world.Limiter, account: str) -> None:
+        """A client's call now; a limiter that stands still finds it in its buffer."""
+        self._asked += 1
+        id, target = str(self._asked), self._rng.choice((b"/a", b"/b"))
+        self.harness.put(Kind.CALL, id=id, account=account, plan="basic", cls="lookup", limiter=limiter.name)
+        limiter.does(lambda: self._look(limiter, id, account, ("lookup", "basic", target + account.encode())))
+
+    def _look(self, limiter: closing_world.Limiter, id: str, account: str, key: Key) -> None:
+        keeper, now = limiter.keeper, self.world.now
+        found = keeper.served(id, account, key)
+        if found is not None:
+            self.harness.put(Kind.ANSWER, id=id, status=200, made=float(found[0].body), kept=True)
+            return
+        sent, took = keeper.sending(account), self._rng.uniform(0.005, 0.05)
+        made = now + took / 2
+
+        def answered() -> None:
+            if sent is not None and limiter.keeper is keeper:
+                keeper.answered(account, key, sent, b"", repr(made).encode())
+            self.harness.put(Kind.ANSWER, id=id, status=200, made=made, kept=False)
+
+        self.world.at(now + took, lambda: limiter.does(answered))
+
+    def handover(self, limiter: closing_world.Limiter, account: str) -> None:
+        """A request that is not safe to repeat."""
+        keeper = limiter.keeper
+
+        def begins() -> None:
+            keeper.changing(account)
+            self.world.at(
+                self.world.now + 0.05, lambda: limiter.does(lambda: keeper.changed(account, True, True))
+            )
+
+        limiter.does(begins)
+
+    async def purge(self, limiter: closing_world.Limiter, account: str) -> None:
+        """By hand, at an operator's call."""
+        self._asked += 1
+        id = f"purge {self._asked}"
+        self.harness.put(Kind.PURGE_CALL, id=id, account=account, limiter=limiter.name)
+        missing = await limiter.closing.purge(account)
+        self.harness.put(Kind.PURGE_ANSWER, id=id, status=503 if missing else 200, missing=list(missing))
+
+    def histories(self) -> Histories:
+        self.harness.put(Kind.END, reason="over")
+        return from_memory([*(events for one in self._lives for events in one.lives), *self.harness.lives])
+
+
+async def _closing(seed: int) -> Histories:
+    desk = Desk(seed)
+    world, purges = desk.world, list[asyncio.Task[None]]()
+    a, b, c, d = (
+        world.add(name, desk.options, off) for name, off in zip("abcd", (0.07, -0.07, 0.0, 0.02), strict=True)
+    )
+
+    def at(second: float, what: Callable[[], None]) -> None:
+        world.at(closing_world.BEGIN + second, what)
+
+    rng, everyone = Random(seed + 1), (a, b, c, d)
+    for second in range(6, 200):
+        near = min(abs(second - closing) for closing in (60, 150)) <= 1 or second in (90, 91, 170, 171)
+        for _ in range(240 if near else 40):
+            at(second + rng.random(), partial(desk.lookup, rng.choice(everyone), rng.choice(ACCOUNTS)))
+    for moment in (20, 45, 75, 100.2, 104, 110, 130):
+        at(moment, partial(desk.handover, a, ACCOUNTS[int(moment) % 4]))
+    at(100, lambda: world.cut({"d"}, {"a", "b", "c"}))
+    at(120, world.cuts.clear)
+    at(145, lambda: d.pause(5.2))
+    at(150.6, lambda: setattr(c, "off", -3.0))
+    at(156, lambda: setattr(c, "off", 0.0))
+
+    def by_hand(limiter: closing_world.Limiter) -> None:
+        purges.append(asyncio.ensure_future(desk.purge(limiter, ACCOUNTS[1])))
+
+    for moment, limiter in ((90, a), (100.4, b), (170, c)):
+        at(moment, partial(by_hand, limiter))
+    while world.now < closing_world.BEGIN + 200:
+        world.run(world.now + 0.02)
+        for _ in range(3):  # whoever waits for an answer goes on
+            await asyncio.sleep(0)
+    await asyncio.gather(*purges)
+    return desk.histories()
+
+
+def closing(seed: int = 1) -> Histories:
+    """Closings at seconds 60 and 150; d is cut off from 100 to 120 and stands still from 145 to 150.2, c's clock steps
+    back by 3 s after the second closing."""
+    return asyncio.run(_closing(seed))
+
+
+PLAYS: dict[str, Callable[[int], Histories]] = {"fleet": fleet, "lanes": lanes, "closing": closing}
