Steer what the fleet bears by refusals, revise thresholds within a spell, keep excess out while any quota gives way

A lower lane that asked nothing beyond quota let all of it pass until the next revision (found by the histories' checker); the death spiral of holding what is borne down by what is sent is out.

--- a/cypresspulley/lanes/limiter.py
+++ b/cypresspulley/lanes/limiter.py
@@ -20,8 +20,8 @@
 from cypresspulley.lanes.heard import Heard
 from cypresspulley.lanes.meter import Meter, Period
 from cypresspulley.lanes.options import LanesOptions
-from cypresspulley.lanes.rows import LanesRow, encode
-from cypresspulley.lanes.share import Pressure, Shares, Told, pressure, shares
+from cypresspulley.lanes.rows import TENTHS, LanesRow, encode
+from cypresspulley.lanes.share import Pressure, Shares, Told, borne, pressure, shares
 from cypresspulley.lanes.spells import WHOLE, Spell
 from cypresspulley.lanes.states import Machine, State, signal_of
 from cypresspulley.lanes.stores import Stores
@@ -37,9 +37,10 @@
 LOST = 10.0  # seconds without any other member heard, past which there is no view
 PATIENCE = 2  # periods that each limiter leaves to the one before it by name to make the next spell
 MOST_PATIENT = 3  # limiters that are waited for at most
-SETTLED = 3.0  # seconds of a spell until the rows show what it does
-TIGHT = 0.12  # share refused for want of room, of all, from which a spell ends early
-TIGHT_FIRST = 0.06  # the same of the first lane alone, where lower ones have more than their floors
+REVIEW = 6.0  # seconds between two revisions: rows must show what the last one did
+SOON = 3.0  # the same where gates refuse too much
+TIGHT = 2.0  # times what is wanted of them, and lower lanes have more than their floors
+STEADY = 0.08  # of a threshold: smaller revisions are not made
 TURNED_AT_MOST = 20_000  # accounts of a spell that histories have been told of
 
 
@@ -109,7 +110,8 @@
             self._steer(now, told, found)
         self._publish(now, mine)
         if done.asked:
-            self._report(done, shares(self._options.lanes, told, rising=False))
+            bears = course.bears if course.in_force else max(borne(told, None), found.asked)
+            self._report(done, shares(self._options.lanes, told, bears))
 
     def _viewless(self, now: float, told: list[Told]) -> bool:
         """Whether there is nobody to agree with: alone, or nobody heard for long."""
@@ -120,19 +122,24 @@
     def _steer(self, now: float, told: list[Told], found: Pressure) -> None:
         """States and spells."""
         course, machine = self.course, self.machine
-        if course.join(now, self.heard.rows()) and machine.held(not course.spell.open):
-            self._state(found)
+        if course.join(now, self.heard.rows()):
+            self.meter.changed()
+            if machine.held(not course.spell.open):
+                self._state(found)
         before = sum(owner < self._view.me for owner in self.heard.fresh())
-        if machine.heard(signal_of(found.value)):
+        value = found.value(course.bears if course.in_force else None)
+        if machine.heard(signal_of(value)):
             self._state(found)
         if course.due(now, machine.state, found, told, min(before, MOST_PATIENT)):
             maker = spells.maker_of(self._view.me, self._view.life)
             course.turn(now, machine.state, told, maker)
+            self.meter.changed()
             if machine.held(not course.spell.open):
                 self._state(found)
 
     def _state(self, found: Pressure) -> None:
-        state, value = self.machine.state.name.lower(), round(found.value, 4)
+        bears = self.course.bears if self.course.in_force else None
+        state, value = self.machine.state.name.lower(), round(found.value(bears), 4)
         self._history.put(Kind.LANES_STATE, state=state, pressure=value)
         log.info("lanes: %s, pressure %.2f, %r", state, value, self.course)
 
@@ -147,11 +154,8 @@
         lanes, me = self._options.lanes, self._view.me
         names = [lane.name for lane in lanes]
         own = found.at[me]
-        bears = max(found.bears, sum(found.inside))
-        if not self.course.spell.open:
-            bears = self.course.spell.bears / 10
         floors = [
-            min(lane.kept(bears), whole) * (part / whole if whole > 0 else 0.0)
+            min(lane.kept(found.bears), whole) * (part / whole if whole > 0 else 0.0)
             for lane, whole, part in zip(lanes, found.inside, own, strict=True)
         ]
 
@@ -168,7 +172,7 @@
             passed_over=by_lane([s.passed_over for s in done.lanes]),
             shares=by_lane(list(own)),
             floors=by_lane(floors),
-            bears=round(bears, 3),
+            bears=round(found.bears, 3),
         )
 
     def turned(self, now: float, ev: api.Request, lane: int, inside: bool) -> float:
@@ -207,6 +211,11 @@
     def in_force(self) -> bool:
         return not self.off and not self.spell.open
 
+    @property
+    def bears(self) -> float:
+        """What the fleet was held to bear when the spell was made, units a second."""
+        return self.spell.bears / TENTHS
+
     def left(self, now: float) -> float:
         """Seconds until the spell ends; 0 for an open one."""
         return 0.0 if self.spell.open else max(0.0, self._ends - now)
@@ -253,34 +262,38 @@
             return False
         if now >= self._ends:
             return True
-        return now - self._since >= SETTLED and self._too_much(found, told)
+        return now - self._since >= (SOON if self._too_much(found, told) else REVIEW)
 
     def _too_much(self, found: Pressure, told: list[Told]) -> bool:
-        """Whether gates refuse far more than the headroom, or the first lane's while lower ones could give way."""
-        fresh = [row for row in told if not row.stale]
-        short = sum(row.figures[0].short for row in fresh)
-        passed = sum(row.figures[0].sent for row in fresh) + short
-        first = passed > 0 and short > TIGHT_FIRST * passed and found.pressed >= 2
-        return (found.refused > TIGHT or first) and self._could_tighten(told)
-
-    def _could_tighten(self, told: list[Told]) -> bool:
-        wanted = shares(self._options.lanes, told, rising=False).passing
-        return any(
-            share * WHOLE < 0.9 * held for share, held in zip(wanted[1:], self.spell.inside[1:], strict=True)
-        )
+        """Whether gates refuse far more than is wanted, while lower lanes could give way."""
+        if found.over < TIGHT or found.pressed < 2:
+            return False
+        wanted = shares(self._options.lanes, told, borne(told, self.bears)).passing
+        held = self.spell.inside
+        return any(share * WHOLE < 0.9 * mine for share, mine in zip(wanted[1:], held[1:], strict=True))
 
     def turn(self, now: float, state: State, told: list[Told], maker: int) -> None:
-        """Make the next spell: by all rows, and let no more pass than before while someone is not heard."""
-        found = shares(self._options.lanes, told)
+        """Make the next revision: by all rows, and let no more pass than before while someone is not heard."""
+        bears = borne(told, None if self.spell.open else self.bears)
+        found = shares(self._options.lanes, told, bears)
         inside, beyond = found.passing, found.passing_beyond
         if any(row.stale for row in told):
             inside = tuple(min(s, h / WHOLE) for s, h in zip(inside, self.spell.inside, strict=True))
             beyond = tuple(min(s, h / WHOLE) for s, h in zip(beyond, self.spell.beyond, strict=True))
         elif state is State.EASING and min(inside) >= 1:
             return self._enter(now, spells.opened(self.spell, maker), 0.0)
-        until = now + self._options.spell
-        spell = spells.begun(self.spell, maker, until, found.bears, inside, beyond)
-        self._enter(now, spell, self._options.spell)
+        over = self.spell.open or now >= self._ends
+        if not over:
+            inside = tuple(_steady(s, h / WHOLE) for s, h in zip(inside, self.spell.inside, strict=True))
+        until = now + self._options.spell if over else 0.0
+        spell = spells.revised(self.spell, maker, until, bears, inside, beyond)
+        return self._enter(now, spell, self._options.spell if over else self.left(now))
+
+
+def _steady(wanted: float, held: float) -> float:
+    """A threshold is left where it is for a small difference: each change costs some account its place, whose clients
+    then ask again in vain, or are let in too late to be of use."""
+    return held if abs(wanted - held) < STEADY * max(wanted, held) else wanted
 
 
 class Way:
@@ -317,8 +330,10 @@
         if self._course.in_force:
             spell = self._course.spell
             threshold = (spell.inside if inside else spell.beyond)[lane]
-            if not passes(ev.account, spell.number, threshold):
+            if not passes(ev.account, spell.turn, threshold):
                 left = self._lanes.turned(now, ev, lane, inside)
+                if not inside:  # its own store will have room before that
+                    left = min(left, self._stores.short(now, ev))
                 return api.Refuse(ev.id, min(self._most_wait, max(0.1, left)), "lane")
             if inside:
                 self._lanes.let(ev, lane)
--- a/cypresspulley/lanes/meter.py
+++ b/cypresspulley/lanes/meter.py
@@ -4,19 +4,24 @@
 
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from cypresspulley import interface as api
 from cypresspulley.lanes.rows import Figures
 
-WINDOW = 2.0  # seconds of which figures are a mean: less is noise, more is late
+WINDOW, LONG = (
+    2.0,
+    8.0,
+)  # seconds of which figures are a mean; of which what is asked is one, while it is steady
+YOUNG = 5.0  # seconds of a limiter's life in which its refusals tell of itself: it knows no server's rate yet
+STEADY = 3.0  # standard deviations by which tries in the window may be off the mean of the long one
 ROOM = ("gate", "no server")  # causes of a refusal for want of room; the others are the account's own affair
 OPEN_AT_MOST = 65_536  # tries whose first action has not come; a limiter has sockets for a few thousand
 
 
 @dataclass(slots=True)
 class Sums:
-    """One lane in one period, units. ``first``: of ``asked``, first tries alone; see ``rows.Figures``."""
+    """One lane in one period, units. The first four are of all tries, the others as in ``rows.Figures``."""
 
     asked: float = 0.0
     passed: float = 0.0
@@ -24,8 +29,9 @@
     passed_over: float = 0.0
     first: float = 0.0
     over: float = 0.0
-    sent: float = 0.0
+    let: float = 0.0
     short: float = 0.0
+    sent: float = 0.0
 
 
 @dataclass(slots=True)
@@ -33,7 +39,8 @@
     """All lanes in one period; ``seconds`` is set at its end."""
 
     lanes: list[Sums]
-    seconds: float = field(default=0.0)
+    seconds: float = 0.0
+    tries: int = 0  # first ones
 
     @property
     def asked(self) -> bool:
@@ -44,8 +51,10 @@
     """Counts tries, and follows each that a lane lets pass to its first action."""
 
     def __init__(self, lanes: int, period: float, now: float) -> None:
-        self._lanes, self._began = lanes, now
-        self._done = deque[Period](maxlen=max(2, round(WINDOW / period)))
+        self._lanes, self._born, self._began = lanes, now, now
+        self._recent = max(2, round(WINDOW / period))
+        self._since = 0  # periods since thresholds changed
+        self._done = deque[Period](maxlen=max(2, round(LONG / period)))
         self._now = self._fresh()
         self._open = dict[int, tuple[int, api.Request, bool]]()
 
@@ -58,6 +67,7 @@
     def asked(self, lane: int, ev: api.Request, inside: bool) -> None:
         """A try has come. Repeats belong to their first tries and ask for nothing more."""
         sums = self._now.lanes[lane]
+        self._now.tries += not ev.repeat
         if inside:
             sums.asked += ev.units
             sums.first += 0.0 if ev.repeat else ev.units
@@ -70,6 +80,7 @@
         sums = self._now.lanes[lane]
         if inside:
             sums.passed += ev.units
+            sums.let += 0.0 if ev.repeat else ev.units
         else:
             sums.passed_over += ev.units
         if len(self._open) < OPEN_AT_MOST:
@@ -85,36 +96,57 @@
                 self._refused(*self._open.pop(action.id), action.why)
 
     def _refused(self, lane: int, ev: api.Request, inside: bool, why: str) -> None:
+        if not inside or ev.repeat:
+            return
         sums = self._now.lanes[lane]
         if why in ROOM:
-            sums.short += ev.units if inside else 0.0
-        elif inside and why != "attempts":  # the decisions know better: it was beyond its quota or a ceiling
-            sums.first -= 0.0 if ev.repeat else ev.units
-            sums.over += 0.0 if ev.repeat else ev.units
+            sums.short += ev.units if self._began - self._born >= YOUNG else 0.0
+        elif why != "attempts":  # the decisions know better: it was beyond its quota or a ceiling
+            sums.first, sums.over, sums.let = sums.first - ev.units, sums.over + ev.units, sums.let - ev.units
 
     def departed(self, id: int) -> None:
         self._open.pop(id, None)
 
+    def changed(self) -> None:
+        """Other thresholds hold from now on: what became of tries before says little of what becomes of them now."""
+        self._since = 0
+
     def cut(self, now: float) -> Period:
         """A period ends; its sums."""
+        self._since += 1
         done, self._now = self._now, self._fresh()
         done.seconds, self._began = max(1e-3, now - self._began), now
         self._done.append(done)
         return done
 
     def figures(self) -> tuple[Figures, ...]:
-        """Units a second over the recent periods, lane by lane."""
-        seconds = sum(period.seconds for period in self._done)
-        if seconds <= 0:
-            return (Figures(),) * self._lanes
+        """Units a second over the recent periods, lane by lane. What is asked is a longer mean: by a short one a lower
+        lane would get what the first asks again a moment later."""
+        self._forget()
+        long = list(self._done)
+        recent = long[-max(self._recent, self._since) :]
 
-        def rate(lane: int, of: Callable[[Sums], float]) -> float:
-            return max(0.0, sum(of(period.lanes[lane]) for period in self._done)) / seconds
+        def rate(lane: int, of: Callable[[Sums], float], periods: list[Period]) -> float:
+            seconds = sum(period.seconds for period in periods)
+            return max(0.0, sum(of(period.lanes[lane]) for period in periods)) / seconds if periods else 0.0
 
         return tuple(
             Figures(
-                rate(lane, lambda s: s.first), rate(lane, lambda s: s.over),
-                rate(lane, lambda s: s.sent), rate(lane, lambda s: s.short),
+                rate(lane, lambda s: s.first, long), rate(lane, lambda s: s.over, long),
+                rate(lane, lambda s: s.let, recent), rate(lane, lambda s: s.short, recent),
+                rate(lane, lambda s: s.sent, recent),
             )
             for lane in range(self._lanes)
         )  # fmt: skip
+
+    def _forget(self) -> None:
+        """Where the recent are not of a kind with those before, what was before is over. Arrivals are taken for
+        Poisson's: of ``n`` that were to come, some ``n ** 0.5`` more or fewer do."""
+        periods = list(self._done)
+        before, recent = periods[: -self._recent], periods[-self._recent :]
+        if not before:
+            return
+        seconds = sum(p.seconds for p in recent)
+        due = sum(p.tries for p in before) / sum(p.seconds for p in before) * seconds
+        if abs(sum(p.tries for p in recent) - due) > STEADY * max(1.0, due) ** 0.5:
+            self._done = deque(recent, self._done.maxlen)
--- a/cypresspulley/lanes/options.py
+++ b/cypresspulley/lanes/options.py
@@ -2,7 +2,7 @@
 
     [lanes]
     period_ms = 500          # of rows; 100 to 5000
-    spell_s = 4.0            # for which the same accounts give way; 1 to 600
+    spell_s = 20.0           # for which the same accounts give way; 1 to 600
     lease_s = 5.0            # from a limiter's death until its share is free; 1 to 600
 
     [[lanes.lane]]           # in order: the first gives way last
@@ -40,7 +40,7 @@
 PERIODS = (100, 5_000)  # ms
 SPANS = (1.0, 600.0)  # seconds, of spells and leases
 MOST_FLOOR = 1e6  # units a second
-PERIOD, SPELL, LEASE = 500, 4.0, 5.0  # where the table does not say: ms, seconds, seconds
+PERIOD, SPELL, LEASE = 500, 20.0, 5.0  # where the table does not say: ms, seconds, seconds
 KEYS = ("period_ms", "spell_s", "lease_s", "lane")
 LANE_KEYS = ("name", "plans", "floor", "floor_units")
 
--- a/cypresspulley/lanes/rows.py
+++ b/cypresspulley/lanes/rows.py
@@ -17,24 +17,27 @@
 from cypresspulley.lanes.spells import WHOLE, Spell
 
 VERSION = 1
-TENTHS = 10  # figures are told in tenths of units a second
-MOST_FIGURE = 2**32 - 1
+TENTHS = 10  # figures are told in tenths of units a second, or where these are large in 2 ** scale of them
+MOST_FIGURE, MOST_SCALE = 65_535, 32
+EACH = 5  # figures of a lane
 MOST_LEFT = 600_000  # ms
 COARSE = 100  # steps of a threshold beyond quota
 
-Count = Annotated[int, msgspec.Meta(ge=0, le=MOST_FIGURE)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
+Figure = Annotated[int, msgspec.Meta(ge=0, le=MOST_FIGURE)]
 Share = Annotated[int, msgspec.Meta(ge=0, le=WHOLE)]
 
 
 @dataclass(frozen=True, slots=True)
 class Figures:
-    """One lane at one limiter, units a second of the recent: ``asked`` inside quota (first tries), ``over`` asked
-    beyond it; ``sent`` on to servers; ``short``: let pass by the lane and refused for want of room."""
+    """One lane at one limiter, units a second of the recent: ``asked`` inside quota and ``over`` beyond it, ``passed``
+    by the lane and ``short``, then refused for want of room (all these of first tries); ``sent`` on to servers."""
 
     asked: float = 0.0
     over: float = 0.0
-    sent: float = 0.0
+    passed: float = 0.0
     short: float = 0.0
+    sent: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +56,7 @@
 class _Spell(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
     number: Count
     maker: Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+    turn: Count
     until: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
     left: Annotated[int, msgspec.Meta(ge=0, le=MOST_LEFT)]
     bears: Count
@@ -67,26 +71,31 @@
     state: Annotated[int, msgspec.Meta(ge=0, le=3)]
     rate: Count
     load: Share
-    figures: Annotated[list[Count], msgspec.Meta(min_length=4, max_length=4 * MOST_LANES)]
+    scale: Annotated[int, msgspec.Meta(ge=0, le=MOST_SCALE)]
+    figures: Annotated[list[Figure], msgspec.Meta(min_length=EACH, max_length=EACH * MOST_LANES)]
     spell: _Spell
 
 
 _encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(_Row)
 
 
-def _count(figure: float) -> int:
-    return min(MOST_FIGURE, round(figure * TENTHS)) if math.isfinite(figure) and figure > 0 else 0
+def _tenths(figure: float) -> int:
+    return min(2**32 - 1, round(figure * TENTHS)) if math.isfinite(figure) and figure > 0 else 0
 
 
 def encode(row: LanesRow) -> bytes:
     """The row's bytes. Figures below 0 are told as 0, too large ones as the largest."""
-    figures = [_count(n) for f in row.figures for n in (f.asked, f.over, f.sent, f.short)]
+    tenths = [_tenths(n) for f in row.figures for n in (f.asked, f.over, f.passed, f.short, f.sent)]
+    scale = max(0, max(tenths).bit_length() - 16)
     left = max(0, min(MOST_LEFT, round(row.left * 1000)))
     beyond = [share * COARSE // WHOLE for share in row.spell.beyond]
     spell = row.spell
-    told = _Spell(spell.number, spell.maker, spell.until, left, spell.bears, list(spell.inside), beyond)
+    told = _Spell(
+        spell.number, spell.maker, spell.turn, spell.until, left, spell.bears, list(spell.inside), beyond
+    )
     load = max(0, min(WHOLE, round(row.load * WHOLE)))
-    body = _encoder.encode(_Row(VERSION, row.state, _count(row.rate), load, figures, told))
+    figures = [n >> scale for n in tenths]
+    body = _encoder.encode(_Row(VERSION, row.state, _tenths(row.rate), load, scale, figures, told))
     assert len(body) <= MOST_ROW
     return body
 
@@ -100,10 +109,10 @@
     except msgspec.DecodeError:
         return None
     told = row.spell
-    if len(row.figures) != 4 * lanes or len(told.inside) != lanes or len(told.beyond) != lanes:
+    if len(row.figures) != EACH * lanes or len(told.inside) != lanes or len(told.beyond) != lanes:
         return None
-    numbers = [count / TENTHS for count in row.figures]
-    figures = tuple(Figures(*numbers[n : n + 4]) for n in range(0, len(numbers), 4))
+    numbers = [(count << row.scale) / TENTHS for count in row.figures]
+    figures = tuple(Figures(*numbers[n : n + EACH]) for n in range(0, len(numbers), EACH))
     beyond = tuple(share * WHOLE // COARSE for share in told.beyond)
-    spell = Spell(told.number, told.maker, told.until, told.bears, tuple(told.inside), beyond)
+    spell = Spell(told.number, told.maker, told.turn, told.until, told.bears, tuple(told.inside), beyond)
     return LanesRow(row.state, row.rate / TENTHS, row.load / WHOLE, figures, spell, told.left / 1000)
--- a/cypresspulley/lanes/share.py
+++ b/cypresspulley/lanes/share.py
@@ -3,8 +3,9 @@
 Lane by lane inside quota, each lane's floor first; what is beyond quota only after all of that. The same rows give the
 same answer at every limiter: rows are taken by their owners' names, and nothing else comes in.
 
-What the fleet bears is measured, not set: what was sent on to servers while gates refused for want of room. Where they
-did not refuse and load is below the gates' reference, there is room beyond that, and it is said by how much.
+What the fleet bears is measured, not set. It begins with what servers were sent while gates refused for want of room,
+and each revision it falls or rises by how far those refusals are from what is wanted of them: few of the first lane's,
+and some of all, by which the gates tell that nothing is left unused.
 """
 
 from __future__ import annotations
@@ -17,11 +18,15 @@
 from cypresspulley.lanes.rows import Figures
 from cypresspulley.policy.gate import REFERENCE
 
-HEADROOM = 0.06  # let pass beyond what is borne: the gates trim it, and so find out what more is borne
-RISE = 0.6  # and where gates have room: of what is borne, for each whole share of the reference that is free
-MOST_RISE = 0.5
-FEW_SHORT = 0.01  # share refused for want of room that is none
-MOST_EXTRA = 1.3  # times the asked that a lane is given at most, since gates refuse some of it
+WANTED, WANTED_FIRST = (
+    0.12,
+    0.05,
+)  # of first tries let pass, refused for want of room: of all, of the first lane
+ENTRY = 0.9  # of what was sent on while all was full: what is borne at first
+FALL, MOST_FALL = 0.05, 0.1  # of what is borne, a revision: for refusals of twice what is wanted; at most
+RISE = 0.15  # the same where nothing is refused
+LEAST_SENT, MOST_ASKED = 0.85, 1.1  # times what is sent on, and what is asked: between these it is held
+FEW = 0.02  # share refused below which a limiter is not pressed
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,34 +55,63 @@
 
 @dataclass(frozen=True, slots=True)
 class Pressure:
-    """``refused``: share of what lanes let pass that was refused for want of room; ``load``: mean of the readings by
-    what each limiter let pass; ``pressed``: limiters that refused."""
+    """Of the fleet, by its fresh rows. ``refused``: share of the first tries that lanes let pass which was refused for
+    want of room; ``first``: the same of the first lane that was asked; ``load``: mean of the gates' readings by what
+    each limiter let pass; ``pressed``: limiters that refused; ``asked``: units a second inside quota."""
 
     refused: float
+    first: float
     load: float
     pressed: int
-    limiters: int
+    asked: float
 
     @property
-    def value(self) -> float:
-        """Above 0: more was asked of the servers than they do. Below: the free share of the gates' reference. What
-        one limiter alone refuses is its own affair, and no pressure."""
-        room = max(0.0, 1 - self.load / REFERENCE)
-        refused = self.refused if self.pressed >= 2 else min(self.refused, FEW_SHORT)
-        return refused - room
+    def error(self) -> float:
+        """Of the gates' loop: by how much load is above its reference, as a share of it."""
+        return max(0.0, self.load / REFERENCE - 1)
+
+    def value(self, bears: float | None = None) -> float:
+        """The share of what is asked that cannot be served, at least: 0 is none. What one limiter alone refuses is its
+        own affair. ``bears``: units a second, where lanes hold back what is beyond it."""
+        refused = self.refused + self.error if self.pressed >= 2 else 0.0
+        held = 1 - bears / self.asked if bears is not None and self.asked > bears else 0.0
+        return max(refused, held)
+
+    @property
+    def over(self) -> float:
+        """Refusals over what is wanted of them: 1 is as wanted, 0 leaves room unused."""
+        return max((self.refused + self.error) / WANTED, self.first / WANTED_FIRST)
 
 
 def pressure(rows: Iterable[Told]) -> Pressure:
     """That of the fleet, by the rows that are not stale."""
     fresh = sorted((row for row in rows if not row.stale), key=lambda row: row.owner)
     short = [math.fsum(f.short for f in row.figures) for row in fresh]
-    passed = [math.fsum(f.sent + f.short for f in row.figures) for row in fresh]
-    whole = math.fsum(passed)
+    passed = [math.fsum(f.passed for f in row.figures) for row in fresh]
+    asked, whole = math.fsum(f.asked for row in fresh for f in row.figures), math.fsum(passed)
     if whole <= 0:
-        return Pressure(0.0, 0.0, 0, len(fresh))
+        return Pressure(0.0, 0.0, 0.0, 0, asked)
     load = math.fsum(row.load * p for row, p in zip(fresh, passed, strict=True)) / whole
-    pressed = sum(p > 0 and s >= FEW_SHORT * p for s, p in zip(short, passed, strict=True))
-    return Pressure(math.fsum(short) / whole, load, pressed, len(fresh))
+    pressed = sum(p > 0 and s >= FEW * p for s, p in zip(short, passed, strict=True))
+    first = 0.0
+    for lane in zip(*(row.figures for row in fresh), strict=True):
+        if (through := math.fsum(f.passed for f in lane)) > 0:
+            first = math.fsum(f.short for f in lane) / through
+            break
+    return Pressure(min(1.0, math.fsum(short) / whole), min(1.0, first), load, pressed, asked)
+
+
+def borne(rows: Iterable[Told], before: float | None) -> float:
+    """What the fleet bears, units a second, by all rows and by what it was held to bear in the spell ``before``."""
+    told = sorted(rows, key=lambda row: row.owner)
+    sent = math.fsum(f.sent for row in told for f in row.figures)
+    if before is None:
+        return ENTRY * sent
+    asked = math.fsum(f.asked + f.over for row in told for f in row.figures)
+    over = pressure(told).over
+    change = RISE * (1 - over) ** 2 if over < 1 else -min(MOST_FALL, FALL * (over - 1))
+    # Not held down by what is sent on: where few accounts pass and ask little, that says nothing of what is borne.
+    return max(LEAST_SENT * sent, min(before * (1 + change), MOST_ASKED * max(sent, asked)))
 
 
 def fill(
@@ -104,45 +138,31 @@
     return tuple(given), tuple(beyond)
 
 
-def shares(lanes: Sequence[Lane], rows: Iterable[Told], rising: bool = True) -> Shares:
-    """What each may pass, by all rows. ``rising`` False: nothing beyond what is known to be borne."""
+def shares(lanes: Sequence[Lane], rows: Iterable[Told], bears: float) -> Shares:
+    """What each may pass, by all rows, where the fleet bears so many units a second."""
     told = sorted(rows, key=lambda row: row.owner)
     fresh, stale = [row for row in told if not row.stale], [row for row in told if row.stale]
     numbers = range(len(lanes))
-    sent = [math.fsum(row.figures[n].sent for row in told) for n in numbers]
     taken = [math.fsum(row.figures[n].sent for row in stale) for n in numbers]
     asked = [math.fsum(row.figures[n].asked for row in fresh) for n in numbers]
     over = [math.fsum(row.figures[n].over for row in fresh) for n in numbers]
-    bears = math.fsum(sent) * (1 + (room(pressure(told)) if rising and not stale else 0.0))
-    # A lane whose tries the gates refuse is given more, and the lanes below it less: its asks count for more.
-    extra = [_extra(fresh, n) for n in numbers]
-    wanted = [a * e for a, e in zip(asked, extra, strict=True)]
-    inside, beyond = fill(lanes, wanted, over, bears * (1 + HEADROOM), taken)
-    given = tuple(min(a, g) for a, g in zip(asked, inside, strict=True))
-    at = {row.owner: tuple(_part(given[n], row.figures[n].asked, asked[n]) for n in numbers) for row in fresh}
+    inside, beyond = fill(lanes, asked, over, bears, taken)
+    left = math.fsum(asked) + math.fsum(over) + math.fsum(taken) < bears
+    at = {
+        row.owner: tuple(_part(inside[n], row.figures[n].asked, asked[n]) for n in numbers) for row in fresh
+    }
     at |= {row.owner: tuple(f.sent for f in row.figures) for row in stale}
     return Shares(
-        bears, given, beyond, at,
-        tuple(_share(inside[n], asked[n]) for n in numbers),
-        tuple(_share(beyond[n], over[n]) for n in numbers),
+        bears, inside, beyond, at,
+        tuple(_share(inside[n], asked[n], left or lanes[n].kept(bears) > 0) for n in numbers),
+        tuple(_share(beyond[n], over[n], left) for n in numbers),
     )  # fmt: skip
 
 
-def room(found: Pressure) -> float:
-    """By how much more than was sent on the fleet bears, a share of it: 0 while gates refuse."""
-    free = max(0.0, 1 - found.load / REFERENCE)
-    return min(MOST_RISE, RISE * free) if found.refused < FEW_SHORT else 0.0
-
-
-def _extra(rows: Iterable[Told], number: int) -> float:
-    short = math.fsum(row.figures[number].short for row in rows)
-    sent = math.fsum(row.figures[number].sent for row in rows)
-    return min(MOST_EXTRA, 1 + short / sent) if sent > 0 else 1.0
-
-
 def _part(given: float, own: float, all_: float) -> float:
     return given * own / all_ if all_ > 0 else 0.0
 
 
-def _share(given: float, asked: float) -> float:
-    return min(1.0, given / asked) if asked > 0 else 1.0
+def _share(given: float, asked: float, unasked: bool) -> float:
+    """The part that passes; ``unasked`` says whether what comes all the same may, where nothing was asked."""
+    return min(1.0, given / asked) if asked > 0 else float(unasked)
--- a/cypresspulley/lanes/spells.py
+++ b/cypresspulley/lanes/spells.py
@@ -1,6 +1,7 @@
 """Spells: for how long which part of each lane passes. Everywhere the same one holds, by a register in all rows.
 
-A spell is one immutable value, made by one limiter. Of two the one with the larger ``key`` holds: a total order, so
+In a spell the same accounts give way (``turn`` says which), while thresholds may be revised. Each revision is one
+immutable value, made by one limiter. Of two the one with the larger ``key`` holds: a total order, so
 that taking the larger is commutative, associative and idempotent, and whoever has heard the same rows goes by the same
 spell. The key holds a hash of its maker, so that two made at one moment are never taken for one.
 """
@@ -17,12 +18,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Spell:
-    """``inside`` and ``beyond``: thousandths of each lane that pass, inside quota and beyond it; ``until``: its end in
-    Unix milliseconds by its maker's clock, 0 for one that is open: everything passes and it has no end. ``bears``: what
-    the whole fleet was held to bear when it was made, tenths of units a second."""
+    """One revision. ``inside`` and ``beyond``: thousandths of each lane that pass, inside quota and beyond it;
+    ``until``: the spell's end in Unix milliseconds by the clock of who began it, 0 where it is open: everything passes
+    and there is no end. ``turn`` is the spell's number, ``bears`` what the whole fleet was held to bear, tenths of
+    units a second."""
 
     number: int
     maker: int
+    turn: int
     until: int
     bears: int
     inside: tuple[int, ...]
@@ -50,7 +53,7 @@
 
 def first(lanes: int) -> Spell:
     """What holds before anyone has made a spell."""
-    return Spell(0, 0, 0, 0, (WHOLE,) * lanes, (WHOLE,) * lanes)
+    return Spell(0, 0, 0, 0, 0, (WHOLE,) * lanes, (WHOLE,) * lanes)
 
 
 def maker_of(name: str, life: int) -> int:
@@ -62,10 +65,10 @@
     """The spell that lets everything pass again."""
     lanes = len(before.inside)
     number = min(MOST_NUMBER, before.number + 1)
-    return Spell(number, maker, 0, before.bears, (WHOLE,) * lanes, (WHOLE,) * lanes)
+    return Spell(number, maker, before.turn, 0, before.bears, (WHOLE,) * lanes, (WHOLE,) * lanes)
 
 
-def begun(
+def revised(
     before: Spell,
     maker: int,
     until: float,
@@ -73,11 +76,14 @@
     inside: tuple[float, ...],
     beyond: tuple[float, ...],
 ) -> Spell:
-    """The spell that follows, with shares 0 to 1 of lanes. ``until`` in Unix seconds, ``bears`` in units a second."""
+    """What follows, with shares 0 to 1 of lanes. ``until``: Unix seconds at which a spell ends that begins with it; 0
+    goes on with the one that is. ``bears`` in units a second."""
 
     def steps(shares: tuple[float, ...]) -> tuple[int, ...]:
         return tuple(max(0, min(WHOLE, round(share * WHOLE))) for share in shares)
 
     tenths = max(0, min(2**32 - 1, round(bears * 10)))
     number = min(MOST_NUMBER, before.number + 1)
-    return Spell(number, maker, max(1, round(until * 1000)), tenths, steps(inside), steps(beyond))
+    turn = min(MOST_NUMBER, before.turn + (until > 0))
+    ends = max(1, round(until * 1000)) if until > 0 else before.until
+    return Spell(number, maker, turn, ends, tenths, steps(inside), steps(beyond))
--- a/cypresspulley/lanes/stores.py
+++ b/cypresspulley/lanes/stores.py
@@ -67,6 +67,13 @@
         alone = a.thin or not self._set.has_counter or now < self._quotas.calls.silent_until
         return alone and floor_at(a, now) >= ev.units
 
+    def short(self, now: float, ev: api.Request) -> float:
+        """Seconds until its account's store seems to hold what the try asks; 0 for an account that is not known."""
+        a = self._quotas.accounts.get((ev.plan, ev.account))
+        if a is None or a.plan.rate <= 0:
+            return 0.0
+        return max(0.0, (ev.units - level_at(a, now)) / a.plan.rate)
+
     def turned(self, now: float, ev: api.Request) -> None:
         """A lane turned away a first try that was inside: it would have drawn its units."""
         plan = self._plans.get(ev.plan)
