--- a/cypresspulley/closing/limiter.py
+++ b/cypresspulley/closing/limiter.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Callable
 from hashlib import blake2s
+from typing import TypeVar
 
 from cypresspulley.closing.book import Taken, encode
 from cypresspulley.closing.calendar import Calendar
@@ -29,6 +30,8 @@
 
 log = logging.getLogger(__name__)
 
+N = TypeVar("N", bound=Node)
+
 TICK = 0.1  # seconds between two looks at the view
 LINGER = 5.0  # seconds for which a change whose outcome nobody knows may still be running at a server
 ALL = "*"  # in the history, for all accounts
@@ -57,7 +60,7 @@
     def __repr__(self) -> str:
         return f"<Closing {self.doubt or 'keeps'}, {self.keep!r}, {self.sure!r}, {self.peers!r}>"
 
-    def node(self, kind: type[Node]) -> type[Node]:
+    def node(self, kind: type[N]) -> type[N]:
         """A node that serves from what is kept, and otherwise as ``kind`` does."""
         return keeping(kind, self, self.options.keep)
 
--- a/cypresspulley/closing/node.py
+++ b/cypresspulley/closing/node.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import re
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from cypresspulley import interface as api
 from cypresspulley.closing.keep import Kept, Key, Sent
@@ -22,6 +22,8 @@
     rb"(?im)^(?:set-cookie|vary|age|content-range|cache-control:.*\b(?:no-store|no-cache|private)\b)"
 )
 
+N = TypeVar("N", bound=Node)
+
 
 class Keeping(Protocol):
     """What a node asks and tells: ``closing.limiter.Closing``."""
@@ -49,7 +51,7 @@
         self.sent = dict[int, Sent | None]()  # by attempt
 
 
-def keeping(kind: type[Node], closing: Keeping, keep: frozenset[str]) -> type[Node]:
+def keeping(kind: type[N], closing: Keeping, keep: frozenset[str]) -> type[N]:
     """The class over ``kind``; ``keep`` names the classes of requests whose answers are kept."""
 
     class KeepingNode(kind):  # type: ignore[valid-type, misc]
--- a/cypresspulley/together.py
+++ b/cypresspulley/together.py
@@ -8,7 +8,7 @@
 
 import os
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from cypresspulley import interface as api
 from cypresspulley.fleet.limiter import Fleet
@@ -22,6 +22,8 @@
     from cypresspulley.closing.limiter import Closing
     from cypresspulley.lanes.limiter import Lanes
 
+N = TypeVar("N", bound=Node)
+
 
 class Together:
     """What one limiter of a fleet starts and ends.
@@ -66,7 +68,7 @@
         self.lanes = Lanes(options, self.fleet.view, gateway, self._settings, self.history, self._clock)
         return self.lanes.deciding(decide)
 
-    def node(self, kind: type[Node]) -> type[Node]:
+    def node(self, kind: type[N]) -> type[N]:
         """The class of the node: one that keeps answers, where closing is on."""
         return kind if self.closing is None else self.closing.node(kind)
 
