--- a/benchmarks/together_mutants.py
+++ b/benchmarks/together_mutants.py
@@ -87,12 +87,12 @@
 
 
 def _excess_first() -> None:
-    begun = spells.begun
+    revised = spells.revised
 
     def excess(before: Any, maker: int, until: float, bears: float, inside: Any, beyond: Any) -> Any:
-        return begun(before, maker, until, bears, inside, (1.0,) * len(beyond))
+        return revised(before, maker, until, bears, inside, (1.0,) * len(beyond))
 
-    spells.begun = excess
+    spells.revised = excess
 
 
 def _lease_without_end() -> None:
@@ -120,7 +120,7 @@
 
 
 def _hasty_yes() -> None:
-    Purging._missing = lambda *_: []  # type: ignore[assignment,method-assign]
+    Purging._missing = lambda *_: []  # type: ignore[method-assign]
 
 
 MUTANTS = (
--- a/cypresspulley/histories/events.py
+++ b/cypresspulley/histories/events.py
@@ -48,7 +48,7 @@
     Kind.MEMBER: ("member", "life", "incarnation", "state", "cause"),
     # ``settled`` became true or false; ``digest`` is this process's, ``members`` how many it holds present.
     Kind.SETTLED: ("settled", "digest", "members"),
-    # A row of another member was taken for the first time in that life of its owner.
+    # A row of another member was taken, of another life than the one held of it in that subsystem (or none was).
     Kind.ROW: ("owner", "life", "subsystem"),
     # ``state``: calm, pressed, shedding or easing; ``pressure`` is the number that the table goes by.
     Kind.LANES_STATE: ("state", "pressure"),
