Take out three circles of imports and test that no other comes

The virtual loop's files and the commands of captures and rehearsals named each other, so neither could be read or tested alone.

--- a/cypresspulley/capture/command.py
+++ b/cypresspulley/capture/command.py
@@ -8,7 +8,6 @@
 import math
 import os
 import sys
-from dataclasses import dataclass
 from pathlib import Path
 
 import jinja2
@@ -17,42 +16,19 @@
 from rich.console import Console
 from rich.table import Table
 
-from cypresspulley.capture.arrivals import Stretch, arrivals_from
+from cypresspulley.capture.arrivals import Stretch
+from cypresspulley.capture.day import Input, plan_of, read
 from cypresspulley.capture.load import Loaded, load
 from cypresspulley.capture.mapping import load_mapping
-from cypresspulley.capture.model import CaptureError, Entry, shown
+from cypresspulley.capture.model import CaptureError, shown
 from cypresspulley.capture.replay import Report, against, percentile
-from cypresspulley.capture.retries import PATIENCE, mark_retries
 from cypresspulley.capture.scrub import KEY_BYTES, write
-from cypresspulley.capture.skew import Clock, merge
 from cypresspulley.capture.summary import Summary, summarise
 from cypresspulley.console import fail
 from cypresspulley.rehearsal import command as rehearsal
-from cypresspulley.rehearsal.plan import Plan, draw
-from cypresspulley.rehearsal.scenario import Goal, Load, Scenario, ScenarioError, load_scenario
+from cypresspulley.rehearsal.scenario import Goal, Load, ScenarioError, load_scenario
 
 GOOD, BAD_INPUT, BROKEN_TOOL = 0, 2, 3
-AFTER = 5.0  # seconds of a replayed day past the last arrival
-
-
-@dataclass(frozen=True, slots=True)
-class Input:
-    """Which files are read, and how."""
-
-    files: tuple[str, ...]
-    kind: str = "auto"
-    notation: str = ""
-    mapping: str | None = None
-    strict: bool = False
-    patience: float = PATIENCE
-
-
-def read(what: Input) -> tuple[list[Entry], Loaded, list[Clock]]:
-    """Files to merged entries in order of time, with their retries marked."""
-    loaded = load(what.files, load_mapping(what.mapping), what.kind, what.notation, what.strict)
-    entries, clocks = merge(loaded.sources)
-    mark_retries(entries, what.patience)
-    return entries, loaded, clocks
 
 
 def inspect(what: Input, json_file: Path | None, html: Path | None) -> int:
@@ -175,29 +151,6 @@
 # Replay.
 
 
-def captured_scenario(base: Scenario, arrivals_end: float, clients: bool) -> Scenario:
-    """A scenario whose load is the capture's: as long as it, its clients retrying only if they are to."""
-    seconds = min(600.0, max(1.0, math.ceil(arrivals_end + 0.001)))
-    options = base.clients if clients else base.clients.model_copy(update={"retries": 0})
-    faults = tuple(f for f in base.faults if f.at < seconds)
-    return base.model_copy(update={"seconds": seconds, "clients": options, "faults": faults})
-
-
-def captured_plan(scenario: Scenario, seed: int) -> tuple[Scenario, Plan]:
-    """The plan of a scenario whose load names a capture; ``CaptureError`` where that cannot be used."""
-    wish = scenario.load
-    assert wish.capture is not None
-    entries, _, _ = read(Input((wish.capture,), mapping=wish.mapping))
-    stretch = Stretch(wish.speed, wish.stretch_accounts, clients=wish.scripted_clients)
-    return plan_of(entries, scenario, stretch, seed)
-
-
-def plan_of(entries: list[Entry], scenario: Scenario, stretch: Stretch, seed: int) -> tuple[Scenario, Plan]:
-    arrivals = arrivals_from(entries, scenario, stretch, seed)
-    made = captured_scenario(scenario, arrivals[-1].t, stretch.clients)
-    return made, draw(made, seed, tuple(arrivals))
-
-
 def replay(
     what: Input,
     stretch: Stretch,
--- a/cypresspulley/explore/examine.py
+++ b/cypresspulley/explore/examine.py
@@ -15,9 +15,8 @@
 from cypresspulley.rehearsal.judge import judge
 from cypresspulley.rehearsal.limiters import KitError, wire_settings
 from cypresspulley.rehearsal.scenario import Scenario
-from cypresspulley.rehearsal.virtual.handle import VirtualHandle
 from cypresspulley.rehearsal.virtual.loop import NothingLeftError, StuckError, VirtualLoop
-from cypresspulley.rehearsal.virtual.owner import Owner
+from cypresspulley.rehearsal.virtual.owner import Owner, VirtualHandle
 from cypresspulley.rehearsal.virtual.play import Observer, digest, play_virtual
 from cypresspulley.settings import settings_from
 
--- a/cypresspulley/rehearsal/virtual/listener.py
+++ b/cypresspulley/rehearsal/virtual/listener.py
@@ -2,12 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from cypresspulley.rehearsal.standins.network import Factory, Link
-
-if TYPE_CHECKING:
-    from cypresspulley.rehearsal.virtual.network import VirtualNetwork
+from cypresspulley.rehearsal.virtual.network import VirtualNetwork
 
 
 class VirtualListener:
--- a/cypresspulley/rehearsal/virtual/loop.py
+++ b/cypresspulley/rehearsal/virtual/loop.py
@@ -15,10 +15,9 @@
 from typing import Any, TypeVar, cast
 
 from cypresspulley.rehearsal.standins.network import Factory, Link
-from cypresspulley.rehearsal.virtual.handle import VirtualHandle
 from cypresspulley.rehearsal.virtual.listener import VirtualListener
 from cypresspulley.rehearsal.virtual.network import VirtualNetwork, VirtualServer, VirtualTransport
-from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
+from cypresspulley.rehearsal.virtual.owner import OWNER, Owner, VirtualHandle
 
 T = TypeVar("T")
 
--- a/cypresspulley/rehearsal/virtual/network.py
+++ b/cypresspulley/rehearsal/virtual/network.py
@@ -19,13 +19,9 @@
 from collections.abc import Callable
 from contextvars import Context
 from random import Random
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, Protocol, cast
 
-from cypresspulley.rehearsal.virtual.handle import VirtualHandle
-from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
-
-if TYPE_CHECKING:
-    from cypresspulley.rehearsal.virtual.loop import VirtualLoop
+from cypresspulley.rehearsal.virtual.owner import OWNER, Owner, VirtualHandle
 
 HIGH = 64 * 1024  # bytes that a transport holds before it says pause_writing
 KERNEL = 128 * 1024  # bytes that lie between two ends while the reader reads nothing
@@ -35,6 +31,18 @@
 Address = tuple[str, int]
 
 
+class Times(Protocol):
+    """What the network asks of the loop that it belongs to."""
+
+    def time(self) -> float: ...
+
+    def call_later(
+        self, delay: float, callback: Any, *args: Any, context: Context | None = None
+    ) -> VirtualHandle: ...
+
+    def create_future(self) -> asyncio.Future[Any]: ...
+
+
 class Path:
     """One direction of a connection: bytes under way, and when they come."""
 
@@ -320,7 +328,7 @@
 class VirtualNetwork:
     """All listeners and connections of one loop. ``bandwidth`` is bytes a second of each way; 0: no bound."""
 
-    def __init__(self, loop: VirtualLoop, seed: int, bandwidth: float = 0.0) -> None:
+    def __init__(self, loop: Times, seed: int, bandwidth: float = 0.0) -> None:
         self.loop, self.rng, self.bandwidth = loop, Random(seed), bandwidth
         self.listeners = dict[Address, VirtualServer]()
         # What a program may ask of a connection's socket (options, unread bytes): one that is never connected.
--- a/cypresspulley/rehearsal/virtual/owner.py
+++ b/cypresspulley/rehearsal/virtual/owner.py
@@ -6,10 +6,7 @@
 from collections import deque
 from collections.abc import Callable
 from contextvars import Context, ContextVar
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from cypresspulley.rehearsal.virtual.handle import VirtualHandle
+from typing import Any
 
 
 class Owner:
@@ -49,3 +46,35 @@
 
 
 OWNER: ContextVar[Owner | None] = ContextVar("owner", default=None)
+
+
+class VirtualHandle:
+    """What asyncio's Handle and TimerHandle are to a program, with the owner whose code it runs."""
+
+    __slots__ = ("_args", "_callback", "_context", "_when", "owner")
+
+    def __init__(
+        self, callback: Callable[..., object] | None, args: tuple[Any, ...], context: Context, when: float
+    ) -> None:
+        self._callback, self._args, self._context, self._when = callback, args, context, when
+        self.owner: Owner | None = context.get(OWNER)
+
+    def __repr__(self) -> str:
+        return f"<VirtualHandle {self._callback!r} at {self._when:.6f} s of {self.owner!r}>"
+
+    @property
+    def callback(self) -> Any:
+        return self._callback
+
+    @property
+    def args(self) -> tuple[Any, ...]:
+        return self._args
+
+    def cancel(self) -> None:
+        self._callback, self._args = None, ()
+
+    def cancelled(self) -> bool:
+        return self._callback is None
+
+    def when(self) -> float:
+        return self._when
--- a/tests/capture/test_replay.py
+++ b/tests/capture/test_replay.py
@@ -13,7 +13,7 @@
 import pytest
 
 from cypresspulley.capture.arrivals import Stretch, account_number, arrivals_from
-from cypresspulley.capture.command import plan_of
+from cypresspulley.capture.day import plan_of
 from cypresspulley.capture.har_writer import write_har
 from cypresspulley.capture.load import load
 from cypresspulley.capture.mapping import Mapping
--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,82 @@
+"""No circle of imports among the package's modules, those for types and inside functions counted too."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+import cypresspulley
+
+ROOT = Path(cypresspulley.__file__).parent
+# Being taken out: policy/fleet and policy/request name each other's types.
+EXEMPT = frozenset((("cypresspulley.policy.fleet", "cypresspulley.policy.request"),))
+Graph = dict[str, set[str]]
+
+
+def module_of(path: Path) -> str:
+    parts = path.relative_to(ROOT.parent).with_suffix("").parts
+    return ".".join(parts[:-1] if parts[-1] == "__init__" else parts)
+
+
+def imports_of(source: str, known: set[str]) -> set[str]:
+    """The modules of the package that a text names in any import."""
+    found = set[str]()
+    for node in ast.walk(ast.parse(source)):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.module and node.level == 0:
+            names = {f"{node.module}.{alias.name}" for alias in node.names}
+            found |= names & known or {node.module}
+    return found & known
+
+
+def circles(graph: Graph) -> list[tuple[str, ...]]:
+    """Groups of modules of which each reaches each other one, sorted."""
+    reach: Graph = {}
+    for start in graph:
+        seen, todo = set[str](), list(graph[start])
+        while todo:
+            if (name := todo.pop()) not in seen:
+                seen.add(name)
+                todo += graph[name]
+        reach[start] = seen
+    groups = {
+        tuple(sorted({other for other in reach[name] if name in reach[other]}))
+        for name in graph
+        if name in reach[name]
+    }
+    return sorted(groups)
+
+
+def package() -> Graph:
+    paths = {module_of(path): path for path in ROOT.rglob("*.py")}
+    return {
+        name: imports_of(path.read_text(encoding="utf-8"), set(paths)) - {name}
+        for name, path in paths.items()
+    }
+
+
+def test_no_module_of_the_package_imports_itself_through_others() -> None:
+    assert [circle for circle in circles(package()) if circle not in EXEMPT] == []
+
+
+@pytest.mark.parametrize(
+    "source",
+    [
+        "import pack.b",
+        "from pack.b import x",
+        "from pack import b",
+        "if TYPE_CHECKING:\n    from pack.b import x",
+        "def f():\n    from pack.b import x",
+    ],
+)
+def test_a_circle_is_seen_in_every_form_of_import(source: str) -> None:
+    known = {"pack", "pack.a", "pack.b"}
+    graph: Graph = {"pack": set(), "pack.a": imports_of(source, known), "pack.b": {"pack.a"}}
+    assert circles(graph) == [("pack.a", "pack.b")]
+
+
+def test_a_way_that_comes_back_over_three_is_one_circle() -> None:
+    assert circles({"a": {"b"}, "b": {"c"}, "c": {"a"}, "d": {"a"}}) == [("a", "b", "c")]
