Put limiters of a scenario into one fleet: relay, virtual datagrams, faults and histories

What limiters do together had nothing to be rehearsed in. A scenario may now have [together], [lanes] and [closing], which become each limiter's operators' file; their datagrams go through a relay that loses, delays, doubles, reorders and cuts by ordered pair; the virtual loop carries datagrams with owners, a bounded buffer for the stopped and the same relay. The checkers' verdicts are records, so a kept log is judged alike. The rule that each answer is a server's takes a kept one only where it says its age, its account asks for keeping and a server made that body before for the same account and class.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -34,6 +34,7 @@
 
 if TYPE_CHECKING:
     from cypresspulley.accesslog import LogFile
+    from cypresspulley.histories.writer import AnyHistory
     from cypresspulley.net.peers import Peers
     from cypresspulley.plans.limiter import Plans
     from cypresspulley.together import Together
@@ -201,11 +202,13 @@
     watched: Callable[[Gateway], Decisions] | None = None,
     opened: Callable[[Service], None] | None = None,
     wall: Callable[[], float] = time.time,
+    history: AnyHistory | None = None,
 ) -> None:
     """Run one limiter until SIGTERM or SIGINT. All that it takes from the machine is the running loop, Unix time
     from ``clock`` and, at SIGHUP, the configuration from ``reread``. ``watched`` may put something between the
     decisions and the node that sees every event and action; ``opened`` gets what the operators' door calls on;
-    ``wall`` is the wall clock, which may step: only what limiters do together looks at it."""
+    ``wall`` is the wall clock, which may step: only what limiters do together looks at it, and writes ``history``
+    where one is given."""
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
@@ -234,7 +237,7 @@
         decisions, plans = _plans(config, operators.plans, decisions, gateway, clock)
     together = None
     if operators.fleet is not None:
-        together = _together(config, operators, clock, wall)
+        together = _together(config, operators, clock, wall, history)
         decisions = together.deciding(decisions, gateway)
     if operators.tally is not None:
         from cypresspulley.tally import Tally
@@ -323,14 +326,15 @@
 
 
 def _together(
-    config: Config, operators: Operators, clock: Callable[[], float], wall: Callable[[], float]
-) -> Together:
+    config: Config, operators: Operators, clock: Callable[[], float], wall: Callable[[], float],
+    history: AnyHistory | None,
+) -> Together:  # fmt: skip
     """What limiters do together, where the operators' file has a fleet; what is off is not even imported."""
     try:
         from cypresspulley.together import Together
 
         name = str(config.raw.get("name") or os.environ.get("LB_NAME") or "limiter")
-        return Together(operators, name, config.settings, config.seed, clock, wall)
+        return Together(operators, name, config.settings, config.seed, clock, wall, history)
     except ImportError as error:
         raise ConfigError(f"fleet needs its extra: pip install 'cypresspulley[fleet]' ({error})") from None
     except (OperatorsError, OSError) as error:
--- a/cypresspulley/operators.py
+++ b/cypresspulley/operators.py
@@ -16,6 +16,8 @@
     "plans": {"writer": str, "installation": str},
     "history": {"path": str},
 }
+# Keys that a table may go without. ``clock`` sets this process's wall clock off: rehearsals only, never in service.
+OPTIONAL: dict[str, dict[str, type]] = {"history": {"clock": str}}
 LEAST_TALLY = 0.1  # seconds
 OWN_CHECK = (
     "graphql",
@@ -44,6 +46,9 @@
     lanes: tuple[str, dict[str, Any]] | None = None
     closing: tuple[str, dict[str, Any]] | None = None
     history: str | None = None  # path of this process's history; ``{name}`` and ``{life}`` are filled in
+    clock: str | None = (
+        None  # a file that says how the wall clock is off, for rehearsals: see ``histories/clock.py``
+    )
 
 
 def load_operators(path: str) -> Operators:
@@ -71,7 +76,8 @@
             raise OperatorsError(f"{path}: {table}: expected [fleet] beside it, whose view it goes by")
     history = raw.get("history", {}).get("path")
     history = history.replace("{name}", name) if history else None
-    return Operators(log, keeper, tally=tally, plans=plans, history=history, **own)
+    clock = raw.get("history", {}).get("clock")
+    return Operators(log, keeper, tally=tally, plans=plans, history=history, clock=clock, **own)
 
 
 def _check(path: str, table: str, keys: Any) -> None:
@@ -80,10 +86,12 @@
         raise OperatorsError(f"{path}: {table}: expected a table, one of {', '.join(known)}")
     if table in OWN_CHECK:
         return
-    for key, kind in TABLES[table].items():
+    optional = OPTIONAL.get(table, {})
+    for key, kind in (TABLES[table] | {key: kind for key, kind in optional.items() if key in keys}).items():
         if not isinstance(keys.get(key), kind) or not keys[key]:
             raise OperatorsError(
                 f"{path}: {table}.{key}: expected a {kind.__name__}, got {keys.get(key)!r:.60}"
             )
-    if extra := set(keys) - set(TABLES[table]):
-        raise OperatorsError(f"{path}: {table}.{min(extra)}: unknown; expected {', '.join(TABLES[table])}")
+    if extra := set(keys) - set(TABLES[table]) - set(optional):
+        expected = ", ".join((*TABLES[table], *optional))
+        raise OperatorsError(f"{path}: {table}.{min(extra)}: unknown; expected {expected}")
--- /dev/null
+++ b/cypresspulley/rehearsal/calendars.py
@@ -0,0 +1,87 @@
+"""The calendars of a day's places of business: closings at seconds of the day, written as local times; free of I/O."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from math import ceil
+from typing import Any
+from zoneinfo import ZoneInfo
+
+from cypresspulley.rehearsal.plan import Plan, random_for
+from cypresspulley.rehearsal.sections import Closing
+
+OLD, TODAY = 1, 2  # versions: last week's, and the one that the day begins with
+DAY = 86_400.0
+SPARE = 0.5  # seconds by which a told version comes into force after its notice is over
+
+
+def keepers(section: Closing, plan: Plan) -> dict[str, str]:
+    """Which accounts of the plan ask for keeping, and each one's place, from the plan's seed."""
+    rng = random_for(plan.seed, "keepers")
+    chosen = [account.id for account in plan.accounts if rng.random() < section.share]
+    return {id: section.places[n % len(section.places)].name for n, id in enumerate(sorted(chosen))}
+
+
+class Calendars:
+    """The versions of one day. ``start`` is the Unix second of its second 0, a whole one."""
+
+    def __init__(self, section: Closing, accounts: dict[str, str], start: int) -> None:
+        self._section, self._accounts, self._start = section, accounts, start
+        self._zones = {place.name: place.zone for place in section.places}
+        self.closings = {place.name: sorted(start + s for s in place.closes) for place in section.places}
+        self._told = dict[str, list[int]]()  # what came at short notice, by place
+        self.version = TODAY
+
+    def __repr__(self) -> str:
+        return f"<Calendars up to version {self.version}, {len(self._accounts)} accounts, from {self._start}>"
+
+    def old(self) -> dict[str, Any]:
+        """Last week's: it knows none of the day's closings."""
+        return self._file(OLD, self._start - 8 * DAY, dict.fromkeys(self._zones, ()), {})
+
+    def today(self) -> dict[str, Any]:
+        """The file that limiters start with."""
+        return self._file(TODAY, self._start - DAY, self.closings, {})
+
+    def tell(self, place: str, at: int, now: float) -> dict[str, Any]:
+        """A new version with one more closing at the Unix second ``at``, in force once its notice is over."""
+        self._told.setdefault(place, []).append(at)
+        self.version += 1
+        in_force = ceil(now + self._section.notice + SPARE)
+        return self._file(self.version, in_force, self.closings, self._told)
+
+    def truth(self) -> list[list[Any]]:
+        """Pairs of an account and the Unix second of a closing, those told at short notice too."""
+        found = {name: sorted({*at, *self._told.get(name, ())}) for name, at in self.closings.items()}
+        return [
+            [account, float(at)] for account, place in sorted(self._accounts.items()) for at in found[place]
+        ]
+
+    def _file(
+        self, version: int, in_force: float, closings: dict[str, Any], told: dict[str, list[int]]
+    ) -> dict[str, Any]:
+        places = dict[str, Any]()
+        for name, zone in self._zones.items():
+            places[name] = table = {
+                "zone": zone,
+                "weekdays": {},
+                "special": local_times(zone, closings[name]),
+            }
+            if name in told:
+                days = local_times(zone, [*closings[name], *told[name]])
+                table["changes"] = [{"date": day, "closes": times} for day, times in days.items()]
+        return {
+            "version": version, "in_force": datetime.fromtimestamp(in_force, UTC), "places": places,
+            "accounts": self._accounts,
+        }  # fmt: skip
+
+
+def local_times(zone: str, seconds: Iterable[int]) -> dict[str, list[str]]:
+    """Unix seconds as a zone's dates, each with its local times."""
+    days = defaultdict[str, list[str]](list)
+    for second in sorted(set(seconds)):
+        local = datetime.fromtimestamp(second, ZoneInfo(zone))
+        days[local.date().isoformat()].append(local.time().isoformat())
+    return dict(days)
--- a/cypresspulley/rehearsal/records.py
+++ b/cypresspulley/rehearsal/records.py
@@ -248,6 +248,34 @@
     added: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Keeping:
+    """From ``t`` on these accounts ask for keeping: safe lookups of these classes may be answered from what is kept."""
+
+    t: float
+    accounts: tuple[str, ...]
+    classes: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FromKept:
+    """The answer that comes now has an ``Age`` (seconds): a limiter had kept it."""
+
+    t: float
+    id: str
+    age: float
+
+
+@dataclass(frozen=True, slots=True)
+class Checked:
+    """What a checker found in the day's histories: how many events it was held against, and each finding in words."""
+
+    t: float
+    name: str
+    checked: int
+    findings: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Probed:
     t: float
@@ -311,8 +339,8 @@
 
 Record = (
     Day | Sent | Answered | Broke | Unreached | Left | Surplus | LimiterState | ServerState | Arrived | Ran
-    | Replied | Ended | Listed | Banned | PlanMoved | Exported | Tallied | Probed | Happened | Lateness | Complaint
-    | Usage | End
+    | Replied | Ended | Listed | Banned | PlanMoved | Exported | Tallied | Keeping | FromKept | Checked
+    | Probed | Happened | Lateness | Complaint | Usage | End
 )  # fmt: skip
 KINDS: dict[str, type[Record]] = {kind.__name__.lower(): kind for kind in Record.__args__}
 
@@ -350,10 +378,12 @@
             return {str(name): (str(health), float(born)) for name, (health, born) in value.items()}
         expected: Any = {
             "float": (int, float), "int": int, "str": str, "bool": bool,
-            "float | None": (int, float, type(None)), "dict[str, str]": dict,
+            "float | None": (int, float, type(None)), "dict[str, str]": dict, "tuple[str, ...]": list,
         }[hint]  # fmt: skip
         if not isinstance(value, expected) or (hint in NUMBERS and isinstance(value, bool)):
             raise TypeError(f"got {value!r:.40}")
+        if expected is list:
+            return tuple(str(each) for each in value)
         return value
     except (TypeError, ValueError, AttributeError) as error:
         raise RecordError(f"{place}: {kind.__name__}.{key}: expected {hint}: {error}") from None
--- a/cypresspulley/rehearsal/report.py
+++ b/cypresspulley/rehearsal/report.py
@@ -22,6 +22,13 @@
             console.print(f"         {v.t:.3f} s {v.limiter} {v.request}: {v.text}")
         if len(rule.violations) > SHOWN:
             console.print(f"         and {len(rule.violations) - SHOWN} more")
+    for one in verdict.histories:
+        word = "BROKEN" if one.findings else "kept  "
+        console.print(f"  {word} histories: {one.name} (held against {one.checked} events)")
+        for text in one.findings[:SHOWN]:
+            console.print("         " + text.replace("\n", "\n           "))
+        if len(one.findings) > SHOWN:
+            console.print(f"         and {len(one.findings) - SHOWN} more")
     console.print(
         f"service {service.service:.3f} (goal {day.goal:.2f}): whole {service.whole:.3f}, worst 10 s "
         f"{service.worst_10s:.3f} from {service.worst_10s_at:.0f} s, worst plan {service.worst_plan:.3f}, "
@@ -42,13 +49,15 @@
     if verdict.crash:
         return f"FAILED: {verdict.crash}"
     broken = [rule.rule for rule in verdict.rules if not rule.kept]
+    broken += [f"what {one.name} promises" for one in verdict.histories if one.findings]
     if broken:
         return f"FAILED: broken: {', '.join(broken)}"
     if not verdict.met:
         return (
             f"FAILED: rules kept, but service {verdict.service.service:.3f} is under {verdict.day.goal:.2f}"
         )
-    return "PASSED: all five rules kept, the goal met"
+    promises = f", the promises of {', '.join(one.name for one in verdict.histories)} kept"
+    return f"PASSED: all five rules kept{promises * bool(verdict.histories)}, the goal met"
 
 
 def _table(what: str, shares: dict[str, float]) -> Table:
--- a/cypresspulley/rehearsal/standins/bagserver.py
+++ b/cypresspulley/rehearsal/standins/bagserver.py
@@ -339,7 +339,8 @@
         attempt.connection.attempt = None
         attempt.connection.quiet_since = now
         self._runs += 1
-        body = f'{{"id":"{attempt.id}","server":"{self.name}","run":{self._runs}}}'
+        made = f',"made":{self.stage.unix():.6f}' if self.stage.tells_made else ""
+        body = f'{{"id":"{attempt.id}","server":"{self.name}","run":{self._runs}{made}}}'
         if attempt.known.reply:
             body = self._graphql_body(attempt.known, body)
         if attempt.known.effect == "keyed":
--- a/cypresspulley/rehearsal/standins/clients.py
+++ b/cypresspulley/rehearsal/standins/clients.py
@@ -49,6 +49,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._body, self._size, self._begun = list[bytes](), 0, False
         self._retry_after: float | None = None
+        self._age: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -96,6 +97,9 @@
         if key == b"retry-after":
             with contextlib.suppress(ValueError):
                 self._retry_after = float(value)
+        elif key == b"age":
+            with contextlib.suppress(ValueError):
+                self._age = float(value)
         elif key == b"connection" and value.lower() == b"close":
             self.reusable = False
 
@@ -110,6 +114,8 @@
             self._stage.record(log.Surplus(self._stage.now(), self._limiter, self._last, self._size))
             return None
         text = b"".join(self._body).decode("latin-1")[:400]
+        if self._age is not None:
+            self._stage.record(log.FromKept(self._stage.now(), self._id, self._age))
         self._stage.record(log.Answered(self._stage.now(), self._id, status, self._retry_after, text))
         return self._finish(Outcome(status, self._retry_after))
 
--- /dev/null
+++ b/cypresspulley/rehearsal/standins/datagrams.py
@@ -0,0 +1,144 @@
+"""The network between limiters' datagrams: a relay on loopback that loses, delays, doubles, reorders and cuts.
+
+Each limiter tells others the address of its own way into the relay (``advertise``) and sends from its own socket
+(``listen``), so the relay knows who speaks by where a datagram came from and who is meant by where it arrived. It
+passes it on from the speaker's way in: what comes back to that address finds the speaker again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any, cast
+
+from cypresspulley.rehearsal.plan import random_for
+
+MOST_WAITING = 20_000  # datagrams that are delayed at once; what is more is lost, as in a full queue
+MOST_SIZE = 64 * 1024  # bytes of one
+Address = tuple[str, int]
+Way = tuple[str, str]  # from whom, to whom
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class Trouble:
+    """What befalls datagrams on some ways (None: on all) while it is on. Shares lie in 0..1, times are seconds.
+
+    ``lost``, ``doubled``: shares of them. ``held`` of them come ``by`` later than the rest, so that others overtake
+    them; with ``held`` 1 all are late alike. ``every``: it is on in the first half of each such span only.
+    """
+
+    ways: frozenset[Way] | None = None
+    lost: float = 0.0
+    doubled: float = 0.0
+    held: float = 0.0
+    by: float = 0.0
+    every: float = 0.0
+    since: float = field(default=0.0)
+
+    def meets(self, way: Way, now: float) -> bool:
+        if self.ways is not None and way not in self.ways:
+            return False
+        return not self.every or (now - self.since) % self.every < self.every / 2
+
+
+def ways_between(groups: Iterable[Iterable[str]], one_way: bool = False) -> frozenset[Way]:
+    """The ways between members of different groups; ``one_way``: only those that lead out of the first group."""
+    rows = [tuple(group) for group in groups]
+    found = {(a, b) for i, ones in enumerate(rows) for j, others in enumerate(rows) if i != j
+             for a in ones for b in others if i == 0 or not one_way}  # fmt: skip
+    return frozenset(found)
+
+
+class Relay:
+    """All ways between the limiters of one play. ``delay`` is that of a way on a good day, in seconds."""
+
+    def __init__(self, seed: int, delay: Callable[[str, str], float], clock: Callable[[], float]) -> None:
+        self._seed, self._delay, self._clock = seed, delay, clock
+        self._senders = dict[Address, str]()  # limiters by the address that they send from
+        self._sockets = dict[str, Address]()  # and back
+        self._ways_in = dict[str, asyncio.DatagramTransport]()
+        self._rngs = dict[Way, Random]()
+        self._troubles = dict[Trouble, None]()
+        self._waiting = 0
+        self.counts = Counter[str]()
+
+    def __repr__(self) -> str:
+        return (
+            f"<Relay of {len(self._ways_in)} limiters, {len(self._troubles)} troubles, {dict(self.counts)}>"
+        )
+
+    async def open(self, limiter: str, listen: Address, socket: Address) -> None:
+        """From now on ``listen`` leads to the limiter whose own socket is at ``socket``; OSError where it is taken."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: _WayIn(self, limiter), local_addr=listen)
+        self._ways_in[limiter] = cast(asyncio.DatagramTransport, transport)
+        self._senders[socket], self._sockets[limiter] = limiter, socket
+
+    def begin(self, trouble: Trouble) -> None:
+        self._troubles[trouble] = None
+
+    def end(self, trouble: Trouble) -> None:
+        self._troubles.pop(trouble, None)
+
+    def came(self, target: str, data: bytes, source: Address) -> None:
+        """A datagram for a limiter: passed on now, later, twice or not at all."""
+        sender = self._senders.get(source[:2])
+        if sender is None or len(data) > MOST_SIZE:
+            self.counts["foreign"] += 1
+            return
+        way, now = (sender, target), self._clock()
+        if way not in self._rngs:
+            self._rngs[way] = random_for(self._seed, "datagrams", *way)
+        rng, delay, copies = self._rngs[way], self._delay(sender, target), 1
+        for trouble in self._troubles:
+            if not trouble.meets(way, now):
+                continue
+            if trouble.lost and (trouble.lost >= 1 or rng.random() < trouble.lost):
+                self.counts["lost"] += 1
+                return
+            copies += bool(trouble.doubled) and rng.random() < trouble.doubled
+            if trouble.held and (trouble.held >= 1 or rng.random() < trouble.held):
+                delay += trouble.by
+        for copy in range(copies):
+            self._pass_on(way, data, delay * (1 + copy))
+
+    def _pass_on(self, way: Way, data: bytes, delay: float) -> None:
+        self.counts["passed"] += 1
+        if delay <= 0:
+            return self._send(way, data)
+        if self._waiting >= MOST_WAITING:
+            self.counts["lost"] += 1
+            return
+        self._waiting += 1
+        asyncio.get_running_loop().call_later(delay, self._late, way, data)
+
+    def _late(self, way: Way, data: bytes) -> None:
+        self._waiting -= 1
+        self._send(way, data)
+
+    def _send(self, way: Way, data: bytes) -> None:
+        way_in = self._ways_in.get(way[0])
+        if way_in is not None and not way_in.is_closing():
+            with contextlib.suppress(OSError):  # a dead limiter's socket is shut
+                way_in.sendto(data, self._sockets[way[1]])
+
+    def close(self) -> None:
+        for way_in in self._ways_in.values():
+            way_in.close()
+        self._ways_in.clear()
+
+
+class _WayIn(asyncio.DatagramProtocol):
+    """One limiter's way in."""
+
+    def __init__(self, relay: Relay, limiter: str) -> None:
+        self._relay, self._limiter = relay, limiter
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        self._relay.came(self._limiter, data, (addr[0], addr[1]))
+
+    def error_received(self, exc: Exception) -> None: ...  # nobody is there: that is what is rehearsed
--- a/cypresspulley/rehearsal/standins/stage.py
+++ b/cypresspulley/rehearsal/standins/stage.py
@@ -51,6 +51,7 @@
         self._attempts = 0
         self.complaints = list[str]()
         self.on_arrival: ArrivalHook | None = None
+        self.tells_made = False  # whether servers say in their answers when these were made
 
     def begin(self, after: float) -> None:
         """The day starts ``after`` seconds from now."""
@@ -64,6 +65,10 @@
         """Unix time in milliseconds of a time of the day, today's by default."""
         return int((self._unix + self._start + (self.now() if t is None else t)) * 1000)
 
+    def unix(self) -> float:
+        """Unix seconds now, by the day's clock, which never steps."""
+        return self._unix + self.clock()
+
     def record(self, record: Record) -> None:
         self._sink(record)
 
--- a/cypresspulley/rehearsal/virtual/network.py
+++ b/cypresspulley/rehearsal/virtual/network.py
@@ -21,6 +21,7 @@
 from random import Random
 from typing import Any, Protocol, cast
 
+from cypresspulley.rehearsal.virtual.datagrams import DatagramSocket
 from cypresspulley.rehearsal.virtual.owner import OWNER, Owner, VirtualHandle
 
 HIGH = 64 * 1024  # bytes that a transport holds before it says pause_writing
@@ -334,6 +335,7 @@
         # What a program may ask of a connection's socket (options, unread bytes): one that is never connected.
         self.bare_socket = socket.socket()
         self.open = dict[VirtualTransport, None]()
+        self.sockets = dict[Address, DatagramSocket]()
         self._cuts = set[frozenset[str]]()
         self._last_port = FIRST_PORT
 
@@ -354,6 +356,8 @@
             server.close()
         for end in [end for end in self.open if end.owner is owner]:
             end.bury()
+        for bound in [bound for bound in self.sockets.values() if bound.owner is owner]:
+            bound.bury()
 
     def close(self) -> None:
         self.bare_socket.close()
@@ -381,6 +385,16 @@
         server = self.listeners[address] = VirtualServer(self, factory, address)
         return server
 
+    def bind(self, factory: Callable[[], Any], host: str, port: int) -> tuple[DatagramSocket, Any]:
+        """A socket for datagrams, as its owner's that asks for it."""
+        address = (host, port or self._port())
+        if address in self.sockets:
+            raise OSError(98, f"address already in use: {host}:{address[1]}")
+        protocol = factory()
+        bound = DatagramSocket(self, self.sockets, address, protocol)
+        bound.open()
+        return bound, protocol
+
     def _port(self) -> int:
         self._last_port += 1
         return self._last_port
--- a/cypresspulley/together.py
+++ b/cypresspulley/together.py
@@ -13,6 +13,7 @@
 from cypresspulley import interface as api
 from cypresspulley.fleet.limiter import Fleet
 from cypresspulley.fleet.options import options_from as fleet_options
+from cypresspulley.histories.clock import ShiftedClock
 from cypresspulley.histories.writer import AnyHistory, History, NoHistory
 from cypresspulley.net.node import Decisions, Node
 from cypresspulley.operators import Operators, OperatorsError
@@ -26,19 +27,22 @@
 class Together:
     """What one limiter of a fleet starts and ends.
 
-    ``clock`` never steps, ``wall`` is the wall clock as the machine has it; both are Unix seconds. ``OperatorsError``
+    ``clock`` never steps, ``wall`` is the wall clock as the machine has it; both are Unix seconds. ``history`` may be
+    given in place of the file that the operators name, as plays in virtual time do. ``OperatorsError``
     names file, key and what was expected; ``ImportError`` an extra that is missing.
     """
 
     def __init__(
         self, operators: Operators, name: str, settings: api.Settings, seed: int,
-        clock: Callable[[], float], wall: Callable[[], float],
+        clock: Callable[[], float], wall: Callable[[], float], history: AnyHistory | None = None,
     ) -> None:  # fmt: skip
         assert operators.fleet is not None
+        if operators.clock is not None:
+            wall = ShiftedClock(operators.clock, wall)
         path, table = operators.fleet
         options = fleet_options(table, path, os.environ.get("FAWNSEAM_FLEET_KEY", ""))
-        self.history: AnyHistory = NoHistory()
-        if operators.history is not None:
+        self.history: AnyHistory = history or NoHistory()
+        if history is None and operators.history is not None:
             self.history = History(operators.history, clock, wall)
         self.fleet = Fleet(options, name, settings.zone, seed, clock, wall, self.history)
         self._clock, self._wall, self._settings, self._operators = clock, wall, settings, operators
