--- a/cypresspulley/rehearsal/service.py
+++ b/cypresspulley/rehearsal/service.py
@@ -244,6 +244,7 @@
         "retried": sum(any(s.id != s.first for s in one.sent) for one in tries),
         "attempts": len(line.attempts),
         "beyond_quota": sum(not ok for ok in _inside_when_sent(line).values()),
+        **({"from_kept": len(line.from_kept)} if line.keeping else {}),
         # Asked anew under a new id after a death, a request may run again: the client's choice, no rule.
         "asked_anew_and_ran": sum(n > 1 for n in effects.values()),
     }
