--- a/cypresspulley/rehearsal/calendars.py
+++ b/cypresspulley/rehearsal/calendars.py
@@ -64,7 +64,7 @@
     ) -> dict[str, Any]:
         places = dict[str, Any]()
         for name, zone in self._zones.items():
-            places[name] = table = {
+            table: dict[str, Any] = {
                 "zone": zone,
                 "weekdays": {},
                 "special": local_times(zone, closings[name]),
@@ -72,6 +72,7 @@
             if name in told:
                 days = local_times(zone, [*closings[name], *told[name]])
                 table["changes"] = [{"date": day, "closes": times} for day, times in days.items()]
+            places[name] = table
         return {
             "version": version, "in_force": datetime.fromtimestamp(in_force, UTC), "places": places,
             "accounts": self._accounts,
--- a/cypresspulley/rehearsal/standins/datagrams.py
+++ b/cypresspulley/rehearsal/standins/datagrams.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
-from typing import Any, cast
+from typing import Any
 
 from cypresspulley.rehearsal.plan import random_for
 
@@ -75,7 +75,7 @@
         """From now on ``listen`` leads to the limiter whose own socket is at ``socket``; OSError where it is taken."""
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(lambda: _WayIn(self, limiter), local_addr=listen)
-        self._ways_in[limiter] = cast(asyncio.DatagramTransport, transport)
+        self._ways_in[limiter] = transport
         self._senders[socket], self._sockets[limiter] = limiter, socket
 
     def begin(self, trouble: Trouble) -> None:
