--- a/cypresspulley/explore/examine.py
+++ b/cypresspulley/explore/examine.py
@@ -10,6 +10,7 @@
 from cypresspulley import interface as api
 from cypresspulley.explore.coverage import NO_FAULT, Pair
 from cypresspulley.explore.lifecycle import Ceilings, Fleet, Offence, Watch
+from cypresspulley.histories.verdict import NOTHING
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.judge import judge
@@ -26,6 +27,7 @@
 # Timers that an exiting limiter may leave to the end of its process: each does nothing by then.
 LEFT_OVER = (
     "CounterClient._give_up",
+    "CounterClient._redial",
     "Node.feed",
     "Upstream._sweep",
     "Frontend._sweep",
@@ -179,7 +181,7 @@
 
 
 def _judged(records: list[log.Record]) -> list[Find]:
-    verdict, finds = judge(records), list[Find]()
+    verdict, finds = judge(records), list[Find | None]()
     if verdict.crash:
         finds.append(Find("crash", verdict.crash))
     if verdict.void:
@@ -189,4 +191,12 @@
             Find(rule.rule, f"{v.limiter} at {v.t:.3f} s, {v.request}: {v.text}")
             for v in rule.violations[:MOST_SAID]
         ]
-    return finds
+    for one in verdict.histories:
+        finds += [_promise(one.name, text) for text in one.findings[:MOST_SAID]]
+    return [find for find in finds if find is not None]
+
+
+def _promise(checker: str, text: str) -> Find | None:
+    """A promise of what limiters do together that broke. That a short day put none to the test is no find."""
+    promise = text.partition(":")[0]
+    return None if promise == NOTHING else Find(f"{checker} {promise}", text.replace("\n", "; "))
--- a/cypresspulley/rehearsal/checks.py
+++ b/cypresspulley/rehearsal/checks.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
 
 from cypresspulley.histories.check import check_all
-from cypresspulley.histories.read import Histories
+from cypresspulley.histories.events import Kind
+from cypresspulley.histories.read import PATTERN, Histories
 from cypresspulley.histories.verdict import Finding
 from cypresspulley.rehearsal import records as log
 
+MARK = f'"kind":"{Kind.CALENDAR}"'.encode()
 SHOWN = 8  # events of a finding's excerpt
 
 
@@ -20,6 +27,17 @@
     ]
 
 
+def calendar_events(folder: Path) -> list[dict[str, Any]]:
+    """Events of calendars in a folder's histories so far; a line that is being written is passed over."""
+    found = list[dict[str, Any]]()
+    for file in sorted(folder.glob(PATTERN)):
+        for line in file.read_bytes().splitlines():
+            if MARK in line:
+                with contextlib.suppress(msgspec.DecodeError):
+                    found.append(msgspec.json.decode(line, type=dict[str, Any]))
+    return found
+
+
 def _words(finding: Finding) -> str:
     """What broke, and below it the events that show it."""
     shown = [repr(line) for line in finding.excerpt[:SHOWN]]
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -758,7 +758,7 @@
     while director.returning and loop.time() < limit:
         await asyncio.sleep(0.05)  # one that was to come back comes back first: its end is judged too
     if director.side is not None:
-        director.side.harness.over()
+        director.side.over()
     for limiter in director.limiters.values():
         if limiter.running:
             director.stage.record(log.LimiterState(director.stage.now(), limiter.name, "stopping"))
@@ -838,7 +838,7 @@
     """On sockets: histories are files, and each address is one of this run's own."""
     from cypresspulley.histories.read import read_folder
     from cypresspulley.histories.writer import History
-    from cypresspulley.rehearsal.checks import checked
+    from cypresspulley.rehearsal.checks import calendar_events, checked
     from cypresspulley.rehearsal.together import Ground
 
     histories, net, names = folder / "histories", Net(scenario, base), limiter_names(scenario)
@@ -851,6 +851,7 @@
         History(str(histories / "harness.jsonl"), clock, clock),
         lambda name, way_in: (hosts[name, way_in], ports[name, way_in]),
         lambda wanted: checked(read_folder(histories), wanted, scenario.seconds),
+        lambda: calendar_events(histories),
         START_WITHIN[0] + START_WITHIN[1] * len(names),
     )
 
