Run the tests on all processors, those that play on sockets in one row with precedence

make test took 8 minutes, one test after the other. It now shares them among as many processes as there are processors (8 at most, pytest-xdist, loadgroup), and runs the linter and the type checker beside them; any of the three that fails fails the command. The dots come as they do, the checks say all at once what they found, and the closing line is pytest's.

They are marked timed, stand on one worker, and every other worker lowers its priority by 10. The longest tests (53 s: a million accounts) begin first.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,10 @@
 VENV ?= .venv-dev
 BIN := $(VENV)/bin
 SCENARIO ?= wedding-weekend
+# Processes that share the tests: one for each processor, 8 at most.
+WORKERS ?= logical
 
-.PHONY: test rehearse clean
+.PHONY: test checks tests rehearse clean
 
 $(VENV)/installed: pyproject.toml requirements.txt
 	python3 -m venv --clear $(VENV)
@@ -13,11 +15,17 @@
 rehearse: $(VENV)/installed
 	$(BIN)/fawnseam rehearse $(SCENARIO)
 
+# The linter and the type checker stand beside the tests and say all at once what they found; one that fails, fails all.
 test: $(VENV)/installed
-	$(BIN)/ruff check cypresspulley tests benchmarks
-	$(BIN)/ruff format --check cypresspulley tests benchmarks
-	$(BIN)/mypy
-	$(BIN)/python -m pytest
+	@$(MAKE) --no-print-directory -j2 tests checks
+
+tests: $(VENV)/installed
+	@$(BIN)/python -m pytest -n $(WORKERS) --maxprocesses 8 --dist loadgroup
+
+checks: $(VENV)/installed
+	@said=$$({ $(BIN)/ruff check cypresspulley tests benchmarks && \
+		$(BIN)/ruff format --check cypresspulley tests benchmarks && nice -n 10 $(BIN)/mypy; } 2>&1); \
+		failed=$$?; printf '\n%s\n' "$$said"; exit $$failed
 
 clean:
 	rm -rf $(VENV)
--- a/tests/capture/test_replay.py
+++ b/tests/capture/test_replay.py
@@ -29,6 +29,7 @@
 from tests.loopback import Origin, listening, run
 from tests.rehearsal.small import command, small
 
+pytestmark = pytest.mark.timed
 FAWNSEAM = [sys.executable, "-m", "cypresspulley.cli"]
 
 
--- a/tests/rehearsal/test_command.py
+++ b/tests/rehearsal/test_command.py
@@ -42,6 +42,7 @@
 [clients]
 impatient = 0
 """
+pytestmark = pytest.mark.timed
 FAWNSEAM = [sys.executable, "-m", "cypresspulley.cli"]
 
 
--- a/tests/rehearsal/test_convicts.py
+++ b/tests/rehearsal/test_convicts.py
@@ -14,6 +14,7 @@
 from cypresspulley.rehearsal.rules import RULES
 from tests.rehearsal.broken import FAULTS
 
+pytestmark = pytest.mark.timed
 AT_ONCE = 4  # plays side by side, each a process with two limiters
 PLAYS = 3  # at most: a run in which the kit was late is void and no verdict, as for any user
 SEED = "5"
--- a/tests/rehearsal/test_operated.py
+++ b/tests/rehearsal/test_operated.py
@@ -20,6 +20,7 @@
     {"kind": "limiter-upgrade", "at": 2.5, "targets": ["limiter-0", "limiter-1"]},
     {"kind": "limiter-drain", "at": 4.0, "targets": ["limiter-1"], "lasts": 0.5},
 ]
+pytestmark = pytest.mark.timed
 PLAYS = 3  # a run in which the kit was late is void and no verdict
 
 
--- a/tests/rehearsal/virtual/test_books.py
+++ b/tests/rehearsal/virtual/test_books.py
@@ -60,6 +60,7 @@
         return ev
 
 
+@pytest.mark.long
 @pytest.mark.parametrize("mutant", [Forgiving, Deaf])
 def test_a_limiter_that_does_not_go_by_the_book_is_convicted(
     mutant: type[limiter.Planned], monkeypatch: pytest.MonkeyPatch
--- a/tests/rehearsal/virtual/test_fleets.py
+++ b/tests/rehearsal/virtual/test_fleets.py
@@ -22,6 +22,7 @@
     return judge(play_virtual(scenario, scenario.seed))
 
 
+@pytest.mark.long
 @pytest.mark.parametrize("name", NAMES)
 def test_a_large_fleet_keeps_the_rules_and_its_goal(name: str) -> None:
     verdict = played(shortened(name, 12.0))
@@ -29,6 +30,7 @@
     assert verdict.met
 
 
+@pytest.mark.long
 def test_a_fleet_that_learns_nothing_of_bad_servers_misses_its_goal(monkeypatch: pytest.MonkeyPatch) -> None:
     learn = Fleet.learn
 
--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from cypresspulley import interface as api
 from cypresspulley.policy import fleet, quota
 from tests import world as w
@@ -10,6 +12,7 @@
 EVERY = 0.002  # seconds between two of them: 500 a second
 
 
+@pytest.mark.long
 def test_a_million_one_off_accounts_leave_as_many_as_the_last_minute_brought() -> None:
     plan = api.Plan("capped", rate=2.0, burst=8.0, ceiling_rate=4.0, ceiling_burst=16.0)
     gateway_settings = w.settings(plans=(plan,), has_counter=False)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -223,6 +223,7 @@
     run(main())
 
 
+@pytest.mark.long
 @pytest.mark.parametrize("framing", ["length", "chunks"])
 def test_large_uploads_come_whole_and_their_connection_serves_on(framing: str) -> None:
     async def main() -> None:
