--- a/benchmarks/round_trip.py
+++ b/benchmarks/round_trip.py
@@ -22,7 +22,7 @@
 
 from benchmarks.replay_timing import bare, difference
 from cypresspulley.capture.arrivals import Stretch
-from cypresspulley.capture.command import Input, plan_of, read
+from cypresspulley.capture.day import Input, plan_of, read
 from cypresspulley.capture.har_writer import write_har
 from cypresspulley.capture.model import Entry
 from cypresspulley.capture.replay import percentile
--- a/cypresspulley/histories/check_lanes.py
+++ b/cypresspulley/histories/check_lanes.py
@@ -84,7 +84,9 @@
         passed = sum(one.passed.get(lane, 0.0) for one in periods)
         tally.checked("floor", 1 if due > 0 else 0)
         if passed < FLOOR_SHARE * due - SLACK_UNITS:
-            text = f"of lane {lane} {passed:g} units passed in {FLOOR_RUN:g} s in force; {due:g} were its floor"
+            text = (
+                f"of lane {lane} {passed:g} units passed in {FLOOR_RUN:g} s in force; {due:g} were its floor"
+            )
             worst = max(run, key=lambda shown: _short(_period(shown), lane))
             tally.found("floor", text, [worst])
 
