--- /dev/null
+++ b/benchmarks/fleet_view.py
@@ -0,0 +1,284 @@
+"""The fleet's view in figures: ``python -m benchmarks.fleet_view WHAT [--sizes 8 40 200] [--seeds N] [--jobs N]``.
+
+    detect   seconds from a kill until every survivor has it dead, beside the stated bound
+    mass     the same where 30 % are killed at once
+    heal     seconds from the healing of a partition (5 to 3) until all digests agree, beside the stated bound
+    settle   the same until each member has been told so by every other
+    false    deaths of members that lived: 60 s, 5 % loss, one member paused 5 s
+    load     datagrams and bytes that a member sends a second, beside everyone beating to everyone
+    cpu      processor time of one process with a view of 200 on loopback sockets, beside one without
+
+All but ``cpu`` run in virtual time, with the detectors and their datagrams as they are. Exit code 1 where a bound is
+missed, a living member is held dead, or the load is not flat within 20 %.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import gc
+import multiprocessing
+import socket
+import statistics
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from random import Random
+
+import uvloop
+
+from benchmarks.fleet_bed import EPOCH, KEY, Bed, address
+from cypresspulley.fleet import timing, wire
+from cypresspulley.fleet.limiter import Fleet
+from cypresspulley.fleet.options import FleetOptions
+from cypresspulley.fleet.records import Member, State
+from cypresspulley.histories.writer import NoHistory
+
+PERIOD = 0.5  # seconds
+LOSS = 0.05
+FLAT = 0.2
+Task = tuple[int, int]  # size, seed
+
+
+def grown(size: int, seed: int, loss: float = 0.0) -> Bed:
+    bed = Bed(seed, PERIOD, loss=loss)
+    bed.fleet(size)
+    bed.run(2 * PERIOD + bed.rng.random())
+    return bed
+
+
+def detect(task: Task) -> float:
+    """Seconds; infinity where the bound has passed three times."""
+    size, seed = task
+    bed = grown(size, seed)
+    victim = f"l{Random(seed).randrange(size)}"
+    bed.kill(victim)
+    return _until(bed, lambda: bed.states(victim) == {State.DEAD}, timing.detect_bound(size, PERIOD))
+
+
+def mass(task: Task) -> float:
+    size, seed = task
+    bed = grown(size, seed)
+    gone = set(Random(seed).sample(sorted(bed.hosts), size * 3 // 10))
+    for name in gone:
+        bed.kill(name)
+    took = _until(bed, bed.agree, timing.detect_bound(size, PERIOD))
+    return took if {news.member.name for news in bed.deaths()} == gone else float("inf")
+
+
+def heal(task: Task) -> float:
+    return _healed(task, Bed.agree)
+
+
+def _healed(task: Task, done: Callable[[Bed], bool]) -> float:
+    """The cut lasts 20 s, or until each side holds all of the other dead."""
+    size, seed = task
+    bed = grown(size, seed)
+    few = set(Random(seed).sample(sorted(bed.hosts), size * 3 // 8))
+    bed.cuts.append(lambda a, b: (a in few) != (b in few))
+    bed.run(bed.now + max(20.0, timing.detect_bound(size, PERIOD)))
+    bed.cuts.clear()
+    return _until(bed, lambda: done(bed), timing.settle_bound(size, PERIOD))
+
+
+def settle(task: Task) -> float:
+    """As ``heal``, until each member knows that all agree."""
+    return _healed(task, lambda bed: bed.agree() and all(host.detector.settled() for host in bed.live()))
+
+
+def _until(bed: Bed, done: Callable[[], bool], bound: float) -> float:
+    began = bed.now
+    return bed.now - began if bed.run(began + 3 * bound, done) else float("inf")
+
+
+def false_deaths(task: Task) -> tuple[int, int, int]:
+    """Deaths of any member, suspicions of the paused one, and of others."""
+    size, seed = task
+    bed = Bed(seed, PERIOD, loss=LOSS)
+    bed.fleet(size)
+    paused = f"l{Random(seed).randrange(size)}"
+    begin = 5 + 40 * Random(seed).random()
+    bed.at(begin, lambda: bed.pause(paused))
+    bed.at(begin + 5, lambda: bed.resume(paused))
+    bed.run(60)
+    suspected = [news.member.name for news in bed.news if news.member.state is State.SUSPECTED]
+    return len(bed.deaths()), suspected.count(paused), len(suspected) - suspected.count(paused)
+
+
+def load(size: int, rows: bool) -> tuple[float, float, float, float]:
+    """Datagrams and bytes that a member sends a second; the median and worst age of rows, in seconds.
+
+    With rows each member says a new one of 120 bytes a period; without, the fleet is at rest.
+    """
+    bed = grown(size, 1)
+
+    def publish() -> None:
+        for host in bed.live():
+            host.detector.view.publish(bed.now, "lanes", repr(bed.now).encode().ljust(120))
+        bed.at(bed.now + PERIOD, publish)
+
+    if rows:
+        publish()
+    bed.run(15)
+    began, before = bed.now, _sent(bed)
+    bed.run(began + 20)
+    after = _sent(bed)
+    held = [row.age for host in bed.live()[:20] for row in host.detector.view.rows(bed.now, "lanes")]
+    ages = (statistics.median(held), max(held)) if held else (0.0, 0.0)
+    return (after[0] - before[0]) / 20 / size, (after[1] - before[1]) / 20 / size, *ages
+
+
+def _sent(bed: Bed) -> tuple[int, int]:
+    counts = [host.detector.counts for host in bed.live()]
+    return sum(count["sent"] for count in counts), sum(count["sent bytes"] for count in counts)
+
+
+def beats(size: int) -> tuple[float, float]:
+    """The baseline: each member sends one keyed record of itself to every other each period."""
+    codec, sent, total = wire.Codec("bed", KEY), 0, 0
+    for beat in range(4):
+        me = wire.raw(wire.Entry("l1", round(EPOCH * 1000), 0, State.ALIVE, "a", address("l1")))
+        for _ in range(size - 1):
+            data = codec.encode((beat, round(EPOCH * 1000), 0, 0, 0), me, wire.raw(wire.Gossip()), [], [])
+            sent, total = sent + 1, total + len(data)
+    return sent / (4 * PERIOD), total / (4 * PERIOD)
+
+
+# Processor time, on sockets
+
+
+def _port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def _member(name: str, port: int, seed: int) -> Fleet:
+    seeds = (f"127.0.0.1:{seed}",)
+    options = FleetOptions("bench", ("127.0.0.1", port), f"127.0.0.1:{port}", seeds, PERIOD, KEY)
+    return Fleet(options, name, "a", port, time.monotonic, time.time, NoHistory())
+
+
+async def _one(port: int, seed: int, seconds: float) -> None:
+    """The process that is measured: idle, or with a member (``port`` > 0). Prints its milliseconds a second."""
+    one = _member("one", port, seed) if port else None
+    if one is not None:
+        await one.start()
+        await asyncio.sleep(20)  # it joins, and the checks that a join brings are over
+    began = time.process_time()
+    await asyncio.sleep(seconds)
+    used = (time.process_time() - began) / seconds * 1000
+    print(f"{used:.3f} {len(one.view.members()) if one else 0}")
+
+
+async def _others(size: int, seconds: float) -> None:
+    ports = [_port() for _ in range(size)]
+    fleet = [_member(f"l{n}", port, ports[0]) for n, port in enumerate(ports[1:])]
+    life = round(time.time() * 1000)
+    known = [
+        Member(one.view.me, life, 0, State.ALIVE, "a", f"127.0.0.1:{p}")
+        for one, p in zip(fleet, ports[1:], strict=True)
+    ]
+    for one in fleet:  # they know each other from the start: what is measured is the one that joins them
+        for member in known:
+            (one.detector.view.put if member.name == one.view.me else one.detector.view.merge)(0.0, member)
+        await one.start()
+    for port in (0, ports[0]):
+        command = [sys.executable, "-m", "benchmarks.fleet_view", "one", "--port", str(port)]
+        command += ["--seed-port", str(ports[1]), "--seconds", str(seconds)]
+        process = await asyncio.create_subprocess_exec(*command, stdout=subprocess.PIPE)
+        out, _ = await process.communicate()
+        used, members = out.decode().split()
+        print(f"{'a view of ' + members if port else 'none':>14}: {used} ms of processor time a second")
+    for one in fleet:
+        await one.close()
+
+
+# The command
+
+
+def _spread(name: str, sizes: list[int], seeds: int, jobs: int) -> bool:
+    plays_of: dict[str, Callable[[Task], float]] = {
+        "detect": detect,
+        "mass": mass,
+        "heal": heal,
+        "settle": settle,
+    }
+    bounds = {"heal": timing.agree_bound, "settle": timing.settle_bound}
+    play, bound = plays_of[name], bounds.get(name, timing.detect_bound)
+    print(
+        f"{name}: seconds at a period of {PERIOD:g} s\n{'members':>8}{'plays':>7}{'median':>9}{'worst':>9}{'bound':>9}"
+    )
+    kept = True
+    with multiprocessing.Pool(jobs) as pool:
+        for size in sizes:
+            plays = min(seeds, max(3, 4_000 // size))
+            took = pool.map(play, [(size, seed) for seed in range(plays)], chunksize=1)
+            limit = bound(size, PERIOD)
+            kept = kept and max(took) <= limit
+            print(f"{size:8}{plays:7}{statistics.median(took):9.2f}{max(took):9.2f}{limit:9.2f}", flush=True)
+    return kept
+
+
+def _false(size: int, first: int, seeds: int, jobs: int) -> bool:
+    with multiprocessing.Pool(jobs, initializer=gc.disable, maxtasksperchild=20) as pool:
+        found = list(pool.imap_unordered(false_deaths, [(size, first + n) for n in range(seeds)]))
+    deaths, paused, others = (sum(column) for column in zip(*found, strict=True))
+    print(f"{seeds} seeds from {first}, {size} members, {LOSS:.0%} lost, one paused 5 s: {deaths} deaths;")
+    print(f"suspicions held of the paused one {paused}, of others {others}")
+    return deaths == 0 and paused > 0
+
+
+def _load(sizes: list[int]) -> bool:
+    flat = True
+    for rows in (False, True):
+        print("each member with a new row a period" if rows else "at rest")
+        head = f"{'members':>8}{'datagrams/s':>13}{'bytes/s':>9}{'of ' + str(sizes[0]):>8}"
+        print(f"{head}      everyone to everyone{'    age of rows: median, worst' if rows else ''}")
+        first = 0.0
+        for size in sizes:
+            datagrams, total, middle, worst = load(size, rows)
+            first = first or total
+            each = beats(size)
+            flat = flat and (rows or abs(total / first - 1) <= FLAT)
+            told = f"{each[0]:11.1f} /s{each[1]:11.0f} B/s"
+            ages = f"{middle:14.2f} s{worst:8.2f} s" if rows else ""
+            print(f"{size:8}{datagrams:13.2f}{total:9.0f}{total / first:8.2f}{told}{ages}", flush=True)
+    return flat
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("what", choices=("detect", "mass", "heal", "settle", "false", "load", "cpu", "one"))
+    parser.add_argument(
+        "--sizes", type=int, nargs="+", help="members; default 8 40 200, of false 40, of cpu 200"
+    )
+    parser.add_argument("--seeds", type=int, default=20, help="at most so many plays a size")
+    parser.add_argument("--first", type=int, default=0, help="the first seed of false")
+    parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0, help="of cpu's measuring")
+    parser.add_argument("--port", type=int, default=0, help=argparse.SUPPRESS)
+    parser.add_argument("--seed-port", type=int, default=0, help=argparse.SUPPRESS)
+    args = parser.parse_args()
+    sizes = args.sizes or {"false": [40], "cpu": [200]}.get(args.what, [8, 40, 200])
+    match args.what:
+        case "false":
+            kept = _false(sizes[0], args.first, args.seeds, args.jobs)
+        case "load":
+            kept = _load(sizes)
+        case "cpu":
+            uvloop.run(_others(sizes[0], args.seconds))
+            kept = True
+        case "one":
+            uvloop.run(_one(args.port, args.seed_port, args.seconds))
+            kept = True
+        case _:
+            kept = _spread(args.what, sizes, args.seeds, args.jobs)
+    return 0 if kept else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -220,6 +220,7 @@
         self._compared = self._doubt_until = float("-inf")
         self._awaited = 0  # number of my comparison that is under way
         self._backoff = 1
+        self._checked = -1  # place among the others of who was last asked for its digest
         self._tried = 0  # members asked this period for documents
         self._settled = False
         self._ended = False
@@ -238,7 +239,8 @@
         if self._ended:
             return []
         self._now, self._wall = now, wall
-        if self._timers and (late := now - self._timers[0][0]) > timing.STALL * self._period:
+        stall = max(timing.STALL * self._period, timing.STALL_LEAST)
+        if self._timers and (late := now - self._timers[0][0]) > stall:
             self._stood_still(late)
         match event:
             case Datagram(data):
@@ -298,6 +300,7 @@
     # Beginning and end
 
     def _begin(self) -> None:
+        self._record = self.view.entry(self.view.me)  # the view may have been filled before
         self._changed(self.view.myself, "self")
         self._after(self._rng.random(), "period")
         if self._seeds:
@@ -357,7 +360,8 @@
         if len(self.view.queue):
             for name in self._others(GOSSIPS):
                 self._say(name, wire.Gossip())
-        if self._now - self.view.changed <= timing.CHECKED * self._period:
+        recent = self._now - self.view.changed <= timing.CHECKED * self._period
+        if recent and not self._suspicions:  # what is in suspense changes again
             for name in self._differing(timing.CHECKS):
                 self._ping(name, self._address(name), counts=False)
         if self._periods % timing.RECALL == 0:
@@ -381,15 +385,16 @@
         return None
 
     def _differing(self, most: int) -> list[str]:
-        """Members whose digest, as last told, is not mine: those first that told it longest ago."""
-        mine, peers, never = self.view.digest, self._peers, (float("-inf"), -1)
-        found = list[tuple[float, str]]()
-        for name in self.view.others():
-            peer = peers.get(name)
-            at, told = (peer.at, peer.digest) if peer is not None else never
-            if told != mine:
-                found.append((at, name))
-        return [name for _, name in heapq.nsmallest(most, found)]
+        """Members whose digest, as last told, is not mine: all in turn."""
+        others, peers, found = self.view.others(), self._peers, list[str]()
+        for _ in range(len(others)):
+            self._checked = (self._checked + 1) % len(others)
+            peer = peers.get(others[self._checked])
+            if peer is None or peer.digest != self.view.digest:
+                found.append(others[self._checked])
+                if len(found) == most:
+                    break
+        return found
 
     def _recall(self) -> None:
         """A word to one that is held dead, or to a seed nobody in the view has: so a cut that ends is noticed."""
--- a/cypresspulley/fleet/limiter.py
+++ b/cypresspulley/fleet/limiter.py
@@ -104,6 +104,7 @@
         self._transport.close()
         self._transport = None
         self._history.put(Kind.END, reason="closed")
+        log.info("left the fleet; datagrams: %s", dict(self.detector.counts))
         await asyncio.sleep(0)  # the transport closes in the loop's next turn
 
     def take(self, event: Event) -> None:
--- a/cypresspulley/fleet/view.py
+++ b/cypresspulley/fleet/view.py
@@ -31,10 +31,11 @@
 
 MOST_MEMBERS = 4096  # present ones; a new name beyond is not taken
 MOST_TOMBSTONES = 4096
-TOMBSTONE = (
-    48 * 3600.0
-)  # seconds: twice what a datagram may be old by its sender's clock (``detector.STALE``)
-QUIET = 10.0  # seconds after which a row that has not changed counts for the digest
+TOMBSTONE = 48 * 3600.0  # seconds: twice what a datagram's clock may be off (``detector.STALE``)
+# Seconds after which a row that has not changed counts for the digest, in a fleet of ``QUIET_SIZE`` members at most. In
+# a larger one rows take longer to go round, as each member sends no more than in a small one.
+QUIET = 10.0
+QUIET_SIZE = 40
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,11 @@
         """How many members are present, this one among them."""
         return self._present
 
+    @property
+    def quiet(self) -> float:
+        """Seconds without a change after which a row counts for the digest."""
+        return QUIET * max(1.0, self._present / QUIET_SIZE)
+
     def get(self, name: str) -> Member | None:
         return self._members.get(name)
 
@@ -216,9 +222,11 @@
             del self._soon_quiet[name]
             if name in self._members:
                 self._mark(now, name)
-                changed = max((row.changed for row in self._rows.get(name, {}).values()), default=now - QUIET)
-                if changed + QUIET > now:
-                    self._soon_quiet[name] = changed + QUIET
+                changed = max(
+                    (row.changed for row in self._rows.get(name, {}).values()), default=float("-inf")
+                )
+                if changed + self.quiet > now:
+                    self._soon_quiet[name] = changed + self.quiet
         self.prune(now)
 
     # For datagrams
@@ -272,7 +280,7 @@
 
     def _hold(self, now: float, owner: str, subsystem: str, row: Held) -> None:
         self._rows.setdefault(owner, {})[subsystem] = row
-        self._soon_quiet.setdefault(owner, now + QUIET)
+        self._soon_quiet.setdefault(owner, now + self.quiet)
         self.queue.add((owner, subsystem), None)
         self._mark(now, owner)
 
@@ -285,7 +293,7 @@
                 f"{member.life}/{member.incarnation}/{int(member.state)}/{name}/{member.zone}/{member.address}".encode()
             )
             for key, row in self._rows.get(name, {}).items():
-                if row.life == member.life and now - row.changed >= QUIET:
+                if row.life == member.life and now - row.changed >= self.quiet:
                     rows ^= _hash(f"{name}/{key}/{row.life}/{row.version}/".encode() + row.body)
         before = self._marks.get(name, (0, 0))
         if before == (whole, rows):
