--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -224,7 +224,7 @@
 def _false(size: int, first: int, seeds: int, jobs: int) -> bool:
     with multiprocessing.Pool(jobs, initializer=gc.disable, maxtasksperchild=20) as pool:
         found = list(pool.imap_unordered(false_deaths, [(size, first + n) for n in range(seeds)]))
-    deaths, paused, others = (sum(column) for column in zip(*found, strict=True))
+    deaths, paused, others = (sum(one[n] for one in found) for n in range(3))
     print(f"{seeds} seeds from {first}, {size} members, {LOSS:.0%} lost, one paused 5 s: {deaths} deaths;")
     print(f"suspicions held of the paused one {paused}, of others {others}")
     return deaths == 0 and paused > 0
