--- a/benchmarks/fleet_view.py
+++ b/benchmarks/fleet_view.py
@@ -4,7 +4,7 @@
     mass     the same where 30 % are killed at once
     heal     seconds from the healing of a partition (5 to 3) until all digests agree, beside the stated bound
     settle   the same until each member has been told so by every other
-    false    deaths of members that lived: 60 s, 5 % loss, one member paused 5 s
+    false    deaths of members that lived: plays of 60 s, 5 % loss, one member paused 5 s
     load     datagrams and bytes that a member sends a second, beside everyone beating to everyone
     cpu      processor time of one process with a view of 200 on loopback sockets, beside one without
 
@@ -38,7 +38,7 @@
 PERIOD = 0.5  # seconds
 LOSS = 0.05
 FLAT = 0.2
-Task = tuple[int, int]  # size, seed
+Task = tuple[int, int, float]  # size, seed, the share of datagrams that is lost
 
 
 def grown(size: int, seed: int, loss: float = 0.0) -> Bed:
@@ -50,16 +50,16 @@
 
 def detect(task: Task) -> float:
     """Seconds; infinity where the bound has passed three times."""
-    size, seed = task
-    bed = grown(size, seed)
+    size, seed, loss = task
+    bed = grown(size, seed, loss)
     victim = f"l{Random(seed).randrange(size)}"
     bed.kill(victim)
     return _until(bed, lambda: bed.states(victim) == {State.DEAD}, timing.detect_bound(size, PERIOD))
 
 
 def mass(task: Task) -> float:
-    size, seed = task
-    bed = grown(size, seed)
+    size, seed, loss = task
+    bed = grown(size, seed, loss)
     gone = set(Random(seed).sample(sorted(bed.hosts), size * 3 // 10))
     for name in gone:
         bed.kill(name)
@@ -73,8 +73,8 @@
 
 def _healed(task: Task, done: Callable[[Bed], bool]) -> float:
     """The cut lasts 20 s, or until each side holds all of the other dead."""
-    size, seed = task
-    bed = grown(size, seed)
+    size, seed, loss = task
+    bed = grown(size, seed, loss)
     few = set(Random(seed).sample(sorted(bed.hosts), size * 3 // 8))
     bed.cuts.append(lambda a, b: (a in few) != (b in few))
     bed.run(bed.now + max(20.0, timing.detect_bound(size, PERIOD)))
@@ -92,16 +92,16 @@
     return bed.now - began if bed.run(began + 3 * bound, done) else float("inf")
 
 
-def false_deaths(task: Task) -> tuple[int, int, int]:
+def false_deaths(task: tuple[int, int, float]) -> tuple[int, int, int]:
     """Deaths of any member, suspicions of the paused one, and of others."""
-    size, seed = task
+    size, seed, length = task
     bed = Bed(seed, PERIOD, loss=LOSS)
     bed.fleet(size)
     paused = f"l{Random(seed).randrange(size)}"
-    begin = 5 + 40 * Random(seed).random()
+    begin = 5 + (length - 20) * Random(seed).random()
     bed.at(begin, lambda: bed.pause(paused))
     bed.at(begin + 5, lambda: bed.resume(paused))
-    bed.run(60)
+    bed.run(length)
     suspected = [news.member.name for news in bed.news if news.member.state is State.SUSPECTED]
     return len(bed.deaths()), suspected.count(paused), len(suspected) - suspected.count(paused)
 
@@ -198,7 +198,7 @@
 # The command
 
 
-def _spread(name: str, sizes: list[int], seeds: int, jobs: int) -> bool:
+def _spread(name: str, sizes: list[int], seeds: int, jobs: int, loss: float) -> bool:
     plays_of: dict[str, Callable[[Task], float]] = {
         "detect": detect,
         "mass": mass,
@@ -214,18 +214,20 @@
     with multiprocessing.Pool(jobs) as pool:
         for size in sizes:
             plays = min(seeds, max(3, 4_000 // size))
-            took = pool.map(play, [(size, seed) for seed in range(plays)], chunksize=1)
+            took = pool.map(play, [(size, seed, loss) for seed in range(plays)], chunksize=1)
             limit = bound(size, PERIOD)
             kept = kept and max(took) <= limit
             print(f"{size:8}{plays:7}{statistics.median(took):9.2f}{max(took):9.2f}{limit:9.2f}", flush=True)
     return kept
 
 
-def _false(size: int, first: int, seeds: int, jobs: int) -> bool:
+def _false(size: int, first: int, seeds: int, jobs: int, length: float) -> bool:
     with multiprocessing.Pool(jobs, initializer=gc.disable, maxtasksperchild=20) as pool:
-        found = list(pool.imap_unordered(false_deaths, [(size, first + n) for n in range(seeds)]))
+        found = list(pool.imap_unordered(false_deaths, [(size, first + n, length) for n in range(seeds)]))
     deaths, paused, others = (sum(one[n] for one in found) for n in range(3))
-    print(f"{seeds} seeds from {first}, {size} members, {LOSS:.0%} lost, one paused 5 s: {deaths} deaths;")
+    print(
+        f"{seeds} seeds from {first} of {length:g} s, {size} members, {LOSS:.0%} lost, one paused 5 s: {deaths} deaths;"
+    )
     print(f"suspicions held of the paused one {paused}, of others {others}")
     return deaths == 0 and paused > 0
 
@@ -258,6 +260,10 @@
     )
     parser.add_argument("--seeds", type=int, default=20, help="at most so many plays a size")
     parser.add_argument("--first", type=int, default=0, help="the first seed of false")
+    parser.add_argument("--length", type=float, default=60.0, help="seconds of each play of false")
+    parser.add_argument(
+        "--loss", type=float, default=0.0, help="share of datagrams lost, of detect, mass, heal, settle"
+    )
     parser.add_argument("--jobs", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0, help="of cpu's measuring")
     parser.add_argument("--port", type=int, default=0, help=argparse.SUPPRESS)
@@ -266,7 +272,7 @@
     sizes = args.sizes or {"false": [40], "cpu": [200]}.get(args.what, [8, 40, 200])
     match args.what:
         case "false":
-            kept = _false(sizes[0], args.first, args.seeds, args.jobs)
+            kept = _false(sizes[0], args.first, args.seeds, args.jobs, args.length)
         case "load":
             kept = _load(sizes)
         case "cpu":
@@ -276,7 +282,7 @@
             uvloop.run(_one(args.port, args.seed_port, args.seconds))
             kept = True
         case _:
-            kept = _spread(args.what, sizes, args.seeds, args.jobs)
+            kept = _spread(args.what, sizes, args.seeds, args.jobs, args.loss)
     return 0 if kept else 1
 
 
