--- a/benchmarks/fleet_bed.py
+++ b/benchmarks/fleet_bed.py
@@ -11,12 +11,11 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from cypresspulley.fleet.detector import (
+from cypresspulley.fleet.actions import (
     Action,
     Begin,
     Changed,
     Datagram,
-    Detector,
     End,
     Event,
     Leave,
@@ -24,6 +23,7 @@
     Settled,
     Tick,
 )
+from cypresspulley.fleet.detector import Detector
 from cypresspulley.fleet.records import Member, State
 from cypresspulley.fleet.wire import Codec
 
--- /dev/null
+++ b/cypresspulley/fleet/actions.py
@@ -0,0 +1,72 @@
+"""What the detector is told, and what it wants done."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from cypresspulley.fleet.records import Member
+
+# Events
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """The channel is open."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """``Detector.due`` has come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Datagram:
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """This process has begun to end."""
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """This process is about to end."""
+
+
+Event = Begin | Tick | Datagram | Leave | End
+
+# Actions
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """``address`` is ``host:port`` as a member tells it: it may be no address at all."""
+
+    address: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """The view has another state of a member. ``cause`` as in ``histories.events``: self, probe, told or refuted."""
+
+    member: Member
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rose:
+    """This member has a new life."""
+
+    life: int
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    settled: bool
+    digest: int
+    members: int
+
+
+Action = Send | Changed | Rose | Settled
--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -38,161 +38,43 @@
 
 from __future__ import annotations
 
-import heapq
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from random import Random
 
-from msgspec import Raw
-
 from cypresspulley.fleet import timing, wire
+from cypresspulley.fleet.actions import (
+    Action,
+    Begin,
+    Changed,
+    Datagram,
+    End,
+    Event,
+    Leave,
+    Rose,
+    Settled,
+    Tick,
+)
 from cypresspulley.fleet.clocks import Clocks
 from cypresspulley.fleet.documents import Documents
+from cypresspulley.fleet.exchange import Exchange
+from cypresspulley.fleet.outbox import Outbox
+from cypresspulley.fleet.peers import Peers
+from cypresspulley.fleet.probes import Calls, Probes, Relay
 from cypresspulley.fleet.records import Member, State
-from cypresspulley.fleet.view import View, bucket
+from cypresspulley.fleet.suspicion import Suspicions
+from cypresspulley.fleet.timers import Health, Timers
+from cypresspulley.fleet.view import View
 from cypresspulley.fleet.wire import Envelope
 
 STALE = 24 * 3600.0  # seconds that a datagram's wall clock may differ from this one
-MOST_PIECES = 24  # datagrams of one answer to a comparison
-MOST_RELAYS = 64  # indirect probes under way for others
 MOST_RISES = 8  # of this process's life: beyond, another process has its name
 RECALLED = 3600.0  # seconds after its death that a member is still called
 GOSSIPS = 2  # datagrams a period that carry nothing but news
 LEAVE_WORDS = 8  # members that are told of an end directly
 
 
-# Events
-
-
-@dataclass(frozen=True, slots=True)
-class Begin:
-    """The channel is open."""
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """``Detector.due`` has come."""
-
-
-@dataclass(frozen=True, slots=True)
-class Datagram:
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Leave:
-    """This process has begun to end."""
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """This process is about to end."""
-
-
-Event = Begin | Tick | Datagram | Leave | End
-
-# Actions
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """``address`` is ``host:port`` as a member tells it: it may be no address at all."""
-
-    address: str
-    data: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Changed:
-    """The view has another state of a member. ``cause`` as in ``histories.events``: self, probe, told or refuted."""
-
-    member: Member
-    cause: str
-
-
-@dataclass(frozen=True, slots=True)
-class Rose:
-    """This member has a new life."""
-
-    life: int
-
-
-@dataclass(frozen=True, slots=True)
-class Settled:
-    settled: bool
-    digest: int
-    members: int
-
-
-Action = Send | Changed | Rose | Settled
-
-
-# What is under way
-
-
-@dataclass(slots=True)
-class Probe:
-    """One probe of mine. ``asked`` counts the helpers, ``missed`` those who say that they did not reach it either."""
-
-    target: str
-    life: int
-    sent: float
-    counts: bool = True  # whether its failing accuses: a word to the dead or a seed does not
-    asked: int = 0
-    missed: int = 0
-
-
-@dataclass(slots=True)
-class Suspicion:
-    """``since`` is when it began here, ``told`` whether another holds the member dead."""
-
-    since: float
-    accusers: set[str] = field(default_factory=set)
-    told: bool = False
-
-    def until(self, members: int, period: float) -> float:
-        periods = timing.suspicion(members, max(0, len(self.accusers) - 1))
-        if self.told:
-            periods = min(periods, timing.told(members))
-        return self.since + periods * period
-
-
-class Window:
-    """Which of a sender's datagrams have come, by number: each counts once, one older than 64 others not at all."""
-
-    __slots__ = ("bits", "life", "top")
-
-    def __init__(self, life: int) -> None:
-        self.life, self.top, self.bits = life, -1, 0
-
-    def take(self, number: int) -> bool:
-        """Whether this one is new."""
-        if number > self.top:
-            shift = min(64, number - self.top)
-            self.bits = ((self.bits << shift) | 1) & (2**64 - 1)
-            self.top = number
-            return True
-        bit = self.top - number
-        if bit >= 64 or self.bits >> bit & 1:
-            return False
-        self.bits |= 1 << bit
-        return True
-
-
-@dataclass(slots=True)
-class Peer:
-    """What this member knows of another by its own datagrams, of its present life."""
-
-    window: Window
-    heard: float
-    digest: int = -1  # as last told
-    rows: int = -1
-    top: int = -1  # number of the datagram that told it
-    at: float = float("-inf")  # when it was told
-    amended: float = float("-inf")  # when it was last told better of itself
-
-
 class Detector:
     """One member's detector. ``handle`` takes every event in order; ``due`` is when it next wants a ``Tick``.
 
@@ -206,104 +88,70 @@
         self.clocks = Clocks()
         self.documents = Documents()
         self.counts = Counter[str]()  # datagrams sent, taken, and dropped by cause
-        self.health = 0  # the local health multiplier, 0 (good) to timing.MOST_HEALTH
-        self._codec, self._period, self._rng = codec, period, rng
-        self._seeds = tuple(seed for seed in dict.fromkeys(seeds) if seed != me.address)
-        self._peers = dict[str, Peer]()
-        self._probes = dict[int, Probe]()  # by nonce
-        self._relays = dict[int, tuple[str, int, str]]()  # by my nonce: who asked, its nonce, the target
-        self._suspicions = dict[str, Suspicion]()
-        self._round = list[str]()  # of targets, the next one last
-        self._timers = list[tuple[float, int, str, str]]()
-        self._actions = list[Action]()
-        self._number = self._drawn = self._rises = self._periods = 0
-        self._compared = self._doubt_until = float("-inf")
-        self._awaited = 0  # number of my comparison that is under way
-        self._backoff = 1
-        self._checked = -1  # place among the others of who was last asked for its digest
-        self._tried = 0  # members asked this period for documents
-        self._settled = False
-        self._ended = False
-        self._record = self.view.entry(me.name)
+        self.health = Health()
+        self.peers = Peers(self.view)
+        self._codec = codec
+        self._timers = Timers(period)
+        self._probes = Probes(self.view, rng)
+        self._calls = Calls(tuple(seed for seed in dict.fromkeys(seeds) if seed != me.address), rng)
+        self._suspicions = Suspicions(period)
+        self._outbox = Outbox(codec, self.view, self.counts)
+        self._exchange = Exchange(self.view, self._outbox, period)
 
     def __repr__(self) -> str:
-        return f"<Detector {self.view!r}, health {self.health}, {len(self._suspicions)} suspected>"
+        return f"<Detector {self.view!r}, {self.health!r}, {self._suspicions!r}>"
+
+    @property
+    def ended(self) -> bool:
+        return self.view.myself.state is State.LEFT
 
     @property
     def due(self) -> float:
         """The instant of the next ``Tick``; infinity before ``Begin`` and after ``End``."""
-        return self._timers[0][0] if self._timers and not self._ended else float("inf")
+        return float("inf") if self.ended else self._timers.due
 
     def handle(self, now: float, wall: float, event: Event) -> list[Action]:
         """``now`` in seconds of a clock that never steps, ``wall`` Unix seconds by the wall clock."""
-        if self._ended:
+        if self.ended:
             return []
-        self._now, self._wall = now, wall
-        stall = max(timing.STALL * self._period, timing.STALL_LEAST)
-        if self._timers and (late := now - self._timers[0][0]) > stall:
-            self._stood_still(late)
+        self._outbox.now, self._outbox.wall = now, wall
+        if late := self._timers.stalled(now):
+            self._probes.excuse()
+            self._suspicions.put_off(late)
+            self.health.stood_still(now, late, self._timers.period)
+            self.counts["stalls"] += 1
         match event:
             case Datagram(data):
                 self._receive(data)
             case Tick():
-                self._tick()
+                while timer := self._timers.pop(now):
+                    _TIMERS[timer[0]](self, timer[1])
             case Begin():
                 self._begin()
             case Leave():
                 self._leave()
             case End():
                 self._end()
-        done, self._actions = self._actions, []
-        return done
-
-    # What others ask of it
+        return self._outbox.empty()
 
     def settled(self) -> bool:
         """Whether every other present member has last told the digest that is this one's own."""
-        if self.view.myself.state is State.JOINING:
-            return False
-        digest, peers = self.view.digest, self._peers
-        told = (peers.get(name) for name in self.view.others())
-        return all(peer is not None and peer.digest == digest for peer in told)
-
-    def heard(self, now: float, within: float) -> int:
-        """Present members that have been heard from directly in so many seconds."""
-        found = ((name, peer) for name, peer in self._peers.items() if now - peer.heard <= within)
-        return sum(1 for name, _ in found if (held := self.view.get(name)) is not None and held.state.present)
+        return self.view.myself.state is not State.JOINING and self.peers.agree()
 
-    # Time
+    @property
+    def _now(self) -> float:
+        return self._outbox.now
 
     def _after(self, periods: float, kind: str, key: str = "") -> None:
-        self._drawn += 1
-        heapq.heappush(self._timers, (self._now + periods * self._period, self._drawn, kind, key))
-
-    def _tick(self) -> None:
-        while self._timers and self._timers[0][0] <= self._now:
-            _, _, kind, key = heapq.heappop(self._timers)
-            _TIMERS[kind](self, key)
-
-    def _stood_still(self, late: float) -> None:
-        """Timers are late by so many seconds: what was not heard meanwhile says nothing about others."""
-        self._timers = [(at + late, *rest) for at, *rest in self._timers]  # type: ignore[misc]
-        heapq.heapify(self._timers)
-        for probe in self._probes.values():
-            probe.counts = False
-        for suspicion in self._suspicions.values():
-            suspicion.since += late
-        self._doubt_until = self._now + (1 + min(late / self._period, 1.0)) * self._period
-        self._feel(1 + int(min(late / self._period, 2.0)))
-        self.counts["stalls"] += 1
-
-    def _feel(self, change: int) -> None:
-        self.health = min(timing.MOST_HEALTH, max(0, self.health + change))
+        self._timers.after(self._now, periods, kind, key)
 
     # Beginning and end
 
     def _begin(self) -> None:
-        self._record = self.view.entry(self.view.me)  # the view may have been filled before
+        self._outbox.introduce()  # the view may have been filled before
         self._changed(self.view.myself, "self")
-        self._after(self._rng.random(), "period")
-        if self._seeds:
+        self._after(self._probes.draw(), "period")
+        if self._calls.seeds:
             self._seed("")
         else:
             self._arrive()
@@ -312,10 +160,9 @@
         """Knock at some seeds, ever more seldom, until there is somebody."""
         if self.view.present > 1 and self.view.myself.state is not State.JOINING:
             return
-        for address in self._rng.sample(self._seeds, min(3, len(self._seeds))):
+        for address in self._calls.knock():
             self._ping("", address, counts=False)
-        self._after(self._backoff * (0.75 + 0.5 * self._rng.random()), "seed")
-        self._backoff = min(16, 2 * self._backoff)
+        self._after(self._calls.pause(), "seed")
 
     def _arrive(self) -> None:
         if self.view.myself.state is State.JOINING:
@@ -325,95 +172,65 @@
         me = self.view.myself
         if me.state < State.LEAVING:
             self._become(replace(me, incarnation=me.incarnation + 1, state=State.LEAVING), "self")
-            for name in self._others(LEAVE_WORDS):
-                self._say(name, wire.Gossip())
+            self._part()
 
     def _end(self) -> None:
         me = self.view.myself
         raised = me.incarnation + (me.state < State.LEAVING)
         self._become(replace(me, incarnation=raised, state=State.LEFT), "self")
-        for name in self._others(LEAVE_WORDS):
-            self._say(name, wire.Gossip())
-        self._ended = True
+        self._part()
+
+    def _part(self) -> None:
+        """Tell some members of this one's end directly: the rest hear it from them."""
+        for name in self._probes.others(LEAVE_WORDS):
+            self._outbox.say(name, wire.Gossip())
 
     def _become(self, me: Member, cause: str) -> None:
         """Hold this of myself, and say it."""
         rose = me.life != self.view.myself.life
         self.view.put(self._now, me)
-        self._record = self.view.entry(me.name)
+        record = self._outbox.introduce(rose)
         if rose:
             self.view.relive(self._now)
-            self._number = 0
-            self._actions.append(Rose(me.life))
-        self.view.queue.add((me.name, ""), self._record)
+            self._outbox.act(Rose(me.life))
+        self.view.queue.add((me.name, ""), record)
         self._changed(me, cause)
 
     # A period
 
     def _period_over(self, _: str) -> None:
         self._after(1, "period")
-        self._periods += 1
-        self._tried = 0
+        self._calls.periods += 1
         self.view.turn(self._now)
-        if target := self._next_target():
+        if target := self._probes.next_target():
             self._ping(target, self._address(target))
         if len(self.view.queue):
-            for name in self._others(GOSSIPS):
-                self._say(name, wire.Gossip())
-        recent = self._now - self.view.changed <= timing.CHECKED * self._period
+            for name in self._probes.others(GOSSIPS):
+                self._outbox.say(name, wire.Gossip())
+        recent = self._now - self.view.changed <= timing.CHECKED * self._timers.period
         if recent and not self._suspicions:  # what is in suspense changes again
-            for name in self._differing(timing.CHECKS):
+            for name in self.peers.differing(timing.CHECKS):
                 self._ping(name, self._address(name), counts=False)
-        if self._periods % timing.RECALL == 0:
+        if self._calls.periods % timing.RECALL == 0:
             self._recall()
-            for name in [name for name in self._peers if self.view.get(name) is None]:
-                self._forget(name)  # its tombstone is gone
         for digest in self.documents.wanted():
             self._fetch(digest)
         self._see_settled()
 
-    def _next_target(self) -> str | None:
-        """Each member once a round, in an order drawn for it (SWIM, section 4.3)."""
-        for _ in range(2):
-            while self._round:
-                name = self._round.pop()
-                held = self.view.get(name)
-                if held is not None and held.state.present:
-                    return name
-            self._round = list(self.view.others())
-            self._rng.shuffle(self._round)
-        return None
-
-    def _differing(self, most: int) -> list[str]:
-        """Members whose digest, as last told, is not mine: all in turn."""
-        others, peers, found = self.view.others(), self._peers, list[str]()
-        for _ in range(len(others)):
-            self._checked = (self._checked + 1) % len(others)
-            peer = peers.get(others[self._checked])
-            if peer is None or peer.digest != self.view.digest:
-                found.append(others[self._checked])
-                if len(found) == most:
-                    break
-        return found
-
     def _recall(self) -> None:
-        """A word to one that is held dead, or to a seed nobody in the view has: so a cut that ends is noticed."""
+        """A word to one that is not in the view, so that a cut that ends is noticed."""
         dead = [(m.name, m.address) for m in self.view.ended(self._now, RECALLED)]
-        held = {m.address for m in self.view.members()} if self._seeds else set()
-        seeds = [("", seed) for seed in self._seeds if seed not in held]
-        if choice := dead + seeds:
-            name, address = self._rng.choice(choice)
-            self._ping(name, address, counts=False)
+        held = {m.address for m in self.view.members()} if self._calls.seeds else set()
+        if call := self._calls.recall(dead, held):
+            self._ping(*call, counts=False)
+        for name in self.peers.unknown():  # its tombstone is gone
+            self._forget(name)
 
     def _see_settled(self) -> None:
         settled = self.settled()
-        if settled != self._settled:
-            self._settled = settled
-            self._actions.append(Settled(settled, self.view.digest, self.view.present))
-
-    def _others(self, most: int) -> list[str]:
-        names = self.view.others()
-        return self._rng.sample(names, min(most, len(names)))
+        if settled != self.peers.settled:
+            self.peers.settled = settled
+            self._outbox.act(Settled(settled, self.view.digest, self.view.present))
 
     def _address(self, name: str) -> str:
         member = self.view.get(name)
@@ -422,92 +239,67 @@
     # Probes
 
     def _ping(self, name: str, address: str, counts: bool = True) -> None:
-        self._drawn += 1
-        nonce = self._drawn << 20 | self._rng.getrandbits(20)
-        held = self.view.get(name)
-        self._probes[nonce] = Probe(name, held.life if held else 0, self._now, counts)
+        nonce = self._probes.begin(self._now, self._timers.number(), name, counts)
+        stretch = 1 + self.health.value
         if counts:
-            self._after(timing.DIRECT * (1 + self.health), "direct", str(nonce))
-        self._after(timing.WHOLE * (1 + self.health), "failed", str(nonce))
+            self._after(timing.DIRECT * stretch, "direct", str(nonce))
+        self._after(timing.WHOLE * stretch, "failed", str(nonce))
+        held = self.view.get(name)
         doubted = [name] if held is not None and held.state >= State.SUSPECTED else []
-        self._post(address, wire.Ping(nonce, name), doubted)
+        self._outbox.post(address, wire.Ping(nonce, name), doubted)
 
     def _direct_over(self, key: str) -> None:
         probe = self._probes.get(int(key))
         if probe is None or not probe.counts:
             return
-        helpers = [name for name in self._others(timing.ASKED + 1) if name != probe.target][: timing.ASKED]
+        drawn = self._probes.others(timing.ASKED + 1)
+        helpers = [name for name in drawn if name != probe.target][: timing.ASKED]
         probe.asked = len(helpers)
         for name in helpers:
-            self._say(name, wire.Ask(int(key), probe.target, self._address(probe.target)))
+            self._outbox.say(name, wire.Ask(int(key), probe.target, self._address(probe.target)))
 
     def _failed(self, key: str) -> None:
-        probe = self._probes.pop(int(key), None)
+        probe = self._probes.end(int(key))
         if probe is None or not probe.counts:
             return
         if (
             probe.missed < probe.asked or not probe.asked
-        ):  # a helper that says nothing: it may be me who hears badly
-            self._feel(1)
+        ):  # a helper says nothing: it may be me who hears badly
+            self.health.feel(1)
         held = self.view.get(probe.target)
-        if held is None or held.life != probe.life or self._now < self._doubt_until:
+        if held is None or held.life != probe.life or self._now < self.health.doubt_until:
             return
         if held.state is State.LEAVING:
             self._take(replace(held, state=State.LEFT), "probe", self.view.me)
         elif held.state <= State.SUSPECTED:
             self._take(replace(held, state=State.SUSPECTED), "probe", self.view.me)
 
-    def _acked(self, sender: str, life: int, nonce: int, wall: float) -> None:
-        probe = self._probes.get(nonce)
-        if probe is None or (probe.target and (probe.target != sender or probe.life > life)):
-            self.counts["unasked"] += 1
-            return
-        del self._probes[nonce]
-        if probe.counts:
-            self._feel(-1)
-        self.clocks.answered(sender, probe.sent, self._now, wall)
-
-    def _relay(self, envelope: Envelope, ask: wire.Ask) -> None:
-        if len(self._relays) >= MOST_RELAYS:
-            self.counts["relays refused"] += 1
-            return
-        self._drawn += 1
-        nonce = self._drawn << 20 | self._rng.getrandbits(20)
-        self._relays[nonce] = (envelope.me.address, ask.nonce, ask.to)
-        self._after(timing.DIRECT, "relay", str(nonce))
-        self._post(ask.address, wire.Ping(nonce, ask.to))
-
     def _relay_over(self, key: str) -> None:
-        if relay := self._relays.pop(int(key), None):
-            self._post(relay[0], wire.Missed(relay[1]))
+        if relay := self._probes.end_relay(int(key)):
+            self._outbox.post(relay.address, wire.Missed(relay.nonce))
 
     # Suspicion
 
     def _suspicion_over(self, name: str) -> None:
-        suspicion, held = self._suspicions.get(name), self.view.get(name)
-        if suspicion is None or held is None:
+        until, held = self._suspicions.until(name, self.view.present), self.view.get(name)
+        if until is None or held is None:
             return
-        until = suspicion.until(self.view.present, self._period)
-        if until > self._now or self._now < self._doubt_until:
-            self._watch(name, max(until, self._doubt_until))
+        if until > self._now or self._now < self.health.doubt_until:
+            self._watch(name, max(until, self.health.doubt_until))
             return
-        del self._suspicions[name]
-        cause = "told" if suspicion.told else "probe"
+        suspicion = self._suspicions.end(name)
+        cause = "told" if suspicion is not None and suspicion.told else "probe"
         self._hold(replace(held, state=State.DEAD), cause, self.view.me)
 
     def _watch(self, name: str, until: float) -> None:
-        self._drawn += 1
-        heapq.heappush(self._timers, (max(until, self._now + 1e-3), self._drawn, "suspicion", name))
+        self._timers.at(max(until, self._now + 1e-3), "suspicion", name)
 
     def _accuse(self, name: str, by: str, told: bool) -> None:
         """One more that suspects the member, or holds it dead: the time is shorter from here on."""
-        suspicion = self._suspicions.setdefault(name, Suspicion(self._now))
-        before = suspicion.until(self.view.present, self._period) if suspicion.accusers else float("inf")
-        if by not in suspicion.accusers and len(suspicion.accusers) <= timing.ACCUSERS:
-            suspicion.accusers.add(by)
+        new, until = self._suspicions.accuse(self._now, name, by, told, self.view.present)
+        if new:
             self.view.queue.add((name, ""), self.view.entry(name, by))
-        suspicion.told = suspicion.told or told
-        if (until := suspicion.until(self.view.present, self._period)) < before:
+        if until is not None:
             self._watch(name, until)
 
     # Claims
@@ -522,8 +314,8 @@
         suspicion = self._suspicions.get(entry.name)
         if suspicion is None:
             return entry.state == held.state and entry.zone == held.zone and entry.address == held.address
-        accused = by in suspicion.accusers or len(suspicion.accusers) > timing.ACCUSERS
-        return accused and (entry.state is State.SUSPECTED or (suspicion.told and entry.state is State.DEAD))
+        dead = suspicion.told and entry.state is State.DEAD
+        return suspicion.accused(by) and (entry.state is State.SUSPECTED or dead)
 
     def _take(self, claim: Member, cause: str, by: str) -> None:
         """A claim about a member, ``by`` its maker where it accuses."""
@@ -552,71 +344,37 @@
         if not self.view.merge(self._now, claim):
             return
         if claim.state is not State.SUSPECTED or (held is not None and held.rank[:2] != claim.rank[:2]):
-            self._suspicions.pop(claim.name, None)
+            self._suspicions.end(claim.name)
         if held is not None and held.life != claim.life:
             self._forget(claim.name)
         if held is not None and held.state >= State.SUSPECTED and claim.state < State.SUSPECTED:
             cause = "refuted"
         self.view.queue.add((claim.name, ""), self.view.entry(claim.name, by))
         if held is None and claim.state.present:
-            self._round.insert(self._rng.randint(0, len(self._round)), claim.name)
+            self._probes.joined(claim.name)
         if held is not None or claim.state.present:  # one that was never held here has not died here
             self._changed(claim, cause)
 
     def _forget(self, name: str) -> None:
-        self._peers.pop(name, None)
+        self.peers.forget(name)
         self.clocks.forget(name)
 
     def _take_of_me(self, claim: Member) -> None:
         me = self.view.myself
         if claim.life > me.life:
-            if self._rises >= MOST_RISES:
-                self.counts["usurped"] += 1
-                return
-            self._rises += 1
-            self._become(replace(me, life=claim.life + 1, incarnation=0), "self")
+            self.counts["risen"] += 1
+            if self.counts["risen"] <= MOST_RISES:
+                self._become(replace(me, life=claim.life + 1, incarnation=0), "self")
         elif claim.life == me.life and claim.rank > me.rank:
             if claim.state >= State.SUSPECTED:
-                self._feel(1)
+                self.health.feel(1)
             self._become(replace(me, incarnation=claim.incarnation + 1), "refuted")
 
     def _changed(self, member: Member, cause: str) -> None:
-        self._actions.append(Changed(member, cause))
-        if self._settled:
+        self._outbox.act(Changed(member, cause))
+        if self.peers.settled:
             self._see_settled()
 
-    # Datagrams out
-
-    def _say(self, name: str, message: wire.Message) -> None:
-        self._post(self._address(name), message)
-
-    def _post(self, address: str, message: wire.Message, first: list[str] | None = None) -> None:
-        """Send it with as much news beside it as there is room; ``first`` are members whose records go in any case."""
-        told = wire.raw(message)
-        entries = [self.view.entry(name) for name in first or ()]
-        room = self._room(told) - sum(wire.size(entry) for entry in entries)
-        news, cells = self.view.queue.take(self._now, self.view, room)
-        self._send(address, told, entries + news, cells)
-
-    def _room(self, told: Raw) -> int:
-        """Bytes for records beside a message: 140 are more than the rest of an envelope takes."""
-        return wire.MOST_BYTES - wire.HEAD - 140 - wire.size(self._record) - wire.size(told)
-
-    def _send(self, address: str, told: Raw, entries: list[Raw], cells: list[Raw]) -> None:
-        view = self.view
-        head = (
-            self._number,
-            max(0, round(self._wall * 1000)),
-            view.digest,
-            view.rows_digest,
-            view.versions(),
-        )
-        self._number += 1
-        data = self._codec.encode(head, self._record, told, entries, cells)
-        self.counts["sent"] += 1
-        self.counts["sent bytes"] += len(data)
-        self._actions.append(Send(address, data))
-
     # Datagrams in
 
     def _receive(self, data: bytes) -> None:
@@ -626,75 +384,52 @@
             self.counts[error.cause] += 1
             return
         sender = envelope.me
-        if abs(envelope.wall / 1000 - self._wall) > STALE:
+        if abs(envelope.wall / 1000 - self._outbox.wall) > STALE:
             self.counts["stale"] += 1
-            return
-        if sender.name == self.view.me:  # an echo, or a former life of mine that still speaks
+        elif sender.name == self.view.me:  # an echo, or another life of mine that still speaks
             self.counts["own"] += 1
             self._take_of_me(sender.member())
-            return
-        if not self._fresh(envelope):
+        elif not self.peers.fresh(envelope):
             self.counts["replayed"] += 1
-            return
-        self.counts["taken"] += 1
+        else:
+            self.counts["taken"] += 1
+            self._hear(envelope)
+
+    def _hear(self, envelope: Envelope) -> None:
+        sender = envelope.me
         self._take(sender.member(), "told", sender.by)
         for entry in envelope.entries:
             if not self._known(entry, entry.by or sender.name):
                 self._take(entry.member(), "told", entry.by or sender.name)
         for cell in envelope.cells:
             self.view.merge_row(self._now, cell)
-        self._note(envelope)
-        _MESSAGES[type(envelope.message)](self, envelope)
-        self._see_difference(envelope)
-
-    def _fresh(self, envelope: Envelope) -> bool:
-        """Whether it has not come before. One of a life that is over is: its claims are merged, and change nothing."""
-        sender = envelope.me
-        peer = self._peers.get(sender.name)
-        if peer is None or peer.window.life < sender.life:
-            return True
-        return peer.window.life > sender.life or peer.window.take(envelope.number)
-
-    def _note(self, envelope: Envelope) -> None:
-        """What the sender tells of itself beside its message."""
-        sender, held = envelope.me, self.view.get(envelope.me.name)
+        held = self.view.get(sender.name)
         if held is None:  # no room for it
             self.counts["full"] += 1
             return
-        if held.life != sender.life:
-            return
-        peer = self._peers.get(sender.name)
-        if peer is None or peer.window.life != sender.life:
-            peer = self._peers[sender.name] = Peer(Window(sender.life), self._now)
-            peer.window.take(envelope.number)
-        peer.heard = self._now
-        if envelope.number >= peer.top:
-            peer.top, peer.at = envelope.number, self._now
-            peer.digest, peer.rows = envelope.members, envelope.rows
-        self.view.confirm(self._now, sender.name, sender.life, envelope.versions)
+        if held.life == sender.life:
+            self.peers.note(self._now, envelope)
+            self.view.confirm(self._now, sender.name, sender.life, envelope.versions)
+        _MESSAGES[type(envelope.message)](self, envelope)
+        self._see_difference(envelope)
+
+    def _better_of(self, sender: wire.Entry) -> list[str]:
+        """The sender's name, where more is known of it than it says itself."""
+        held = self.view.get(sender.name)
+        return [sender.name] if held is not None and held.rank > sender.member().rank else []
 
     def _see_difference(self, envelope: Envelope) -> None:
-        """Tell the sender what it does not know of itself; compare views where digests differ for long."""
+        """Tell the sender what it does not know of itself; compare views where digests differ."""
         sender, held = envelope.me, self.view.get(envelope.me.name)
         if held is None:
             return
-        if held.rank > sender.member().rank and not isinstance(envelope.message, wire.Ping):
-            peer = self._peers.get(sender.name)
-            if peer is None or self._now - peer.amended >= self._period:
-                if peer is not None:
-                    peer.amended = self._now
-                self._post(sender.address, wire.Gossip(), [sender.name])
+        better = [] if isinstance(envelope.message, wire.Ping) else self._better_of(sender)
+        if better and self.peers.may_amend(self._now, sender, self._timers.period):
+            self._outbox.post(sender.address, wire.Gossip(), better)
         joining = self.view.myself.state is State.JOINING
         differ = (envelope.members, envelope.rows) != (self.view.digest, self.view.rows_digest)
-        if not (differ or joining) or not held.state.present:
-            return
-        moving = self._now - self.view.changed < 2 * self._period and not joining
-        if self._now - self._compared >= (4 if moving else 1) * self._period:
-            self._compared = self._now
-            self._drawn += 1
-            self._awaited = self._drawn
-            compare = wire.Compare(self._awaited, self.view.bucket_digests())
-            self._post(sender.address, compare)
+        if (differ or joining) and held.state.present and self._exchange.due(joining):
+            self._exchange.begin(self._timers.number(), sender.address)
 
     def _on_ping(self, envelope: Envelope) -> None:
         ping, sender = envelope.message, envelope.me
@@ -702,30 +437,41 @@
         if ping.to and ping.to != self.view.me:
             self.counts["astray"] += 1
             return
-        held = self.view.get(sender.name)
-        better = [sender.name] if held is not None and held.rank > sender.member().rank else []
-        self._post(sender.address, wire.Ack(ping.nonce), better)
+        self._outbox.post(sender.address, wire.Ack(ping.nonce), self._better_of(sender))
 
     def _on_ack(self, envelope: Envelope) -> None:
         ack, sender = envelope.message, envelope.me
         assert isinstance(ack, wire.Ack)
-        if (relay := self._relays.get(ack.nonce)) is not None:
-            if relay[2] == sender.name:
-                del self._relays[ack.nonce]
-                self._post(relay[0], wire.Reached(relay[1]))
+        if (relay := self._probes.relayed(ack.nonce)) is not None:
+            if relay.target == sender.name:
+                self._probes.end_relay(ack.nonce)
+                self._outbox.post(relay.address, wire.Reached(relay.nonce))
             return
-        self._acked(sender.name, sender.life, ack.nonce, envelope.wall / 1000)
+        probe = self._probes.answered(ack.nonce, sender.name, sender.life)
+        if probe is None:
+            self.counts["unasked"] += 1
+            return
+        if probe.counts:
+            self.health.feel(-1)
+        self.clocks.answered(sender.name, probe.sent, self._now, envelope.wall / 1000)
 
     def _on_ask(self, envelope: Envelope) -> None:
-        assert isinstance(envelope.message, wire.Ask)
-        self._relay(envelope, envelope.message)
+        ask = envelope.message
+        assert isinstance(ask, wire.Ask)
+        relay = Relay(envelope.me.address, ask.nonce, ask.to)
+        nonce = self._probes.relay(self._timers.number(), relay)
+        if nonce is None:
+            self.counts["relays refused"] += 1
+            return
+        self._after(timing.DIRECT, "relay", str(nonce))
+        self._outbox.post(ask.address, wire.Ping(nonce, ask.to))
 
     def _on_reached(self, envelope: Envelope) -> None:
         assert isinstance(envelope.message, wire.Reached)
         probe = self._probes.get(envelope.message.nonce)
         if probe is not None and probe.counts and probe.asked:
-            del self._probes[envelope.message.nonce]
-            self._feel(-1)
+            self._probes.end(envelope.message.nonce)
+            self.health.feel(-1)
 
     def _on_missed(self, envelope: Envelope) -> None:
         assert isinstance(envelope.message, wire.Missed)
@@ -734,104 +480,40 @@
             probe.missed += 1
 
     def _on_gossip(self, envelope: Envelope) -> None:
-        pass
-
-    # Whole exchange
+        """What stands beside it has been taken."""
 
     def _on_compare(self, envelope: Envelope) -> None:
-        """Answer with all that I hold in the buckets that differ, in pieces."""
-        compare, address = envelope.message, envelope.me.address
-        assert isinstance(compare, wire.Compare)
-        mask = self.view.differing(compare.buckets)
-        after, end = (0, "", ""), (wire.BUCKETS, "", "")
-        room = (
-            self._room(wire.raw(wire.Piece(compare.number, 2**64 - 1, after, end, False))) - 200
-        )  # two keys
-        entries, cells, used, sent, upto = list[Raw](), list[Raw](), 0, 0, after
-        for key in self.view.keys(mask):
-            record = self.view.cell(self._now, *key[1:]) if key[2] else self.view.entry(key[1])
-            if record is None:
-                continue
-            if used + wire.size(record) > room:
-                sent += 1
-                done = sent == MOST_PIECES
-                piece = wire.Piece(compare.number, mask, after, upto, done)
-                self._send(address, wire.raw(piece), entries, cells)
-                if done:  # the rest is compared again
-                    return
-                after, entries, cells, used = upto, [], [], 0
-            (cells if key[2] else entries).append(record)
-            used += wire.size(record)
-            upto = key
-        self._send(address, wire.raw(wire.Piece(compare.number, mask, after, end, True)), entries, cells)
+        self._exchange.on_compare(envelope)
 
     def _on_piece(self, envelope: Envelope) -> None:
-        """Answer with what I hold better in the range that the piece is whole in."""
-        piece = envelope.message
-        assert isinstance(piece, wire.Piece)
-        if piece.number != self._awaited:
+        assert isinstance(envelope.message, wire.Piece)
+        if not self._exchange.takes(envelope.message):
             self.counts["unasked"] += 1
             return
-        if piece.last:
-            self._awaited = 0
+        if envelope.message.last:
             self._arrive()
-        told = {entry.name: entry.member() for entry in envelope.entries}
-        rows = {(cell.owner, cell.subsystem): cell for cell in envelope.cells}
-        better = [key for key in self.view.keys(piece.mask) if piece.after < key <= piece.upto]
-        covered = {name for _, name, _ in better}
-        better += [(bucket(name), name, "") for name in told if name not in covered]
-        entries, cells = list[Raw](), list[Raw]()
-        for _, name, subsystem in better:
-            if subsystem and self.view.better_row(name, subsystem, rows.get((name, subsystem))):
-                if (record := self.view.cell(self._now, name, subsystem)) is not None:
-                    cells.append(record)
-            elif not subsystem and self._better(name, told.get(name)):
-                entries.append(self.view.entry(name))
-        self._amend(envelope.me.address, wire.Amend(), entries, cells)
+        self._exchange.on_piece(envelope)
 
     def _on_amend(self, envelope: Envelope) -> None:
-        better = [self.view.entry(e.name) for e in envelope.entries if self._better(e.name, e.member())]
-        self._amend(envelope.me.address, wire.Gossip(), better, [])
-
-    def _better(self, name: str, told: Member | None) -> bool:
-        held = self.view.get(name)
-        return held is not None and (told is None or held.rank > told.rank)
-
-    def _amend(self, address: str, message: wire.Message, entries: list[Raw], cells: list[Raw]) -> None:
-        """Send all of it, in as many datagrams as it takes, ``MOST_PIECES`` at most."""
-        told = wire.raw(message)
-        whole = self._room(told)
-        parts: tuple[list[Raw], list[Raw]] = ([], [])
-        room, sent = whole, 0
-        for kind, records in enumerate((entries, cells)):
-            for record in records:
-                if wire.size(record) > room:
-                    self._send(address, told, *parts)
-                    parts, room, sent = ([], []), whole, sent + 1
-                    if sent == MOST_PIECES:
-                        return
-                parts[kind].append(record)
-                room -= wire.size(record)
-        if parts[0] or parts[1]:
-            self._send(address, told, *parts)
+        self._exchange.on_amend(envelope)
 
     # Documents
 
     def _fetch(self, digest: bytes, name: str = "") -> None:
         """Ask one member, drawn where none is named, for the next parts."""
         request = self.documents.request(digest)
-        names = [name] if name else self._others(1)
+        names = [name] if name else self._probes.others(1)
         if request is not None and names:
-            self._say(names[0], request)
+            self._outbox.say(names[0], request)
 
     def _on_fetch(self, envelope: Envelope) -> None:
         assert isinstance(envelope.message, wire.Fetch)
         address = envelope.me.address
         parts = self.documents.parts(envelope.message)
         if parts is None:
-            self._post(address, wire.Lacks(envelope.message.digest))
+            self._outbox.post(address, wire.Lacks(envelope.message.digest))
         for part in parts or ():
-            self._send(address, wire.raw(part), [], [])
+            self._outbox.send(address, wire.raw(part), [], [])
 
     def _on_part(self, envelope: Envelope) -> None:
         assert isinstance(envelope.message, wire.Part)
@@ -840,8 +522,7 @@
 
     def _on_lacks(self, envelope: Envelope) -> None:
         assert isinstance(envelope.message, wire.Lacks)
-        if self._tried < 8:
-            self._tried += 1
+        if self.documents.try_another():
             self._fetch(envelope.message.digest)
 
 
--- a/cypresspulley/fleet/documents.py
+++ b/cypresspulley/fleet/documents.py
@@ -11,6 +11,7 @@
 MOST_HELD = 16  # documents; the one that was longest not asked for goes first
 MOST_WANTED = 8
 AT_ONCE = 8  # parts that one request asks for
+TRIES = 8  # members a period that are asked anew because the one asked before lacked the document
 
 
 class Documents:
@@ -21,6 +22,7 @@
         self._wanted = dict[
             bytes, tuple[int, dict[int, bytes]]
         ]()  # by digest: of how many (0 unknown), the parts
+        self._tried = 0
 
     def __repr__(self) -> str:
         return f"<Documents: {len(self._held)} held, {len(self._wanted)} wanted>"
@@ -54,8 +56,15 @@
         return body
 
     def wanted(self) -> list[bytes]:
+        """What to ask for in a period that begins."""
+        self._tried = 0
         return list(self._wanted)
 
+    def try_another(self) -> bool:
+        """Whether another member may be asked in this period, the last having lacked the document."""
+        self._tried += 1
+        return self._tried <= TRIES
+
     def request(self, digest: bytes) -> Fetch | None:
         """What to ask for next; None for what is not wanted."""
         if digest not in self._wanted:
--- /dev/null
+++ b/cypresspulley/fleet/exchange.py
@@ -0,0 +1,105 @@
+"""Whole exchange between two members whose digests differ: compare by buckets, pieces, amends. No I/O and no clock.
+
+    asker                                      asked
+    Compare (digests of 64 buckets)  ------->
+                                     <-------  Piece ... (all it holds in the buckets that differ, whole in a range)
+    Amend (what the pieces lacked)   ------->
+                                     <-------  Gossip (what it knows better of what it was amended)
+
+Each datagram is of use alone; whatever is lost is compared again.
+"""
+
+from __future__ import annotations
+
+from msgspec import Raw
+
+from cypresspulley.fleet import wire
+from cypresspulley.fleet.outbox import MOST_PIECES, Outbox
+from cypresspulley.fleet.records import Member
+from cypresspulley.fleet.view import View, bucket
+from cypresspulley.fleet.wire import Envelope
+
+KEYS = 200  # bytes that two keys of a piece may take
+MOVING = 2  # periods after a change in which others still hear of it
+SELDOM = 4  # periods between comparisons meanwhile
+
+
+class Exchange:
+    """This member's comparison that is under way, and its answers to others'."""
+
+    def __init__(self, view: View, outbox: Outbox, period: float) -> None:
+        self._view, self._outbox, self._period = view, outbox, period
+        self._compared = float("-inf")
+        self._awaited = 0  # number of the comparison that is under way
+
+    def __repr__(self) -> str:
+        return f"<Exchange, comparison {self._awaited} under way>"
+
+    def due(self, joining: bool) -> bool:
+        """Whether a comparison may begin: one a period, fewer while news is on its way anyhow."""
+        now = self._outbox.now
+        moving = now - self._view.changed < MOVING * self._period and not joining
+        return now - self._compared >= (SELDOM if moving else 1) * self._period
+
+    def begin(self, number: int, address: str) -> None:
+        self._compared, self._awaited = self._outbox.now, number
+        self._outbox.post(address, wire.Compare(number, self._view.bucket_digests()))
+
+    def on_compare(self, envelope: Envelope) -> None:
+        """Answer with all that I hold in the buckets that differ, in pieces."""
+        compare, address, out = envelope.message, envelope.me.address, self._outbox
+        assert isinstance(compare, wire.Compare)
+        mask = self._view.differing(compare.buckets)
+        after, end = (0, "", ""), (wire.BUCKETS, "", "")
+        room = out.room(wire.raw(wire.Piece(compare.number, 2**64 - 1, after, end, False))) - KEYS
+        entries, cells, used, sent, upto = list[Raw](), list[Raw](), 0, 0, after
+        for key in self._view.keys(mask):
+            record = self._view.cell(out.now, *key[1:]) if key[2] else self._view.entry(key[1])
+            if record is None:
+                continue
+            if used + wire.size(record) > room:
+                sent += 1
+                done = sent == MOST_PIECES
+                piece = wire.Piece(compare.number, mask, after, upto, done)
+                out.send(address, wire.raw(piece), entries, cells)
+                if done:  # the rest is compared again
+                    return
+                after, entries, cells, used = upto, [], [], 0
+            (cells if key[2] else entries).append(record)
+            used += wire.size(record)
+            upto = key
+        out.send(address, wire.raw(wire.Piece(compare.number, mask, after, end, True)), entries, cells)
+
+    def takes(self, piece: wire.Piece) -> bool:
+        """Whether it is of the comparison that is under way, which ends with the last."""
+        if piece.number != self._awaited:
+            return False
+        if piece.last:
+            self._awaited = 0
+        return True
+
+    def on_piece(self, envelope: Envelope) -> None:
+        """Answer with what I hold better in the range that the piece is whole in."""
+        piece, view = envelope.message, self._view
+        assert isinstance(piece, wire.Piece)
+        told = {entry.name: entry.member() for entry in envelope.entries}
+        rows = {(cell.owner, cell.subsystem): cell for cell in envelope.cells}
+        better = [key for key in view.keys(piece.mask) if piece.after < key <= piece.upto]
+        covered = {name for _, name, _ in better}
+        better += [(bucket(name), name, "") for name in told if name not in covered]
+        entries, cells = list[Raw](), list[Raw]()
+        for _, name, subsystem in better:
+            if subsystem and view.better_row(name, subsystem, rows.get((name, subsystem))):
+                if (record := view.cell(self._outbox.now, name, subsystem)) is not None:
+                    cells.append(record)
+            elif not subsystem and self._better(name, told.get(name)):
+                entries.append(view.entry(name))
+        self._outbox.send_all(envelope.me.address, wire.Amend(), entries, cells)
+
+    def on_amend(self, envelope: Envelope) -> None:
+        better = [self._view.entry(e.name) for e in envelope.entries if self._better(e.name, e.member())]
+        self._outbox.send_all(envelope.me.address, wire.Gossip(), better, [])
+
+    def _better(self, name: str, told: Member | None) -> bool:
+        held = self._view.get(name)
+        return held is not None and (told is None or held.rank > told.rank)
--- a/cypresspulley/fleet/limiter.py
+++ b/cypresspulley/fleet/limiter.py
@@ -14,12 +14,11 @@
 from typing import Any
 
 from cypresspulley.fleet import timing
-from cypresspulley.fleet.detector import (
+from cypresspulley.fleet.actions import (
     Action,
     Begin,
     Changed,
     Datagram,
-    Detector,
     End,
     Event,
     Leave,
@@ -28,6 +27,7 @@
     Settled,
     Tick,
 )
+from cypresspulley.fleet.detector import Detector
 from cypresspulley.fleet.options import FleetOptions
 from cypresspulley.fleet.records import NAME_FORM, Member, Row, State
 from cypresspulley.fleet.wire import Codec
@@ -220,7 +220,7 @@
         return self._detector.settled()
 
     def heard(self, now: float, within: float) -> int:
-        return self._detector.heard(now, within)
+        return self._detector.peers.heard(now, within)
 
     def clock_error(self, now: float) -> tuple[float, float] | None:
         detector = self._detector
--- /dev/null
+++ b/cypresspulley/fleet/outbox.py
@@ -0,0 +1,91 @@
+"""Lays out datagrams: a message, this member itself, and as much news beside it as there is room. No I/O, no clock."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+
+from msgspec import Raw
+
+from cypresspulley.fleet import wire
+from cypresspulley.fleet.actions import Action, Send
+from cypresspulley.fleet.view import View
+
+MOST_PIECES = 24  # datagrams of one answer
+ENVELOPE = 140  # bytes: more than an envelope takes beside its message, its sender and the records
+
+
+class Outbox:
+    """Actions gather in it until ``empty``. ``now`` and ``wall`` are the instants of the event that is handled."""
+
+    def __init__(self, codec: wire.Codec, view: View, counts: Counter[str]) -> None:
+        self._codec, self._view, self._counts = codec, view, counts
+        self._number = 0
+        self._actions = list[Action]()
+        self._me = view.entry(view.me)
+        self.now = self.wall = 0.0
+
+    def __repr__(self) -> str:
+        return f"<Outbox: {self._number} datagrams in this life>"
+
+    def empty(self) -> list[Action]:
+        done, self._actions = self._actions, []
+        return done
+
+    def act(self, action: Action) -> None:
+        self._actions.append(action)
+
+    def introduce(self, new_life: bool = False) -> Raw:
+        """Take this member's own record anew from the view; a new life counts its datagrams from 0."""
+        self._me = self._view.entry(self._view.me)
+        if new_life:
+            self._number = 0
+        return self._me
+
+    def say(self, name: str, message: wire.Message) -> None:
+        """Send to a member of the view."""
+        member = self._view.get(name)
+        if member is not None:
+            self.post(member.address, message)
+
+    def post(self, address: str, message: wire.Message, first: Sequence[str] = ()) -> None:
+        """Send with news beside it; ``first`` are members whose records go in any case."""
+        told = wire.raw(message)
+        entries = [self._view.entry(name) for name in first]
+        room = self.room(told) - sum(wire.size(entry) for entry in entries)
+        news, cells = self._view.queue.take(self.now, self._view, room)
+        self.send(address, told, entries + news, cells)
+
+    def room(self, told: Raw) -> int:
+        """Bytes for records beside a message."""
+        return wire.MOST_BYTES - wire.HEAD - ENVELOPE - wire.size(self._me) - wire.size(told)
+
+    def send(self, address: str, told: Raw, entries: Sequence[Raw], cells: Sequence[Raw]) -> None:
+        view = self._view
+        wall = max(0, round(self.wall * 1000))
+        head = (self._number, wall, view.digest, view.rows_digest, view.versions())
+        self._number += 1
+        data = self._codec.encode(head, self._me, told, entries, cells)
+        self._counts["sent"] += 1
+        self._counts["sent bytes"] += len(data)
+        self._actions.append(Send(address, data))
+
+    def send_all(
+        self, address: str, message: wire.Message, entries: Sequence[Raw], cells: Sequence[Raw]
+    ) -> None:
+        """Send all of the records, in as many datagrams as it takes, ``MOST_PIECES`` at most; none where none are."""
+        told = wire.raw(message)
+        whole = self.room(told)
+        parts: tuple[list[Raw], list[Raw]] = ([], [])
+        room, sent = whole, 0
+        for kind, records in enumerate((entries, cells)):
+            for record in records:
+                if wire.size(record) > room:
+                    self.send(address, told, *parts)
+                    parts, room, sent = ([], []), whole, sent + 1
+                    if sent == MOST_PIECES:
+                        return
+                parts[kind].append(record)
+                room -= wire.size(record)
+        if parts[0] or parts[1]:
+            self.send(address, told, *parts)
--- a/tests/fleet/test_bed.py
+++ b/tests/fleet/test_bed.py
@@ -67,7 +67,7 @@
     health = list[int]()
     for _ in range(60):
         bed.run(bed.now + 1)
-        health.append(bed.hosts["l5"].detector.health)
+        health.append(bed.hosts["l5"].detector.health.value)
     wrong = [news for news in bed.news if news.observer == "l5" and news.member.state is State.SUSPECTED]
     assert wrong  # it did accuse
     assert bed.deaths() == [] and max(health) >= 3
--- a/tests/fleet/test_detector.py
+++ b/tests/fleet/test_detector.py
@@ -7,17 +7,8 @@
 import pytest
 
 from cypresspulley.fleet import timing, wire
-from cypresspulley.fleet.detector import (
-    STALE,
-    Begin,
-    Changed,
-    Datagram,
-    Detector,
-    Leave,
-    Rose,
-    Send,
-    Tick,
-)
+from cypresspulley.fleet.actions import Begin, Changed, Datagram, Leave, Rose, Send, Tick
+from cypresspulley.fleet.detector import STALE, Detector
 from cypresspulley.fleet.records import Member, State
 
 KEY = b"0123456789abcdef"
@@ -143,7 +134,9 @@
 def test_more_accusers_shorten_a_suspicion_and_the_same_one_twice_does_not() -> None:
     def lasts(*accusers: str) -> float:
         one = One(*"abcdefx")
-        one.detector._round = ["x"] * 99  # its own probes are of x only: nobody else falls under suspicion
+        one.detector._probes.round = [
+            "x"
+        ] * 99  # its own probes are of x only: nobody else falls under suspicion
         for name in accusers:
             one.hear(name, told=(claim("x", State.SUSPECTED, by=name),))
         while one.state("x") is not State.DEAD:
@@ -173,7 +166,7 @@
     assert [row.life for row in one.detector.view.rows(0.0, "lanes")] == [LIFE + 3_600_001]
     for n in range(20):
         one.hear("x", told=(claim("me", State.ALIVE, 0, life=LIFE + 4_000_000 + n * 10),))
-    assert len(one.rose) == 8 and one.detector.counts["usurped"] == 13
+    assert len(one.rose) == 8 and one.detector.counts["risen"] == 21
 
 
 def test_a_leaver_is_left_when_it_no_longer_answers_and_never_suspected() -> None:
@@ -202,7 +195,7 @@
     one.hear("y", told=(claim("x", State.SUSPECTED, by="y"),))
     one.now += 60
     one.do(Tick())
-    assert one.detector.counts["stalls"] == 1 and one.detector.health > 0
+    assert one.detector.counts["stalls"] == 1 and one.detector.health.value > 0
     assert one.state("x") is State.SUSPECTED and one.state("y") is one.state("z") is State.ALIVE
     one.wait(1.0)
     assert one.state("x") is State.SUSPECTED
@@ -216,10 +209,10 @@
     one.wait(0.01)
     one.hear("x", incarnation=1)
     detector = one.detector
-    before = (detector.view.digest, detector.heard(one.now, 0.0), detector.settled(), len(one.changes))
+    before = (detector.view.digest, detector.peers.heard(one.now, 0.0), detector.settled(), len(one.changes))
     one.wait(0.3)
     one.do(Datagram(data))
-    assert detector.counts["replayed"] == 1 and detector.heard(one.now, 0.2) == 0
+    assert detector.counts["replayed"] == 1 and detector.peers.heard(one.now, 0.2) == 0
     assert before[0] == detector.view.digest and before[2:] == (detector.settled(), len(one.changes))
 
 
--- a/tests/fleet/test_parts.py
+++ b/tests/fleet/test_parts.py
@@ -10,8 +10,8 @@
 
 from cypresspulley.fleet import timing
 from cypresspulley.fleet.clocks import Clocks
-from cypresspulley.fleet.detector import Window
 from cypresspulley.fleet.documents import AT_ONCE, MOST_HELD, MOST_WANTED, Documents
+from cypresspulley.fleet.peers import Window
 from cypresspulley.fleet.wire import Part
 
 
--- a/tests/fleet/test_view.py
+++ b/tests/fleet/test_view.py
@@ -111,10 +111,14 @@
     view.merge(1.0, Member("x", 5, 0, State.DEAD))
     assert view.rows(1.0, "lanes") == ()
     view.merge(2.0, Member("x", 6, 0, State.ALIVE))
-    view.merge_row(2.0, Cell("x", "lanes", 5, 10, 0, b"older still"))
+    assert not view.merge_row(2.0, Cell("x", "lanes", 5, 10, 0, b"older still"))
     assert view.rows(2.0, "lanes") == ()
+    assert view.merge_row(2.0, Cell("x", "closing", 7, 1, 0, b"of a life not heard of yet"))
+    assert view.rows(2.0, "closing") == ()
     view.merge_row(2.0, Cell("x", "lanes", 6, 1, 0, b"new"))
     assert [row.body for row in view.rows(2.0, "lanes")] == [b"new"]
+    view.merge(3.0, Member("x", 7, 0, State.ALIVE))
+    assert [row.life for row in view.rows(3.0, "closing")] == [7] and view.rows(3.0, "lanes") == ()
 
 
 def test_nobody_else_writes_this_members_row() -> None:
