--- /dev/null
+++ b/cypresspulley/fleet/addresses.py
@@ -0,0 +1,79 @@
+"""Members' addresses as a socket takes them. Hosts with a name are looked up beside the loop, never on it."""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import socket
+from collections.abc import Callable
+
+from cypresspulley.net.http import split_address
+
+MOST = 4096  # addresses that are remembered
+MOST_LOOKUPS = 8  # under way
+AGAIN = 30.0  # seconds after which a name is looked up anew; the last answer holds meanwhile
+
+Where = tuple[str, int]
+
+
+class Addresses:
+    """``clock`` in seconds, one that never steps; ``listen`` is the host of the socket, whose family all sends are of."""
+
+    def __init__(self, clock: Callable[[], float], listen: str) -> None:
+        self._clock = clock
+        self._family = socket.AF_INET6 if ":" in listen else socket.AF_INET
+        self._known = dict[str, Where | None]()  # None: no address, or a name that is not yet known
+        self._names = dict[str, float]()  # when to look a name up again
+        self._lookups = dict[str, asyncio.Task[None]]()
+
+    def __repr__(self) -> str:
+        return f"<Addresses: {len(self._known)} known, {len(self._lookups)} looked up>"
+
+    def get(self, address: str) -> Where | None:
+        """Where to send; None for what is no address and while a name is looked up."""
+        if address not in self._known:
+            if len(self._known) >= MOST:
+                self._known.clear()
+                self._names.clear()
+            self._known[address] = self._literal(address)
+        if address in self._names and self._names[address] <= self._clock():
+            self._look_up(address)
+        return self._known[address]
+
+    def close(self) -> None:
+        for task in self._lookups.values():
+            task.cancel()
+
+    def _literal(self, address: str) -> Where | None:
+        try:
+            host, port = split_address(address)
+        except ValueError:
+            return None
+        if not port or not host:
+            return None
+        try:
+            ipaddress.ip_address(host)
+        except ValueError:
+            self._names[address] = float("-inf")
+            return None
+        return host, port
+
+    def _look_up(self, address: str) -> None:
+        if address in self._lookups or len(self._lookups) >= MOST_LOOKUPS:
+            return
+        self._names[address] = self._clock() + AGAIN
+        task = asyncio.get_running_loop().create_task(self._answer(address))
+        self._lookups[address] = task
+
+    async def _answer(self, address: str) -> None:
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        try:
+            found = await loop.getaddrinfo(host, port, family=self._family, type=socket.SOCK_DGRAM)
+            if address in self._known and found:
+                where = found[0][4]
+                self._known[address] = str(where[0]), int(where[1])
+        except (OSError, UnicodeError):
+            self._names[address] = self._clock() + 1.0  # no such name now: ask again soon
+        finally:
+            self._lookups.pop(address, None)
--- a/cypresspulley/fleet/limiter.py
+++ b/cypresspulley/fleet/limiter.py
@@ -27,20 +27,19 @@
     Settled,
     Tick,
 )
+from cypresspulley.fleet.addresses import Addresses
 from cypresspulley.fleet.detector import Detector
 from cypresspulley.fleet.options import FleetOptions
 from cypresspulley.fleet.records import NAME_FORM, Member, Row, State
 from cypresspulley.fleet.wire import Codec
 from cypresspulley.histories.events import Kind
 from cypresspulley.histories.writer import AnyHistory
-from cypresspulley.net.http import split_address
 from cypresspulley.operators import OperatorsError
 
 log = logging.getLogger(__name__)
 
-SIZE = 8  # members for which the stated bounds are, where no other number is given
+SIZE = 12  # members for which the stated bounds are, where there are not more seeds
 MOST_ZONE = 64  # characters
-MOST_ADDRESSES = 4096  # of members, taken apart once
 BUFFER = 1 << 20  # bytes of the socket's receive buffer: a second of a burst of whole exchanges
 
 
@@ -48,7 +47,7 @@
     """This process's member of the fleet. ``clock`` never steps, ``wall`` is Unix seconds as the machine has it.
 
     ``bounds`` are other rooms' stated bounds in seconds, by the names in ``histories.events.BOUNDS``; ``size`` is how
-    many members the view's own are for. ``OperatorsError`` where the name or zone cannot be told to others.
+    many members the view's own are for, at least. ``OperatorsError`` where the name or zone cannot be told to others.
     """
 
     def __init__(
@@ -63,7 +62,7 @@
         if len(zone) > MOST_ZONE:
             raise OperatorsError(f"zone: expected at most {MOST_ZONE} characters, got {zone!r:.80}")
         self._options, self._clock, self._wall, self._history = options, clock, wall, history
-        self._bounds, self._size = dict(bounds or {}), size
+        self._bounds, self._size = dict(bounds or {}), max(size, len(options.seeds))
         self._zone, self._me = zone, name
         me = Member(name, max(1, round(wall() * 1000)), 0, State.JOINING, zone, options.advertise)
         codec = Codec(options.installation, options.key)
@@ -72,7 +71,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._due = float("inf")
-        self._addresses = dict[str, tuple[str, int] | None]()
+        self._addresses = Addresses(clock, options.listen[0])
 
     def __repr__(self) -> str:
         return f"<Fleet {self._me} {'open' if self._transport is not None else 'shut'}: {self.detector!r}>"
@@ -101,6 +100,7 @@
         self.take(End())
         if self._timer is not None:
             self._timer.cancel()
+        self._addresses.close()
         self._transport.close()
         self._transport = None
         self._history.put(Kind.END, reason="closed")
@@ -145,15 +145,7 @@
         self._history.put(Kind.START, **facts, bounds=mine | self._bounds)
 
     def _send(self, address: str, data: bytes) -> None:
-        if address not in self._addresses:
-            if len(self._addresses) >= MOST_ADDRESSES:
-                self._addresses.clear()
-            try:
-                host, port = split_address(address)
-                self._addresses[address] = (host, port) if port > 0 else None
-            except ValueError:
-                self._addresses[address] = None
-        where = self._addresses[address]
+        where = self._addresses.get(address)
         if where is None or self._transport is None:
             self.detector.counts["no address"] += 1
             return
--- a/tests/fleet/test_limiter.py
+++ b/tests/fleet/test_limiter.py
@@ -21,6 +21,7 @@
 from tests.loopback import run
 
 PERIOD = 0.05  # seconds
+KEY = b"0123456789abcdef"
 
 
 def port() -> int:
@@ -35,7 +36,7 @@
 ) -> Fleet:  # fmt: skip
     addresses = tuple(f"127.0.0.1:{seed}" for seed in seeds)
     own = f"127.0.0.1:{advertise or at}"
-    options = FleetOptions("test", ("127.0.0.1", at), own, addresses, PERIOD, b"0123456789abcdef")
+    options = FleetOptions("test", ("127.0.0.1", at), own, addresses, PERIOD, KEY)
     wall = (lambda: time.time() - back) if back else time.time
     return Fleet(options, name, "a", 1, time.monotonic, wall, history or NoHistory())
 
@@ -153,6 +154,23 @@
     run(main())
 
 
+def test_members_may_be_told_by_the_names_of_their_hosts() -> None:
+    async def main() -> None:
+        first, second = port(), port()
+        a = fleet("a", first, first)
+        options = FleetOptions(
+            "test", ("127.0.0.1", second), f"localhost:{second}", (f"localhost:{first}",), PERIOD, KEY
+        )
+        b = Fleet(options, "b", "a", 1, time.monotonic, time.time, NoHistory())
+        await a.start()
+        await b.start()
+        await until(lambda: a.view.settled(0.0) and b.view.settled(0.0) and len(a.view.members()) == 2)
+        await a.close()
+        await b.close()
+
+    run(main())
+
+
 def test_a_name_that_cannot_be_told_is_an_error_of_the_operators() -> None:
     with pytest.raises(OperatorsError, match="LB_NAME: expected at most 40 letters"):
         fleet("a/b", 1)
