--- a/cypresspulley/fleet/addresses.py
+++ b/cypresspulley/fleet/addresses.py
@@ -17,7 +17,7 @@
 
 
 class Addresses:
-    """``clock`` in seconds, one that never steps; ``listen`` is the host of the socket, whose family all sends are of."""
+    """``clock`` in seconds, one that never steps; all sends are of the family of ``listen``, the socket's host."""
 
     def __init__(self, clock: Callable[[], float], listen: str) -> None:
         self._clock = clock
