--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -347,7 +347,7 @@
             self._suspicions.end(claim.name)
         if held is not None and held.life != claim.life:
             self._forget(claim.name)
-        if held is not None and held.state >= State.SUSPECTED and claim.state < State.SUSPECTED:
+        if held is not None and held.life == claim.life and claim.state < State.SUSPECTED <= held.state:
             cause = "refuted"
         self.view.queue.add((claim.name, ""), self.view.entry(claim.name, by))
         if held is None and claim.state.present:
