--- a/tests/fleet/test_bed.py
+++ b/tests/fleet/test_bed.py
@@ -9,6 +9,7 @@
 from benchmarks.fleet_bed import Bed, address
 from cypresspulley.fleet import timing
 from cypresspulley.fleet.records import State
+from cypresspulley.fleet.view import QUIET
 
 
 def wait_agreed(bed: Bed, within: float) -> float:
@@ -239,6 +240,24 @@
         assert bodies == {f"{name} {rounds}".encode().ljust(120) for name in bed.hosts}
 
 
+def test_one_that_joins_a_quiet_fleet_has_its_whole_view_at_once() -> None:
+    bed = grown(40, warm=True)
+    bed.run(15)  # nothing is sent on any more
+    bed.start("new", ["l0", "l1"])
+    assert bed.run(bed.now + 1.0, lambda: bed.hosts["new"].detector.view.present == 41)
+
+
+def test_a_row_said_once_behind_a_cut_is_found_after_it() -> None:
+    bed = grown(8, warm=True)
+    bed.cuts.append(lambda a, b: "l3" in (a, b))
+    bed.hosts["l0"].detector.view.publish(bed.now, "closing", b"calendar")
+    bed.run(bed.now + 4)
+    bed.cuts.clear()
+    row = bed.hosts["l3"].detector.view.rows
+    assert row(bed.now, "closing") == () and len(bed.hosts["l4"].detector.view.rows(bed.now, "closing")) == 1
+    assert bed.run(bed.now + 2 * QUIET, lambda: row(bed.now, "closing") != ())
+
+
 def test_a_document_reaches_all_that_want_it() -> None:
     bed = grown(8, loss=0.05)
     body = bytes(range(256)) * 256
