--- a/cypresspulley/lanes/limiter.py
+++ b/cypresspulley/lanes/limiter.py
@@ -326,7 +326,8 @@
     def _judge(self, now: float, ev: api.Request) -> api.Refuse | None:
         """The refusal of a try that gives way; None lets it pass."""
         lane, inside = self._lane_of.get(ev.plan, self._last), self._stores.inside(now, ev)
-        self._meter.asked(lane, ev, inside)
+        counts = inside and not ev.repeat and self._stores.counts(now, ev)
+        self._meter.asked(lane, ev, inside, counts)
         if self._course.in_force:
             spell = self._course.spell
             threshold = (spell.inside if inside else spell.beyond)[lane]
--- a/cypresspulley/lanes/meter.py
+++ b/cypresspulley/lanes/meter.py
@@ -64,16 +64,17 @@
     def _fresh(self) -> Period:
         return Period([Sums() for _ in range(self._lanes)])
 
-    def asked(self, lane: int, ev: api.Request, inside: bool) -> None:
-        """A try has come. Repeats belong to their first tries and ask for nothing more."""
+    def asked(self, lane: int, ev: api.Request, inside: bool, counts: bool) -> None:
+        """A try has come; a first one ``counts`` for what its account asks. Repeats ask for nothing more."""
         sums = self._now.lanes[lane]
         self._now.tries += not ev.repeat
         if inside:
             sums.asked += ev.units
-            sums.first += 0.0 if ev.repeat else ev.units
         else:
             sums.asked_over += ev.units
-            sums.over += 0.0 if ev.repeat else ev.units
+        if not ev.repeat:
+            sums.first += ev.units * counts
+            sums.over += ev.units * (not counts)
 
     def passed(self, lane: int, ev: api.Request, inside: bool) -> None:
         """The lane lets it pass: the decisions have it next."""
@@ -102,7 +103,7 @@
         if why in ROOM:
             sums.short += ev.units if self._began - self._born >= YOUNG else 0.0
         elif why != "attempts":  # the decisions know better: it was beyond its quota or a ceiling
-            sums.first, sums.over, sums.let = sums.first - ev.units, sums.over + ev.units, sums.let - ev.units
+            sums.let -= ev.units
 
     def departed(self, id: int) -> None:
         self._open.pop(id, None)
--- a/cypresspulley/lanes/share.py
+++ b/cypresspulley/lanes/share.py
@@ -18,10 +18,8 @@
 from cypresspulley.lanes.rows import Figures
 from cypresspulley.policy.gate import REFERENCE
 
-WANTED, WANTED_FIRST = (
-    0.12,
-    0.05,
-)  # of first tries let pass, refused for want of room: of all, of the first lane
+WANTED = 0.5  # share of first tries let pass that is refused for want of room: some keep servers busy, and find room
+WANTED_FIRST = 0.35  # the same of the first lane, whose tries are sent on at a second or third attempt
 ENTRY = 0.9  # of what was sent on while all was full: what is borne at first
 FALL, MOST_FALL = 0.05, 0.1  # of what is borne, a revision: for refusals of twice what is wanted; at most
 RISE = 0.15  # the same where nothing is refused
@@ -111,7 +109,7 @@
     over = pressure(told).over
     change = RISE * (1 - over) ** 2 if over < 1 else -min(MOST_FALL, FALL * (over - 1))
     # Not held down by what is sent on: where few accounts pass and ask little, that says nothing of what is borne.
-    return max(LEAST_SENT * sent, min(before * (1 + change), MOST_ASKED * max(sent, asked)))
+    return max(LEAST_SENT * sent, min(before * (1 + change), max(before, MOST_ASKED * max(sent, asked))))
 
 
 def fill(
--- a/cypresspulley/lanes/states.py
+++ b/cypresspulley/lanes/states.py
@@ -7,7 +7,7 @@
 | state | high | level | low | a spell is in force | an open spell |
 | --- | --- | --- | --- | --- | --- |
 | calm | pressed, at once | - | - | shedding | - |
-| pressed | shedding, after 3 | calm, after 4 | calm, after 2 | shedding | - |
+| pressed | shedding, after 2 | calm, after 4 | calm, after 2 | shedding | - |
 | shedding | - | - | easing, after 6 | - | calm |
 | easing | shedding, after 2 | - | - | - | calm |
 
@@ -42,7 +42,7 @@
 HIGH, LOW = 0.3, 0.1  # of the pressure
 TABLE: dict[tuple[State, Signal], tuple[State, int]] = {
     (State.CALM, Signal.HIGH): (State.PRESSED, 1),
-    (State.PRESSED, Signal.HIGH): (State.SHEDDING, 3),
+    (State.PRESSED, Signal.HIGH): (State.SHEDDING, 2),
     (State.PRESSED, Signal.LEVEL): (State.CALM, 4),
     (State.PRESSED, Signal.LOW): (State.CALM, 2),
     (State.SHEDDING, Signal.LOW): (State.EASING, 6),
--- a/cypresspulley/lanes/stores.py
+++ b/cypresspulley/lanes/stores.py
@@ -1,9 +1,12 @@
 """Whether a try is inside its account's quota, as the decisions behind would most likely call it.
 
-Read from the decisions' own levels, which this never changes: stores that fill until the moment of the question. What a
-lane turned away drew nothing there, so an account that gives way would seem inside however much it asks: what it was
-turned away inside quota is drawn from a store of its own here. In doubt a try is inside, since the decisions judge it
-once more.
+Read from the decisions' own levels, which this never changes: stores that fill until the moment of the question. In
+doubt a try is inside, since the decisions judge it once more. What a lane turned away drew nothing there, so an account
+that gives way would seem inside however much it asks: what it was turned away inside quota is drawn from a store here.
+
+What an account *counts* for where the fleet is shared out is another question. Where gates refuse, they do so before
+they look at quotas, and each of an account's limiters sees a full store: all of them would count its excess. So each
+counts what fits an even share of the quota, and whatever limiters its tries come through, they count its quota once.
 """
 
 from __future__ import annotations
@@ -16,7 +19,8 @@
 from cypresspulley.policy.account import RECENT, Account
 from cypresspulley.policy.quota import Quotas
 
-MOST_STORES = 20_000  # accounts that were turned away, the longest unseen forgotten
+MOST_STORES = 20_000  # accounts that are kept, the longest unseen forgotten
+UNEVEN = 1.25  # times the even share that counts: tries come unevenly
 
 
 def level_at(a: Account, now: float) -> float:
@@ -36,20 +40,35 @@
 
 
 class Stores:
-    """Reckons by the decisions' ``quotas``, and by what was turned away here."""
+    """Reckons by the decisions' ``quotas``, and by what was asked and turned away here."""
 
     def __init__(self, quotas: Quotas, settings: api.Settings) -> None:
         self._quotas, self._set = quotas, settings
         self._plans = {plan.name: plan for plan in settings.plans}
-        self._turned = LRUCache[tuple[str, str], tuple[float, float]](MOST_STORES)  # level, as of when
+        # Level, as of when: of the quota less what was turned away; of the even share of it.
+        self._turned = LRUCache[tuple[str, str], tuple[float, float]](MOST_STORES)
+        self._shares = LRUCache[tuple[str, str], tuple[float, float]](MOST_STORES)
 
     def __repr__(self) -> str:
-        return f"<Stores {len(self._turned)} turned away>"
+        return f"<Stores of {len(self._shares)} accounts, {len(self._turned)} turned away>"
 
     def retune(self, settings: api.Settings) -> None:
         self._set = settings
         self._plans = {plan.name: plan for plan in settings.plans}
 
+    def counts(self, now: float, ev: api.Request) -> bool:
+        """Whether a first try counts for what its account asks inside its quota; it then draws its units."""
+        plan = self._plans.get(ev.plan)
+        if plan is None or plan.rate <= 0:
+            return True
+        share = max(1, ev.gateways)
+        most = max(plan.burst / share, ev.units)
+        level, at = self._shares.get((ev.plan, ev.account), (most, now))
+        level = min(most, level + UNEVEN * plan.rate / share * max(0.0, now - at))
+        fits = level >= ev.units
+        self._shares[ev.plan, ev.account] = level - ev.units * fits, now
+        return fits
+
     def inside(self, now: float, ev: api.Request) -> bool:
         """Whether a try that comes now is inside its quota."""
         a = self._quotas.accounts.get((ev.plan, ev.account))
--- a/cypresspulley/lanes/who.py
+++ b/cypresspulley/lanes/who.py
@@ -35,12 +35,13 @@
 def longest_wait(part: float) -> int:
     """Most spells in a row that an account gives way where a part of its lane (above 0, at most 1) passes.
 
-    Turns by the golden ratio return into an arc of length ``p`` after F(k), F(k+1) or F(k+2) steps, where F(k) is the
-    first Fibonacci number with ||F(k) g|| < p, and ||F(k) g|| = g ** k.
+    Turns by the golden ratio ``g`` return into an arc of length ``p`` after ``F(k)``, ``F(k+1)`` or ``F(k+2)`` steps
+    (Slater 1967), ``F(k)`` being the first Fibonacci number whose turn comes closer than ``p``: ``1 - g`` for 1 step,
+    and ``g`` times as close for each number that follows. The step that returns is none of giving way.
     """
     if part >= 1:
         return 0
     before, now, distance = 1, 1, 1 - GOLDEN
     while distance >= part:
         before, now, distance = now, before + now, distance * GOLDEN
-    return before + now
+    return before + 2 * now - 1
