--- a/cypresspulley/lanes/share.py
+++ b/cypresspulley/lanes/share.py
@@ -19,7 +19,9 @@
 from cypresspulley.policy.gate import REFERENCE
 
 WANTED = 0.5  # share of first tries let pass that is refused for want of room: some keep servers busy, and find room
-WANTED_FIRST = 0.35  # the same of the first lane, whose tries are sent on at a second or third attempt
+WANTED_FIRST = (
+    0.05  # share of what the first lane lets pass that is not sent on, whatever its clients try again
+)
 ENTRY = 0.9  # of what was sent on while all was full: what is borne at first
 FALL, MOST_FALL = 0.05, 0.1  # of what is borne, a revision: for refusals of twice what is wanted; at most
 RISE = 0.15  # the same where nothing is refused
@@ -54,8 +56,9 @@
 @dataclass(frozen=True, slots=True)
 class Pressure:
     """Of the fleet, by its fresh rows. ``refused``: share of the first tries that lanes let pass which was refused for
-    want of room; ``first``: the same of the first lane that was asked; ``load``: mean of the gates' readings by what
-    each limiter let pass; ``pressed``: limiters that refused; ``asked``: units a second inside quota."""
+    want of room; ``first``: share of what the first lane that was asked let pass that was not sent on, repeats being
+    sent for what they repeat; ``load``: mean of the gates' readings by what each limiter let pass; ``pressed``:
+    limiters that refused; ``asked``: units a second inside quota."""
 
     refused: float
     first: float
@@ -94,9 +97,9 @@
     first = 0.0
     for lane in zip(*(row.figures for row in fresh), strict=True):
         if (through := math.fsum(f.passed for f in lane)) > 0:
-            first = math.fsum(f.short for f in lane) / through
+            first = 1 - math.fsum(f.sent for f in lane) / through
             break
-    return Pressure(min(1.0, math.fsum(short) / whole), min(1.0, first), load, pressed, asked)
+    return Pressure(min(1.0, math.fsum(short) / whole), max(0.0, first), load, pressed, asked)
 
 
 def borne(rows: Iterable[Told], before: float | None) -> float:
--- a/tests/lanes/day.py
+++ b/tests/lanes/day.py
@@ -18,6 +18,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.histories.events import Kind
+from cypresspulley.histories.writer import NoHistory
 from cypresspulley.lanes.limiter import Lanes
 from cypresspulley.lanes.options import Lane, LanesOptions
 from cypresspulley.net.node import Decisions
@@ -178,16 +179,12 @@
     over: bool = False
 
 
-class History:
+class History(NoHistory):
     """Keeps what ``lanes`` writes."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock, self.events = clock, list[tuple[float, Kind, dict[str, Any]]]()
 
-    def opened_at(self, life: int) -> None: ...
-
-    def close(self) -> None: ...
-
     def put(self, kind: Kind, **facts: Any) -> None:
         self.events.append((self._clock(), kind, facts))
 
@@ -416,7 +413,7 @@
 def with_lanes(limiter: Limiter, settings: api.Settings) -> Decisions:
     day = limiter.day
     view = day.fabric.join(limiter.name)
-    limiter.lanes = Lanes(LANES, view, limiter.gateway, settings, limiter.history, lambda: day.now)  # type: ignore[arg-type]
+    limiter.lanes = Lanes(LANES, view, limiter.gateway, settings, limiter.history, lambda: day.now)
     return limiter.lanes.deciding(limiter.gateway)
 
 
