Ask of each limiter that it notices the closings that others do

Need: closings lost, not only fired twice, are to be 0. A limiter that is sure for a second after a closing, with that version in force before it, has noticed it; tampered histories convict it.

--- a/cypresspulley/histories/check_closing.py
+++ b/cypresspulley/histories/check_closing.py
@@ -4,6 +4,8 @@
     never back      generations are a register that only grows: after a client has an answer of one generation, no call
                     of that account that begins later gets an older one
     fired once      each closing (place, version, ordinal) is noticed once in a life
+    lost by none    a closing that one limiter notices is noticed by every other with that version in force, once it has
+                    been sure for a second after it
     yes means gone  after the yes to a purge no call gets an answer made before it was asked for
     purged in time  from the bound after a purge no limiter serves what was kept before it
     doubt           while a limiter is in doubt it neither keeps nor serves what is kept
@@ -33,10 +35,11 @@
     Served,
 )
 from cypresspulley.histories.read import Histories, History
-from cypresspulley.histories.timeline import APART, Timeline, bound, events_of
+from cypresspulley.histories.timeline import APART, Life, Timeline, bound, events_of
 from cypresspulley.histories.verdict import Line, Tally, Verdict, line
 
 NAME = "closing"
+SURE = 1.0  # seconds without doubt in which a limiter notices what its clock has brought
 
 
 def check(histories: Histories) -> Verdict:
@@ -52,6 +55,7 @@
         _fired_once(tally, history)
         _doubt(tally, history)
         _one_generation(tally, truth, history)
+    _lost_by_none(tally, truth, times)
     _purged_in_time(tally, truth, histories)
     return tally.verdict()
 
@@ -166,6 +170,44 @@
         noticed.setdefault(key, event)
 
 
+def _lost_by_none(tally: Tally, truth: _Truth, times: Timeline) -> None:
+    closings: dict[tuple[str, int | str, int], tuple[History, Closed]] = {}
+    noticed: dict[tuple[str, int], set[tuple[str, int | str, int]]] = defaultdict(set)
+    for life in times.lives:
+        for event in events_of(life.history, Closed):
+            key = event.place, event.version, event.ordinal
+            closings.setdefault(key, (life.history, event))
+            noticed[life.name, life.history.life].add(key)
+    for life in times.lives:
+        forced = {
+            event.version: event.mono for event in events_of(life.history, Calendar) if event.state == "force"
+        }
+        for key, (history, closed) in closings.items():
+            since = forced.get(closed.version)
+            later = [mono for mono in forced.values() if since is not None and mono > since]
+            known = since is not None and since < closed.at - truth.apart
+            begin = closed.at + truth.apart + APART
+            if not known or any(mono < begin + SURE for mono in later) or not _sure(times, life, begin):
+                continue
+            tally.checked("lost by none")
+            if key not in noticed[life.name, life.history.life]:
+                text = f"{life.name} never noticed closing {closed.ordinal} of {closed.place}, as {history.name} did"
+                tally.found(
+                    "lost by none", text, [line(life.history, life.history.start), line(history, closed)]
+                )
+
+
+def _sure(times: Timeline, life: Life, begin: float) -> bool:
+    """Whether it ran from ``begin`` on and was sure for ``SURE`` seconds after it."""
+    moments = [(event.mono, event.doubt) for event in events_of(life.history, Doubt)]
+    ends = [*(mono for mono, _ in moments[1:]), life.end]
+    for (since, doubt), until in zip(moments, ends, strict=False):
+        since, until = max(since, begin), min(until, life.end, times.stop)
+        if not doubt and until - since > SURE:
+            return not times.silent(life.name, begin, since + SURE)
+    return False
+
+
 def _doubt(tally: Tally, history: History) -> None:
     """Before its first word on doubt a limiter is taken to be sure, unless that word is that doubt has ended."""
     doubts = list(events_of(history, Doubt))
--- a/tests/histories/plays.py
+++ b/tests/histories/plays.py
@@ -167,6 +167,7 @@
     rows = day(60.0, ("shop", 20.0), ("shop", 50.0))
     for name in "ab":
         rows += [start(0.0, name), row(0.5, name, Kind.DOUBT, False, "ready")]
+        rows.append(row(0.1, name, Kind.CALENDAR, 7, "force", BEGIN - 9, ""))
         rows.append(row(20.3, name, Kind.CLOSED, "pune", 7, 1, BEGIN + 20.0, 1))
         rows.append(row(50.3, name, Kind.CLOSED, "pune", 7, 2, BEGIN + 50.0, 1))
         rows += [
--- a/tests/histories/test_checkers.py
+++ b/tests/histories/test_checkers.py
@@ -134,6 +134,7 @@
         *call(20.02, 71, "shop", 0.01, 20.025), *call(20.1, 72, "shop", 0.01, 4.95, True))),
     ("closing", "fired once", "again after a clock step", plus(
         row(23.0, "a", Kind.CLOSED, "pune", 7, 1, BEGIN + 20.0, 0))),
+    ("closing", "lost by none", "never noticed", without(process="b", ordinal=1)),
     ("closing", "yes means gone", "old after the yes", plus(*call(31.5, 73, "mill", 0.01, 5.95, True))),
     ("closing", "purged in time", "served after the bound", plus(
         row(33.0, "b", Kind.SERVED, 74, "mill", "m", 0, BEGIN + 5.9))),
