--- a/cypresspulley/lanes/limiter.py
+++ b/cypresspulley/lanes/limiter.py
@@ -102,7 +102,7 @@
         self._publish(now, mine)
         if done.asked:
             bears = course.bears if course.in_force else max(borne(told, None), found.asked)
-            self._report(done, shares(self._options.lanes, told, bears))
+            self._report(done, shares(self._options.lanes, told, bears), told)
 
     def _viewless(self, now: float, told: list[Told]) -> bool:
         """Whether there is nobody to agree with: alone, or nobody heard for long."""
@@ -144,14 +144,15 @@
         row = LanesRow(self.machine.state, rate, gate.reading, mine.figures, course.spell, course.left(now))
         self._view.publish(SUBSYSTEM, encode(row))
 
-    def _report(self, done: Period, found: Shares) -> None:
-        """One event for a period in which anything was asked."""
+    def _report(self, done: Period, found: Shares, told: list[Told]) -> None:
+        """One event for a period in which anything was asked. Floors are by what is asked, not by what was given."""
         lanes, me = self._options.lanes, self._view.me
         names = [lane.name for lane in lanes]
         own = found.at[me]
+        asked = [sum(row.figures[n].asked for row in told if not row.stale) for n in range(len(lanes))]
         floors = [
-            min(lane.kept(found.bears), whole) * (part / whole if whole > 0 else 0.0)
-            for lane, whole, part in zip(lanes, found.inside, own, strict=True)
+            min(lane.kept(found.bears), whole) * (figures.asked / whole if whole > 0 else 0.0)
+            for lane, whole, figures in zip(lanes, asked, told[0].figures, strict=True)
         ]
 
         def by_lane(values: list[float]) -> dict[str, float]:
