--- a/benchmarks/together_mutants.py
+++ b/benchmarks/together_mutants.py
@@ -17,7 +17,6 @@
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass, replace
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -167,17 +166,13 @@
     }  # fmt: skip
 
 
-def _row(pool: ProcessPoolExecutor, seeds: int, number: int | None, play: str) -> tuple[bool, dict[str, Any]]:
-    """Whether it is as it has to be, and what is shown of it."""
-    days = list(pool.map(partial(played, number, play), range(1, seeds + 1)))
-    row: dict[str, Any] = {
-        "mutant": "none" if number is None else MUTANTS[number].name,
-        "play": play,
-        "days": days,
-    }
+def _verdict(number: int | None, days: list[dict[str, Any]]) -> tuple[bool, str]:
+    """Whether it is as it has to be, in a word too."""
     if number is None:
-        return all(not day["found"] and day["checked"] for day in days), row
-    return any(MUTANTS[number].promises & set(day["found"]) for day in days), row
+        right = all(not day["found"] and day["checked"] for day in days)
+        return right, "acquitted" if right else "CONVICTED"
+    right = any(MUTANTS[number].promises & set(day["found"]) for day in days)
+    return right, "convicted" if right else "ESCAPED"
 
 
 def main() -> int:
@@ -192,19 +187,18 @@
     rows, right = list[dict[str, Any]](), True
     context = multiprocessing.get_context("spawn")
     with ProcessPoolExecutor(options.jobs, mp_context=context, max_tasks_per_child=1) as pool:
-        for number, play in wanted:
-            as_wanted, row = _row(pool, options.seeds, number, play)
-            right, rows = right and as_wanted, [*rows, row]
-            verdict = (
-                ("acquitted" if as_wanted else "CONVICTED")
-                if number is None
-                else ("convicted" if as_wanted else "ESCAPED")
+        seeds = range(1, options.seeds + 1)
+        under_way = [[pool.submit(played, number, play, seed) for seed in seeds] for number, play in wanted]
+        for (number, play), futures in zip(wanted, under_way, strict=True):
+            days = [future.result() for future in futures]
+            name = "none" if number is None else MUTANTS[number].name
+            as_wanted, word = _verdict(number, days)
+            right = right and as_wanted
+            rows.append({"mutant": name, "play": play, "verdict": word, "days": days})
+            found = "; ".join(", ".join(f"{k} {v}" for k, v in day["found"].items()) or "-" for day in days)
+            print(
+                f"{play:8} {name:58} {word:10} {sum(day['checked'] for day in days):7}  {found}", flush=True
             )
-            found = "; ".join(
-                ", ".join(f"{k} {v}" for k, v in day["found"].items()) or "-" for day in row["days"]
-            )
-            checked = sum(day["checked"] for day in row["days"])
-            print(f"{play:8} {row['mutant']:58} {verdict:10} {checked:7}  {found}", flush=True)
     if options.json:
         options.json.write_text(json.dumps(rows, indent=1) + "\n")
     return 0 if right else 1
