--- a/tests/lanes/day.py
+++ b/tests/lanes/day.py
@@ -18,6 +18,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.histories.events import Kind
+from cypresspulley.histories.writer import NoHistory
 from cypresspulley.lanes.limiter import Lanes
 from cypresspulley.lanes.options import Lane, LanesOptions
 from cypresspulley.net.node import Decisions
@@ -80,17 +81,24 @@
 
 
 class Buckets:
-    """Each account's quota as one store."""
+    """Each account's quota as one store, and what it has out."""
 
     def __init__(self) -> None:
-        self._levels = dict[str, tuple[float, float]]()
+        self._levels, self._out = dict[str, tuple[float, float]](), dict[str, list[float]]()
 
-    def take(self, now: float, account: Account) -> bool:
+    def take(self, now: float, account: Account, until: float) -> bool:
+        """Room for one unit that is out until then; taken where there is."""
         plan = account.plan
+        out = self._out[account.name] = [t for t in self._out.get(account.name, []) if t > now]
+        if 0 < plan.open_limit <= len(out):
+            return False
         level, at = self._levels.get(account.name, (plan.burst, now))
         level = min(plan.burst, level + plan.rate * (now - at))
         self._levels[account.name] = level - (level >= 1), now
-        return level >= 1
+        if level < 1:
+            return False
+        out.append(until)
+        return True
 
 
 @dataclass(slots=True)
@@ -171,16 +179,12 @@
     over: bool = False
 
 
-class History:
+class History(NoHistory):
     """Keeps what ``lanes`` writes."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
         self._clock, self.events = clock, list[tuple[float, Kind, dict[str, Any]]]()
 
-    def opened_at(self, life: int) -> None: ...
-
-    def close(self) -> None: ...
-
     def put(self, kind: Kind, **facts: Any) -> None:
         self.events.append((self._clock(), kind, facts))
 
@@ -279,7 +283,7 @@
             start += seconds
 
     def _ask(self, account: Account, cls: api.RequestClass) -> None:
-        ask = Ask(self.now, account, cls, self._asked_of.take(self.now, account))
+        ask = Ask(self.now, account, cls, self._asked_of.take(self.now, account, self.now + WORK[cls.name]))
         self.asks.append(ask)
         self._try(ask)
 
@@ -346,7 +350,7 @@
         variance = math.log(1 + SPREAD_OF_WORK**2)
         work = WORK[ask.cls.name] * self._rng.lognormvariate(-variance / 2, math.sqrt(variance))
         if not attempts:
-            ask.within = self._sent_of.take(self.now, ask.account)
+            ask.within = self._sent_of.take(self.now, ask.account, self.now + WORK[ask.cls.name])
             ask.beyond += not ask.within
         self._numbers += 1
         server, job = self.servers[action.server], Job(self._numbers, work)
@@ -409,7 +413,7 @@
 def with_lanes(limiter: Limiter, settings: api.Settings) -> Decisions:
     day = limiter.day
     view = day.fabric.join(limiter.name)
-    limiter.lanes = Lanes(LANES, view, limiter.gateway, settings, limiter.history, lambda: day.now)  # type: ignore[arg-type]
+    limiter.lanes = Lanes(LANES, view, limiter.gateway, settings, limiter.history, lambda: day.now)
     return limiter.lanes.deciding(limiter.gateway)
 
 
