--- a/cypresspulley/closing/doubt.py
+++ b/cypresspulley/closing/doubt.py
@@ -11,7 +11,7 @@
 from enum import StrEnum
 
 GAP = 1.0  # seconds between two looks at the fleet after which this process was asleep
-REGAIN = 0.4  # of the bound
+NEAR, REGAIN, STEP = 0.7, 0.6, 0.125  # of the bound
 FRESH = 0.25  # seconds for which what the view says of the clock holds
 
 
@@ -24,8 +24,8 @@
     | cut      | the lease has run out: not all that are needed agree and answer | all others have heard again      |
     | woken    | this process did not look at the fleet for longer than ``GAP``  | all have heard it since it woke  |
     | unknown  | the view does not know the others' clocks                       | it does                          |
-    | clock    | the wall clock may be off by more than half the bound           | it is surely within              |
-    | stepped  | the wall clock moved against the other by a quarter of the bound | a lease later, and within        |
+    | clock    | the wall clock may be off by more than ``NEAR`` of the bound    | it is surely within ``REGAIN``   |
+    | stepped  | the wall clock moved against the other by ``STEP`` of the bound | a lease later, and within        |
     | behind   | the wall clock is before the latest instant that was acted on   | it has passed that               |
     | calendar | no version is in force, or its days are over                    | one is                           |
     """
@@ -45,8 +45,9 @@
 
 
 class WallClock:
-    """Trust in the wall clock. ``bound`` is by how much any two limiters' may differ: each may be off the middle of the
-    others' by half of that, and a quarter more between two confirmations, which lie ``settle`` apart."""
+    """Trust in the wall clock. ``bound`` is by how much one that is trusted may be off the true time: ``NEAR`` of that
+    off the middle of the others', ``STEP`` more between two confirmations, which lie ``settle`` seconds apart; the rest
+    is for the middle of the others', which most clocks keep that near."""
 
     def __init__(self, bound: float, settle: float, alone: bool) -> None:
         self._bound, self._settle, self._alone = bound, settle, alone
@@ -72,7 +73,7 @@
         return self.doubt
 
     def _step(self, mono: float, wall: float) -> None:
-        if self._offset is not None and abs(wall - mono - self._offset) > self._bound / 4:
+        if self._offset is not None and abs(wall - mono - self._offset) > self._bound * STEP:
             # What the view knows of the clock is of before: it has to be measured anew.
             self._offset, self._stepped, self._looked = None, mono, -math.inf
 
@@ -82,7 +83,7 @@
         if error is None:
             return Doubt.UNKNOWN
         # One that was in doubt has to be closer to be trusted again: at the edge it would be in and out of it.
-        near = self._bound * (REGAIN if self._cause else 0.5)
+        near = self._bound * (REGAIN if self._cause else NEAR)
         if error[0] < -near or error[1] > near:
             return Doubt.CLOCK
         if self._offset is None or mono >= self._confirmed + self._settle:
--- a/cypresspulley/closing/limiter.py
+++ b/cypresspulley/closing/limiter.py
@@ -30,6 +30,7 @@
 log = logging.getLogger(__name__)
 
 TICK = 0.1  # seconds between two looks at the view
+AT_ONCE = 0.001  # seconds that reading both clocks takes at most, where nothing holds it up
 LINGER = 5.0  # seconds for which a change whose outcome nobody knows may still be running at a server
 ALL = "*"  # in the history, for all accounts
 
@@ -86,18 +87,25 @@
         """A calendar of this limiter's operators, as from its file; ``OperatorsError`` says why it cannot be taken."""
         self.calendars.tell(calendar, self._wall(), self.sure.trust.highest)
 
+    def _now(self) -> tuple[float, float]:
+        """Both clocks at one moment: a process that is held up between two readings would take that for a step."""
+        for _ in range(3):
+            before, wall, now = self._clock(), self._wall(), self._clock()
+            if now - before < AT_ONCE:
+                break
+        return now, wall
+
     # What the node asks. Each answer is by the moment, not by what a timer left.
 
     def asks(self, account: str) -> bool:
         """Whether an account asks for keeping, by the calendar in force or the one that follows."""
         book = self.sure.book
-        return any(
-            calendar is not None and account in calendar.accounts for calendar in (book.current, book.newest)
-        )
+        newest = book.newest or self.options.calendar  # requests may come a moment before the view is there
+        return account in newest.accounts or (book.current is not None and account in book.current.accounts)
 
     def generation(self, account: str) -> int | None:
         """The account's generation now; None where nothing may be kept or served from what is kept."""
-        now, wall = self._clock(), self._wall()
+        now, wall = self._now()
         return None if self._look_for_doubt(now, wall) else self.sure.generation(account, wall)
 
     def served(self, id: str, account: str, key: Key) -> tuple[Kept, float] | None:
@@ -116,7 +124,7 @@
 
     def sending(self, account: str) -> Sent | None:
         """A lookup goes to a server now; None where its answer may not be kept, whenever it comes."""
-        now, wall = self._clock(), self._wall()
+        now, wall = self._now()
         generation = self.generation(account)
         return None if generation is None else Sent(now, wall, generation)
 
@@ -170,7 +178,8 @@
 
     def look(self) -> None:
         """Take in what the view knows, say what is new here, and notice what the clock has brought."""
-        now, wall, sure = self._clock(), self._wall(), self.sure
+        now, wall = self._now()
+        sure = self.sure
         sure.sleep.look(now)
         if self.peers.look(now):
             self._drop_all()  # the last purges of who has gone may not have come here
@@ -206,8 +215,7 @@
         """Whether there is doubt at this moment; its begin and end are told."""
         doubt = self.sure.doubt(now, wall)
         if doubt is not self.doubt:
-            if bool(doubt) is not bool(self.doubt):
-                self._history.put(Kind.DOUBT, doubt=bool(doubt), cause=(doubt or self.doubt).value)
+            self._history.put(Kind.DOUBT, doubt=bool(doubt), cause=(doubt or self.doubt).value)
             if doubt is Doubt.CUT:
                 self._drop_all()
             self.doubt = doubt
--- a/cypresspulley/closing/options.py
+++ b/cypresspulley/closing/options.py
@@ -3,7 +3,7 @@
     [closing]
     calendars = "calendars.toml"    # as seen from the operators' file; SIGHUP reads it again
     keep = ["lookup"]               # classes of the settings whose answers may be kept: those that are safe to repeat
-    clock_bound_ms = 250            # by which two wall clocks may differ; within it of a close nothing is kept
+    clock_bound_ms = 250            # by which a wall clock may be off; within it of a close nothing is kept
     lease_ms = 8000                 # after which a limiter that is cut off keeps nothing
     lost_seconds = 600              # for which a limiter that was lost without leaving holds up keeping at all others
     purge_ms = 5000                 # for the answer to a purge by hand
@@ -77,7 +77,7 @@
 
 # Keys of milliseconds, seconds and plain numbers: least, most, and what stands for one that is not there.
 NUMBERS: dict[str, tuple[int, int, int]] = {
-    "clock_bound_ms": (10, 60_000, 250),
+    "clock_bound_ms": (50, 60_000, 250),
     "lease_ms": (500, 60_000, 8000),
     "lost_seconds": (0, 86_400, 600),
     "purge_ms": (100, 60_000, 5000),
--- a/cypresspulley/closing/purges.py
+++ b/cypresspulley/closing/purges.py
@@ -43,6 +43,7 @@
 
     def __init__(self) -> None:
         self._counts = dict[Life, int]()  # whose news came last stands last
+        self.echoes = b""  # for this limiter's row: what it was the last to apply
 
     def hear(self, issuer: Life, said: Said) -> tuple[list[tuple[int, str]], bool]:
         """Numbers and accounts that are new in a row, and whether there were more of which it names no account."""
@@ -51,6 +52,8 @@
             return [], False
         self._counts.pop(issuer, None)
         self._counts[issuer] = said.purges
+        last = list(self._counts)[-MOST_ECHOES:]
+        self.echoes = b"".join(echo(life, self._counts[life]) for life in last)
         accounts = said.accounts
         first = said.purges - len(accounts) + 1
         new = [(first + at, account) for at, account in enumerate(accounts) if first + at > done]
@@ -60,12 +63,6 @@
         """How many of an issuer's purges were applied."""
         return self._counts.get(issuer, 0)
 
-    @property
-    def echoes(self) -> bytes:
-        """For this limiter's row: what it was the last to apply."""
-        last = list(self._counts)[-MOST_ECHOES:]
-        return b"".join(echo(issuer, self._counts[issuer]) for issuer in last)
-
     def forget(self, present: set[Life]) -> None:
         """Bound the table: an issuer that is gone says nothing more."""
         if len(self._counts) > MOST_ISSUERS:
