--- /dev/null
+++ b/cypresspulley/lanes/share.py
@@ -0,0 +1,168 @@
+"""What the whole fleet bears, and what each lane may pass at each limiter: a pure function of the rows.
+
+Lane by lane inside quota, each lane's floor first; what is beyond quota only after all of that. The same rows give the
+same answer at every limiter: rows are taken by their owners' names, and nothing else comes in.
+
+What the fleet bears is measured, not set. It begins with what servers were sent while gates refused for want of room,
+and each revision it falls or rises by how far those refusals are from what is wanted of them: few of the first lane's,
+and some of all, by which the gates tell that nothing is left unused.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from cypresspulley.lanes.options import Lane
+from cypresspulley.lanes.rows import Figures
+from cypresspulley.policy.gate import REFERENCE
+
+WANTED, WANTED_FIRST = (
+    0.12,
+    0.05,
+)  # of first tries let pass, refused for want of room: of all, of the first lane
+ENTRY = 0.9  # of what was sent on while all was full: what is borne at first
+FALL, MOST_FALL = 0.05, 0.1  # of what is borne, a revision: for refusals of twice what is wanted; at most
+RISE = 0.15  # the same where nothing is refused
+LEAST_SENT, MOST_ASKED = 0.85, 1.1  # times what is sent on, and what is asked: between these it is held
+FEW = 0.02  # share refused below which a limiter is not pressed
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """One limiter's row as it counts here. ``stale``: not confirmed for a bound, or its owner dead for less than a
+    lease: it asks as before, and may be letting pass what it last sent on."""
+
+    owner: str
+    figures: tuple[Figures, ...]
+    load: float
+    stale: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """Units a second. ``inside`` and ``beyond``: over the fleet, lane by lane; ``at``: inside quota by limiter, lane by
+    lane; ``passing`` and ``passing_beyond``: the parts of what is asked that may pass, 0 to 1."""
+
+    bears: float
+    inside: tuple[float, ...]
+    beyond: tuple[float, ...]
+    at: dict[str, tuple[float, ...]]
+    passing: tuple[float, ...]
+    passing_beyond: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Pressure:
+    """Of the fleet, by its fresh rows. ``refused``: share of the first tries that lanes let pass which was refused for
+    want of room; ``first``: the same of the first lane that was asked; ``load``: mean of the gates' readings by what
+    each limiter let pass; ``pressed``: limiters that refused; ``asked``: units a second inside quota."""
+
+    refused: float
+    first: float
+    load: float
+    pressed: int
+    asked: float
+
+    @property
+    def error(self) -> float:
+        """Of the gates' loop: by how much load is above its reference, as a share of it."""
+        return max(0.0, self.load / REFERENCE - 1)
+
+    def value(self, bears: float | None = None) -> float:
+        """The share of what is asked that cannot be served, at least: 0 is none. What one limiter alone refuses is its
+        own affair. ``bears``: units a second, where lanes hold back what is beyond it."""
+        refused = self.refused + self.error if self.pressed >= 2 else 0.0
+        held = 1 - bears / self.asked if bears is not None and self.asked > bears else 0.0
+        return max(refused, held)
+
+    @property
+    def over(self) -> float:
+        """Refusals over what is wanted of them: 1 is as wanted, 0 leaves room unused."""
+        return max((self.refused + self.error) / WANTED, self.first / WANTED_FIRST)
+
+
+def pressure(rows: Iterable[Told]) -> Pressure:
+    """That of the fleet, by the rows that are not stale."""
+    fresh = sorted((row for row in rows if not row.stale), key=lambda row: row.owner)
+    short = [math.fsum(f.short for f in row.figures) for row in fresh]
+    passed = [math.fsum(f.passed for f in row.figures) for row in fresh]
+    asked, whole = math.fsum(f.asked for row in fresh for f in row.figures), math.fsum(passed)
+    if whole <= 0:
+        return Pressure(0.0, 0.0, 0.0, 0, asked)
+    load = math.fsum(row.load * p for row, p in zip(fresh, passed, strict=True)) / whole
+    pressed = sum(p > 0 and s >= FEW * p for s, p in zip(short, passed, strict=True))
+    first = 0.0
+    for lane in zip(*(row.figures for row in fresh), strict=True):
+        if (through := math.fsum(f.passed for f in lane)) > 0:
+            first = math.fsum(f.short for f in lane) / through
+            break
+    return Pressure(min(1.0, math.fsum(short) / whole), min(1.0, first), load, pressed, asked)
+
+
+def borne(rows: Iterable[Told], before: float | None) -> float:
+    """What the fleet bears, units a second, by all rows and by what it was held to bear in the spell ``before``."""
+    told = sorted(rows, key=lambda row: row.owner)
+    sent = math.fsum(f.sent for row in told for f in row.figures)
+    if before is None:
+        return ENTRY * sent
+    asked = math.fsum(f.asked + f.over for row in told for f in row.figures)
+    over = pressure(told).over
+    change = RISE * (1 - over) ** 2 if over < 1 else -min(MOST_FALL, FALL * (over - 1))
+    # Not held down by what is sent on: where few accounts pass and ask little, that says nothing of what is borne.
+    return max(LEAST_SENT * sent, min(before * (1 + change), MOST_ASKED * max(sent, asked)))
+
+
+def fill(
+    lanes: Sequence[Lane], asked: Sequence[float], over: Sequence[float], bears: float,
+    taken: Sequence[float] | None = None,
+) -> tuple[tuple[float, ...], tuple[float, ...]]:  # fmt: skip
+    """What each lane may pass of what is asked inside quota, and beyond. ``taken``: what of each lane passes anyhow,
+    where nobody can be told; it comes off all, and off the lane's floor."""
+    off = taken or [0.0] * len(lanes)
+    left = max(0.0, bears - math.fsum(off))
+    given = list[float]()
+    for lane, want, gone in zip(lanes, asked, off, strict=True):
+        floor = min(want, max(0.0, lane.kept(bears) - gone), left)
+        given.append(floor)
+        left = max(0.0, left - floor)
+    for number, want in enumerate(asked):
+        more = min(want - given[number], left)
+        given[number] += more
+        left = max(0.0, left - more)
+    beyond = list[float]()
+    for want in over:
+        beyond.append(min(want, left))
+        left = max(0.0, left - beyond[-1])
+    return tuple(given), tuple(beyond)
+
+
+def shares(lanes: Sequence[Lane], rows: Iterable[Told], bears: float) -> Shares:
+    """What each may pass, by all rows, where the fleet bears so many units a second."""
+    told = sorted(rows, key=lambda row: row.owner)
+    fresh, stale = [row for row in told if not row.stale], [row for row in told if row.stale]
+    numbers = range(len(lanes))
+    taken = [math.fsum(row.figures[n].sent for row in stale) for n in numbers]
+    asked = [math.fsum(row.figures[n].asked for row in fresh) for n in numbers]
+    over = [math.fsum(row.figures[n].over for row in fresh) for n in numbers]
+    inside, beyond = fill(lanes, asked, over, bears, taken)
+    left = math.fsum(asked) + math.fsum(over) + math.fsum(taken) < bears
+    at = {
+        row.owner: tuple(_part(inside[n], row.figures[n].asked, asked[n]) for n in numbers) for row in fresh
+    }
+    at |= {row.owner: tuple(f.sent for f in row.figures) for row in stale}
+    return Shares(
+        bears, inside, beyond, at,
+        tuple(_share(inside[n], asked[n], left or lanes[n].kept(bears) > 0) for n in numbers),
+        tuple(_share(beyond[n], over[n], left) for n in numbers),
+    )  # fmt: skip
+
+
+def _part(given: float, own: float, all_: float) -> float:
+    return given * own / all_ if all_ > 0 else 0.0
+
+
+def _share(given: float, asked: float, unasked: bool) -> float:
+    """The part that passes; ``unasked`` says whether what comes all the same may, where nothing was asked."""
+    return min(1.0, given / asked) if asked > 0 else float(unasked)
--- a/cypresspulley/rehearsal/command.py
+++ b/cypresspulley/rehearsal/command.py
@@ -113,7 +113,7 @@
 def _planned(scenario: Scenario, seed: int) -> tuple[Scenario, Plan]:
     if scenario.load.capture is None:
         return scenario, draw(scenario, seed)
-    from cypresspulley.capture.command import captured_plan
+    from cypresspulley.capture.day import captured_plan
 
     return captured_plan(scenario, seed)
 
@@ -146,7 +146,7 @@
 
     try:
         with _Shown(scenario) as shown:
-            records = play_virtual(scenario, plan.seed, plan, shown)
+            records = play_virtual(scenario, plan.seed, plan, shown, logs=outputs.logs)
         if outputs.logs is not None:
             outputs.logs.mkdir(parents=True, exist_ok=True)
             keep(records, outputs.logs / "records.jsonl")
