--- a/benchmarks/closing_stale.py
+++ b/benchmarks/closing_stale.py
@@ -10,6 +10,7 @@
 closing: closings that were told twice or not at all, the time between the first and the last limiter, the share of time
 for which keeping was off on account of doubt, and on calm days the share of lookups that no server was asked for. Exit
 code 1 where closing served anything stale or told a closing twice or not, or the baseline served nothing stale.
+With ``--mutants``: the limiter with one of its guards taken out, each over days until one convicts it.
 """
 
 from __future__ import annotations
@@ -35,6 +36,7 @@
 from cypresspulley.closing.row import encode as write_row
 from cypresspulley.histories.events import Kind
 from cypresspulley.operators import OperatorsError
+from tests.closing.mutants import MUTANTS, applied
 from tests.closing.world import BEGIN, Clients, Limiter, Record, Truth, View, World
 
 BOUND, LEASE = 0.25, 4.0
@@ -456,7 +458,10 @@
     parser.add_argument("--seeds", type=int, default=1000)
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--mutants", action="store_true", help="play the limiter without its guards instead")
     options = parser.parse_args(arguments)
+    if options.mutants:
+        return mutants(options.first, options.seeds, options.jobs)
     began, bad = machine.monotonic(), False
     seeds = range(options.first, options.first + options.seeds)
     few = range(options.first, options.first + max(1, options.seeds // 10))
@@ -472,6 +477,32 @@
     return 1 if bad else 0
 
 
+def convicted(told: Told) -> str:
+    """What a day shows against the program; "" for nothing."""
+    shown = [f"{count} stale after a {why}" for why, count in sorted(told.stale.items())]
+    shown += [f"{told.twice} closings told twice"] if told.twice else []
+    shown += [f"{told.lost} closings not told"] if told.lost else []
+    return ", ".join(shown + ([f"old {told.overlap:.3f} s after new"] if told.overlap > 0 else []))
+
+
+def without(name: str, first: int, seeds: int) -> str:
+    """The first day that convicts the limiter without one of its guards."""
+    with applied(name):
+        for seed in range(first, first + seeds):
+            if shown := convicted(play(seed, False, False)):
+                return f"seed {seed}: {shown}"
+    return ""
+
+
+def mutants(first: int, seeds: int, jobs: int) -> int:
+    """Each must be convicted by one of the days."""
+    with ProcessPoolExecutor(jobs) as pool:
+        found = dict(zip(MUTANTS, pool.map(partial(without, first=first, seeds=seeds), MUTANTS), strict=True))
+    for name, shown in found.items():
+        print(f"{name}: {shown or 'NOT FOUND OUT'}")
+    return 0 if all(found.values()) else 1
+
+
 def report(name: str, told: Told, seeds: int, own_timer: bool) -> bool:
     """Prints it; whether it is not as it has to be."""
     stale = ", ".join(f"{count} {why}" for why, count in sorted(told.stale.items())) or "none"
--- a/cypresspulley/closing/options.py
+++ b/cypresspulley/closing/options.py
@@ -69,6 +69,12 @@
     most_answers: int = 20_000
     most_bytes: int = 32 * 1024 * 1024
 
+    @property
+    def bounds(self) -> dict[str, float]:
+        """The promises' bounds in seconds, as histories name them. What changed at one limiter is gone at all others
+        when they have heard of it, or by the end of the lease that they had from it, half a second for late looks."""
+        return {"clock": self.clock_bound, "purge": self.lease + 0.5}
+
     @property
     def notice(self) -> float:
         """Seconds ahead of its instant at which a version is told at least, so that all have it or keep nothing."""
--- a/cypresspulley/together.py
+++ b/cypresspulley/together.py
@@ -46,19 +46,22 @@
         self.history: AnyHistory = history or NoHistory()
         if history is None and operators.history is not None:
             self.history = History(operators.history, clock, wall)
-        self.fleet = Fleet(options, name, settings.zone, seed, clock, wall, self.history)
+        bounds, keeping = dict[str, float](), None
+        if operators.closing is not None:
+            from cypresspulley.closing.options import options_from as closing_options
+
+            path, table = operators.closing
+            keeping = closing_options(table, path, settings)
+            bounds = keeping.bounds
+        self.fleet = Fleet(options, name, settings.zone, seed, clock, wall, self.history, bounds)
         self._clock, self._wall, self._settings, self._operators = clock, wall, settings, operators
         self.lanes: Lanes | None = None
         self.closing: Closing | None = None
-        if operators.closing is not None:
+        if keeping is not None:
             from cypresspulley.closing.limiter import Closing
-            from cypresspulley.closing.options import options_from as closing_options
 
-            path, table = operators.closing
             named = len({options.advertise, *options.seeds})
-            self.closing = Closing(
-                closing_options(table, path, settings), self.fleet.view, clock, wall, self.history, named
-            )
+            self.closing = Closing(keeping, self.fleet.view, clock, wall, self.history, named)
 
     def deciding(self, decide: Decisions, gateway: Gateway) -> Decisions:
         """The decisions with lanes before them, where the operators want these."""
--- /dev/null
+++ b/tests/closing/mutants.py
@@ -0,0 +1,82 @@
+"""The limiter with one of its guards taken out: each must be found out (``benchmarks/closing_stale.py --mutants``)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any
+from unittest import mock
+
+from cypresspulley.closing.book import Book
+from cypresspulley.closing.calendar import Timeline
+from cypresspulley.closing.certainty import Certainty
+from cypresspulley.closing.doubt import Doubt, WallClock
+from cypresspulley.closing.keep import Keep
+from cypresspulley.closing.lease import Lease
+from cypresspulley.closing.limiter import Closing
+from cypresspulley.closing.noticed import Noticed
+from cypresspulley.closing.purging import Purging
+
+Patch = tuple[Any, str, Callable[..., Any]]
+
+
+class _Now:
+    """As if a lookup had been sent at whatever moment one asks."""
+
+    def __init__(self, closing: Closing, account: str) -> None:
+        self._closing, self._account = closing, account
+
+    mono = property(lambda self: self._closing._clock())
+    wall = property(lambda self: self._closing._wall())
+    generation = property(lambda self: self._closing.generation(self._account))
+
+
+def _later(self: Closing, account: str) -> object:
+    return None if self.generation(account) is None else _Now(self, account)
+
+
+def _trusting(self: WallClock, mono: float, wall: float, error: object) -> Doubt:
+    self.doubt, self.highest = Doubt.NONE, wall
+    return Doubt.NONE
+
+
+def _since_now(self: Noticed, before: Any, after: Any, wall: float) -> Any:
+    self._since, since = wall, self._since
+    found = (
+        []
+        if since is None or after is None
+        else [(p, after.line(p).between(since, wall)) for p in after.places]
+    )
+    from cypresspulley.closing.noticed import Closed
+
+    return [Closed(place, after.version, ordinal, at) for place, each in found for ordinal, at in each]
+
+
+MUTANTS: dict[str, tuple[Patch, ...]] = {
+    "the generation is compared by nobody": ((Certainty, "generation", lambda *_: 1),),
+    "answers are of the moment at which they come": ((Closing, "sending", _later),),
+    "round a close all goes on": (
+        (Timeline, "near", lambda *_: False),
+        (Book, "turning", lambda *_: False),
+    ),
+    "the lease never ends": ((Lease, "held", lambda self, _now: self.base > 0),),
+    "any clock is trusted": ((WallClock, "look", _trusting),),
+    "closings are told again after a step": ((WallClock, "look", _trusting), (Noticed, "notice", _since_now)),
+    "yes before all have it": ((Purging, "_missing", lambda *_: []),),
+    "purges of others are not heard": ((Closing, "_hear_purges", lambda *_: None),),
+    "a purge forgets what is on its way": ((Keep, "_old", lambda *_: False),),
+    "a change under way holds up nothing": ((Keep, "begin", lambda *_: None),),
+}
+
+
+@contextmanager
+def applied(name: str) -> Iterator[None]:
+    """The program as the mutant has it."""
+    patches = [mock.patch.object(owner, attribute, with_) for owner, attribute, with_ in MUTANTS[name]]
+    for patch in patches:
+        patch.start()
+    try:
+        yield
+    finally:
+        for patch in patches:
+            patch.stop()
--- a/tests/closing/test_options.py
+++ b/tests/closing/test_options.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cypresspulley.closing.options import calendar_from, load_calendar, options_from
@@ -111,6 +111,7 @@
 )
 
 
+@settings(derandomize=True, deadline=None, max_examples=60)
 @given(st.data())
 def test_whatever_stands_in_a_calendar_it_is_taken_or_named(data: st.DataObject) -> None:
     """One value anywhere in a good calendar is put in place of what belongs there."""
