Take nobody for alone who has seen another limiter

Need: a fleet's first limiter names only itself as a seed, and the others name it. It took itself for alone for good: no lease, no look at the others' clocks.

--- a/cypresspulley/closing/calendars.py
+++ b/cypresspulley/closing/calendars.py
@@ -23,7 +23,7 @@
     """``late`` is called when a version is in force as soon as it is here: it was told too late for one instant."""
 
     def __init__(
-        self, options: Options, view: FleetView, book: Book, history: AnyHistory, alone: bool,
+        self, options: Options, view: FleetView, book: Book, history: AnyHistory, alone: Callable[[], bool],
         late: Callable[[], None],
     ) -> None:  # fmt: skip
         self._options, self._view, self._book, self._history = options, view, book, history
@@ -50,7 +50,7 @@
             return
         if calendar.version <= known:
             raise OperatorsError(f"{source}: version: expected one above {known}, got {calendar.version}")
-        if not self._alone and ahead < self._options.notice:
+        if not self._alone() and ahead < self._options.notice:
             # Others could not have it by then, and would go on by the old one until their leases end.
             raise OperatorsError(
                 f"{source}: in_force: expected an instant at least {self._options.notice:g} s ahead, "
--- a/cypresspulley/closing/certainty.py
+++ b/cypresspulley/closing/certainty.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
 from cypresspulley.closing.book import Book
 from cypresspulley.closing.doubt import Doubt, Sleep, WallClock
@@ -15,13 +16,13 @@
 
 
 class Certainty:
-    """``alone``: no other limiter belongs to the installation. ``now`` never steps, ``wall`` may."""
+    """``alone`` says that no other limiter belongs to the installation. ``now`` never steps, ``wall`` may."""
 
-    def __init__(self, options: Options, view: FleetView, alone: bool) -> None:
+    def __init__(self, options: Options, view: FleetView, alone: Callable[[], bool]) -> None:
         self._bound, self._view, self._alone = options.clock_bound, view, alone
         self.book = Book()
         self.lease = Lease(options.lease, min(MOST_STEP, options.lease / STEPS))
-        self.trust, self.sleep = WallClock(options.clock_bound, options.lease, alone), Sleep()
+        self.trust, self.sleep = WallClock(options.clock_bound, options.lease), Sleep()
 
     def __repr__(self) -> str:
         return f"<Certainty {self.book!r}, {self.lease!r}, {self.trust!r}>"
@@ -29,7 +30,7 @@
     def doubt(self, now: float, wall: float) -> Doubt:
         """The table of ``Doubt``, from its top."""
         self.sleep.check(now)
-        if not self._alone:
+        if not self._alone():
             if not self.lease.held(now):
                 return Doubt.STARTING if self.lease.base == -math.inf else Doubt.CUT
             if self.lease.base <= self.sleep.woke:
@@ -41,7 +42,7 @@
 
     def clock(self, now: float, wall: float) -> Doubt:
         """Whether the wall clock may be acted on."""
-        return self.trust.look(now, wall, self._view.clock_error)
+        return self.trust.look(now, wall, None if self._alone() else self._view.clock_error)
 
     def generation(self, account: str, wall: float) -> int | None:
         """Where there is no doubt: the account's generation at an instant; None for one that does not ask for keeping,
--- a/cypresspulley/closing/doubt.py
+++ b/cypresspulley/closing/doubt.py
@@ -49,8 +49,8 @@
     off the middle of the others', ``STEP`` more between two confirmations, which lie ``settle`` seconds apart; the rest
     is for the middle of the others', which most clocks keep that near."""
 
-    def __init__(self, bound: float, settle: float, alone: bool) -> None:
-        self._bound, self._settle, self._alone = bound, settle, alone
+    def __init__(self, bound: float, settle: float) -> None:
+        self._bound, self._settle = bound, settle
         self._offset: float | None = None  # wall minus mono, when it was last confirmed
         self._confirmed = self._stepped = self._looked = -math.inf
         self._cause = self.doubt = Doubt.UNKNOWN
@@ -59,9 +59,10 @@
     def __repr__(self) -> str:
         return f"<WallClock {self.doubt or 'trusted'}, highest {self.highest:.3f}>"
 
-    def look(self, mono: float, wall: float, error: Error) -> Doubt:
-        """Whether this reading may be acted on; it then is the highest."""
-        if self._alone:
+    def look(self, mono: float, wall: float, error: Error | None) -> Doubt:
+        """Whether this reading may be acted on; it then is the highest. ``error``: None where nobody is there to
+        compare with."""
+        if error is None:
             self._cause = Doubt.NONE
         else:
             self._step(mono, wall)
--- a/cypresspulley/closing/limiter.py
+++ b/cypresspulley/closing/limiter.py
@@ -40,21 +40,21 @@
 
 class Closing:
     """``clock`` never steps, ``wall`` may. ``named`` is how many limiters the operators' file names, this one among
-    them: where it is the only one there is nobody to agree with."""
+    them: where it is the only one there is nobody to agree with until another is seen."""
 
     def __init__(
         self, options: Options, view: FleetView, clock: Callable[[], float], wall: Callable[[], float],
         history: AnyHistory, named: int = 2,
     ) -> None:  # fmt: skip
-        alone = named <= 1
         self.options, self.keep = (
             options,
             Keep(options.most_answers, options.most_bytes, options.keep_seconds),
         )
         self._clock, self._wall, self._history = clock, wall, history
-        self.sure, self.peers = Certainty(options, view, alone), Peers(view, options, named)
-        self.purging = Purging(self.peers, self.sure.lease, history, options.lost, alone)
-        self.calendars = Calendars(options, view, self.sure.book, history, alone, self._drop_all)
+        self.peers = Peers(view, options, named)
+        self.sure = Certainty(options, view, self.peers.alone)
+        self.purging = Purging(self.peers, self.sure.lease, history, options.lost)
+        self.calendars = Calendars(options, view, self.sure.book, history, self.peers.alone, self._drop_all)
         self.doubt, self._noticed = Doubt.STARTING, Noticed()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -219,7 +219,7 @@
         doubt = self.sure.doubt(now, wall)
         if doubt is not self.doubt:
             self._history.put(Kind.DOUBT, doubt=bool(doubt), cause=(doubt or self.doubt).value)
-            if doubt is Doubt.CUT:
+            if doubt in (Doubt.CUT, Doubt.STARTING):  # others' purges may not have come here
                 self._drop_all()
             self.doubt = doubt
         return doubt
--- a/cypresspulley/closing/options.py
+++ b/cypresspulley/closing/options.py
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """What is on; times in seconds. ``alone``: no other limiter belongs to the installation."""
+    """What is on; times in seconds."""
 
     calendar: Calendar
     keep: frozenset[str]
--- a/cypresspulley/closing/peers.py
+++ b/cypresspulley/closing/peers.py
@@ -22,7 +22,7 @@
     """``rows`` are those of the others that are present; None where one says nothing that can be read."""
 
     def __init__(self, view: FleetView, options: Options, named: int) -> None:
-        self._view = view
+        self._view, self._named = view, named
         self.roster = Roster(options.lost, named)
         self.issued, self.applied = Issued(), Applied()
         self.rows = dict[Life, Said | None]()
@@ -38,6 +38,10 @@
     def me(self) -> Life:
         return Life(self._view.me, self._view.life)
 
+    def alone(self) -> bool:
+        """Whether no other limiter belongs to the installation: none is named, and none was ever seen."""
+        return self._named <= 1 and self.roster.size <= 1
+
     def look(self, now: float) -> bool:
         """Take the view in; whether a life that was there has gone."""
         members = self._view.members()
--- a/cypresspulley/closing/purging.py
+++ b/cypresspulley/closing/purging.py
@@ -32,10 +32,10 @@
 
 
 class Purging:
-    """``alone``: there is nobody else to ask. ``lost``: seconds for which a lost limiter holds up all others."""
+    """``lost``: seconds for which a lost limiter holds up all others."""
 
-    def __init__(self, peers: Peers, lease: Lease, history: AnyHistory, lost: float, alone: bool) -> None:
-        self._peers, self._lease, self._history, self._alone = peers, lease, history, alone
+    def __init__(self, peers: Peers, lease: Lease, history: AnyHistory, lost: float) -> None:
+        self._peers, self._lease, self._history = peers, lease, history
         self._lost = lost / DRIFT
         self._waiting = list[Waiting]()
         self._again = dict[
@@ -97,7 +97,7 @@
 
     def _missing(self, now: float, waiting: Waiting) -> list[Life]:
         """Who may have something kept from before a purge."""
-        if self._alone:
+        if self._peers.alone():
             return []
         rows = self._peers.rows
         has = {life for life in rows if self._has(life, waiting)}
--- a/tests/closing/mutants.py
+++ b/tests/closing/mutants.py
@@ -14,7 +14,7 @@
 from cypresspulley.closing.keep import Keep
 from cypresspulley.closing.lease import Lease
 from cypresspulley.closing.limiter import Closing
-from cypresspulley.closing.noticed import Noticed
+from cypresspulley.closing.noticed import Closed, Noticed
 from cypresspulley.closing.purging import Purging
 
 Patch = tuple[Any, str, Callable[..., Any]]
@@ -47,8 +47,6 @@
         if since is None or after is None
         else [(p, after.line(p).between(since, wall)) for p in after.places]
     )
-    from cypresspulley.closing.noticed import Closed
-
     return [Closed(place, after.version, ordinal, at) for place, each in found for ordinal, at in each]
 
 
--- a/tests/closing/test_together.py
+++ b/tests/closing/test_together.py
@@ -391,6 +391,21 @@
         assert (day.until(CLOSE + 5) > 0) is keeps
 
 
+def test_one_that_is_named_alone_is_not_once_it_has_seen_another() -> None:
+    """A first limiter whose file names only itself, and others that name it."""
+    day = Day(1)
+    day.world.named = 1
+    day[0].kill()
+    day[0].start()
+    assert day.run(5) > 0
+    day.world.named = 2
+    day.world.add("n1", options(calendar(1, BEGIN - 86_400, CLOSE, kolkata=(CLOSE,))))
+    assert day.run(5) > 0 and hits_of(day, day[1], 1) > 0
+    day.world.cut({"n0"}, {"n1"})
+    day.run(LEASE)
+    assert day.run(5) == 0
+
+
 def test_after_the_lost_time_the_larger_part_goes_on_and_the_smaller_does_not() -> None:
     day = Day(5, lost=5.0)
     day.until(BEGIN + 12)
