--- a/cypresspulley/closing/peers.py
+++ b/cypresspulley/closing/peers.py
@@ -13,7 +13,7 @@
 from cypresspulley.closing.row import AGREED, Said
 from cypresspulley.closing.row import decode as read_row
 from cypresspulley.closing.row import encode as write_row
-from cypresspulley.fleet.records import FleetView, Row
+from cypresspulley.fleet.records import FleetView, Member, Row
 
 SUBSYSTEM = "closing"
 
@@ -27,7 +27,9 @@
         self.issued, self.applied = Issued(), Applied()
         self.rows = dict[Life, Said | None]()
         self._read = dict[str, tuple[int, int, Said | None]]()  # by owner: life, version, its row
-        self._said = b""
+        self._said: tuple[object, ...] = ()  # of which the row was made that was said last
+        self._agreed: tuple[tuple[object, ...], bytes] = ((), b"")  # of what, and its digest
+        self._members: tuple[Member, ...] = ()
         # Limiters that reckon with other bounds or other time zones must not rely on each other.
         self._ground = f"{ZONES_VERSION} {options.lease} {options.clock_bound} {options.lost}"
 
@@ -45,7 +47,9 @@
     def look(self, now: float) -> bool:
         """Take the view in; whether a life that was there has gone."""
         members = self._view.members()
-        gone = self.roster.look(now, members, self._view.member)
+        gone = frozenset[Life]()
+        if members != self._members or self.roster.lost:
+            gone, self._members = self.roster.look(now, members, self._view.member), members
         rows = self._view.rows(now, SUBSYSTEM)
         self._read = {row.owner: self._reading(row) for row in rows if row.owner != self._view.me}
         self.rows = {
@@ -89,17 +93,24 @@
 
     def agreed(self, book: Book) -> bytes:
         """What this limiter agrees to: who is needed, which calendar is the newest, and by which bounds it reckons."""
-        lives = {life for life in self.roster.needed if life.name != self._view.me} | {self.me}
-        text = repr((sorted(map(tuple, lives)), book.rank, self._ground))
-        return blake2s(text.encode(), digest_size=AGREED).digest()
+        of = (self.roster.needed, self.me, book.rank)
+        if self._agreed[0] != of:
+            lives = {life for life in self.roster.needed if life.name != self._view.me} | {self.me}
+            text = repr((sorted(map(tuple, lives)), book.rank, self._ground))
+            self._agreed = of, blake2s(text.encode(), digest_size=AGREED).digest()
+        return self._agreed[1]
 
     def say(self, book: Book, lease: Lease) -> None:
         """This limiter's row, where it has changed."""
-        said = Said(
-            lease.round, lease.since, lease.agreed, book.rank[0], bytes.fromhex(book.digest), self.roster.size,
-            self.issued.count, self.issued.recent, self.applied.echoes,
+        version, digest = book.rank
+        of = (
+            lease.round, lease.since, lease.agreed, version, digest, self.roster.size, self.issued.count,
+            self.applied.echoes,
         )  # fmt: skip
-        body = write_row(said)
-        if body != self._said:
-            self._view.publish(SUBSYSTEM, body)
-            self._said = body
+        if of != self._said:
+            self._said = of
+            said = Said(
+                lease.round, lease.since, lease.agreed, version, bytes.fromhex(digest), self.roster.size,
+                self.issued.count, self.issued.recent, self.applied.echoes,
+            )  # fmt: skip
+            self._view.publish(SUBSYSTEM, write_row(said))
--- a/cypresspulley/closing/roster.py
+++ b/cypresspulley/closing/roster.py
@@ -35,6 +35,11 @@
         """Names that this limiter itself knows of."""
         return len(self._lives)
 
+    @property
+    def lost(self) -> int:
+        """How many are lost, and still reckoned with."""
+        return len(self._since)
+
     def look(
         self, now: float, present: Iterable[Member], known: Callable[[str], Member | None]
     ) -> frozenset[Life]:  # fmt: skip
