--- a/cypresspulley/closing/options.py
+++ b/cypresspulley/closing/options.py
@@ -3,7 +3,7 @@
     [closing]
     calendars = "calendars.toml"    # as seen from the operators' file; SIGHUP reads it again
     keep = ["lookup"]               # classes of the settings whose answers may be kept: those that are safe to repeat
-    clock_bound_ms = 250            # by which two wall clocks may differ; within it of a close nothing is kept
+    clock_bound_ms = 250            # by which a wall clock may be off; within it of a close nothing is kept
     lease_ms = 8000                 # after which a limiter that is cut off keeps nothing
     lost_seconds = 600              # for which a limiter that was lost without leaving holds up keeping at all others
     purge_ms = 5000                 # for the answer to a purge by hand
@@ -56,7 +56,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Options:
-    """What is on; times in seconds. ``alone``: no other limiter belongs to the installation."""
+    """What is on; times in seconds."""
 
     calendar: Calendar
     keep: frozenset[str]
@@ -69,6 +69,12 @@
     most_answers: int = 20_000
     most_bytes: int = 32 * 1024 * 1024
 
+    @property
+    def bounds(self) -> dict[str, float]:
+        """The promises' bounds in seconds, as histories name them. What changed at one limiter is gone at all others
+        when they have heard of it, or by the end of the lease that they had from it, half a second for late looks."""
+        return {"clock": self.clock_bound, "purge": self.lease + 0.5}
+
     @property
     def notice(self) -> float:
         """Seconds ahead of its instant at which a version is told at least, so that all have it or keep nothing."""
@@ -77,7 +83,7 @@
 
 # Keys of milliseconds, seconds and plain numbers: least, most, and what stands for one that is not there.
 NUMBERS: dict[str, tuple[int, int, int]] = {
-    "clock_bound_ms": (10, 60_000, 250),
+    "clock_bound_ms": (50, 60_000, 250),
     "lease_ms": (500, 60_000, 8000),
     "lost_seconds": (0, 86_400, 600),
     "purge_ms": (100, 60_000, 5000),
