--- a/tests/lanes/day.py
+++ b/tests/lanes/day.py
@@ -49,7 +49,11 @@
 )
 MIX = {"guesthouse": 0.3, "standard": 0.3, "business": 0.2, "chain": 0.2}
 WAY = 0.001  # seconds between limiter and server or counter
-TRIES, MOST_WAIT = 4, 2.0  # of a client's; seconds of Retry-After that it honours
+TRIES, MOST_WAIT = 4, 2.0  # of a client's; seconds of Retry-After that it honours, at most
+BACKOFF, HONOUR = (
+    0.25,
+    0.8,
+)  # seconds of its own pause; share of the refusals whose Retry-After it honours at all
 START = 1_000_000.0  # Unix seconds at which the day begins
 
 
@@ -201,6 +205,7 @@
         self.gateway = Gateway(settings, index + 1, day.now)
         self.history = History(lambda: day.now)
         self.lanes: Lanes | None = None
+        self.forced = list[tuple[float, bool]]()  # when lanes came into force here, and ended
         self.decide: Decisions = before(self, settings)
         self.open = dict[int, Ask]()
         self.out = dict[int, list[Attempt]]()
@@ -316,8 +321,10 @@
         self._call_off(limiter, action.id)
         ask.first = ask.first or action.why or "failed"
         ask.lanes += action.why == "lane"
-        wait = action.retry_after if isinstance(action, api.Refuse) else 1.0
-        again = self.now + min(MOST_WAIT, max(0.05, wait)) * self._rng.uniform(1.0, 1.5)
+        wait = BACKOFF * self._rng.uniform(0.5, 1.5)
+        if isinstance(action, api.Refuse) and self._rng.random() < HONOUR:
+            wait = max(wait, min(MOST_WAIT, action.retry_after))
+        again = self.now + wait
         if isinstance(action, api.Refuse) and ask.tries < TRIES and again < ask.t + TTL[ask.cls.name] - 0.3:
             self.at(again, lambda: self._try(ask))
 
@@ -401,6 +408,8 @@
         def tick() -> None:
             if limiter.name not in self.fabric.dead:
                 lanes.period(self.now)
+                if lanes.course.in_force != (limiter.forced[-1][1] if limiter.forced else False):
+                    limiter.forced.append((self.now, lanes.course.in_force))
                 self.at(self.now + LANES.period, tick)
 
         self.at(self.now + phase * LANES.period, tick)
