--- a/cypresspulley/histories/check_lanes.py
+++ b/cypresspulley/histories/check_lanes.py
@@ -1,8 +1,8 @@
 """What lanes promise, checked over the histories of a play.
 
     sums            of no lane more passes than was asked
-    floor           over the fleet and a whole run of lanes in force each lane gets its floor, or all it asks where that
-                    is less: who gives way is decided by account, so a floor holds in the sum and not in each second
+    floor           over the fleet and 20 s in force each lane gets its floor, or all it asks where that is
+                    less: who gives way is decided by account, so a floor holds in the sum and not in each second
     calm            while a limiter is calm no lane turns away what is inside its quota
     excess first    while what is inside a quota is turned away, period after period, nothing beyond quota passes there
     no inversion    no longer than the bound is the first lane turned away inside its quota, at any limiter, while a
@@ -60,17 +60,17 @@
 
 
 def _floors(tally: Tally, histories: Histories) -> None:
-    """Each run on end in which lanes are in force anywhere: what passed of each lane beside what was due to it."""
+    """Each ``FLOOR_RUN`` on end of lanes in force anywhere: what passed of each lane beside what was due to it."""
     shed = [line(history, one) for history in histories.lives for one in _in_force(history)]
     shed.sort(key=lambda shown: shown.event.mono)
     run: list[Line] = []
     for shown in shed:
         if run and _begin(shown) - run[-1].event.mono > _period(shown).seconds / 2:
-            _floor_of_run(tally, run)
             run = []
         run.append(shown)
-    if run:
-        _floor_of_run(tally, run)
+        if shown.event.mono - _begin(run[0]) >= FLOOR_RUN:
+            _floor_of_run(tally, run)
+            run = []
 
 
 def _in_force(history: History) -> Iterator[LanesPeriod]:
@@ -78,15 +78,13 @@
 
 
 def _floor_of_run(tally: Tally, run: Sequence[Line]) -> None:
-    if run[-1].event.mono - _begin(run[0]) < FLOOR_RUN:
-        return
     periods = [_period(shown) for shown in run]
     for lane in dict.fromkeys(lane for period in periods for lane in period.floors):
         due = sum(min(one.asked.get(lane, 0.0), one.floors.get(lane, 0.0) * one.seconds) for one in periods)
         passed = sum(one.passed.get(lane, 0.0) for one in periods)
         tally.checked("floor", 1 if due > 0 else 0)
         if passed < FLOOR_SHARE * due - SLACK_UNITS:
-            text = f"of lane {lane} {passed:g} units passed in a whole run of lanes in force; {due:g} were its floor"
+            text = f"of lane {lane} {passed:g} units passed in {FLOOR_RUN:g} s in force; {due:g} were its floor"
             worst = max(run, key=lambda shown: _short(_period(shown), lane))
             tally.found("floor", text, [worst])
 
