--- a/cypresspulley/fleet/timing.py
+++ b/cypresspulley/fleet/timing.py
@@ -22,7 +22,9 @@
 CHECKS = 2  # members a period that are asked for their digest, while it differs
 CHECKED = 16  # periods after a change in which they are
 STALL = 0.25  # of a period: a timer that is so late tells of a process that stood still,
-STALL_LEAST = 0.1  # but never less than so many seconds: a busy loop is late by some tens of milliseconds now and then
+STALL_LEAST = (
+    0.1  # but never less than so many seconds: a busy loop is late by some tens of milliseconds now and then
+)
 FIRST = 10  # periods in which at least one of many members probes a given one: all miss it with exp(-10)
 
 
--- a/cypresspulley/rehearsal/judge.py
+++ b/cypresspulley/rehearsal/judge.py
@@ -34,6 +34,7 @@
     limiters: tuple[log.Usage, ...]
     kills: int
     histories: tuple[log.Checked, ...] = ()
+    wanted: tuple[log.Wanted, ...] = ()
 
     @property
     def kept(self) -> bool:
@@ -43,7 +44,14 @@
     @property
     def met(self) -> bool:
         """Whether all rules were kept and the scenario's goal was reached, in a run that counts."""
-        return not self.void and not self.crash and self.kept and self.service.service >= self.day.goal
+        return not self.void and not self.crash and self.kept and not self.missed
+
+    @property
+    def missed(self) -> tuple[str, ...]:
+        """The goals that were missed, in words."""
+        figures = [("service", self.service.service, self.day.goal)]
+        figures += [(r.plan, self.service.by_plan.get(r.plan, 1.0), r.service) for r in self.wanted]
+        return tuple(f"{name} {got:.3f} is under {goal:.2f}" for name, got, goal in figures if got < goal)
 
     @property
     def lost(self) -> int:
@@ -109,6 +117,7 @@
         limiters=tuple(r for r in line.records if isinstance(r, log.Usage)),
         kills=sum(isinstance(r, log.LimiterState) and r.what == "killed" for r in line.records),
         histories=tuple(r for r in line.records if isinstance(r, log.Checked)),
+        wanted=tuple(r for r in line.records if isinstance(r, log.Wanted)),
     )  # fmt: skip
 
 
--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -736,6 +736,8 @@
     director.clients.prepare(director.plan.arrivals)
     director.build()
     director.stage.record(director.day)
+    for plan, least in director.scenario.goal.plans.items():
+        director.stage.record(log.Wanted(director.stage.now(), plan, least))
     await director.open_books()
     await director.open_side()
     early = [name for name in director.limiters if name not in director.returning]
--- a/cypresspulley/rehearsal/records.py
+++ b/cypresspulley/rehearsal/records.py
@@ -248,6 +248,15 @@
     added: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """The day's goal for one plan: the least service inside quotas."""
+
+    t: float
+    plan: str
+    service: float
+
+
 @dataclass(frozen=True, slots=True)
 class Keeping:
     """From ``t`` on these accounts ask for keeping: safe lookups of these classes may be answered from what is kept."""
@@ -339,7 +348,7 @@
 
 Record = (
     Day | Sent | Answered | Broke | Unreached | Left | Surplus | LimiterState | ServerState | Arrived | Ran
-    | Replied | Ended | Listed | Banned | PlanMoved | Exported | Tallied | Keeping | FromKept | Checked
+    | Replied | Ended | Listed | Banned | PlanMoved | Exported | Tallied | Wanted | Keeping | FromKept | Checked
     | Probed | Happened | Lateness | Complaint | Usage | End
 )  # fmt: skip
 KINDS: dict[str, type[Record]] = {kind.__name__.lower(): kind for kind in Record.__args__}
--- a/cypresspulley/rehearsal/report.py
+++ b/cypresspulley/rehearsal/report.py
@@ -53,9 +53,7 @@
     if broken:
         return f"FAILED: broken: {', '.join(broken)}"
     if not verdict.met:
-        return (
-            f"FAILED: rules kept, but service {verdict.service.service:.3f} is under {verdict.day.goal:.2f}"
-        )
+        return f"FAILED: rules kept, but {', '.join(verdict.missed)}"
     promises = f", the promises of {', '.join(one.name for one in verdict.histories)} kept"
     return f"PASSED: all five rules kept{promises * bool(verdict.histories)}, the goal met"
 
--- a/cypresspulley/rehearsal/scenario.py
+++ b/cypresspulley/rehearsal/scenario.py
@@ -93,6 +93,9 @@
 
 class Goal(_Strict):
     service: Share = Field(0.0, description="the least service figure")
+    plans: dict[Name, Share] = Field(
+        default_factory=dict, description="the least service inside quotas, by plan"
+    )
 
 
 class Fleet(_Strict):
@@ -324,6 +327,8 @@
         if self.together is not None and (self.graphql is not None or self.booked):
             raise ValueError("together: expected neither [graphql] nor a plan book beside it")
         plans = {plan.name for plan in self.plans}
+        if unknown := self.goal.plans.keys() - plans:
+            raise ValueError(f"goal.plans: {min(unknown)!r} is none of {', '.join(sorted(plans))}")
         lanes = [plan for lane in self.lanes.lanes for plan in lane.plans] if self.lanes else []
         if lanes and sorted(lanes) != sorted(plans):
             raise ValueError(f"lanes: expected each plan in one lane: {', '.join(sorted(plans))}")
