--- a/tests/rehearsal/test_scenario.py
+++ b/tests/rehearsal/test_scenario.py
@@ -10,7 +10,7 @@
 import pytest
 
 from cypresspulley.rehearsal.plan import draw, request_id, work_of
-from cypresspulley.rehearsal.scenario import BOOKED, FAULT_KEYS, ScenarioError, load_scenario, shipped
+from cypresspulley.rehearsal.scenario import BOOKED, FAULT_KEYS, FLEET, ScenarioError, load_scenario, shipped
 from tests.rehearsal.small import small
 
 NAMES = (
@@ -32,7 +32,7 @@
         for k in FAULT_KEYS
         if k.endswith(("pause", "spoilt", "doubled", "break", "server-slow", "server-move", "server-lies"))
     }
-    assert kinds == set(FAULT_KEYS) - {"server-hang"} - drawn_by_explore - BOOKED
+    assert kinds == set(FAULT_KEYS) - {"server-hang"} - drawn_by_explore - BOOKED - FLEET
 
 
 def test_all_that_changes_plans_is_in_a_shipped_day() -> None:
--- a/tests/rehearsal/test_together.py
+++ b/tests/rehearsal/test_together.py
@@ -79,6 +79,10 @@
     assert bool(scenario.closing) == ("clos" in name)
 
 
+def test_each_fault_between_limiters_is_in_a_shipped_day() -> None:
+    assert {fault.kind for name in NEW for fault in load_scenario(name).faults} >= FLEET
+
+
 @pytest.mark.parametrize(
     ("changes", "said"),
     [
