--- a/cypresspulley/rehearsal/records.py
+++ b/cypresspulley/rehearsal/records.py
@@ -57,7 +57,7 @@
     drain_grace: float
     fall_multiple: float
     fall_seconds: float
-    largest_work: float
+    mean_work: float  # CPU seconds of a request in the mean, on a machine of speed 1
 
 
 @dataclass(frozen=True, slots=True)
