--- a/tests/rehearsal/virtual/test_play.py
+++ b/tests/rehearsal/virtual/test_play.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import subprocess
 import sys
@@ -14,6 +15,7 @@
 from cypresspulley.net.node import Node
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.judge import judge
+from cypresspulley.rehearsal.play import uncollected
 from cypresspulley.rehearsal.scenario import Scenario
 from cypresspulley.rehearsal.virtual.loop import VirtualLoop, run_virtual
 from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
@@ -161,3 +163,17 @@
     assert used == {"cpu_seconds": None, "memory_mb": None, "restarts": 0}
     assert {usage.shown() for usage in verdict.limiters} == {("-", "-")}
     assert log.Usage(1.0, "n", 0.0, 20.4, 0).shown() == ("0.00", "20")
+
+
+def test_the_kits_lateness_counts_from_the_days_first_second_on() -> None:
+    records = play_virtual(rough(), 3)
+    beats = [n for n, r in enumerate(records) if isinstance(r, log.Lateness)]
+    ready = [n for n, r in enumerate(records) if isinstance(r, log.LimiterState) and r.what == "ready"]
+    assert beats and beats[0] > ready[1] and all(records[n].t >= 0 for n in beats)
+
+
+def test_a_day_leaves_the_collector_as_it_was() -> None:
+    before, frozen = gc.get_threshold(), gc.get_freeze_count()
+    with uncollected():
+        assert gc.get_freeze_count() > frozen and gc.get_threshold() != before
+    assert gc.get_threshold() == before and gc.get_freeze_count() == 0
