--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-GIVE_WAY = 10  # steps of niceness by which workers of other tests stand behind
+GIVE_WAY = 5  # steps of niceness by which workers of other tests stand behind
 
 _priority = {"lowered": False}
 
