Answer what lies unread or queued when a limiter ends: a held loop reset it at its close

Need: clients send on every connection that stays open after SIGTERM, up to SIGKILL, and a reset under a request is a loss.

Seen with a probe on the program as a process (SIGTERM, SIGSTOP at +0.3 s, the request sent, SIGCONT at +0.85 s): a request in the listener's queue, one unread on a kept connection and one unread on a new connection were all met by a reset; half a request whose rest came at +3.37 s, or never, got the connection's end without an answer. Pipelined requests, uploads, slow answers and a rest that came at +1.0 and +2.9 s were answered. At fault: Frontend.close().

The ordinary end of a keep-alive has the same guard.

--- a/cypresspulley/lifecycle.py
+++ b/cypresspulley/lifecycle.py
@@ -5,6 +5,8 @@
 
 A limiter that was emptied by hand is not ready. A successor that takes over a drained limiter says yes all the same
 until its predecessor has gone: the platform waits for that yes, and the drain is no fault of the new process.
+
+A second table says what becomes of clients' connections once the process has been told to end (``LEAVING``).
 """
 
 from __future__ import annotations
@@ -103,3 +105,59 @@
     def handed(self) -> bool:
         """Whether a successor takes what comes."""
         return self.state in HANDED
+
+
+class Phase(Enum):
+    """Of a process that was told to end, and that no successor takes over from."""
+
+    TAKING = "taking"  # clients have not heard: what they open and send is taken, and each answer closes its connection
+    FINISHING = "finishing"  # no new connections; what was taken is answered
+    LAST = "last"  # SIGKILL is near: what is open has been failed, and what still comes is refused at once
+
+
+class Place(Enum):
+    """Where a client's connection stands."""
+
+    QUEUED = "queued"  # taken by the machine, not yet by the process
+    NEW = "new"  # it has sent nothing yet, and came a moment ago
+    IDLE = "idle"  # at rest between two requests, or it came long ago and said nothing
+    UNREAD = "unread"  # it looks idle, but bytes of it lie in the machine
+    PART = "part"  # part of a request has come
+    UPLOAD = "upload"  # a large body is under way, and passed on as it comes
+    ASKED = "asked"  # one request or several were taken, and the first has no answer yet
+    ANSWERING = "answering"  # an answer flows
+    LINGERING = "lingering"  # its last answer is written and its sending ended: it is read to the end
+
+
+class Do(Enum):
+    """What is done with a connection."""
+
+    KEEP = "keep"
+    TAKE = "take"
+    HALF_CLOSE = "half-close"  # end the sending, read to the end: what crosses is not met by a reset
+    REFUSE = "refuse"  # answer 503 and half-close
+
+
+P, C, D = Phase, Place, Do
+LEAVING: dict[tuple[Phase, Place], Do] = {
+    (P.TAKING, C.QUEUED): D.TAKE,
+    **{(P.TAKING, place): D.KEEP for place in C if place is not C.QUEUED},
+    (P.FINISHING, C.QUEUED): D.TAKE,  # once more, before the listener goes: it resets what waits there
+    (P.FINISHING, C.NEW): D.KEEP,  # a request that crosses the end of a connection's first would be priced
+    (P.FINISHING, C.IDLE): D.HALF_CLOSE,
+    (P.FINISHING, C.UNREAD): D.KEEP,
+    (P.FINISHING, C.PART): D.KEEP,
+    (P.FINISHING, C.UPLOAD): D.KEEP,
+    (P.FINISHING, C.ASKED): D.KEEP,
+    (P.FINISHING, C.ANSWERING): D.KEEP,
+    (P.FINISHING, C.LINGERING): D.KEEP,
+    (P.LAST, C.QUEUED): D.KEEP,  # there is no listener left
+    (P.LAST, C.NEW): D.HALF_CLOSE,
+    (P.LAST, C.IDLE): D.HALF_CLOSE,
+    (P.LAST, C.UNREAD): D.KEEP,  # it is read in the next turn, and refused
+    (P.LAST, C.PART): D.REFUSE,  # not taken yet: nobody has it, and trying again is harmless
+    (P.LAST, C.UPLOAD): D.KEEP,  # these have been answered in the decisions' place, or flow
+    (P.LAST, C.ASKED): D.KEEP,
+    (P.LAST, C.ANSWERING): D.KEEP,
+    (P.LAST, C.LINGERING): D.KEEP,
+}
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import contextlib
+import fcntl
 import logging
 import os
 import re
 import socket
 import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 from typing import TYPE_CHECKING, NamedTuple, Protocol, cast
@@ -16,6 +18,7 @@
 import httptools
 
 from cypresspulley import interface as api
+from cypresspulley.lifecycle import LEAVING, Do, Phase, Place
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED
 from cypresspulley.net.relay import (
     LARGEST,
@@ -42,6 +45,10 @@
 IDLE = 2.05  # seconds without an open request: a keep-alive may be closed after 2, a bad client must be by 3
 # Seconds of a drain in which clients have not heard of it yet, and for which a connection may be idle after them.
 DRAIN_NOTICE, DRAIN_IDLE = 0.6, 0.3
+TURNS, REST = (
+    256,
+    3,
+)  # of the loop at most, and in a row with no new connection, until its queue counts as taken
 SLOW = 2.5  # seconds that a head may take to come: clients take 2, and this process may be late
 FLOW_WINDOW = 2.0  # seconds over which a small body must come at ``RATE``
 LINGER = 0.5  # seconds that a refused sender's input is still drained, or it would not see why
@@ -254,6 +261,16 @@
         return units, spread
 
 
+class RefusingReader(RequestReader):
+    """The process is about to end: whatever still comes is refused, and may be tried again elsewhere."""
+
+    def read(self, method: bytes, target: str, fields: dict[bytes, bytes]) -> api.Request:
+        raise BadRequestError(503, "the limiter ends")
+
+    def customer(self, query: str, fields: dict[bytes, bytes]) -> Customer:
+        raise BadRequestError(503, "the limiter ends")
+
+
 class Came(NamedTuple):
     """A whole request at another front's path, and what that front may do with it."""
 
@@ -325,6 +342,28 @@
     def idle(self) -> bool:
         return not self._waiting and not self._reading
 
+    @property
+    def unread(self) -> bool:
+        """Whether bytes have come that the loop has not read yet: timers run before it looks."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        size = fcntl.ioctl(self._transport.get_extra_info("socket").fileno(), termios.FIONREAD, b"\0" * 4)
+        return any(size)
+
+    def place(self, now: float) -> Place:
+        """Where the connection stands for a process that leaves."""
+        if self._transport is None or self._rejected:
+            return Place.LINGERING
+        if self._waiting:
+            if self._upload is not None:
+                return Place.UPLOAD
+            return Place.ASKED if self._waiting[0].stream is None else Place.ANSWERING
+        if self._reading:
+            return Place.PART
+        if self.unread:
+            return Place.UNREAD
+        return Place.NEW if not self.spoke and now - self.since < DRAIN_IDLE else Place.IDLE
+
     @property
     def rank(self) -> tuple[int, float] | None:
         """Who makes room first at the limit: those that linger, never spoke, are half read, idle longest."""
@@ -691,7 +730,10 @@
             return
         self._lingering = transport
         self._depart()
-        if self._rejected and transport.can_write_eof() and not transport.is_closing():
+        # Clients send on until they have heard: what crosses the end of a drained limiter's is read, not reset.
+        busy = self._rejected or self.frontend.draining
+        if busy and transport.can_write_eof() and not transport.is_closing():
+            self._rejected = True
             if self._paused:
                 transport.resume_reading()
             transport.write_eof()
@@ -700,12 +742,12 @@
             self._rejected = True
             transport.close()
 
-    def close_if_idle(self) -> bool:
-        """Close between two requests, which a client takes as the end of a keep-alive."""
-        if self.idle and self._transport is not None:
+    def leave(self, do: Do) -> None:
+        """Do what the table of a process that leaves says of this connection."""
+        if do is Do.HALF_CLOSE:
             self._close()
-            return True
-        return False
+        elif do is Do.REFUSE:
+            self._reject(503)
 
     def check(self, now: float, patience: float) -> None:
         """Close what is silent, and answer what comes too slowly: both hold a descriptor and memory."""
@@ -719,7 +761,7 @@
                 self._check_transfer(now)
             return
         if not self._reading:
-            if age > patience:
+            if age > patience and not self.unread:  # a loop that was held has a request to read before this
                 self._close()
         elif not self._head_read:
             if age > SLOW:
@@ -771,6 +813,7 @@
         self.clock = asyncio.get_running_loop().time
         self.handler, self.reader, self.other = handler, RequestReader(settings, self.clock), other
         self.reads = READ if other is None else READ | other.headers
+        self._settings = settings
         self.draining = False
         self._drained_at = 0.0
         self.open_ids = set[bytes]()
@@ -782,7 +825,8 @@
         self._listener: socket.socket | None = None  # where another process may share it
         # Takes the descriptors of connections at rest to another process; None: there is none.
         self.passing: Callable[[int], bool] | None = None
-        self.closed = False
+        self.phase = Phase.TAKING
+        self._came = 0  # connections, ever
         self.relay = Relay()  # the bound on large transfers: of the servers' side, where that is known
         self._empty = asyncio.Event()
 
@@ -865,6 +909,7 @@
             if not ranked:
                 log.warning("out of client connections")
         self._clients[client] = None
+        self._came += 1
 
     def claim(self, request: ClientRequest, id: bytes) -> None:
         """One that is open here belongs to another: answers and outcomes must not meet the wrong one."""
@@ -877,6 +922,8 @@
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
         now, patience = self.clock(), self.patience
         self.hand_over()
+        if self.closed:
+            self._leave_each()
         for client in list(self._clients):
             client.check(now, patience)
 
@@ -906,19 +953,46 @@
         drained = self.draining and self.clock() - self._drained_at > DRAIN_NOTICE
         return DRAIN_IDLE if drained else IDLE
 
+    @property
+    def closed(self) -> bool:
+        """Whether no new connections are taken any more."""
+        return self.phase is not Phase.TAKING
+
+    def _leave_each(self) -> None:
+        now = self.clock()
+        for client in list(self._clients):
+            client.leave(LEAVING[self.phase, client.place(now)])
+
+    async def _catch_up(self) -> None:
+        """Read what the machine has taken: a loop that was held comes to its timers first, and what waits in a
+        listener's queue or unread at a connection would be reset by its close."""
+        came, rest = self._came, 0
+        for _ in range(TURNS):
+            await asyncio.sleep(0)
+            rest, came = (rest + 1 if came == self._came else 0), self._came
+            if rest >= REST:
+                break
+
     async def close(self, grace: float) -> None:
-        """Stop listening, close what is idle, and wait for the rest to be answered and closed."""
-        self.closed = True
-        self.pause()
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
-        if self._sweep_at is not None:
-            self._sweep_at.cancel()
+        """Stop listening, close what is idle, and wait ``grace`` seconds for the rest to be answered and closed.
+
+        The first call is for what was taken. The second is the last moment: what still comes is refused.
+        """
+        if self.closed:
+            self.phase = Phase.LAST
+            self.reader = RefusingReader(self._settings, self.clock)
+        else:
+            await self._catch_up()
+            self.phase = Phase.FINISHING
+            self.pause()
+            if self._listener is not None:
+                self._listener.close()
+                self._listener = None
         self.hand_over()
-        for client in list(self._clients):
-            client.close_if_idle()
+        self._leave_each()
         self._empty.clear()
         if self._clients:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self._empty.wait(), grace)
+        if self._sweep_at is not None and (self.phase is Phase.LAST or not self._clients):
+            self._sweep_at.cancel()
