Notice a silent watch after 2.5 s and dial again in 0.5 s: one lost dial came to 9.4 s of 6

Need: what a silent watch misses counts as told 6 s after it fell silent (4 s after SIGHUP), arrived or not; lists may come indented.

Seen, by replaying troubles in virtual time at the longest pauses: 5.4 s with nothing else on the way, but 9.4 s with one dial that never comes up or one mute call, 6.9 s with one 503, 11.9 s with half a line, and never where empty lines followed half a line. Lines at fault: SILENCE 5.0 counted by a time-out round each read, FIRST 2.5 for dial and first byte each, RETRY_BROKEN 1.0; on_body() took each line for a message, so an indented list was dropped line by line and the next version taken as the newest; the time-outs run before the loop reads, so a loop that was held for 5 s took its own stall for silence.

Change: a table of patience by state (dialing 0.5, asked 1.0, following 2.5 from the last byte of any kind, half a message 1.5 from its first); the loop gets three turns before a verdict; a byte that was read after a hold counts from before it; the old watch is heard until the next one speaks; messages over several lines; one that cannot be read is asked for again.

Failed try: counting a byte that was read after a hold from its reading missed a silence that began in the hold.

--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -5,9 +5,11 @@
 import asyncio
 import json
 import logging
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from enum import Enum
+from typing import Any, cast
 
 import httptools
 
@@ -16,19 +18,21 @@
 
 log = logging.getLogger(__name__)
 
-SILENCE = 5.0  # an empty line comes every 2 s: past this the watch is dead, whatever the socket says
-FIRST = (
-    2.5  # the same for one that has said nothing yet: its first line comes at once, or when its turn has come
-)
+# Discovery counts as heard 6 s after a watch fell silent, whether or not it was; docs/design/restarts.md has the sum.
+BEAT = 2.0  # seconds between two signs of life of a watch: an empty line comes while nothing changes
 # Seconds until a watch is begun anew: the first time, and at most after a row of failures, each give or take a half.
 # A fixed time had a restarted fleet ask a busy discovery for whole lists together, 100 times a second, and get none:
 # so one that says it is busy is left alone for long. One that is silent or breaks is not: what it has to tell counts
-# as told 6 s later, and a limiter that waited 16 s for it sent to drained servers past the grace.
-RETRY, RETRY_BUSY, RETRY_BROKEN = 0.25, 16.0, 1.0
+# as told soon, and a limiter that waited 16 s for it sent to drained servers past the grace.
+RETRY, RETRY_BUSY, RETRY_BROKEN = 0.1, 16.0, 0.3
+TICK = 0.25  # seconds between two looks at a watch
+HELD = 0.25  # seconds by which a look may be late before the loop counts as held
+TURNS = 3  # of the loop before a verdict: one that was held comes to its timers before it reads
 BUSY = frozenset(
     (429, 500, 502, 503, 504)
 )  # of discovery itself; any other refusal may be of the version asked for
-MAX_LINE = 4 * 1024 * 1024
+MAX_LINE = 4 * 1024 * 1024  # bytes of one message, over all of its lines
+TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[{}\[\]]')  # of JSON, what tells how deep a line leaves it
 HEALTH = {"ready": api.Health.UP, "draining": api.Health.DRAINING, "gone": api.Health.GONE}
 
 
@@ -59,8 +63,223 @@
         raise ValueError(f"not a list of servers: {error!r:.80}") from None
 
 
+class At(Enum):
+    """How far a watch has come."""
+
+    DIALING = "dialing"
+    ASKED = "asked"  # no byte of an answer yet
+    FOLLOWING = "following"
+    HALF = "half a message"  # a message has begun and not ended
+
+
+# Seconds from the last byte (HALF: from the message's first) until a watch is given up. Its agent is on this machine.
+PATIENCE = {At.DIALING: 0.5, At.ASKED: 1.0, At.FOLLOWING: BEAT + 0.5, At.HALF: 1.5}
+
+
+class SilenceError(ConnectionError):
+    """A watch has said nothing for as long as it may."""
+
+
+class UnreadableError(ConnectionError):
+    """A message that is none: what it had to tell is asked for again."""
+
+
+class Messages:
+    """Puts a watch's lines together to messages: one a line, or one over several lines where lists come indented."""
+
+    def __init__(self, skip: bool = False) -> None:
+        """``skip``: what cannot be read is passed over, since asking again has not helped."""
+        self._skip, self._rest = skip, b""  # of a line without an end
+        self._lines, self._depth, self._size = list[bytes](), 0, 0
+
+    def __repr__(self) -> str:
+        return f"<Messages {len(self._lines)} lines and {len(self._rest)} bytes of one>"
+
+    @property
+    def half(self) -> bool:
+        """Whether a message has begun and not ended."""
+        return bool(self._lines or self._rest)
+
+    def feed(self, data: bytes) -> list[Any]:
+        """The messages that these bytes end; ``UnreadableError`` for one that is no JSON or too large."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        found = [message for line in lines for message in self._line(line.strip())]
+        if self._size + len(self._rest) > MAX_LINE:
+            raise UnreadableError("a message without an end")
+        return found
+
+    def _line(self, line: bytes) -> list[Any]:
+        if not line:
+            return []  # a sign of life, or white space inside a message
+        if not self._lines:
+            try:
+                return [json.loads(line)]
+            except (ValueError, RecursionError) as error:
+                self._depth = depth(line)
+                if self._depth <= 0:
+                    return self._unreadable(error)
+        else:
+            self._depth += depth(line)
+        self._lines.append(line)
+        self._size += len(line)
+        if self._depth > 0:
+            return []  # ``feed`` bounds it
+        text, self._lines, self._size = b"\n".join(self._lines), [], 0
+        try:
+            return [json.loads(text)]
+        except (ValueError, RecursionError) as error:
+            return self._unreadable(error)
+
+    def _unreadable(self, error: Exception) -> list[Any]:
+        if not self._skip:
+            raise UnreadableError(f"not JSON: {error!r:.80}") from None
+        log.warning("dropped an unreadable line of discovery: %r", error)
+        return []
+
+
+def depth(line: bytes) -> int:
+    """How much deeper a line of JSON leaves it; strings hold no line ends, so each line stands for itself."""
+    return sum((token in b"{[") - (token in b"}]") for token in TOKEN.findall(line) if len(token) == 1)
+
+
+class _Watch(asyncio.Protocol):
+    """One call that stays open. It ends with an error; silence is counted from the last byte of any kind.
+
+    A held loop reads late: what it finds then may have come at any time since its last look. Such a byte counts from
+    that look, and the watch has one beat from the loop's return to say more; where nothing lay there, it was silent.
+    """
+
+    def __init__(
+        self, said: Callable[[_Watch, Any], None], lived: Callable[[_Watch], None], skip: bool
+    ) -> None:
+        self._loop, self._said, self._lived = asyncio.get_running_loop(), said, lived
+        self._transport: asyncio.Transport | None = None
+        self._parser, self._messages = httptools.HttpResponseParser(self), Messages(skip)
+        self._at = At.DIALING
+        self._heard = self._looked = (
+            self._loop.time()
+        )  # when a byte came last, at the latest; when the loop ran
+        self._begun: float | None = None  # when the message that has not ended yet began
+        self._trusted = self._late_at = self._late_from = -1e9
+        self._timer: asyncio.TimerHandle | None = None
+        self.ended: asyncio.Future[None] = self._loop.create_future()
+        self.refused = 0  # the status, where it is not 200
+        self.spoke = False  # beyond its head
+
+    def __repr__(self) -> str:
+        return f"<_Watch {self._at.value}, last byte at {self._heard:.3f}>"
+
+    async def open(self, host: str, port: int, request: bytes) -> None:
+        """Dial and ask; ``OSError`` where that fails, ``SilenceError`` where it does not come up."""
+        dial = self._loop.create_task(self._loop.create_connection(lambda: self, host, port))
+        try:
+            await asyncio.wait({dial}, timeout=PATIENCE[At.DIALING])
+            for _ in range(TURNS):
+                if not dial.done():
+                    await asyncio.sleep(0)
+            if not dial.done():
+                raise SilenceError("a dial that did not come up")
+            await dial
+        finally:
+            dial.cancel()
+        assert self._transport is not None
+        self._transport.write(request)
+        self._at, self._heard = At.ASKED, self._loop.time()
+        self._looked = self._heard
+        self._timer = self._loop.call_later(TICK, self._look)
+
+    def close(self) -> None:
+        self._finish(ConnectionError("closed here"))
+        self.ended.exception()  # nobody waits for it any more
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _finish(self, error: Exception) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if not self.ended.done():
+            self.ended.set_exception(error)
+
+    # The clock.
+
+    def _look(self) -> None:
+        now = self._loop.time()
+        if now - self._looked > TICK + HELD:
+            self._late_at, self._late_from = now, self._looked
+        self._looked = now
+        self._timer = self._loop.call_later(min(TICK, max(0.001, self._due - now)), self._look)
+        if now >= self._due:
+            self._loop.call_soon(self._judge, TURNS)
+
+    def _judge(self, turns: int) -> None:
+        """What lies in the machine is read first."""
+        if self.ended.done() or self._loop.time() < self._due:
+            return
+        if turns:
+            self._loop.call_soon(self._judge, turns - 1)
+        else:
+            self._finish(SilenceError(self._at.value if self._begun is None else At.HALF.value))
+
+    @property
+    def _due(self) -> float:
+        """When the watch will have been silent for as long as it may."""
+        due = max(self._heard + PATIENCE[self._at], self._trusted)
+        return due if self._begun is None else min(due, self._begun + PATIENCE[At.HALF])
+
+    # The connection.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = cast(asyncio.Transport, transport)
+        if self.ended.done():
+            self._transport.abort()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._finish(exc or ConnectionError("closed by discovery"))
+
+    def data_received(self, data: bytes) -> None:
+        now = self._loop.time()
+        if now - self._looked > TICK + HELD:
+            self._late_at, self._late_from, self._looked = now, self._looked, now
+        if now - self._late_at < TICK:
+            self._heard, self._trusted = max(self._heard, self._late_from), self._late_at + BEAT + HELD
+        else:
+            self._heard = now
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            return self._finish(cause if isinstance(cause, Exception) else error)
+        if not self._messages.half:
+            self._begun = None
+        elif self._begun is None:
+            self._begun = now
+
+    # The parser's callbacks.
+
+    def on_headers_complete(self) -> None:
+        if (code := self._parser.get_status_code()) != 200:
+            self.refused = code
+            raise ConnectionError(f"status {code}")
+        self._at = At.FOLLOWING
+
+    def on_body(self, body: bytes) -> None:
+        self.spoke = True
+        self._lived(self)
+        # Chunks end where they like; only line ends part the messages.
+        for message in self._messages.feed(body):
+            self._begun = None
+            self._said(self, message)
+
+    def on_message_complete(self) -> None:
+        raise ConnectionError("the watch was ended")
+
+
 class Discovery:
-    """Follows the watch for ever; a broken or silent one is begun anew and the list kept."""
+    """Follows the watch for ever; a broken or silent one is begun anew and the list kept.
+
+    A silent one is listened to until the next has said something: where it only was late, what it tells is not lost.
+    """
 
     def __init__(
         self, host: str, port: int, since: int | None, tell: Callable[[Listing], None],
@@ -68,23 +287,17 @@
     ) -> None:  # fmt: skip
         self._host, self._port, self._since, self._tell = host, port, since, tell
         self._draw, self._wait = draw, RETRY
-        self._buffer, self._failing, self._busy = b"", False, False
+        self._failing, self._busy = False, False
+        self._spoilt = False  # the last message could not be read, and has been asked for again
+        self._old: _Watch | None = None
 
     async def follow(self) -> None:
-        while True:
-            try:
+        try:
+            while True:
                 await self._watch()
-            except (OSError, TimeoutError, httptools.HttpParserError) as error:
-                if not self._failing:  # once for a row of failures
-                    silent = isinstance(error, TimeoutError)
-                    log.warning(
-                        "the watch on discovery ended: %s",
-                        "silence" if silent else repr(error.__context__ or error),
-                    )
-                self._failing = True
-            except Exception:
-                log.exception("the watch on discovery failed")
-            await asyncio.sleep(self.pause())
+                await asyncio.sleep(self.pause())
+        finally:
+            self._drop_old()
 
     def pause(self) -> float:
         """Seconds until the next try: longer after each failure, and not those of other limiters."""
@@ -93,54 +306,59 @@
         return wait * (0.5 + self._draw())
 
     async def _watch(self) -> None:
-        self._busy, silence = False, FIRST
-        async with asyncio.timeout(FIRST):
-            reader, writer = await asyncio.open_connection(self._host, self._port)
+        """One watch, up to its end."""
+        self._busy = False
+        since = "" if self._since is None else f"&since={self._since}"
+        request = f"GET /v1/servers?follow=1{since} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n\r\n"
+        watch, keep = _Watch(self._message, self._lived, self._spoilt), False
         try:
-            since = "" if self._since is None else f"&since={self._since}"
-            request = f"GET /v1/servers?follow=1{since} HTTP/1.1\r\nHost: {self._host}:{self._port}\r\n\r\n"
-            writer.write(request.encode())
-            self._buffer = b""
-            self._parser = httptools.HttpResponseParser(self)
-            while True:
-                async with asyncio.timeout(silence):
-                    data = await reader.read(65536)
-                if not data:
-                    raise ConnectionError("closed by discovery")
-                self._parser.feed_data(data)
-                silence = SILENCE
+            await watch.open(self._host, self._port, request.encode())
+            await watch.ended
+        except SilenceError as error:
+            keep = watch.spoke
+            self._failed(f"silence, {error}")
+        except (OSError, httptools.HttpParserError) as error:
+            self._spoilt = self._spoilt or isinstance(error, UnreadableError)
+            if watch.refused:
+                self._busy = watch.refused in BUSY
+                if not self._busy:
+                    self._since = None  # it may be the version that is not taken
+            self._failed(repr(error))
+        except Exception:
+            log.exception("the watch on discovery failed")
         finally:
-            writer.transport.abort()
-
-    # The parser's callbacks.
+            if keep:
+                self._old = watch
+            else:
+                watch.close()
 
-    def on_headers_complete(self) -> None:
-        if (code := self._parser.get_status_code()) != 200:
-            self._busy = code in BUSY
-            if not self._busy:
-                self._since = None  # it may be the version that is not taken
-            raise ConnectionError(f"status {code}")
+    def _failed(self, why: str) -> None:
+        if not self._failing:  # once for a row of failures
+            log.warning("the watch on discovery ended: %s", why)
+        self._failing = True
 
-    def on_body(self, body: bytes) -> None:
-        # Chunks end where they like; only line ends part the messages.
-        *lines, self._buffer = (self._buffer + body).split(b"\n")
-        for line in lines:
-            self._line(line.strip())
-        if len(self._buffer) > MAX_LINE:
-            raise ConnectionError("a line without an end")
+    def _lived(self, watch: _Watch) -> None:
+        """A watch has said something, be it an empty line: the one before it is done with."""
+        if watch is not self._old:
+            self._drop_old()
 
-    def on_message_complete(self) -> None:
-        raise ConnectionError("the watch was ended")
+    def _drop_old(self) -> None:
+        if self._old is not None:
+            self._old.close()
+            self._old = None
 
-    def _line(self, line: bytes) -> None:
-        if not line:
-            return
+    def _message(self, watch: _Watch, message: Any) -> None:
         try:
-            listing = listing_from(json.loads(line))
+            listing = listing_from(message)
         except ValueError as error:
-            log.warning("dropped an unreadable line of discovery: %s", error)
+            if not self._spoilt:
+                raise UnreadableError(str(error)) from None
+            return log.warning("dropped an unreadable message of discovery: %s", error)
+        if watch is not self._old:
+            self._since, self._failing, self._wait, self._spoilt = listing.version, False, RETRY, False
+        elif self._since is not None and listing.version <= self._since:
             return
-        self._since, self._failing, self._wait = listing.version, False, RETRY
+        # One that fell silent may have missed something: what it tells holds, but the next is asked from before.
         self._tell(listing)
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import time
 from random import Random
 from typing import Any
 
@@ -12,10 +13,11 @@
 from cypresspulley import interface as api
 from cypresspulley.net import discovery
 from cypresspulley.net.discovery import (
-    FIRST,
+    PATIENCE,
     RETRY,
     RETRY_BROKEN,
     RETRY_BUSY,
+    At,
     Discovery,
     Follower,
     Listing,
@@ -43,8 +45,10 @@
 
     def __init__(self, *scripts: list[bytes], end: bool = True) -> None:
         self.scripts, self.asked, self._end = list(scripts), list[str](), end
+        self.connections = 0
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
         self.asked.append((await reader.readuntil(b"\r\n\r\n")).decode().split()[1])
         for piece in self.scripts.pop(0) if self.scripts else []:
             writer.write(piece)
@@ -98,7 +102,7 @@
 
 
 def test_a_silent_watch_is_begun_anew(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(discovery, "SILENCE", 0.2)
+    monkeypatch.setitem(discovery.PATIENCE, At.FOLLOWING, 0.2)
 
     async def main() -> None:
         agent = Agent([HEAD], [HEAD, chunk(message(58))], end=False)
@@ -108,14 +112,34 @@
     run(main())
 
 
+@pytest.mark.parametrize("turns", [1, 2, 3, 4])
+def test_a_dial_that_came_up_while_the_loop_was_held_is_used(turns: int) -> None:
+    async def main() -> None:
+        agent, heard = Agent([HEAD, chunk(message(57))]), asyncio.Event()
+        async with listening(agent.talk) as address:
+            host, port = address.split(":")
+            task = asyncio.create_task(Discovery(host, int(port), 41, lambda _: heard.set()).follow())
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            time.sleep(PATIENCE[At.DIALING] + 0.1)  # the timer is due before the loop sees that it is up
+            await heard.wait()
+            task.cancel()
+        assert len(agent.asked) == 1 and agent.connections == 1
+
+    run(main())
+
+
 def test_odd_lines_are_dropped_and_the_watch_goes_on() -> None:
     async def main() -> None:
         odd = [
             b"not json\n", b"[]\n", b'{"seq":1}\n', b'{"seq":1,"whole":true,"hosts":[3]}\n', b"\xff\n",
             message(9, "upbeat"), message(9, dial="nowhere"), message(9, born_ms="then"),
         ]  # fmt: skip
-        heard = await follow(Agent([HEAD, chunk(b"".join(odd) + message(60))]), 1)
+        spoilt, rest = [HEAD, chunk(odd[0])], [HEAD, chunk(b"".join(odd) + message(60))]
+        agent = Agent(spoilt, rest)
+        heard = await follow(agent, 1)
         assert [listing.version for listing in heard] == [60]
+        assert len(agent.asked) == 2 and agent.asked[1].endswith("since=41"), "it is asked for once more"
 
     run(main())
 
@@ -150,14 +174,14 @@
 
 def test_a_discovery_that_is_silent_or_breaks_is_asked_again_before_its_news_count_as_told() -> None:
     """What it has to tell counts as told after 6 s: a drain that came then was heard of 10 s and more too late."""
-    assert FIRST + 1.5 * RETRY_BROKEN < 6
+    assert PATIENCE[At.FOLLOWING] + PATIENCE[At.ASKED] + 1.5 * RETRY_BROKEN < 6
     assert all(max(pauses(seed, busy=False)) <= 1.5 * RETRY_BROKEN for seed in range(40))
 
 
 def test_a_watch_that_was_busy_once_and_then_silent_does_not_wait_as_for_a_busy_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(discovery, "FIRST", 0.05)
+    monkeypatch.setitem(discovery.PATIENCE, At.ASKED, 0.05)
     monkeypatch.setattr(discovery, "RETRY", 0.01)
     waited = list[float]()
 
