Take out the half even share of a ceiling, which no plan could reach

Cause: kept_alone gave half of a ceiling to even shares where half of the burst holds the largest request at each limiter; the line before it had already kept the whole there (burst at least twice the largest request a limiter), so the branch never ran. Windows.rest had one caller, a test.

--- a/cypresspulley/policy/windows.py
+++ b/cypresspulley/policy/windows.py
@@ -23,11 +23,10 @@
 
 
 def kept_alone(plan: api.Plan, share: int, largest: float, counter: bool) -> float:
-    """The part of a ceiling that gateways keep in even shares; the rest goes by windows. Alike at all of them."""
-    if not counter or plan.ceiling_rate <= 0 or plan.ceiling_burst >= THICK * share * largest:
-        return 1.0
-    keep = 0.5 if plan.ceiling_burst / 2 / share >= largest else 0.0
-    return keep if (1 - keep) * plan.ceiling_burst / 2 >= largest else 1.0
+    """The part of a ceiling that gateways keep in even shares, all or none of it: none where an even share holds next
+    to nothing and half of the ceiling, which a window has, holds the largest request. Alike at all of them."""
+    thick = plan.ceiling_burst >= THICK * share * largest
+    return float(not counter or plan.ceiling_rate <= 0 or thick or plan.ceiling_burst / 2 < largest)
 
 
 class Windows:
@@ -51,10 +50,6 @@
             self.index, self._own, self._spent = index, 0.0, False
         return not self._spent and units <= self.most
 
-    def rest(self, now: float) -> float:
-        """Seconds until the next window."""
-        return self.length - now % self.length
-
     def granted(self, index: int, total: float, units: float) -> tuple[bool, float]:
         """The count's answer to ``units`` more: whether they may go, and what to take off the count again."""
         if index != self.index:
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -64,7 +64,7 @@
     assert fresh.granted(fresh.index, 12.0, 1.0) == (True, 0.0)
     assert fresh.granted(fresh.index, 13.0, 1.0) == (False, 0.0)
     assert not fresh.room(100.0, 1.0), "a spent window is not asked again"
-    assert fresh.room(100.0 + fresh.rest(100.0), 1.0)
+    assert fresh.room(100.0 + fresh.length, 1.0)
 
 
 def test_a_request_too_large_for_what_is_left_gives_its_units_back() -> None:
