Move what a limiter knows of one server into policy/server.py: no circle of imports

Cause: policy/fleet imported Request and policy/request imported Server for its types, a circle (under TYPE_CHECKING).

--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -2,13 +2,13 @@
 
 import math
 from collections.abc import Iterable
-from hashlib import blake2b
 from random import Random
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Effect, Status
 from cypresspulley.policy.gate import AIM_SHARE, INTERVAL, PLAIN_ROOM, REFERENCE, RESERVE, Gate
 from cypresspulley.policy.request import Request
+from cypresspulley.policy.server import Server
 
 KNOWN = 4096  # names of servers that are kept to tell operators which were never listed
 FEW = 8  # servers that a thin gate keeps to
@@ -19,24 +19,6 @@
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 
 
-class Server:
-    def __init__(self, entry: api.ServerEntry) -> None:
-        self.entry, self.up, self.place = entry, True, blake2b(entry.name.encode(), digest_size=8).digest()
-        self.open = self.done = self.rate = 0.0  # own work: out, since the last tick, a second
-        self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
-        self.out_until = self.out_for = self.budget = self.budget_at = 0.0
-        self.trial = self.lost = self.gone = False
-        # Requests in hand by its last report; when; sent since.
-        self.told, self.told_at, self.since = 0.0, -1e9, 0
-        self.row, self.broke = 0, 0.0  # breaks with no answer in between; when the last came
-        self.quiet: float | None = None  # since when it owes answers and gives none
-        self.cold_at: float | None = None
-
-    def ended(self, work: float) -> None:
-        # Floating sums leave a remainder, and a server on trial that seems to have work out is asked no more.
-        self.open = left if (left := self.open - work) > 1e-9 else 0.0
-
-
 class Sizes:
     """How the work of a request grows with its units: a straight line through the mean, its slope a least-squares
     fit of latency on units, each as a share of its mean. Queueing adds to all alike and does not bend it."""
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -9,10 +9,11 @@
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Effect, Status
 from cypresspulley.policy.classes import Classes
-from cypresspulley.policy.fleet import Fleet, Server
+from cypresspulley.policy.fleet import Fleet
 from cypresspulley.policy.gate import AIM_SHARE, INTERVAL, REFERENCE, RESERVE, Gate
 from cypresspulley.policy.quota import Quotas, Verdict
 from cypresspulley.policy.request import Request
+from cypresspulley.policy.server import Server
 
 SPLIT = 0.7  # share of the aim until a second attempt
 NEVER_RAN = (Status.FULL, Status.UNREACHABLE, Status.DROPPED, Status.NOT_SENT)
--- a/cypresspulley/policy/request.py
+++ b/cypresspulley/policy/request.py
@@ -1,14 +1,8 @@
 """A client's try while it is open, as all parts of the policy see it."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from cypresspulley import interface as api
-
-if TYPE_CHECKING:
-    from cypresspulley.policy.account import Account
-    from cypresspulley.policy.fleet import Server
+from cypresspulley.policy.account import Account
+from cypresspulley.policy.server import Server
 
 
 class Request:
@@ -31,7 +25,7 @@
         self.slot = False  # it counts among what its customer has out over all gateways
         self.granted: int | None = None  # the window of the ceiling that holds it, where no even share does
         self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
-        self.tries, self.out = list["tuple[Server, float]"](), dict[int, "Server"]()
+        self.tries, self.out = list[tuple[Server, float]](), dict[int, Server]()
         self.ran: tuple[Server, float] | None = None  # first attempt that may have run
 
     def begin(self, now: float) -> None:
