Take the meter's figure out of the quotas: both deployments with one have messages

Change: without messages and counter the even share alone counts, which is the stricter of the two. The wire's figure is still read and not used.

--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -153,14 +153,6 @@
         self.level = max(-self.plan.burst, self.level - (units - known))
         self.others = max(0.0, self.others + units / RECENT)
 
-    def metered(self, now: float, use: float) -> None:
-        """Answers tell the use of all, units a second in a period past: what is not ours is the others'."""
-        if not self.heard:
-            self.level, self.others = min(self.level, self.plan.burst), 0.0
-        self.heard = now
-        self.refill(now)
-        self.others = max(0.0, use - self.mine)
-
     def told(self, now: float, total: float, step: float, units: float) -> None:
         """The count answers: what the others used since the last total, and so what the store holds."""
         # A total that fell has expired, was flushed or restarted empty: what it holds came since.
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -305,8 +305,8 @@
             else:
                 self.tells.keep(now, key, units)
 
-    def settle(self, now: float, r: Request, ev: api.Outcome) -> None:
-        """What an answer tells of its customer: the request's true units, and the use of all gateways."""
+    def settle(self, _now: float, r: Request, ev: api.Outcome) -> None:
+        """What an answer tells of its customer: the request's true units."""
         a = r.account
         # A figure that cannot be true settles nothing: what was taken stays taken, the ceiling's bound as well.
         true = ev.units if ev.status is Status.OK and ev.units is not None else -1.0
@@ -317,5 +317,3 @@
             a.settled(true - r.units)
             if self.tells is not None:
                 self.tells.owed[a.name] = a
-        if ev.used is not None and a.plan.rate > 0 and self.tells is None and not self._set.has_counter:
-            a.metered(now, ev.used * a.plan.rate)
