--- a/tests/fleet/test_detector.py
+++ b/tests/fleet/test_detector.py
@@ -216,6 +216,24 @@
     assert before[0] == detector.view.digest and before[2:] == (detector.settled(), len(one.changes))
 
 
+def test_settled_is_when_every_present_member_has_told_this_digest() -> None:
+    one = One("x", "y")
+    one.hear("x")
+    assert not one.detector.settled()  # y told its digest before x was there
+    one.hear("y")
+    assert one.detector.settled()
+    one.hear("x", digest=77)
+    assert not one.detector.settled()
+    one.hear("x", number=3)  # older than the one that told 77, and come later
+    assert not one.detector.settled()
+    one.hear("x")
+    assert one.detector.settled()
+    one.hear("z", state=State.LEFT, incarnation=1)
+    assert one.detector.settled()  # one that has left need not agree
+    one.hear("z", life=LIFE + 1)
+    assert not one.detector.settled()
+
+
 @pytest.mark.parametrize("life", [LIFE - 5, LIFE])
 def test_an_old_life_never_comes_back(life: int) -> None:
     one = One("x")
