--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -267,7 +267,7 @@
         ):  # a helper says nothing: it may be me who hears badly
             self.health.feel(1)
         held = self.view.get(probe.target)
-        if held is None or held.life != probe.life or self._now < self.health.doubt_until:
+        if held is None or held.life != probe.life:
             return
         if held.state is State.LEAVING:
             self._take(replace(held, state=State.LEFT), "probe", self.view.me)
--- a/cypresspulley/fleet/timers.py
+++ b/cypresspulley/fleet/timers.py
@@ -59,7 +59,7 @@
 
     def __init__(self) -> None:
         self.value = 0
-        self.doubt_until = float("-inf")  # until then this process accuses nobody
+        self.doubt_until = float("-inf")  # until then this process holds nobody dead
 
     def __repr__(self) -> str:
         return f"<Health {self.value}>"
--- a/tests/fleet/test_detector.py
+++ b/tests/fleet/test_detector.py
@@ -192,14 +192,32 @@
     while not any(isinstance(e.message, wire.Ping) for _, e in one.sent):
         one.wait(0.05)
     assert one.state("x") is one.state("y") is one.state("z") is State.ALIVE
-    one.hear("y", told=(claim("x", State.SUSPECTED, by="y"),))
+    target = next(e.message.to for _, e in one.sent if isinstance(e.message, wire.Ping))
+    other = "x" if target != "x" else "y"
+    one.hear("z", told=(claim(other, State.SUSPECTED, by="z"),))
     one.now += 60
     one.do(Tick())
     assert one.detector.counts["stalls"] == 1 and one.detector.health.value > 0
-    assert one.state("x") is State.SUSPECTED and one.state("y") is one.state("z") is State.ALIVE
-    one.wait(1.0)
+    one.wait(1.2)
+    assert one.state(target) is State.ALIVE  # the probe of it was out
+    assert one.state(other) is State.SUSPECTED  # as told, and not dead for the time that was lost
+    one.hear(other, incarnation=1)
+    assert one.state(other) is State.ALIVE
+
+
+def test_one_that_wakes_at_the_end_of_a_suspicion_hears_first_what_was_said_meanwhile() -> None:
+    one = One("x")
+    one.detector._probes.round = ["x"] * 99
+    one.hear("x", told=(claim("x", State.SUSPECTED, by="x"),))
+    until = one.detector._suspicions.until("x", 2)
+    assert until is not None
+    one.wait(until - one.now - 0.1)
+    one.now += 60
+    one.do(Tick())
+    one.wait(0.9)
     assert one.state("x") is State.SUSPECTED
     one.hear("x", incarnation=1)
+    one.wait(0.5)
     assert one.state("x") is State.ALIVE
 
 
