--- a/tests/fleet/test_detector.py
+++ b/tests/fleet/test_detector.py
@@ -200,6 +200,7 @@
     assert one.detector.counts["stalls"] == 1 and one.detector.health.value > 0
     one.wait(1.2)
     assert one.state(target) is State.ALIVE  # the probe of it was out
+    one.wait(2.0)
     assert one.state(other) is State.SUSPECTED  # as told, and not dead for the time that was lost
     one.hear(other, incarnation=1)
     assert one.state(other) is State.ALIVE
