--- a/tests/fleet/test_detector.py
+++ b/tests/fleet/test_detector.py
@@ -198,6 +198,7 @@
     one.now += 60
     one.do(Tick())
     assert one.detector.counts["stalls"] == 1 and one.detector.health.value > 0
+    one.hear("z", told=(claim(other, State.SUSPECTED, by="w"),))
     one.wait(1.2)
     assert one.state(target) is State.ALIVE  # the probe of it was out
     one.wait(2.0)
