--- a/tests/fleet/test_detector.py
+++ b/tests/fleet/test_detector.py
@@ -192,14 +192,34 @@
     while not any(isinstance(e.message, wire.Ping) for _, e in one.sent):
         one.wait(0.05)
     assert one.state("x") is one.state("y") is one.state("z") is State.ALIVE
-    one.hear("y", told=(claim("x", State.SUSPECTED, by="y"),))
+    target = next(e.message.to for _, e in one.sent if isinstance(e.message, wire.Ping))
+    other = "x" if target != "x" else "y"
+    one.hear("z", told=(claim(other, State.SUSPECTED, by="z"),))
     one.now += 60
     one.do(Tick())
     assert one.detector.counts["stalls"] == 1 and one.detector.health.value > 0
-    assert one.state("x") is State.SUSPECTED and one.state("y") is one.state("z") is State.ALIVE
-    one.wait(1.0)
+    one.hear("z", told=(claim(other, State.SUSPECTED, by="w"),))
+    one.wait(1.2)
+    assert one.state(target) is State.ALIVE  # the probe of it was out
+    one.wait(2.0)
+    assert one.state(other) is State.SUSPECTED  # as told, and not dead for the time that was lost
+    one.hear(other, incarnation=1)
+    assert one.state(other) is State.ALIVE
+
+
+def test_one_that_wakes_at_the_end_of_a_suspicion_hears_first_what_was_said_meanwhile() -> None:
+    one = One("x")
+    one.detector._probes.round = ["x"] * 99
+    one.hear("x", told=(claim("x", State.SUSPECTED, by="x"),))
+    until = one.detector._suspicions.until("x", 2)
+    assert until is not None
+    one.wait(until - one.now - 0.1)
+    one.now += 60
+    one.do(Tick())
+    one.wait(0.9)
     assert one.state("x") is State.SUSPECTED
     one.hear("x", incarnation=1)
+    one.wait(0.5)
     assert one.state("x") is State.ALIVE
 
 
@@ -216,6 +236,24 @@
     assert before[0] == detector.view.digest and before[2:] == (detector.settled(), len(one.changes))
 
 
+def test_settled_is_when_every_present_member_has_told_this_digest() -> None:
+    one = One("x", "y")
+    one.hear("x")
+    assert not one.detector.settled()  # y told its digest before x was there
+    one.hear("y")
+    assert one.detector.settled()
+    one.hear("x", digest=77)
+    assert not one.detector.settled()
+    one.hear("x", number=3)  # older than the one that told 77, and come later
+    assert not one.detector.settled()
+    one.hear("x")
+    assert one.detector.settled()
+    one.hear("z", state=State.LEFT, incarnation=1)
+    assert one.detector.settled()  # one that has left need not agree
+    one.hear("z", life=LIFE + 1)
+    assert not one.detector.settled()
+
+
 @pytest.mark.parametrize("life", [LIFE - 5, LIFE])
 def test_an_old_life_never_comes_back(life: int) -> None:
     one = One("x")
