--- a/cypresspulley/explore/schedule.py
+++ b/cypresspulley/explore/schedule.py
@@ -82,7 +82,7 @@
     for place in raw.get("closing", {}).get("place", ()):
         place["closes"] = sorted({round(part * at) for at in place["closes"]})
     if "closing" in raw:
-        raw["closing"]["clock_bound_ms"] = max(20, int(part * raw["closing"]["clock_bound_ms"]))
+        raw["closing"]["clock_bound_ms"] = max(50, int(part * raw["closing"]["clock_bound_ms"]))
 
 
 def fewer_limiters(raw: Raw, count: int) -> None:
--- a/cypresspulley/rehearsal/sections.py
+++ b/cypresspulley/rehearsal/sections.py
@@ -61,7 +61,7 @@
     keep: tuple[Name, ...] = Field(min_length=1, description="classes whose answers may be kept")
     share: Share = Field(0.5, description="of the accounts, which ask for it")
     places: tuple[Place, ...] = Field(alias="place", min_length=1, max_length=16)
-    clock_bound_ms: int = Field(100, ge=10, le=60_000)
+    clock_bound_ms: int = Field(100, ge=50, le=60_000)
     lease_ms: int = Field(1500, ge=500, le=60_000)
     lost_seconds: int = Field(5, ge=0, le=86_400)
     purge_ms: int = Field(4000, ge=100, le=60_000)
--- a/cypresspulley/rehearsal/virtual/play.py
+++ b/cypresspulley/rehearsal/virtual/play.py
@@ -89,6 +89,7 @@
         self._owner: Owner | None = None
         self._service: Service | None = None
         self._end: asyncio.Future[int] = loop.create_future()
+        self._why = "no error was seen"
 
     def __repr__(self) -> str:
         return f"<VirtualLimiter {self.name} {self._owner!r}, life {self.lives}>"
@@ -171,6 +172,8 @@
         if self._end.done() or self._owner is None:
             return
         failed = task.cancelled() or task.exception() is not None
+        if failed and not task.cancelled():
+            self._why = repr(task.exception())
         if self._observer is not None and not failed:
             self._observer.exited(self.name, self._owner, self._loop)
         self._loop.kill(self._owner)  # the process is over: its timers go, its connections are closed
@@ -197,6 +200,9 @@
             turns, writes = (count, 0) if when == "turn" else (0, count)
             self._owner.strike_after(turns, writes, strike)
 
+    def tail(self) -> str:
+        return self._why
+
     async def ended(self) -> int:
         return await asyncio.shield(self._end)
 
