--- a/tests/histories/plays.py
+++ b/tests/histories/plays.py
@@ -88,7 +88,11 @@
         rows.append(row(36.0, name, Kind.SETTLED, True, "six", 4))
     rows += [seen(35.4, "c", "c", "alive", "self", 1), row(36.0, "c", Kind.SETTLED, True, "six", 4)]
     # b leaves in order.
-    rows += [seen(50.0, "b", "b", "leaving", "self"), row(51.0, "b", Kind.END, "asked to")]
+    rows += [
+        seen(50.0, "b", "b", "leaving", "self"),
+        seen(50.9, "b", "b", "left", "self"),
+        row(51.0, "b", Kind.END, "asked to"),
+    ]
     for name in ("a", "c", "d:2"):
         rows += [seen(50.1, name, "b", "leaving"), row(50.1, name, Kind.SETTLED, False, "x", 4)]
         rows += [seen(51.1, name, "b", "left"), row(52.0, name, Kind.SETTLED, True, "seven", 3)]
@@ -163,6 +167,7 @@
     rows = day(60.0, ("shop", 20.0), ("shop", 50.0))
     for name in "ab":
         rows += [start(0.0, name), row(0.5, name, Kind.DOUBT, False, "ready")]
+        rows.append(row(0.1, name, Kind.CALENDAR, 7, "force", BEGIN - 9, ""))
         rows.append(row(20.3, name, Kind.CLOSED, "pune", 7, 1, BEGIN + 20.0, 1))
         rows.append(row(50.3, name, Kind.CLOSED, "pune", 7, 2, BEGIN + 50.0, 1))
         rows += [
