--- a/cypresspulley/closing/node.py
+++ b/cypresspulley/closing/node.py
@@ -19,7 +19,7 @@
 # same: RFC 9111, 3 and 4.1. ``Age`` stands on what somebody else has kept already.
 PRIVATE_REQUEST = re.compile(rb"(?im)^(?:range|if-[a-z-]+|cache-control|pragma|authorization|cookie):")
 PRIVATE_ANSWER = re.compile(
-    rb"(?im)^(?:set-cookie|vary|age|content-range|cache-control:.*\b(?:no-store|no-cache|private)\b)"
+    rb"(?im)^(?:set-cookie|vary|age|content-range|content-encoding|cache-control:.*\b(?:no-store|no-cache|private)\b)"
 )
 
 N = TypeVar("N", bound=Node)
--- a/tests/closing/test_node.py
+++ b/tests/closing/test_node.py
@@ -143,12 +143,13 @@
     "reply",
     [
         b"HTTP/1.1 200 OK\r\nSet-Cookie: a=b\r\nContent-Length: 2\r\n\r\nhi",
+        b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nhi",
         b"HTTP/1.1 200 OK\r\nVary: Accept\r\nContent-Length: 2\r\n\r\nhi",
         b"HTTP/1.1 200 OK\r\nCache-Control: max-age=3, no-store\r\nContent-Length: 2\r\n\r\nhi",
         b"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + b"x" * 70_000,
         b"HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nhi",
     ],
-    ids=["cookie", "vary", "no-store", "large", "error"],
+    ids=["cookie", "encoded", "vary", "no-store", "large", "error"],
 )
 def test_an_answer_that_is_not_for_all_is_large_or_no_answer_is_not_kept(reply: bytes) -> None:
     async def main() -> None:
