Tell those who are refused at the very end of a limiter when to come again

Need: what is given up is answered at once, with Retry-After. The refusal of half a request and of what comes in the last 0.2 s before the process ends had none.

Change: a 503 of the clients' side carries Retry-After: 0.5; only a limiter that ends says it.

Result: shown by test_what_still_comes_at_the_last_moment_is_refused_at_once, which fails without the header.

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -49,6 +49,7 @@
     256,
     3,
 )  # of the loop at most, and in a row with no new connection, until its queue counts as taken
+ELSEWHERE = 0.5  # seconds until a client that is refused at the very end has heard of other limiters
 SLOW = 2.5  # seconds that a head may take to come: clients take 2, and this process may be late
 FLOW_WINDOW = 2.0  # seconds over which a small body must come at ``RATE``
 LINGER = 0.5  # seconds that a refused sender's input is still drained, or it would not see why
@@ -155,6 +156,10 @@
             status, headers, body, retry_after = self.dialect.error(status, retry_after, why, left)
         self.answer_with(status, headers, body, retry_after)
 
+    def turn_away(self, status: int) -> None:
+        """Answer one that is not passed on; only a limiter that ends says 503, and others are a moment away."""
+        self.respond(status, retry_after=ELSEWHERE if status == 503 else None)
+
     def answer_with(self, status: int, headers: bytes, body: bytes, retry_after: float | None) -> None:
         """The one final answer, as it is."""
         if self.answer is not None or self.stream is not None:
@@ -552,7 +557,7 @@
         except BadRequestError as error:
             # Whoever sends this sends more of it: the connection goes with the answer.
             self._rejected, request.keep_alive = True, False
-            request.respond(error.status)
+            request.turn_away(error.status)
             raise  # and nothing behind it is parsed
         self._throttle()
 
@@ -721,7 +726,7 @@
             return self._cut(self._upload, status)
         last = ClientRequest(self, keep_alive=False)
         self._waiting.append(last)
-        last.respond(status)
+        last.turn_away(status)
 
     def _close(self) -> None:
         """Close behind an answer; a sender still busy is drained first, or a reset would eat the answer."""
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -291,6 +291,7 @@
             half.send(ask()[20:])
             await limiter.frontend.close(0.1)
             assert [await client.end() for client in (taken, half, fresh)] == [[504], [503], [503]]
+            assert b"Retry-After: 0.500\r\n" in half.seen and b"Retry-After: 0.500\r\n" in fresh.seen
             assert len(await script.until(api.Request)) == 1, "the decisions hear of it no more"
 
     run(main())
