Give a cold server its part first, at the load of the warm ones, and save up what N leaves

A limiter's dice said yes at each choice and the server was then taken one time in eight; budgets stood at their bound. Change: a cold server whose dice say so is taken first (fleet.py pick); the fill is min(0.7, 1/k) of N, so as busy as the warm ones; a budget saves up to 1/c - 1 times its fill over the settings' time, which keeps the mean in any such time at N whatever was silent before. Derivation in docs/design/large-fleet.md, test in tests/test_cold_budget.py.

--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -15,7 +15,7 @@
 LONGER = 3.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
 SELDOM = 2.0  # answers a second of a server, below which its reports tell more than they do
 FADE, FADED = 2.0, 8.0  # seconds in which a report fades, and is gone
-COLD = 0.7  # of a load that fells a cold server, against finished work: at most what it can do now, often half of it
+COLD = 0.7  # of the load that fells a cold server, the most it gets; see docs/design/large-fleet.md
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 
 
@@ -168,7 +168,9 @@
         well = [s for s in pool if s.out_until <= now and not (s.trial and s.open > 0) and s not in quiet]
         well = pool if all(s.out_until > now for s in up) else well  # every server is out: any beats none
         fit = [s for s in well if s.open + r.work * 0.5 <= max(stay * s.rate, least) * part]
-        fit = [s for s in fit if s.cold_at is None or self._cold_room(now, s, r)]
+        # A cold one whose part is there comes first: left to chance among all, a thin gate's parts went unused.
+        cold = [s for s in fit if s.cold_at is not None and self._cold_room(now, s, r)]
+        fit = cold or [s for s in fit if s.cold_at is None]
         return self._least(now, fit, r, rates)
 
     def _least(self, now: float, fit: list[Server], r: Request, rates: float) -> Server | None:
@@ -195,9 +197,12 @@
         low, age = self._set.cold_share, max(0.0, now - (s.cold_at or 0.0))
         warmth = low + (1 - low) * age / max(1e-9, self._set.warm_after)
         s.cold_at = s.cold_at if warmth < 1 else None
-        fill = COLD * self._set.fall_multiple * min(1.0, warmth) * self._done_rate
+        # As busy as the warm ones, and no more: what it may get beyond that without falling it could not do in time.
+        # Whatever was saved up, what fells it is the mean at most that all spend in its time.
+        part = min(COLD, 1 / max(1e-9, self._set.fall_multiple))
+        fill = part * self._set.fall_multiple * min(1.0, warmth) * self._done_rate
         s.budget += fill * (now - s.budget_at)
-        s.budget, s.budget_at = min(fill * self._set.fall_window * 0.5, s.budget), now
+        s.budget, s.budget_at = min(fill * self._set.fall_window * (1 / part - 1), s.budget), now
         # One request at each of hundreds of gates pushes it over: it passes as often as its part is there.
         return s.budget > r.work * self._rng.random()
 
