--- a/cypresspulley/lanes/course.py
+++ b/cypresspulley/lanes/course.py
@@ -94,13 +94,13 @@
         """Whether gates refuse far more than is wanted, while lower lanes could give way."""
         if found.over < TIGHT or found.pressed < 2:
             return False
-        wanted = shares(self._options.lanes, told, borne(told, self.bears)).passing
+        wanted = shares(self._options.lanes, told, borne(self._options.lanes, told, self.bears)).passing
         held = self.spell.inside
         return any(share * WHOLE < 0.9 * mine for share, mine in zip(wanted[1:], held[1:], strict=True))
 
     def turn(self, now: float, state: State, told: list[Told], maker: int) -> None:
         """Make the next revision: by all rows, and let no more pass than before while someone is not heard."""
-        bears = borne(told, None if self.spell.open else self.bears)
+        bears = borne(self._options.lanes, told, None if self.spell.open else self.bears)
         found = shares(self._options.lanes, told, bears)
         inside, beyond = found.passing, found.passing_beyond
         if any(row.stale for row in told):
--- a/cypresspulley/lanes/limiter.py
+++ b/cypresspulley/lanes/limiter.py
@@ -101,7 +101,9 @@
             self._state(found)
         self._publish(now, mine)
         if done.asked:
-            bears = course.bears if course.in_force else max(borne(told, None), found.asked)
+            bears = (
+                course.bears if course.in_force else max(borne(self._options.lanes, told, None), found.asked)
+            )
             self._report(done, shares(self._options.lanes, told, bears))
 
     def _viewless(self, now: float, told: list[Told]) -> bool:
--- a/cypresspulley/lanes/share.py
+++ b/cypresspulley/lanes/share.py
@@ -18,14 +18,15 @@
 from cypresspulley.lanes.rows import Figures
 from cypresspulley.policy.gate import REFERENCE
 
-WANTED = 0.5  # share of first tries let pass that is refused for want of room: some keep servers busy, and find room
-WANTED_FIRST = (
-    0.05  # share of what the first lane lets pass that is not sent on, whatever its clients try again
-)
+# What is wanted of the gates' refusals. Some of them keep servers busy; more of them lanes could have spared.
+WANTED = 0.5  # share of first tries let pass that is refused for want of room: most find room a moment later
+WANTED_FIRST = 0.05  # share of what the first lane lets pass that is never sent on
+WANTED_LANE = 0.3  # the same of any other lane
 ENTRY = 0.9  # of what was sent on while all was full: what is borne at first
 FALL, MOST_FALL = 0.05, 0.1  # of what is borne, a revision: for refusals of twice what is wanted; at most
 RISE = 0.15  # the same where nothing is refused
 LEAST_SENT, MOST_ASKED = 0.85, 1.1  # times what is sent on, and what is asked: between these it is held
+SEEN = 1.0  # units a second that a lane must let pass to tell anything
 FEW = 0.02  # share refused below which a limiter is not pressed
 
 
@@ -56,12 +57,13 @@
 @dataclass(frozen=True, slots=True)
 class Pressure:
     """Of the fleet, by its fresh rows. ``refused``: share of the first tries that lanes let pass which was refused for
-    want of room; ``first``: share of what the first lane that was asked let pass that was not sent on, repeats being
-    sent for what they repeat; ``load``: mean of the gates' readings by what each limiter let pass; ``pressed``:
-    limiters that refused; ``asked``: units a second inside quota."""
+    want of room; ``first``: share of what the first lane let pass that was not sent on, repeats being sent for what
+    they repeat; ``worst``: the same of the lane of which it is most; ``load``: mean of the gates' readings by what each
+    limiter let pass; ``pressed``: limiters that refused; ``asked``: units a second inside quota."""
 
     refused: float
     first: float
+    worst: float
     load: float
     pressed: int
     asked: float
@@ -81,7 +83,12 @@
     @property
     def over(self) -> float:
         """Refusals over what is wanted of them: 1 is as wanted, 0 leaves room unused."""
-        return max((self.refused + self.error) / WANTED, self.first / WANTED_FIRST)
+        return max(self.over_all, self.first / WANTED_FIRST)
+
+    @property
+    def over_all(self) -> float:
+        """The same, whichever lane they are of."""
+        return max((self.refused + self.error) / WANTED, self.worst / WANTED_LANE)
 
 
 def pressure(rows: Iterable[Told]) -> Pressure:
@@ -91,28 +98,43 @@
     passed = [math.fsum(f.passed for f in row.figures) for row in fresh]
     asked, whole = math.fsum(f.asked for row in fresh for f in row.figures), math.fsum(passed)
     if whole <= 0:
-        return Pressure(0.0, 0.0, 0.0, 0, asked)
+        return Pressure(0.0, 0.0, 0.0, 0.0, 0, asked)
     load = math.fsum(row.load * p for row, p in zip(fresh, passed, strict=True)) / whole
     pressed = sum(p > 0 and s >= FEW * p for s, p in zip(short, passed, strict=True))
-    first = 0.0
-    for lane in zip(*(row.figures for row in fresh), strict=True):
-        if (through := math.fsum(f.passed for f in lane)) > 0:
-            first = 1 - math.fsum(f.sent for f in lane) / through
-            break
-    return Pressure(min(1.0, math.fsum(short) / whole), max(0.0, first), load, pressed, asked)
+    lost = [_lost(lane) for lane in zip(*(row.figures for row in fresh), strict=True)]
+    return Pressure(
+        min(1.0, math.fsum(short) / whole), lost[0], max(lost[1:], default=0.0), load, pressed, asked
+    )
+
+
+def _lost(lane: Iterable[Figures]) -> float:
+    """The share of what a lane let pass that was not sent on; 0 for a lane of which next to nothing passed."""
+    figures = list(lane)
+    passed, sent = math.fsum(f.passed for f in figures), math.fsum(f.sent for f in figures)
+    return max(0.0, 1 - sent / passed) if passed >= SEEN else 0.0
 
 
-def borne(rows: Iterable[Told], before: float | None) -> float:
-    """What the fleet bears, units a second, by all rows and by what it was held to bear in the spell ``before``."""
+def borne(lanes: Sequence[Lane], rows: Iterable[Told], before: float | None) -> float:
+    """What the fleet bears, units a second, by all rows and by what it was held to bear ``before`` this revision."""
     told = sorted(rows, key=lambda row: row.owner)
     sent = math.fsum(f.sent for row in told for f in row.figures)
     if before is None:
         return ENTRY * sent
     asked = math.fsum(f.asked + f.over for row in told for f in row.figures)
-    over = pressure(told).over
-    change = RISE * (1 - over) ** 2 if over < 1 else -min(MOST_FALL, FALL * (over - 1))
+    found = pressure(told)
+    change = RISE * (1 - found.over) ** 2 if found.over < 1 else -min(MOST_FALL, FALL * (found.over - 1))
+    least = LEAST_SENT * sent
+    if found.over_all < 1:
+        # Only the first lane lacks room. It may have that of the others, but they cannot have less than their floors:
+        # below this it would give way itself, for what is one limiter's lack of room.
+        first = math.fsum(row.figures[0].asked for row in told)
+        kept, units = (
+            math.fsum(lane.floor for lane in lanes[1:]),
+            math.fsum(lane.floor_units for lane in lanes[1:]),
+        )
+        least = max(least, min(before, (first + units) / max(0.1, 1 - kept)))
     # Not held down by what is sent on: where few accounts pass and ask little, that says nothing of what is borne.
-    return max(LEAST_SENT * sent, min(before * (1 + change), max(before, MOST_ASKED * max(sent, asked))))
+    return max(least, min(before * (1 + change), max(before, MOST_ASKED * max(sent, asked))))
 
 
 def fill(
