--- a/cypresspulley/lanes/meter.py
+++ b/cypresspulley/lanes/meter.py
@@ -13,7 +13,9 @@
     2.0,
     8.0,
 )  # seconds of which figures are a mean; of which what is asked is one, while it is steady
-YOUNG = 5.0  # seconds of a limiter's life in which its refusals tell of itself: it knows no server's rate yet
+YOUNG = (
+    8.0  # seconds from the first try, in which refusals tell of this limiter: it knows no server's rate yet
+)
 STEADY = 3.0  # standard deviations by which tries in the window may be off the mean of the long one
 ROOM = ("gate", "no server")  # causes of a refusal for want of room; the others are the account's own affair
 OPEN_AT_MOST = 65_536  # tries whose first action has not come; a limiter has sockets for a few thousand
@@ -51,7 +53,8 @@
     """Counts tries, and follows each that a lane lets pass to its first action."""
 
     def __init__(self, lanes: int, period: float, now: float) -> None:
-        self._lanes, self._born, self._began = lanes, now, now
+        self._lanes, self._began = lanes, now
+        self._first: float | None = None  # when the period of the first try began
         self._recent = max(2, round(WINDOW / period))
         self._since = 0  # periods since thresholds changed
         self._done = deque[Period](maxlen=max(2, round(LONG / period)))
@@ -66,6 +69,7 @@
 
     def asked(self, lane: int, ev: api.Request, inside: bool, counts: bool) -> None:
         """A try has come; a first one ``counts`` for what its account asks. Repeats ask for nothing more."""
+        self._first = self._began if self._first is None else self._first
         sums = self._now.lanes[lane]
         self._now.tries += not ev.repeat
         if inside:
@@ -101,7 +105,7 @@
             return
         sums = self._now.lanes[lane]
         if why in ROOM:
-            sums.short += ev.units if self._began - self._born >= YOUNG else 0.0
+            sums.short += ev.units if self._began - (self._first or self._began) >= YOUNG else 0.0
         elif why != "attempts":  # the decisions know better: it was beyond its quota or a ceiling
             sums.let -= ev.units
 
--- a/cypresspulley/lanes/share.py
+++ b/cypresspulley/lanes/share.py
@@ -19,12 +19,13 @@
 from cypresspulley.policy.gate import REFERENCE
 
 # What is wanted of the gates' refusals. Some of them keep servers busy; more of them lanes could have spared.
-WANTED = 0.5  # share of first tries let pass that is refused for want of room: most find room a moment later
-WANTED_FIRST = 0.05  # share of what the first lane lets pass that is never sent on
+WANTED = 0.45  # share of first tries let pass that is refused for want of room: most find room a moment later
+WANTED_FIRST = 0.04  # share of what the first lane lets pass that is never sent on
 WANTED_LANE = 0.3  # the same of any other lane
 ENTRY = 0.9  # of what was sent on while all was full: what is borne at first
 FALL, MOST_FALL = 0.05, 0.1  # of what is borne, a revision: for refusals of twice what is wanted; at most
-RISE = 0.15  # the same where nothing is refused
+FULL = 0.6  # share refused from which what is sent on is all that servers do
+RISE = 0.25  # the same where nothing is refused
 LEAST_SENT, MOST_ASKED = 0.85, 1.1  # times what is sent on, and what is asked: between these it is held
 SEEN = 1.0  # units a second that a lane must let pass to tell anything
 FEW = 0.02  # share refused below which a limiter is not pressed
@@ -123,6 +124,9 @@
     asked = math.fsum(f.asked + f.over for row in told for f in row.figures)
     found = pressure(told)
     change = RISE * (1 - found.over) ** 2 if found.over < 1 else -min(MOST_FALL, FALL * (found.over - 1))
+    if found.refused + found.error >= FULL and sent < before:
+        # All is full, and less goes on than was thought: servers have gone.
+        return max(LEAST_SENT * sent, min(before * (1 + change), (before + sent) / 2))
     least = LEAST_SENT * sent
     if found.over_all < 1:
         # Only the first lane lacks room. It may have that of the others, but they cannot have less than their floors:
