--- a/cypresspulley/explore/examine.py
+++ b/cypresspulley/explore/examine.py
@@ -10,14 +10,15 @@
 from cypresspulley import interface as api
 from cypresspulley.explore.coverage import NO_FAULT, Pair
 from cypresspulley.explore.lifecycle import Ceilings, Fleet, Offence, Watch
+from cypresspulley.histories.verdict import NOTHING
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.judge import judge
 from cypresspulley.rehearsal.limiters import KitError, wire_settings
+from cypresspulley.rehearsal.play import mean_work
 from cypresspulley.rehearsal.scenario import Scenario
-from cypresspulley.rehearsal.virtual.handle import VirtualHandle
 from cypresspulley.rehearsal.virtual.loop import NothingLeftError, StuckError, VirtualLoop
-from cypresspulley.rehearsal.virtual.owner import Owner
+from cypresspulley.rehearsal.virtual.owner import Owner, VirtualHandle
 from cypresspulley.rehearsal.virtual.play import Observer, digest, play_virtual
 from cypresspulley.settings import settings_from
 
@@ -27,6 +28,7 @@
 # Timers that an exiting limiter may leave to the end of its process: each does nothing by then.
 LEFT_OVER = (
     "CounterClient._give_up",
+    "CounterClient._redial",
     "Node.feed",
     "Upstream._sweep",
     "Frontend._sweep",
@@ -100,8 +102,9 @@
             self._ceilings = Ceilings(settings.plans, settings.max_units)
         fleet = self.scenario.fleet
         facts = Fleet(
-            fleet.cores, {c.name: c.work_ms / 1000 for c in self.scenario.classes}, fleet.drain_grace
-        )
+            fleet.cores, {c.name: c.work_ms / 1000 for c in self.scenario.classes}, fleet.drain_grace,
+            mean_work(self.scenario),
+        )  # fmt: skip
         watch = Watch(name, settings, facts, self._ceilings, self._offended, self._met)
         self._watches[name] = watch, gateway
         return _Between(gateway, watch)
@@ -180,7 +183,7 @@
 
 
 def _judged(records: list[log.Record]) -> list[Find]:
-    verdict, finds = judge(records), list[Find]()
+    verdict, finds = judge(records), list[Find | None]()
     if verdict.crash:
         finds.append(Find("crash", verdict.crash))
     if verdict.void:
@@ -190,4 +193,12 @@
             Find(rule.rule, f"{v.limiter} at {v.t:.3f} s, {v.request}: {v.text}")
             for v in rule.violations[:MOST_SAID]
         ]
-    return finds
+    for one in verdict.histories:
+        finds += [_promise(one.name, text) for text in one.findings[:MOST_SAID]]
+    return [find for find in finds if find is not None]
+
+
+def _promise(checker: str, text: str) -> Find | None:
+    """A promise of what limiters do together that broke. That a short day put none to the test is no find."""
+    promise = text.partition(":")[0]
+    return None if promise == NOTHING else Find(f"{checker} {promise}", text.replace("\n", "; "))
--- /dev/null
+++ b/cypresspulley/fleet/detector.py
@@ -0,0 +1,551 @@
+"""The failure detector: from events (datagrams, the passing of time) to actions (datagrams, news). No I/O, no clock.
+
+What one member holds of another, and what changes it (SWIM; Lifeguard for suspicion and local health). A claim counts
+only where its rank is larger than the one held; "told" is a claim by any other member, "says" one by itself:
+
+    held           what happens                                      held from then on
+    -------------  ------------------------------------------------  ----------------------------------------------
+    unknown        says or told joining, alive, leaving, suspected   that
+    unknown        told left, dead                                   that (a tombstone)
+    joining        says alive                                        alive
+    joining,alive  a probe fails, direct and by others               suspected, by me
+    joining,alive  told suspected                                    suspected, by the teller
+    joining,alive  told dead                                         suspected, for a shorter time (see ``timing.told``)
+    joining,alive  says leaving (incarnation + 1)                    leaving
+    suspected      says alive with a larger incarnation              alive (refuted)
+    suspected      told suspected by one more, or my probe fails     suspected, for a shorter time
+    suspected      told dead                                         suspected, for the shorter time at most
+    suspected      its time is over, and I stand in no doubt         dead
+    leaving        a probe fails                                     left: a leaver is never suspected
+    leaving        says or told left                                 left
+    left, dead     says or told a larger incarnation or life         that
+    any            a larger life                                     that, in the state it comes with
+
+And of itself:
+
+    joining        another's whole view is here, or no seed to ask   alive
+    any            told of itself suspected, left or dead            the same state, incarnation above the one told
+    any            told of a later life of its own name              the same state, a life one above it
+    joining,alive  leave                                             leaving, incarnation + 1
+    any            end                                               left; nothing is said or heard from then on
+
+Only a member itself ever raises its incarnation or life. That a death that is told is first held as a suspicion gives
+the dead one the time to refute it before each view that hears of it: so no single member, slow or wrong, kills another.
+
+A process that stood still (its timers come late) has no ground to accuse: it lets its open probes go, gives its
+suspicions the time that it lost, and doubts itself for a while (local health).
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+from cypresspulley.fleet import timing, wire
+from cypresspulley.fleet.actions import (
+    Action,
+    Begin,
+    Changed,
+    Datagram,
+    End,
+    Event,
+    Leave,
+    Rose,
+    Settled,
+    Tick,
+)
+from cypresspulley.fleet.clocks import Clocks
+from cypresspulley.fleet.documents import Documents
+from cypresspulley.fleet.exchange import Exchange
+from cypresspulley.fleet.outbox import Outbox
+from cypresspulley.fleet.peers import Peers
+from cypresspulley.fleet.probes import Calls, Probes, Relay
+from cypresspulley.fleet.records import Member, State
+from cypresspulley.fleet.suspicion import Suspicions
+from cypresspulley.fleet.timers import Health, Timers
+from cypresspulley.fleet.view import View
+from cypresspulley.fleet.wire import Envelope
+
+STALE = 24 * 3600.0  # seconds that a datagram's wall clock may differ from this one
+MOST_RISES = 8  # of this process's life: beyond, another process has its name
+RECALLED = 3600.0  # seconds after its death that a member is still called
+GOSSIPS = 2  # datagrams a period that carry nothing but news
+LEAVE_WORDS = 8  # members that are told of an end directly
+
+
+class Detector:
+    """One member's detector. ``handle`` takes every event in order; ``due`` is when it next wants a ``Tick``.
+
+    ``period`` in seconds; ``seeds`` are addresses, this member's own may be among them. All draws are from ``rng``.
+    """
+
+    def __init__(
+        self, me: Member, codec: wire.Codec, seeds: tuple[str, ...], period: float, rng: Random
+    ) -> None:
+        self.view = View(me)
+        self.clocks = Clocks()
+        self.documents = Documents()
+        self.counts = Counter[str]()  # datagrams sent, taken, and dropped by cause
+        self.health = Health()
+        self.peers = Peers(self.view)
+        self._codec = codec
+        self._timers = Timers(period)
+        self._probes = Probes(self.view, rng)
+        self._calls = Calls(tuple(seed for seed in dict.fromkeys(seeds) if seed != me.address), rng)
+        self._suspicions = Suspicions(period)
+        self._outbox = Outbox(codec, self.view, self.counts)
+        self._exchange = Exchange(self.view, self._outbox, period)
+
+    def __repr__(self) -> str:
+        return f"<Detector {self.view!r}, {self.health!r}, {self._suspicions!r}>"
+
+    @property
+    def ended(self) -> bool:
+        return self.view.myself.state is State.LEFT
+
+    @property
+    def due(self) -> float:
+        """The instant of the next ``Tick``; infinity before ``Begin`` and after ``End``."""
+        return float("inf") if self.ended else self._timers.due
+
+    def handle(self, now: float, wall: float, event: Event) -> list[Action]:
+        """``now`` in seconds of a clock that never steps, ``wall`` Unix seconds by the wall clock."""
+        if self.ended:
+            return []
+        self._outbox.now, self._outbox.wall = now, wall
+        if late := self._timers.stalled(now):
+            self._probes.excuse()
+            self._suspicions.put_off(late)
+            self.health.stood_still(now, late, self._timers.period)
+            self.counts["stalls"] += 1
+        match event:
+            case Datagram(data):
+                self._receive(data)
+            case Tick():
+                while timer := self._timers.pop(now):
+                    _TIMERS[timer[0]](self, timer[1])
+            case Begin():
+                self._begin()
+            case Leave():
+                self._leave()
+            case End():
+                self._end()
+        return self._outbox.empty()
+
+    def settled(self) -> bool:
+        """Whether every other present member has last told the digest that is this one's own."""
+        return self.view.myself.state is not State.JOINING and self.peers.agree()
+
+    @property
+    def _now(self) -> float:
+        return self._outbox.now
+
+    def _after(self, periods: float, kind: str, key: str = "") -> None:
+        self._timers.after(self._now, periods, kind, key)
+
+    # Beginning and end
+
+    def _begin(self) -> None:
+        self._outbox.introduce()  # the view may have been filled before
+        self._changed(self.view.myself, "self")
+        self._after(self._probes.draw(), "period")
+        if self._calls.seeds:
+            self._seed("")
+        else:
+            self._arrive()
+
+    def _seed(self, _: str) -> None:
+        """Knock at some seeds, ever more seldom, until there is somebody."""
+        if self.view.present > 1 and self.view.myself.state is not State.JOINING:
+            return
+        for address in self._calls.knock():
+            self._ping("", address, counts=False)
+        self._after(self._calls.pause(), "seed")
+
+    def _arrive(self) -> None:
+        if self.view.myself.state is State.JOINING:
+            self._become(replace(self.view.myself, state=State.ALIVE), "self")
+
+    def _leave(self) -> None:
+        me = self.view.myself
+        if me.state < State.LEAVING:
+            self._become(replace(me, incarnation=me.incarnation + 1, state=State.LEAVING), "self")
+            self._part()
+
+    def _end(self) -> None:
+        me = self.view.myself
+        raised = me.incarnation + (me.state < State.LEAVING)
+        self._become(replace(me, incarnation=raised, state=State.LEFT), "self")
+        self._part()
+
+    def _part(self) -> None:
+        """Tell some members of this one's end directly: the rest hear it from them."""
+        for name in self._probes.others(LEAVE_WORDS):
+            self._outbox.say(name, wire.Gossip())
+
+    def _become(self, me: Member, cause: str) -> None:
+        """Hold this of myself, and say it."""
+        rose = me.life != self.view.myself.life
+        self.view.put(self._now, me)
+        record = self._outbox.introduce(rose)
+        if rose:
+            self.view.relive(self._now)
+            self._outbox.act(Rose(me.life))
+        self.view.queue.add((me.name, ""), record)
+        self._changed(me, cause)
+
+    # A period
+
+    def _period_over(self, _: str) -> None:
+        self._after(1, "period")
+        self._calls.periods += 1
+        self.view.turn(self._now)
+        if target := self._probes.next_target():
+            self._ping(target, self._address(target))
+        if len(self.view.queue):
+            for name in self._probes.others(GOSSIPS):
+                self._outbox.say(name, wire.Gossip())
+        recent = self._now - self.view.changed <= timing.CHECKED * self._timers.period
+        if recent and not self._suspicions:  # what is in suspense changes again
+            for name in self.peers.differing(timing.CHECKS):
+                self._ping(name, self._address(name), counts=False)
+        if self._calls.periods % timing.RECALL == 0:
+            self._recall()
+        for digest in self.documents.wanted():
+            self._fetch(digest)
+        self._see_settled()
+
+    def _recall(self) -> None:
+        """A word to one that is not in the view, so that a cut that ends is noticed."""
+        dead = [(m.name, m.address) for m in self.view.ended(self._now, RECALLED)]
+        held = {m.address for m in self.view.members()} if self._calls.seeds else set()
+        if call := self._calls.recall(dead, held):
+            self._ping(*call, counts=False)
+        for name in self.peers.unknown():  # its tombstone is gone
+            self._forget(name)
+
+    def _see_settled(self) -> None:
+        settled = self.settled()
+        if settled != self.peers.settled:
+            self.peers.settled = settled
+            self._outbox.act(Settled(settled, self.view.digest, self.view.present))
+
+    def _address(self, name: str) -> str:
+        member = self.view.get(name)
+        return "" if member is None else member.address
+
+    # Probes
+
+    def _ping(self, name: str, address: str, counts: bool = True) -> None:
+        nonce = self._probes.begin(self._now, self._timers.number(), name, counts)
+        stretch = 1 + self.health.value
+        if counts:
+            self._after(timing.DIRECT * stretch, "direct", str(nonce))
+        self._after(timing.WHOLE * stretch, "failed", str(nonce))
+        held = self.view.get(name)
+        doubted = [name] if held is not None and held.state >= State.SUSPECTED else []
+        self._outbox.post(address, wire.Ping(nonce, name), doubted)
+
+    def _direct_over(self, key: str) -> None:
+        probe = self._probes.get(int(key))
+        if probe is None or not probe.counts:
+            return
+        drawn = self._probes.others(timing.ASKED + 1)
+        helpers = [name for name in drawn if name != probe.target][: timing.ASKED]
+        probe.asked = len(helpers)
+        for name in helpers:
+            self._outbox.say(name, wire.Ask(int(key), probe.target, self._address(probe.target)))
+
+    def _failed(self, key: str) -> None:
+        probe = self._probes.end(int(key))
+        if probe is None or not probe.counts:
+            return
+        if (
+            probe.missed < probe.asked or not probe.asked
+        ):  # a helper says nothing: it may be me who hears badly
+            self.health.feel(1)
+        held = self.view.get(probe.target)
+        if held is None or held.life != probe.life:
+            return
+        if held.state is State.LEAVING:
+            self._take(replace(held, state=State.LEFT), "probe", self.view.me)
+        elif held.state <= State.SUSPECTED:
+            self._take(replace(held, state=State.SUSPECTED), "probe", self.view.me)
+
+    def _relay_over(self, key: str) -> None:
+        if relay := self._probes.end_relay(int(key)):
+            self._outbox.post(relay.address, wire.Missed(relay.nonce))
+
+    # Suspicion
+
+    def _suspicion_over(self, name: str) -> None:
+        until, held = self._suspicions.until(name, self.view.present), self.view.get(name)
+        if until is None or held is None:
+            return
+        if until > self._now or self._now < self.health.doubt_until:
+            self._watch(name, max(until, self.health.doubt_until))
+            return
+        suspicion = self._suspicions.end(name)
+        cause = "told" if suspicion is not None and suspicion.told else "probe"
+        self._hold(replace(held, state=State.DEAD), cause, self.view.me)
+
+    def _watch(self, name: str, until: float) -> None:
+        self._timers.at(max(until, self._now + 1e-3), "suspicion", name)
+
+    def _accuse(self, name: str, by: str, told: bool) -> None:
+        """One more that suspects the member, or holds it dead: the time is shorter from here on."""
+        new, until = self._suspicions.accuse(self._now, name, by, told, self.view.present)
+        if new:
+            self.view.queue.add((name, ""), self.view.entry(name, by))
+        if until is not None:
+            self._watch(name, until)
+
+    # Claims
+
+    def _known(self, entry: wire.Entry, by: str) -> bool:
+        """Whether the claim surely changes nothing: most do not, and this is quicker than to take them."""
+        held = self.view.get(entry.name)
+        if held is None or entry.life != held.life or entry.incarnation != held.incarnation:
+            return held is not None and (entry.life, entry.incarnation) < (held.life, held.incarnation)
+        if entry.state < held.state:
+            return True
+        suspicion = self._suspicions.get(entry.name)
+        if suspicion is None:
+            return entry.state == held.state and entry.zone == held.zone and entry.address == held.address
+        dead = suspicion.told and entry.state is State.DEAD
+        return suspicion.accused(by) and (entry.state is State.SUSPECTED or dead)
+
+    def _take(self, claim: Member, cause: str, by: str) -> None:
+        """A claim about a member, ``by`` its maker where it accuses."""
+        if claim.name == self.view.me:
+            self._take_of_me(claim)
+            return
+        held = self.view.get(claim.name)
+        if claim.state is State.DEAD and held is not None and held.state.present and claim.rank > held.rank:
+            said = replace(claim, state=State.SUSPECTED)
+            if said.rank > held.rank:
+                self._hold(said, cause, by)
+            self._accuse(claim.name, by, True)
+            return
+        if held is not None and claim.rank == held.rank:
+            if claim.state is State.SUSPECTED:
+                self._accuse(claim.name, by, False)
+            if self.view.merge(self._now, claim):  # another zone or address: the same life has spoken twice
+                self.view.queue.add((claim.name, ""), self.view.entry(claim.name, by))
+            return
+        self._hold(claim, cause, by)
+        if claim.state is State.SUSPECTED and self.view.get(claim.name) == claim:
+            self._accuse(claim.name, by, False)
+
+    def _hold(self, claim: Member, cause: str, by: str) -> None:
+        held = self.view.get(claim.name)
+        if not self.view.merge(self._now, claim):
+            return
+        if claim.state is not State.SUSPECTED or (held is not None and held.rank[:2] != claim.rank[:2]):
+            self._suspicions.end(claim.name)
+        if held is not None and held.life != claim.life:
+            self._forget(claim.name)
+        if held is not None and held.life == claim.life and claim.state < State.SUSPECTED <= held.state:
+            cause = "refuted"
+        self.view.queue.add((claim.name, ""), self.view.entry(claim.name, by))
+        if held is None and claim.state.present:
+            self._probes.joined(claim.name)
+        if held is not None or claim.state.present:  # one that was never held here has not died here
+            self._changed(claim, cause)
+
+    def _forget(self, name: str) -> None:
+        self.peers.forget(name)
+        self.clocks.forget(name)
+
+    def _take_of_me(self, claim: Member) -> None:
+        me = self.view.myself
+        if claim.life > me.life:
+            self.counts["risen"] += 1
+            if self.counts["risen"] <= MOST_RISES:
+                self._become(replace(me, life=claim.life + 1, incarnation=0), "self")
+        elif claim.life == me.life and claim.rank > me.rank:
+            if claim.state >= State.SUSPECTED:
+                self.health.feel(1)
+            self._become(replace(me, incarnation=claim.incarnation + 1), "refuted")
+
+    def _changed(self, member: Member, cause: str) -> None:
+        self._outbox.act(Changed(member, cause))
+        if self.peers.settled:
+            self._see_settled()
+
+    # Datagrams in
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            envelope = self._codec.decode(data)
+        except wire.Unreadable as error:
+            self.counts[error.cause] += 1
+            return
+        sender = envelope.me
+        if abs(envelope.wall / 1000 - self._outbox.wall) > STALE:
+            self.counts["stale"] += 1
+        elif sender.name == self.view.me:  # an echo, or another life of mine that still speaks
+            self.counts["own"] += 1
+            self._take_of_me(sender.member())
+        elif not self.peers.fresh(envelope):
+            self.counts["replayed"] += 1
+        else:
+            self.counts["taken"] += 1
+            self._hear(envelope)
+
+    def _hear(self, envelope: Envelope) -> None:
+        sender = envelope.me
+        self._take(sender.member(), "told", sender.by)
+        for entry in envelope.entries:
+            if not self._known(entry, entry.by or sender.name):
+                self._take(entry.member(), "told", entry.by or sender.name)
+        for cell in envelope.cells:
+            self.view.merge_row(self._now, cell)
+        held = self.view.get(sender.name)
+        if held is None:  # no room for it
+            self.counts["full"] += 1
+            return
+        if held.life == sender.life:
+            self.peers.note(self._now, envelope)
+            self.view.confirm(self._now, sender.name, sender.life, envelope.versions)
+        _MESSAGES[type(envelope.message)](self, envelope)
+        self._see_difference(envelope)
+
+    def _better_of(self, sender: wire.Entry) -> list[str]:
+        """The sender's name, where more is known of it than it says itself."""
+        held = self.view.get(sender.name)
+        return [sender.name] if held is not None and held.rank > sender.member().rank else []
+
+    def _see_difference(self, envelope: Envelope) -> None:
+        """Tell the sender what it does not know of itself; compare views where digests differ."""
+        sender, held = envelope.me, self.view.get(envelope.me.name)
+        if held is None:
+            return
+        better = [] if isinstance(envelope.message, wire.Ping) else self._better_of(sender)
+        if better and self.peers.may_amend(self._now, sender, self._timers.period):
+            self._outbox.post(sender.address, wire.Gossip(), better)
+        joining = self.view.myself.state is State.JOINING
+        differ = (envelope.members, envelope.rows) != (self.view.digest, self.view.rows_digest)
+        if (differ or joining) and held.state.present and self._exchange.due(joining):
+            self._exchange.begin(self._timers.number(), sender.address)
+
+    def _on_ping(self, envelope: Envelope) -> None:
+        ping, sender = envelope.message, envelope.me
+        assert isinstance(ping, wire.Ping)
+        if ping.to and ping.to != self.view.me:
+            self.counts["astray"] += 1
+            return
+        self._outbox.post(sender.address, wire.Ack(ping.nonce), self._better_of(sender))
+
+    def _on_ack(self, envelope: Envelope) -> None:
+        ack, sender = envelope.message, envelope.me
+        assert isinstance(ack, wire.Ack)
+        if (relay := self._probes.relayed(ack.nonce)) is not None:
+            if relay.target == sender.name:
+                self._probes.end_relay(ack.nonce)
+                self._outbox.post(relay.address, wire.Reached(relay.nonce))
+            return
+        probe = self._probes.answered(ack.nonce, sender.name, sender.life)
+        if probe is None:
+            self.counts["unasked"] += 1
+            return
+        if probe.counts:
+            self.health.feel(-1)
+        self.clocks.answered(sender.name, probe.sent, self._now, envelope.wall / 1000)
+
+    def _on_ask(self, envelope: Envelope) -> None:
+        ask = envelope.message
+        assert isinstance(ask, wire.Ask)
+        relay = Relay(envelope.me.address, ask.nonce, ask.to)
+        nonce = self._probes.relay(self._timers.number(), relay)
+        if nonce is None:
+            self.counts["relays refused"] += 1
+            return
+        self._after(timing.DIRECT, "relay", str(nonce))
+        self._outbox.post(ask.address, wire.Ping(nonce, ask.to))
+
+    def _on_reached(self, envelope: Envelope) -> None:
+        assert isinstance(envelope.message, wire.Reached)
+        probe = self._probes.get(envelope.message.nonce)
+        if probe is not None and probe.counts and probe.asked:
+            self._probes.end(envelope.message.nonce)
+            self.health.feel(-1)
+
+    def _on_missed(self, envelope: Envelope) -> None:
+        assert isinstance(envelope.message, wire.Missed)
+        probe = self._probes.get(envelope.message.nonce)
+        if probe is not None and probe.missed < probe.asked:
+            probe.missed += 1
+
+    def _on_gossip(self, envelope: Envelope) -> None:
+        """What stands beside it has been taken."""
+
+    def _on_compare(self, envelope: Envelope) -> None:
+        self._exchange.on_compare(envelope)
+
+    def _on_piece(self, envelope: Envelope) -> None:
+        assert isinstance(envelope.message, wire.Piece)
+        if not self._exchange.takes(envelope.message):
+            self.counts["unasked"] += 1
+            return
+        if envelope.message.last:
+            self._arrive()
+        self._exchange.on_piece(envelope)
+
+    def _on_amend(self, envelope: Envelope) -> None:
+        self._exchange.on_amend(envelope)
+
+    # Documents
+
+    def _fetch(self, digest: bytes, name: str = "") -> None:
+        """Ask one member, drawn where none is named, for the next parts."""
+        request = self.documents.request(digest)
+        names = [name] if name else self._probes.others(1)
+        if request is not None and names:
+            self._outbox.say(names[0], request)
+
+    def _on_fetch(self, envelope: Envelope) -> None:
+        assert isinstance(envelope.message, wire.Fetch)
+        address = envelope.me.address
+        parts = self.documents.parts(envelope.message)
+        if parts is None:
+            self._outbox.post(address, wire.Lacks(envelope.message.digest))
+        for part in parts or ():
+            self._outbox.send(address, wire.raw(part), [], [])
+
+    def _on_part(self, envelope: Envelope) -> None:
+        assert isinstance(envelope.message, wire.Part)
+        if self.documents.take(envelope.message):
+            self._fetch(envelope.message.digest, envelope.me.name)
+
+    def _on_lacks(self, envelope: Envelope) -> None:
+        assert isinstance(envelope.message, wire.Lacks)
+        if self.documents.try_another():
+            self._fetch(envelope.message.digest)
+
+
+_TIMERS: dict[str, Callable[[Detector, str], None]] = {
+    "period": Detector._period_over,
+    "seed": Detector._seed,
+    "direct": Detector._direct_over,
+    "failed": Detector._failed,
+    "relay": Detector._relay_over,
+    "suspicion": Detector._suspicion_over,
+}
+
+_MESSAGES: dict[type, Callable[[Detector, Envelope], None]] = {
+    wire.Ping: Detector._on_ping,
+    wire.Ack: Detector._on_ack,
+    wire.Ask: Detector._on_ask,
+    wire.Reached: Detector._on_reached,
+    wire.Missed: Detector._on_missed,
+    wire.Gossip: Detector._on_gossip,
+    wire.Compare: Detector._on_compare,
+    wire.Piece: Detector._on_piece,
+    wire.Amend: Detector._on_amend,
+    wire.Fetch: Detector._on_fetch,
+    wire.Part: Detector._on_part,
+    wire.Lacks: Detector._on_lacks,
+}
--- a/cypresspulley/policy/fleet.py
+++ b/cypresspulley/policy/fleet.py
@@ -2,41 +2,23 @@
 
 import math
 from collections.abc import Iterable
-from hashlib import blake2b
 from random import Random
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Effect, Status
 from cypresspulley.policy.gate import AIM_SHARE, INTERVAL, PLAIN_ROOM, REFERENCE, RESERVE, Gate
 from cypresspulley.policy.request import Request
+from cypresspulley.policy.server import Server
 
 KNOWN = 4096  # names of servers that are kept to tell operators which were never listed
 FEW = 8  # servers that a thin gate keeps to
 LONGER = 3.0  # of its work beyond that of the class of the shortest aim, what a request may add to the queue
 SELDOM = 2.0  # answers a second of a server, below which its reports tell more than they do
 FADE, FADED = 2.0, 8.0  # seconds in which a report fades, and is gone
-COLD = 0.7  # of a load that fells a cold server, against finished work: at most what it can do now, often half of it
+COLD = 0.7  # of the load that fells a cold server, the most it gets; see docs/design/large-fleet.md
 ANSWERED = (Status.OK, Status.ERROR, Status.FULL, Status.REJECTED)
 
 
-class Server:
-    def __init__(self, entry: api.ServerEntry) -> None:
-        self.entry, self.up, self.place = entry, True, blake2b(entry.name.encode(), digest_size=8).digest()
-        self.open = self.done = self.rate = 0.0  # own work: out, since the last tick, a second
-        self.slow = self.fails = 0.0  # latency over idle latency (0: unknown); share of broken attempts
-        self.out_until = self.out_for = self.budget = self.budget_at = 0.0
-        self.trial = self.lost = self.gone = False
-        # Requests in hand by its last report; when; sent since.
-        self.told, self.told_at, self.since = 0.0, -1e9, 0
-        self.row, self.broke = 0, 0.0  # breaks with no answer in between; when the last came
-        self.quiet: float | None = None  # since when it owes answers and gives none
-        self.cold_at: float | None = None
-
-    def ended(self, work: float) -> None:
-        # Floating sums leave a remainder, and a server on trial that seems to have work out is asked no more.
-        self.open = left if (left := self.open - work) > 1e-9 else 0.0
-
-
 class Sizes:
     """How the work of a request grows with its units: a straight line through the mean, its slope a least-squares
     fit of latency on units, each as a share of its mean. Queueing adds to all alike and does not bend it."""
@@ -186,7 +168,9 @@
         well = [s for s in pool if s.out_until <= now and not (s.trial and s.open > 0) and s not in quiet]
         well = pool if all(s.out_until > now for s in up) else well  # every server is out: any beats none
         fit = [s for s in well if s.open + r.work * 0.5 <= max(stay * s.rate, least) * part]
-        fit = [s for s in fit if s.cold_at is None or self._cold_room(now, s, r)]
+        # A cold one whose part is there comes first: left to chance among all, a thin gate's parts went unused.
+        cold = [s for s in fit if s.cold_at is not None and self._cold_room(now, s, r)]
+        fit = cold or [s for s in fit if s.cold_at is None]
         return self._least(now, fit, r, rates)
 
     def _least(self, now: float, fit: list[Server], r: Request, rates: float) -> Server | None:
@@ -213,9 +197,12 @@
         low, age = self._set.cold_share, max(0.0, now - (s.cold_at or 0.0))
         warmth = low + (1 - low) * age / max(1e-9, self._set.warm_after)
         s.cold_at = s.cold_at if warmth < 1 else None
-        fill = COLD * self._set.fall_multiple * min(1.0, warmth) * self._done_rate
+        # As busy as the warm ones, and no more: what it may get beyond that without falling it could not do in time.
+        # Whatever was saved up, what fells it is the mean at most that all spend in its time.
+        part = min(COLD, 1 / max(1e-9, self._set.fall_multiple))
+        fill = part * self._set.fall_multiple * min(1.0, warmth) * self._done_rate
         s.budget += fill * (now - s.budget_at)
-        s.budget, s.budget_at = min(fill * self._set.fall_window * 0.5, s.budget), now
+        s.budget, s.budget_at = min(fill * self._set.fall_window * (1 / part - 1), s.budget), now
         # One request at each of hundreds of gates pushes it over: it passes as often as its part is there.
         return s.budget > r.work * self._rng.random()
 
--- a/cypresspulley/rehearsal/judge.py
+++ b/cypresspulley/rehearsal/judge.py
@@ -33,15 +33,25 @@
     faults: tuple[log.Happened, ...]
     limiters: tuple[log.Usage, ...]
     kills: int
+    histories: tuple[log.Checked, ...] = ()
+    wanted: tuple[log.Wanted, ...] = ()
 
     @property
     def kept(self) -> bool:
-        return all(rule.kept for rule in self.rules)
+        """Whether no rule is broken, and no promise of what limiters do together."""
+        return all(rule.kept for rule in self.rules) and not any(one.findings for one in self.histories)
 
     @property
     def met(self) -> bool:
         """Whether all rules were kept and the scenario's goal was reached, in a run that counts."""
-        return not self.void and not self.crash and self.kept and self.service.service >= self.day.goal
+        return not self.void and not self.crash and self.kept and not self.missed
+
+    @property
+    def missed(self) -> tuple[str, ...]:
+        """The goals that were missed, in words."""
+        figures = [("service", self.service.service, self.day.goal)]
+        figures += [(r.plan, self.service.by_plan.get(r.plan, 1.0), r.service) for r in self.wanted]
+        return tuple(f"{name} {got:.3f} is under {goal:.2f}" for name, got, goal in figures if got < goal)
 
     @property
     def lost(self) -> int:
@@ -62,6 +72,7 @@
                  "violations": [_violation(v) for v in rule.violations]}
                 for rule in self.rules
             ],
+            **({"histories": [_checked(one) for one in self.histories]} if self.histories else {}),
             "counts": {**self.service.counts, "lost": self.lost},
             "faults": [asdict(fault) for fault in self.faults],
             "limiters": {u.limiter: {"cpu_seconds": round(u.cpu_seconds, 3) if u.measured else None,
@@ -76,6 +87,15 @@
     return {key: round(value, 4) for key, value in table.items()}
 
 
+def _checked(one: log.Checked) -> dict[str, Any]:
+    return {
+        "name": one.name,
+        "kept": not one.findings,
+        "checked": one.checked,
+        "findings": list(one.findings),
+    }
+
+
 def _violation(v: Violation) -> dict[str, Any]:
     return {"time": round(v.t, 4), "limiter": v.limiter, "request": v.request, "text": v.text}
 
@@ -96,6 +116,8 @@
         faults=tuple(r for r in line.records if isinstance(r, log.Happened)),
         limiters=tuple(r for r in line.records if isinstance(r, log.Usage)),
         kills=sum(isinstance(r, log.LimiterState) and r.what == "killed" for r in line.records),
+        histories=tuple(r for r in line.records if isinstance(r, log.Checked)),
+        wanted=tuple(r for r in line.records if isinstance(r, log.Wanted)),
     )  # fmt: skip
 
 
--- a/cypresspulley/rehearsal/virtual/network.py
+++ b/cypresspulley/rehearsal/virtual/network.py
@@ -19,13 +19,10 @@
 from collections.abc import Callable
 from contextvars import Context
 from random import Random
-from typing import TYPE_CHECKING, Any, cast
+from typing import Any, Protocol, cast
 
-from cypresspulley.rehearsal.virtual.handle import VirtualHandle
-from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
-
-if TYPE_CHECKING:
-    from cypresspulley.rehearsal.virtual.loop import VirtualLoop
+from cypresspulley.rehearsal.virtual.datagrams import DatagramSocket
+from cypresspulley.rehearsal.virtual.owner import OWNER, Owner, VirtualHandle
 
 HIGH = 64 * 1024  # bytes that a transport holds before it says pause_writing
 KERNEL = 128 * 1024  # bytes that lie between two ends while the reader reads nothing
@@ -35,6 +32,18 @@
 Address = tuple[str, int]
 
 
+class Times(Protocol):
+    """What the network asks of the loop that it belongs to."""
+
+    def time(self) -> float: ...
+
+    def call_later(
+        self, delay: float, callback: Any, *args: Any, context: Context | None = None
+    ) -> VirtualHandle: ...
+
+    def create_future(self) -> asyncio.Future[Any]: ...
+
+
 class Path:
     """One direction of a connection: bytes under way, and when they come."""
 
@@ -320,12 +329,13 @@
 class VirtualNetwork:
     """All listeners and connections of one loop. ``bandwidth`` is bytes a second of each way; 0: no bound."""
 
-    def __init__(self, loop: VirtualLoop, seed: int, bandwidth: float = 0.0) -> None:
+    def __init__(self, loop: Times, seed: int, bandwidth: float = 0.0) -> None:
         self.loop, self.rng, self.bandwidth = loop, Random(seed), bandwidth
         self.listeners = dict[Address, VirtualServer]()
         # What a program may ask of a connection's socket (options, unread bytes): one that is never connected.
         self.bare_socket = socket.socket()
         self.open = dict[VirtualTransport, None]()
+        self.sockets = dict[Address, DatagramSocket]()
         self._cuts = set[frozenset[str]]()
         self._last_port = FIRST_PORT
 
@@ -346,6 +356,8 @@
             server.close()
         for end in [end for end in self.open if end.owner is owner]:
             end.bury()
+        for bound in [bound for bound in self.sockets.values() if bound.owner is owner]:
+            bound.bury()
 
     def close(self) -> None:
         self.bare_socket.close()
@@ -373,6 +385,16 @@
         server = self.listeners[address] = VirtualServer(self, factory, address)
         return server
 
+    def bind(self, factory: Callable[[], Any], host: str, port: int) -> tuple[DatagramSocket, Any]:
+        """A socket for datagrams, as its owner's that asks for it."""
+        address = (host, port or self._port())
+        if address in self.sockets:
+            raise OSError(98, f"address already in use: {host}:{address[1]}")
+        protocol = factory()
+        bound = DatagramSocket(self, self.sockets, address, protocol)
+        bound.open()
+        return bound, protocol
+
     def _port(self) -> int:
         self._last_port += 1
         return self._last_port
