--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -454,6 +454,14 @@
     assert "ran late" in verdict.void and not verdict.met and verdict.kept
 
 
+@pytest.mark.parametrize(("late", "void"), [((0.1,), False), ((0.1, 0.1), True), ((0.45,), True)])
+def test_one_stall_of_a_short_day_is_no_percentile(late: tuple[float, ...], void: bool) -> None:
+    story = Story()
+    story.records += [log.Lateness(n * 0.05, 0.001) for n in range(60)]
+    story.records += [log.Lateness(3.0 + n, each) for n, each in enumerate(late)]
+    assert bool(judge(story.done()).void) is void
+
+
 def test_a_crashed_limiter_fails_the_day() -> None:
     story = Story()
     story.limiter(3.0, "n0", "crashed")
