Draw the same examples each time, and judge none by the clock

Ten properties of tests/plans had hypothesis' usual deadline of 200 ms and its random examples: under load, and by chance, another verdict each time. All others had neither.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,9 +11,16 @@
 import os
 
 import pytest
+from hypothesis import HealthCheck, settings
 
 GIVE_WAY = 5  # steps of niceness by which workers of other tests stand behind
 
+# The same examples each time, and no verdict by the clock: how long one takes is other work's doing as well.
+settings.register_profile(
+    "here", derandomize=True, deadline=None, suppress_health_check=[HealthCheck.too_slow]
+)
+settings.load_profile("here")
+
 _priority = {"lowered": False}
 
 
