State the bound on inversions at a limiter's start, and tell of promises that were not put to the test

Cause: in whole plays 'no inversion' was never judged, since no start stated its bound (together.py now does), and nobody could see it: verdicts now list all promises with how often each was judged, 0 among them.

--- a/cypresspulley/histories/check_closing.py
+++ b/cypresspulley/histories/check_closing.py
@@ -39,12 +39,22 @@
 from cypresspulley.histories.verdict import Line, Tally, Verdict, line
 
 NAME = "closing"
+PROMISES = (
+    "gone at close",
+    "never back",
+    "fired once",
+    "lost by none",
+    "yes means gone",
+    "purged in time",
+    "doubt",
+    "one generation",
+)
 SURE = 1.0  # seconds without doubt in which a limiter notices what its clock has brought
 
 
 def check(histories: Histories) -> Verdict:
     """The verdict on closing; a play in which nothing was kept, closed or purged is a finding."""
-    tally, times = Tally(NAME), Timeline(histories)
+    tally, times = Tally(NAME, PROMISES), Timeline(histories)
     truth = _Truth(times)
     if histories.harness is not None:
         talk = _Talk(histories.harness)
--- a/cypresspulley/histories/check_fleet.py
+++ b/cypresspulley/histories/check_fleet.py
@@ -23,6 +23,15 @@
 from cypresspulley.histories.verdict import Line, Tally, Verdict, line
 
 NAME = "fleet"
+PROMISES = (
+    "suspected first",
+    "no false death",
+    "no old row",
+    "no way back",
+    "detected",
+    "settled",
+    "leaver in peace",
+)
 # Of one life and incarnation the later holds.
 RANKS = {"joining": 0, "alive": 1, "leaving": 2, "suspected": 3, "left": 4, "dead": 5}
 GONE = frozenset(("left", "dead"))
@@ -30,7 +39,7 @@
 
 def check(histories: Histories) -> Verdict:
     """The verdict on the fleet's view; a play in which nothing of it can be judged is a finding."""
-    tally, times = Tally(NAME), Timeline(histories)
+    tally, times = Tally(NAME, PROMISES), Timeline(histories)
     told = [_Told(life) for life in times.lives]
     origins = _origins(told)
     for one in told:
--- a/cypresspulley/histories/check_lanes.py
+++ b/cypresspulley/histories/check_lanes.py
@@ -24,6 +24,14 @@
 from cypresspulley.histories.verdict import Line, Tally, Verdict, line
 
 NAME = "lanes"
+PROMISES = (
+    "sums",
+    "floor",
+    "calm",
+    "excess first",
+    "no inversion",
+    "same verdict",
+)
 CALM, SHEDDING = "calm", "shedding"
 IN_FORCE = frozenset((SHEDDING, "easing"))  # lanes turn away in both
 ROUNDING = 1e-6  # of sums of floats, as a share
@@ -35,7 +43,7 @@
 
 def check(histories: Histories) -> Verdict:
     """The verdict on lanes; a play in which no lane judged anything is a finding."""
-    tally = Tally(NAME)
+    tally = Tally(NAME, PROMISES)
     for history in histories.lives:
         _sums(tally, history)
         _calm(tally, history)
--- a/cypresspulley/histories/verdict.py
+++ b/cypresspulley/histories/verdict.py
@@ -79,15 +79,20 @@
         return not self.findings
 
     def as_json(self) -> dict[str, Any]:
+        """``promises`` beside the rest: one with 0 was not put to the test, whatever the verdict says of the others."""
         found = [finding.as_json() for finding in self.findings]
-        return {"name": self.name, "kept": self.kept, "checked": self.checked, "findings": found}
+        return {
+            "name": self.name, "kept": self.kept, "checked": self.checked, "findings": found,
+            "promises": self.promises,
+        }  # fmt: skip
 
 
 class Tally:
     """Counts what was checked and gathers what was found, while a checker runs."""
 
-    def __init__(self, name: str) -> None:
-        self._name, self._checked, self._found = name, Counter[str](), dict[tuple[Any, ...], Finding]()
+    def __init__(self, name: str, promises: Iterable[str]) -> None:
+        self._name, self._found = name, dict[tuple[Any, ...], Finding]()
+        self._checked = Counter(dict.fromkeys(promises, 0))
 
     def checked(self, promise: str, times: int = 1) -> None:
         self._checked[promise] += times
--- a/cypresspulley/together.py
+++ b/cypresspulley/together.py
@@ -11,7 +11,8 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from cypresspulley import interface as api
-from cypresspulley.fleet.limiter import Fleet
+from cypresspulley.fleet import timing
+from cypresspulley.fleet.limiter import SIZE, Fleet
 from cypresspulley.fleet.options import options_from as fleet_options
 from cypresspulley.histories.clock import ShiftedClock
 from cypresspulley.histories.writer import AnyHistory, History, NoHistory
@@ -53,6 +54,13 @@
             path, table = operators.closing
             keeping = closing_options(table, path, settings)
             bounds = keeping.bounds
+        if operators.lanes is not None:
+            from cypresspulley.lanes.limiter import inversion_bound
+            from cypresspulley.lanes.options import options_from as lanes_options
+
+            path, table = operators.lanes
+            spread = timing.spread(max(SIZE, len(options.seeds))) * options.period
+            bounds |= {"inversion": inversion_bound(lanes_options(table, path, settings), spread)}
         self.fleet = Fleet(options, name, settings.zone, seed, clock, wall, self.history, bounds)
         self._clock, self._wall, self._settings, self._operators = clock, wall, settings, operators
         self.lanes: Lanes | None = None
--- a/tests/histories/test_checkers.py
+++ b/tests/histories/test_checkers.py
@@ -159,7 +159,7 @@
     verdict = CHECKERS[name](histories(PLAYS[name]()))
     assert verdict.kept, verdict.findings
     promises = {promise for checker, promise, _, _ in TAMPERED if checker == name}
-    assert promises <= {promise for promise, times in verdict.promises.items() if times}
+    assert promises == set(verdict.promises) and all(verdict.promises.values())
 
 
 @pytest.mark.parametrize(
@@ -187,7 +187,7 @@
         ("fleet", True, True),
         ("lanes", False, False),
     ]
-    assert all(set(one) == {"name", "kept", "checked", "findings"} for one in told)
+    assert all(set(one) == {"name", "kept", "checked", "findings", "promises"} for one in told)
     with pytest.raises(ValueError, match="expected one of fleet, lanes, closing"):
         check_all(histories(day(1.0)), ["lane"])
 
