--- a/benchmarks/together_mutants.py
+++ b/benchmarks/together_mutants.py
@@ -58,7 +58,7 @@
         probe = self._probes.end(int(key))
         held = self.view.get(probe.target) if probe is not None and probe.counts else None
         if probe is not None and held is not None and held.life == probe.life and held.state.present:
-            self._take(replace(held, state=State.DEAD), "probe", self.view.me)
+            self._hold(replace(held, state=State.DEAD), "probe", self.view.me)
 
     detector._TIMERS["failed"] = failed
 
--- a/benchmarks/together_plays.py
+++ b/benchmarks/together_plays.py
@@ -24,9 +24,7 @@
 from cypresspulley.closing.limiter import Closing
 from cypresspulley.closing.options import DRIFT, Options, calendar_from
 from cypresspulley.fleet import timing
-from cypresspulley.fleet.actions import Action, Changed, Rose, Settled
-from cypresspulley.fleet.view import View
-from cypresspulley.fleet.wire import Cell
+from cypresspulley.fleet.actions import Action, Changed, Rose, RowTaken, Settled
 from cypresspulley.histories.events import Kind
 from cypresspulley.histories.read import HARNESS, Histories, from_memory
 from cypresspulley.histories.writer import MemoryHistory
@@ -78,8 +76,6 @@
         self._size = size
         self._told = dict[str, MemoryHistory]()
         self._lives = list[MemoryHistory]()
-        self._views = dict[int, str]()  # by the view's identity: whose it is
-        self._rows = dict[tuple[int, str, str], int]()  # the life of the row that is held
         self.harness = begin(MemoryHistory(self._clock, self._clock), HARNESS, 1)
         self.harness.put(Kind.TRUTH, closings=[], lanes=[], clock_bound=0.0, seconds=0.0)
 
@@ -101,7 +97,6 @@
     def _do(self, host: Host, action: Action) -> None:
         history = self._told[host.name]
         if not history.lives or isinstance(action, Rose):
-            self._views[id(host.detector.view)] = host.name
             size = self._size
             bounds = {"detect": timing.detect_bound(size, 0.5), "settle": timing.settle_bound(size, 0.5)}
             begin(history, host.name, host.detector.view.myself.life, bounds)
@@ -111,18 +106,12 @@
                     Kind.MEMBER, member=member.name, life=member.life, incarnation=member.incarnation,
                     state=member.state.name.lower(), cause=cause,
                 )  # fmt: skip
+            case RowTaken(owner, life, subsystem):
+                history.put(Kind.ROW, owner=owner, life=life, subsystem=subsystem)
             case Settled(settled, digest, members):
                 history.put(Kind.SETTLED, settled=settled, digest=f"{digest:016x}", members=members)
         super()._do(host, action)
 
-    def row(self, view: View, cell: Cell) -> None:
-        """A row was taken: told where its life is another than that of the one before it."""
-        key = id(view), cell.owner, cell.subsystem
-        if id(view) in self._views and self._rows.get(key) != cell.life:
-            self._rows[key] = cell.life
-            history = self._told[self._views[id(view)]]
-            history.put(Kind.ROW, owner=cell.owner, life=cell.life, subsystem=cell.subsystem)
-
     def fault(self, kind: str, targets: list[str], on: bool) -> None:
         self.harness.put(Kind.FAULT, kind_of=kind, targets=targets, on=on)
 
@@ -134,15 +123,6 @@
 def fleet(seed: int = 1) -> Histories:
     """Each trouble has time to settle before the next one."""
     bed, names = Judged(seed, 8), [f"l{n}" for n in range(8)]
-    merge = View.merge_row  # what a mutant may have put there
-
-    def told(view: View, now: float, cell: Cell) -> bool:
-        taken = merge(view, now, cell)
-        if taken:
-            bed.row(view, cell)
-        return taken
-
-    View.merge_row = told  # type: ignore[method-assign,assignment]
     caught: list[tuple[str, bytes]] = []
     bed.tap = lambda source, target, data: caught.append((target, data)) if source == "l7" else None
     for name in names:
--- a/cypresspulley/fleet/actions.py
+++ b/cypresspulley/fleet/actions.py
@@ -69,4 +69,13 @@
     members: int
 
 
-Action = Send | Changed | Rose | Settled
+@dataclass(frozen=True, slots=True)
+class RowTaken:
+    """Another's row is held now, of another life than the one that was held of it."""
+
+    owner: str
+    life: int
+    subsystem: str
+
+
+Action = Send | Changed | Rose | Settled | RowTaken
--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -53,6 +53,7 @@
     Event,
     Leave,
     Rose,
+    RowTaken,
     Settled,
     Tick,
 )
@@ -402,7 +403,9 @@
             if not self._known(entry, entry.by or sender.name):
                 self._take(entry.member(), "told", entry.by or sender.name)
         for cell in envelope.cells:
-            self.view.merge_row(self._now, cell)
+            before = self.view.row_life(cell.owner, cell.subsystem)
+            if self.view.merge_row(self._now, cell) and before != cell.life:
+                self._outbox.act(RowTaken(cell.owner, cell.life, cell.subsystem))
         held = self.view.get(sender.name)
         if held is None:  # no room for it
             self.counts["full"] += 1
--- a/cypresspulley/fleet/limiter.py
+++ b/cypresspulley/fleet/limiter.py
@@ -23,6 +23,7 @@
     Event,
     Leave,
     Rose,
+    RowTaken,
     Send,
     Settled,
     Tick,
@@ -129,6 +130,8 @@
                 )  # fmt: skip
             case Settled(settled, digest, members):
                 self._history.put(Kind.SETTLED, settled=settled, digest=f"{digest:016x}", members=members)
+            case RowTaken(owner, life, subsystem):
+                self._history.put(Kind.ROW, owner=owner, life=life, subsystem=subsystem)
             case Rose(life):
                 log.warning("others know a later life of %s: this one is %d from here on", self._me, life)
                 self._history.put(Kind.END, reason="life")
--- a/cypresspulley/fleet/view.py
+++ b/cypresspulley/fleet/view.py
@@ -164,6 +164,11 @@
         version = mine[subsystem].version + 1 if subsystem in mine else 1
         self._hold(now, self.me, subsystem, Held(self.myself.life, version, body, now, now))
 
+    def row_life(self, owner: str, subsystem: str) -> int | None:
+        """The life of which a row is held; None where none is."""
+        held = self._rows.get(owner, {}).get(subsystem)
+        return None if held is None else held.life
+
     def merge_row(self, now: float, cell: Cell) -> bool:
         """Join a row that another told; whether it changed what is held. Nobody tells this member its own."""
         member = self._members.get(cell.owner)
