--- a/cypresspulley/fleet/records.py
+++ b/cypresspulley/fleet/records.py
@@ -82,7 +82,7 @@
 
     @property
     def life(self) -> int:
-        """This process's life; it may rise once, when the others know a later one of this name."""
+        """This process's life; it rises above any later one of this name that the others know of."""
         ...
 
     def members(self) -> tuple[Member, ...]:
