--- a/benchmarks/cpu_per_request.py
+++ b/benchmarks/cpu_per_request.py
@@ -1,10 +1,10 @@
 """CPU that a request costs a limiter, beside a bare uvloop byte pipe on the same traffic in the same run.
 
-    python -m benchmarks.cpu_per_request [--requests 6000] [--rounds 3] [--log] [--beside CHECKOUT]
+    python -m benchmarks.cpu_per_request [--requests 6000] [--rounds 3] [--log] [--together] [--beside CHECKOUT]
 
 Both stand between the same clients and the same servers; they take turns, so that a slow moment of the
-machine meets both; ``--beside`` adds the limiter of another checkout, to see what a change costs. CPU is the
-process's user and system time, read before and after each turn.
+machine meets both; ``--beside`` adds the limiter of another checkout, to see what a change costs; ``--together`` one with
+a fleet of its own, lanes and closing on, for accounts that keep nothing. CPU is the process's user and system time, read before and after each turn.
 """
 
 from __future__ import annotations
@@ -128,7 +128,27 @@
             await asyncio.sleep(0.02)
 
 
-async def measure(requests: int, rounds: int, log: bool, beside: str | None) -> dict[str, list[float]]:
+def together_table(folder: Path) -> str:
+    """All that limiters do together, in a fleet of one whose accounts ask for nothing to be kept."""
+    calendar = folder / "calendars.toml"
+    calendar.write_text(
+        'version = 1\nin_force = 2026-01-01T00:00:00Z\n[places.here]\nzone = "Asia/Kolkata"\n'
+    )
+    address = f"{HOST}:{free_port(HOST)}"
+    return (
+        f'[fleet]\ninstallation = "bench"\nlisten = "{address}"\nseeds = []\n'
+        '[lanes]\n[[lanes.lane]]\nname = "all"\nplans = ["free"]\n'
+        f'[closing]\ncalendars = "{calendar}"\nkeep = ["bag-lookup"]\n'
+    )
+
+
+TABLES = {
+    "logged": lambda folder: f'[access_log]\npath = "{folder}/access.jsonl"\n',
+    "together": together_table,
+}
+
+
+async def measure(requests: int, rounds: int, extra: list[str], beside: str | None) -> dict[str, list[float]]:
     """Microseconds of CPU a request, by who stood between, one figure a round."""
     loop = asyncio.get_running_loop()
     started = [await loop.create_server(Server, HOST, 0) for _ in range(SERVERS)]
@@ -137,22 +157,18 @@
     with tempfile.TemporaryDirectory() as folder:
         config = limiter_config(Path(folder), ports["limiter"], servers)
         env = {**os.environ, "LB_CONFIG": str(config), "PIPE_TO": f"{HOST}:{servers[0]}"}
+        env["FAWNSEAM_FLEET_KEY"] = "the benchmark's own"
         commands = {
             "limiter": [sys.executable, "-m", "cypresspulley"],
             "pipe": [sys.executable, "-m", "benchmarks.cpu_per_request", "--pipe", str(ports["pipe"])],
         }
-        if log:
-            operators = Path(folder) / "operators.toml"
-            operators.write_text(f'[access_log]\npath = "{folder}/access.jsonl"\n')
-            ports["logged"] = free_port(HOST)
-            logged = limiter_config(Path(folder), ports["logged"], servers, "logged.json")
-            commands["logged"] = [
-                "env",
-                f"LB_CONFIG={logged}",
-                *commands["limiter"],
-                "--operators",
-                str(operators),
-            ]
+        for who in extra:
+            table = TABLES[who](Path(folder))
+            operators = Path(folder) / f"{who}.toml"
+            operators.write_text(table)
+            ports[who] = free_port(HOST)
+            path = limiter_config(Path(folder), ports[who], servers, f"{who}.json")
+            commands[who] = ["env", f"LB_CONFIG={path}", *commands["limiter"], "--operators", str(operators)]
         if beside is not None:
             ports["beside"] = free_port(HOST)
             other = limiter_config(Path(folder), ports["beside"], servers, "beside.json")
@@ -190,18 +206,20 @@
     parser.add_argument("--requests", type=int, default=6000)
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--log", action="store_true", help="a limiter with its access log on as well")
+    parser.add_argument("--together", action="store_true", help="one with fleet, lanes and closing as well")
     parser.add_argument("--beside", metavar="CHECKOUT", help="the limiter of another checkout as well")
     parser.add_argument("--pipe", type=int, help=argparse.SUPPRESS)
     options = parser.parse_args()
     if options.pipe:
         return uvloop.run(pipe(options.pipe))
-    found = uvloop.run(measure(options.requests, options.rounds, options.log, options.beside))
+    extra = [who for who, on in (("logged", options.log), ("together", options.together)) if on]
+    found = uvloop.run(measure(options.requests, options.rounds, extra, options.beside))
     limiter, bare = (statistics.median(found[who]) for who in ("limiter", "pipe"))
     for who, figures in found.items():
         print(f"{who:8} {' '.join(f'{x:7.1f}' for x in figures)}  us of CPU a request")
-    if options.log:
-        logged = statistics.median(found["logged"])
-        print(f"access log: {logged - limiter:+.0f} us, {logged / limiter:.2f} times the limiter without")
+    for who in extra:
+        more = statistics.median(found[who])
+        print(f"{who}: {more - limiter:+.0f} us, {more / limiter:.2f} times the limiter without")
     if options.beside:
         print(f"this one is {limiter / statistics.median(found['beside']):.2f} times the one beside it")
     print(f"ratio    {limiter / bare:.1f} (limiter {limiter:.0f} us, byte pipe {bare:.0f} us)")
