--- a/benchmarks/cpu_per_request.py
+++ b/benchmarks/cpu_per_request.py
@@ -3,8 +3,9 @@
     python -m benchmarks.cpu_per_request [--requests 6000] [--rounds 3] [--log] [--together] [--beside CHECKOUT]
 
 Both stand between the same clients and the same servers; they take turns, so that a slow moment of the
-machine meets both; ``--beside`` adds the limiter of another checkout, to see what a change costs; ``--together`` one with
-a fleet of its own, lanes and closing on, for accounts that keep nothing. CPU is the process's user and system time, read before and after each turn.
+machine meets both; ``--beside`` adds the limiter of another checkout, to see what a change costs; ``--together``
+one with a fleet of its own, lanes and closing on, for accounts that keep nothing. CPU is the process's user and
+system time, read before and after each turn.
 """
 
 from __future__ import annotations
