--- a/benchmarks/closing_stale.py
+++ b/benchmarks/closing_stale.py
@@ -479,7 +479,7 @@
 
 def convicted(told: Told) -> str:
     """What a day shows against the program; "" for nothing."""
-    shown = [f"{count} stale after a {why}" for why, count in sorted(told.stale.items())]
+    shown = [f"{count} stale by a {why}" for why, count in sorted(told.stale.items())]
     shown += [f"{told.twice} closings told twice"] if told.twice else []
     shown += [f"{told.lost} closings not told"] if told.lost else []
     return ", ".join(shown + ([f"old {told.overlap:.3f} s after new"] if told.overlap > 0 else []))
--- a/tests/closing/world.py
+++ b/tests/closing/world.py
@@ -339,6 +339,7 @@
     asked: int = 0
     hits: int = 0
     stale: list[tuple[str, float, str, str, float]] = field(default_factory=list)
+    under_way: list[tuple[Keeper, str]] = field(default_factory=list)  # changes, and where
     watch: Callable[[Limiter, str, float], None] | None = None  # each hit: at whom, whose, when it was made
 
     def lookup(
@@ -355,6 +356,8 @@
             self.hits += 1
             made = float(found[0].body)
             why = self.truth.stale(account, made, now, limiter.name, self.bound)
+            if not why and (keeper, account) in self.under_way:
+                why = "change under way"
             if why:
                 self.stale.append((why, now, limiter.name, account, made))
             if self.watch is not None:
@@ -378,8 +381,10 @@
     def _change(self, limiter: Limiter, account: str, took: float) -> None:
         keeper, done = limiter.keeper, self.world.now + took / 2
         keeper.changing(account)
+        self.under_way.append((keeper, account))
 
         def changed() -> None:
+            self.under_way.remove((keeper, account))
             if limiter.keeper is keeper:
                 keeper.changed(account, True, True)
                 self.truth.changes.setdefault(account, []).append((self.world.now, done, limiter.name))
