--- a/tests/explore/mutants.py
+++ b/tests/explore/mutants.py
@@ -177,9 +177,11 @@
     spells = [
         {"kind": "server-by-hand", "at": 0.3 + n, "lasts": 1.5, "targets": [f"bag-0{n}"]} for n in range(3)
     ]
-    return parse_scenario(
-        as_raw(cold(limiters=1)) | {"discovery": {"notice": [50, 60]}, "fault": spells}, "cold by hand"
-    )
+    raw = as_raw(cold(limiters=1)) | {"discovery": {"notice": [50, 60]}, "fault": spells}
+    raw["fleet"] |= {
+        "cold_share": 0.01
+    }  # a lone limiter steers round who answers late: a dozen sent is its most
+    return parse_scenario(raw, "cold by hand")
 
 
 @contextmanager
