--- a/tests/lanes/test_limiter.py
+++ b/tests/lanes/test_limiter.py
@@ -10,9 +10,13 @@
 import pytest
 
 from cypresspulley import interface as api
+from cypresspulley.fleet.records import Member, Row, State
 from cypresspulley.histories.events import FACTS, Kind
+from cypresspulley.lanes.heard import Heard
 from cypresspulley.lanes.limiter import LOST, Lanes, inversion_bound
 from cypresspulley.lanes.options import Lane, LanesOptions
+from cypresspulley.lanes.rows import Figures, LanesRow, encode
+from cypresspulley.lanes.spells import first
 from cypresspulley.policy.gateway import Gateway
 from tests.lanes.day import History
 from tests.lanes.fabric import Fabric
@@ -350,3 +354,28 @@
 
     asyncio.run(play())
     assert "a period failed" in caplog.text
+
+
+def test_nobody_heard_for_long_is_no_view_even_before_anyone_is_held_dead() -> None:
+    team = _overloaded()
+    team.fabric.detect = 1000.0
+    for name in NAMES:
+        team.fabric.cut([name], [other for other in NAMES if other != name])
+    team.run(LOST - 5)
+    assert all(lanes.course.in_force for lanes in team.lanes.values())
+    team.run(10)
+    assert not any(lanes.course.in_force for lanes in team.lanes.values())
+    team.fabric.heal()
+    team.run(5)
+    assert all(lanes.course.in_force for lanes in team.lanes.values())
+
+
+def test_a_row_of_an_earlier_life_does_not_come_back() -> None:
+    heard, member = Heard(1, 4.0, 5.0), Member("b", 2, 0, State.ALIVE)
+
+    def body(sent: float) -> bytes:
+        return encode(LanesRow(0, 0.0, 0.0, (Figures(sent=sent),), first(1), 0.0))
+
+    for life, sent in ((2, 7.0), (1, 99.0)):
+        heard.update(0.0, "a", [Row("b", life, 1, State.ALIVE, 0.1, body(sent))], lambda _name: member)
+    assert [row.figures[0].sent for row in heard.told()] == [7.0]
