--- a/benchmarks/cpu_per_request.py
+++ b/benchmarks/cpu_per_request.py
@@ -104,7 +104,7 @@
 def limiter_config(folder: Path, port: int, servers: list[int], name: str = "config.json") -> Path:
     scenario = parse_scenario(
         {"name": "bench", "about": "-", "seconds": 1, "limiters": {"count": 1}, "load": {"spread": [1, 1]},
-         "plan": [{"name": "free", "share": 1, "rate": 1e5, "burst": 1e5}]}, "bench",
+         "plan": [{"name": name, "share": 1, "rate": 1e5, "burst": 1e5} for name in ("free", "dear")]}, "bench",
     )  # fmt: skip
     settings = wire_settings(scenario, 0, "east-hall") | {"specifics": {"has_counter": False}}
     hosts = [
@@ -120,13 +120,14 @@
     return path
 
 
-async def up(port: int) -> None:
-    while True:
+async def up(port: int, child: subprocess.Popen[bytes]) -> None:
+    while child.poll() is None:
         try:
             (await asyncio.open_connection(HOST, port))[1].close()
             return
         except OSError:
             await asyncio.sleep(0.02)
+    raise SystemExit(f"one ended with {child.returncode} before it served: {child.args!r}")
 
 
 def together_table(folder: Path) -> str:
@@ -138,7 +139,8 @@
     address = f"{HOST}:{free_port(HOST)}"
     return (
         f'[fleet]\ninstallation = "bench"\nlisten = "{address}"\nseeds = []\n'
-        '[lanes]\n[[lanes.lane]]\nname = "all"\nplans = ["free"]\n'
+        '[lanes]\n[[lanes.lane]]\nname = "first"\nplans = ["dear"]\n'
+        '[[lanes.lane]]\nname = "last"\nplans = ["free"]\n'
         f'[closing]\ncalendars = "{calendar}"\nkeep = ["bag-lookup"]\n'
     )
 
@@ -182,8 +184,8 @@
         }
         found: dict[str, list[float]] = {who: [] for who in children}
         try:
-            for who in children:
-                await up(ports[who])
+            for who, child in children.items():
+                await up(ports[who], child)
                 await turn(ports[who], requests)  # warm: the gate is fresh and the arrivals come all at once
             for _ in range(rounds):
                 for who, child in children.items():
