Miss a leaver in silence for a suspicion's time before it is held left

Change: a failed probe of a leaving member starts a wait that nobody is told of, as long as the longest suspicion. Not taken: that a leaver does not refute, as then views lack it while it works and digests differ until its end.

A left that another tells is still taken at once; it can still be refuted after a cut longer than that wait.

--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -16,7 +16,9 @@
     suspected      told suspected by one more, or my probe fails     suspected, for a shorter time
     suspected      told dead                                         suspected, for the shorter time at most
     suspected      its time is over, and I stand in no doubt         dead
-    leaving        a probe fails                                     left: a leaver is never suspected
+    leaving        a probe fails, direct and by others               leaving, missed by me: nobody else is told
+    leaving        missed, and then I or a helper of mine hear it    leaving, no longer missed
+    leaving        missed for the time of a suspicion, no doubt      left: a leaver is never suspected, nor dead
     leaving        says or told left                                 left
     left, dead     says or told a larger incarnation or life         that
     any            a larger life                                     that, in the state it comes with
@@ -32,6 +34,10 @@
 Only a member itself ever raises its incarnation or life. That a death that is told is first held as a suspicion gives
 the dead one the time to refute it before each view that hears of it: so no single member, slow or wrong, kills another.
 
+A leaver drains and answers for seconds, so one probe that fails under loss says no more of it than of anybody else. It
+is missed in silence, and any word of it in this life ends that; it need not refute what nobody was told. Were it held
+left at once, it would be absent from views while it still works, and then present again by its own refutation.
+
 A process that stood still (its timers come late) has no ground to accuse: it lets its open probes go, gives its
 suspicions the time that it lost, and doubts itself for a while (local health).
 """
@@ -271,7 +277,7 @@
         if held is None or held.life != probe.life:
             return
         if held.state is State.LEAVING:
-            self._take(replace(held, state=State.LEFT), "probe", self.view.me)
+            self._miss(held.name)
         elif held.state <= State.SUSPECTED:
             self._take(replace(held, state=State.SUSPECTED), "probe", self.view.me)
 
@@ -290,7 +296,20 @@
             return
         suspicion = self._suspicions.end(name)
         cause = "told" if suspicion is not None and suspicion.told else "probe"
-        self._hold(replace(held, state=State.DEAD), cause, self.view.me)
+        over = State.LEFT if held.state is State.LEAVING else State.DEAD
+        self._hold(replace(held, state=over), cause, self.view.me)
+
+    def _miss(self, name: str) -> None:
+        """A leaver does not answer: a suspicion that is kept to myself, and ends in ``left``."""
+        _, until = self._suspicions.accuse(self._now, name, self.view.me, False, self.view.present)
+        if until is not None:
+            self._watch(name, until)
+
+    def _found(self, name: str) -> None:
+        """It has just answered: a leaver is no longer missed. Of one that is suspected, only a refutation tells."""
+        held = self.view.get(name)
+        if held is not None and held.state is State.LEAVING:
+            self._suspicions.end(name)
 
     def _watch(self, name: str, until: float) -> None:
         self._timers.at(max(until, self._now + 1e-3), "suspicion", name)
@@ -411,6 +430,7 @@
             self.counts["full"] += 1
             return
         if held.life == sender.life:
+            self._found(sender.name)
             self.peers.note(self._now, envelope)
             self.view.confirm(self._now, sender.name, sender.life, envelope.versions)
         _MESSAGES[type(envelope.message)](self, envelope)
@@ -475,6 +495,7 @@
         if probe is not None and probe.counts and probe.asked:
             self._probes.end(envelope.message.nonce)
             self.health.feel(-1)
+            self._found(probe.target)
 
     def _on_missed(self, envelope: Envelope) -> None:
         assert isinstance(envelope.message, wire.Missed)
