Tell the history of a life that rose what it holds of the others

Need: when a process finds a later life of its own name it opens a new history, which was never told the members held nor whether the view is settled; a death that follows then looks as if it came without a suspicion.

Change: the action Rose carries what is held of the others at that moment, tombstones among it, and the settled word; right after START the limiter writes a MEMBER for each, with cause told, and one SETTLED. This member itself follows as before.

--- a/cypresspulley/fleet/actions.py
+++ b/cypresspulley/fleet/actions.py
@@ -55,13 +55,6 @@
     cause: str
 
 
-@dataclass(frozen=True, slots=True)
-class Rose:
-    """This member has a new life."""
-
-    life: int
-
-
 @dataclass(frozen=True, slots=True)
 class Settled:
     settled: bool
@@ -69,6 +62,15 @@
     members: int
 
 
+@dataclass(frozen=True, slots=True)
+class Rose:
+    """This member has a new life, in which ``held`` is what it holds of the others, tombstones among it."""
+
+    life: int
+    held: tuple[Member, ...]
+    settled: Settled
+
+
 @dataclass(frozen=True, slots=True)
 class RowTaken:
     """Another's row is held now, of another life than the one that was held of it."""
--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -199,7 +199,7 @@
         record = self._outbox.introduce(rose)
         if rose:
             self.view.relive(self._now)
-            self._outbox.act(Rose(me.life))
+            self._outbox.act(Rose(me.life, self.view.all_others(), self._as_settled()))
         self.view.queue.add((me.name, ""), record)
         self._changed(me, cause)
 
@@ -237,7 +237,10 @@
         settled = self.settled()
         if settled != self.peers.settled:
             self.peers.settled = settled
-            self._outbox.act(Settled(settled, self.view.digest, self.view.present))
+            self._outbox.act(self._as_settled())
+
+    def _as_settled(self) -> Settled:
+        return Settled(self.settled(), self.view.digest, self.view.present)
 
     def _address(self, name: str) -> str:
         member = self.view.get(name)
--- a/cypresspulley/fleet/limiter.py
+++ b/cypresspulley/fleet/limiter.py
@@ -124,18 +124,28 @@
                 log.info(
                     "%s of life %d is %s (%s)", member.name, member.life, member.state.name.lower(), cause
                 )
-                self._history.put(
-                    Kind.MEMBER, member=member.name, life=member.life, incarnation=member.incarnation,
-                    state=member.state.name.lower(), cause=cause,
-                )  # fmt: skip
-            case Settled(settled, digest, members):
-                self._history.put(Kind.SETTLED, settled=settled, digest=f"{digest:016x}", members=members)
+                self._put_member(member, cause)
+            case Settled():
+                self._put_settled(action)
             case RowTaken(owner, life, subsystem):
                 self._history.put(Kind.ROW, owner=owner, life=life, subsystem=subsystem)
-            case Rose(life):
+            case Rose(life, held, settled):
                 log.warning("others know a later life of %s: this one is %d from here on", self._me, life)
                 self._history.put(Kind.END, reason="life")
                 self._open_history(life)
+                for other in held:  # the new history knows nothing of the former one
+                    self._put_member(other, "told")
+                self._put_settled(settled)
+
+    def _put_member(self, member: Member, cause: str) -> None:
+        self._history.put(
+            Kind.MEMBER, member=member.name, life=member.life, incarnation=member.incarnation,
+            state=member.state.name.lower(), cause=cause,
+        )  # fmt: skip
+
+    def _put_settled(self, told: Settled) -> None:
+        digest = f"{told.digest:016x}"
+        self._history.put(Kind.SETTLED, settled=told.settled, digest=digest, members=told.members)
 
     def _open_history(self, life: int) -> None:
         self._history.opened_at(life)
--- a/cypresspulley/fleet/view.py
+++ b/cypresspulley/fleet/view.py
@@ -100,6 +100,11 @@
         found = (member for member in self._members.values() if member.state.present)
         return tuple(sorted(found, key=attrgetter("name")))
 
+    def all_others(self) -> tuple[Member, ...]:
+        """All that is held of others, tombstones among it, sorted by name."""
+        found = (member for name, member in self._members.items() if name != self.me)
+        return tuple(sorted(found, key=attrgetter("name")))
+
     def ended(self, now: float, within: float) -> list[Member]:
         """Members that are held dead since so many seconds at most."""
         recent = (self._members[name] for name, at in self._ended.items() if now - at <= within)
--- a/cypresspulley/histories/events.py
+++ b/cypresspulley/histories/events.py
@@ -44,7 +44,7 @@
     Kind.START: ("name", "life", "zone", "period", "bounds"),
     Kind.END: ("reason",),
     # The view of this process changed: ``state`` is a State's name in lower case, ``cause`` one of self, probe (its own
-    # detector), told (by another) and refuted.
+    # detector), told (by another) and refuted. A life that rose begins with all that it holds of others, as told.
     Kind.MEMBER: ("member", "life", "incarnation", "state", "cause"),
     # ``settled`` became true or false; ``digest`` is this process's, ``members`` how many it holds present.
     Kind.SETTLED: ("settled", "digest", "members"),
--- a/tests/fleet/test_limiter.py
+++ b/tests/fleet/test_limiter.py
@@ -12,11 +12,13 @@
 import msgspec
 import pytest
 
+from cypresspulley.fleet.actions import Datagram
 from cypresspulley.fleet.limiter import Fleet
 from cypresspulley.fleet.options import FleetOptions
 from cypresspulley.fleet.records import Member, State
+from cypresspulley.fleet.wire import Codec, Entry, Gossip, raw
 from cypresspulley.histories.events import FACTS, Kind
-from cypresspulley.histories.writer import AnyHistory, History, NoHistory
+from cypresspulley.histories.writer import AnyHistory, History, MemoryHistory, NoHistory
 from cypresspulley.operators import OperatorsError
 from tests.loopback import run
 
@@ -122,6 +124,43 @@
     run(main())
 
 
+def test_a_life_that_rises_tells_its_new_history_what_is_held() -> None:
+    """Without a socket's answers: what is heard is written by hand, and both claims stand in one datagram."""
+
+    async def main() -> None:
+        history = MemoryHistory(time.monotonic, time.time)
+        one = fleet("me", port(), history=history)
+        await one.start()
+        codec, life = Codec("test", KEY), one.view.life
+
+        def hear(number: int, *told: Entry) -> None:
+            head = (number, round(time.time() * 1000), 1, 1, 0)
+            x = Entry("x", 7, 0, State.ALIVE, "b", "127.0.0.1:9", "")
+            one.take(Datagram(codec.encode(head, raw(x), raw(Gossip()), [raw(entry) for entry in told], [])))
+
+        y = Entry("y", 7, 0, State.ALIVE, "b", "127.0.0.1:9", "")
+        gone = Entry("gone", 7, 3, State.DEAD, "b", "127.0.0.1:9", "x")
+        hear(1, y, gone)
+        me = Entry("me", life + 9, 0, State.ALIVE, "a", "127.0.0.1:9", "x")
+        y_doubted = Entry("y", 7, 0, State.SUSPECTED, "b", "127.0.0.1:9", "x")
+        hear(2, me, y_doubted)
+        await one.close()
+        start, *seen = history.lives[1][:6]
+        assert (start["kind"], start["life"]) == (Kind.START, life + 10)
+        told = [(e["member"], e["life"], e["state"], e["cause"]) for e in seen if e["kind"] == Kind.MEMBER]
+        assert told == [
+            ("gone", 7, "dead", "told"),
+            ("x", 7, "alive", "told"),
+            ("y", 7, "alive", "told"),
+            ("me", life + 10, "alive", "self"),
+        ]
+        assert seen[3]["kind"] == Kind.SETTLED
+        assert (seen[3]["settled"], seen[3]["members"]) == (False, 3)
+        assert history.lives[1][6]["state"] == "suspected"  # what is heard after it comes after it
+
+    run(main())
+
+
 def test_replies_go_to_the_advertised_address_and_rubbish_ends_nothing() -> None:
     async def main() -> None:
         loop = asyncio.get_running_loop()
