--- a/benchmarks/cpu_per_request.py
+++ b/benchmarks/cpu_per_request.py
@@ -120,8 +120,9 @@
     return path
 
 
-async def up(port: int, child: subprocess.Popen[bytes]) -> None:
-    while child.poll() is None:
+async def up(port: int, child: subprocess.Popen[bytes] | None = None) -> None:
+    """Wait until it listens; ``SystemExit`` where ``child`` ended before."""
+    while child is None or child.poll() is None:
         try:
             (await asyncio.open_connection(HOST, port))[1].close()
             return
