--- a/tests/test_together_off.py
+++ b/tests/test_together_off.py
@@ -8,7 +8,13 @@
 
 import pytest
 
+from cypresspulley.closing.options import options_from as closing_options
+from cypresspulley.fleet.options import options_from as fleet_options
+from cypresspulley.lanes.options import options_from as lanes_options
 from cypresspulley.operators import OperatorsError, load_operators
+from cypresspulley.rehearsal.limiters import wire_settings
+from cypresspulley.rehearsal.scenario import load_scenario
+from cypresspulley.settings import settings_from
 
 ROOMS = ("fleet", "lanes", "closing", "histories", "together")
 # What the rooms alone want: none of it may come with a start that has them off.
@@ -37,3 +43,15 @@
     assert operators.fleet == (str(file), {"listen": "127.0.0.1:1"})
     assert operators.history == "of-limiter-{life}.jsonl"
     assert operators.lanes is None and operators.closing is None
+
+
+def test_the_shipped_file_is_one_that_limiters_take() -> None:
+    shipped = Path(__file__).parent.parent / "deploy" / "together.toml"
+    operators = load_operators(str(shipped))
+    scenario = load_scenario("wedding-weekend")
+    settings = settings_from(wire_settings(scenario, 0, scenario.fleet.halls[0]))
+    assert operators.fleet and operators.lanes and operators.closing and operators.history
+    assert fleet_options(operators.fleet[1], str(shipped), "k" * 16).installation == "vadodara"
+    lanes = lanes_options(operators.lanes[1], str(shipped), settings).lanes
+    assert [lane.name for lane in lanes] == ["premium", "standard", "guest"]
+    assert closing_options(operators.closing[1], str(shipped), settings).keep == {"bag-lookup"}
