Look at a client's socket before an attempt's first byte, and before an upload's last ones

Cause: a client's end was known only once the loop had read it. An upload's last bytes, on which its attempt begins, went out the same way (`_Client.data_received`).

Change: one poll(2) for POLLIN and POLLRDHUP before each kept connection is taken, behind each dial and before each read of an upload; who has closed departs there and then. `hidden_end` is `peer_closed`, and makes one call where nothing lies there; where poll does not tell, a peek does.

The look costs 0.5 us by itself.

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -153,6 +153,10 @@
         """Whether its client has gone away."""
         return self._client.gone
 
+    def present(self) -> bool:
+        """Whether its client is still there, by a look at the socket; if not, all its requests depart here."""
+        return self._client.present()
+
     def respond(
         self, status: int, body: bytes = b"", headers: bytes = b"", retry_after: float | None = None,
         why: str = "", left: float = -1.0,
@@ -380,23 +384,35 @@
         return any(size)
 
     @property
-    def hidden_end(self) -> bool:
-        """Whether a client that is not read for now has closed or reset its side, maybe behind unread bytes."""
+    def peer_closed(self) -> bool:
+        """Whether the client has closed or reset its side, maybe behind bytes that are not read yet. One system call
+        where nothing lies there, 0.5 us."""
         transport = self._transport
         if transport is None or transport.is_closing():
             return False
+        with contextlib.suppress(OSError):  # the machine may not tell
+            poll = select.poll()
+            poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+            if not (events := poll.poll(0)):
+                return False
+            if events[0][1] & select.POLLRDHUP:
+                return True
         try:
             with _borrowed(transport) as sock:
-                if sock.recv(1, socket.MSG_PEEK) == b"":
-                    return True
+                return sock.recv(1, socket.MSG_PEEK) == b""
         except ConnectionError:
             return True
         except OSError:  # nothing lies there
             return False
-        with contextlib.suppress(OSError):  # the machine may not tell
-            poll = select.poll()
-            poll.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-            return bool(poll.poll(0))
+
+    def present(self) -> bool:
+        """Whether the client is still there, by a look at its socket. One that has closed departs here, however late
+        the loop is to read its end."""
+        transport = self._transport
+        if transport is not None and not transport.is_closing() and not self.peer_closed:
+            return True
+        if transport is not None:
+            self._left()
         return False
 
     def place(self, now: float) -> Place:
@@ -468,6 +484,8 @@
             if self._drained > self._linger_bytes:
                 self._flooded()
             return
+        if self._upload is not None and not self.present():
+            return  # its last bytes would begin an attempt
         self.frontend.spoken += not self.spoke
         self.spoke, self._begun = True, 0
         try:
@@ -869,7 +887,7 @@
             self._account()
         if self._transport is None:
             return self._check_linger(age, now)
-        if self._paused and self.hidden_end:
+        if self._paused and self.peer_closed:
             return self._left()
         if self._waiting:
             if self._upload is not None or self._waiting[0].stream is not None:
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -224,6 +224,7 @@
         told = self._attempted if request.dialect is None else self._answered
         done = partial(told, action.id, number)
         attempt = Exchange(action.server, request.head, request.body, expires, done, action.latest)
+        attempt.present = request.present
         if (upload := request.upload) is not None:
             attempt.upload, attempt.wait = upload, wait
         if request.dialect is None:
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -92,6 +92,7 @@
     units: float | None = None  # the request's true units
     upload: Upload | None = None  # in place of a body that is there
     wait: float = math.inf  # seconds for an answer, from the upload's last byte
+    present: Callable[[], bool] | None = None  # a look whether its client is still there; None: it has none
     # Takes a large answer as it comes; where it is None, an answer is whole or spoilt.
     begun: Callable[[Exchange, Download], None] | None = None
     download: Download | None = None
@@ -544,6 +545,8 @@
         server, left = self._servers.get(exchange.server), exchange.expires - exchange.started
         if server is None or not server.usable or left <= 0:
             return self.end(exchange, Status.NOT_SENT)
+        if self._left(exchange):
+            return None
         if (connection := self._take_idle(server)) is not None:
             return self._write(connection, exchange)
         if server.open >= PER_SERVER or (self._open >= self._max and not self._make_room()):
@@ -626,7 +629,7 @@
             return self.end(exchange, Status.DROPPED if reset else Status.UNREACHABLE)
         finally:
             server.waiting.pop(exchange, None)
-        if exchange.ended:
+        if exchange.ended or self._left(exchange):
             self.release(connection, True)  # nothing was written on it
         elif connection.transport is not None and connection.unread:
             connection.abort()  # an answer before there is a request is none
@@ -634,6 +637,13 @@
         else:
             self._write(connection, exchange)
 
+    def _left(self, exchange: Exchange) -> bool:
+        """Whether the client has closed, maybe unread yet: then the attempt ends before its first byte."""
+        if exchange.present is None or exchange.present():
+            return False
+        self.cancel(exchange)
+        return True
+
     def _write(self, connection: _Connection, exchange: Exchange) -> None:
         # Time has passed if this waited for a dial: the server may drain, the try may be over.
         now, server = self._clock(), connection.server
