Tell a server what is left of an upload's time where its body was whole before the dial

Cause: `Upstream._write` told the time of the decision for every upload (`exchange.wait`), also where its last byte had come while the dial was under way: by as much too much as the dial took, on first and further attempts. `Upstream.whole` set a timer and no end (`expires` stayed infinite), and none at all where the dial was timed by its latest instant: `_write` then took that timer away, and only the node's deadline ended the attempt. Ruled out by the same tests: first and further attempts without a flowing body, behind held loops and late dials: they told what was left before as well.

Change: an upload's last byte sets the end of its attempt; what is told is the smaller of what is left and what there will be. A body that still comes tells no more than its client's time.

--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -226,7 +226,8 @@
         attempt = Exchange(action.server, request.head, request.body, expires, done, action.latest)
         attempt.present = request.present
         if (upload := request.upload) is not None:
-            attempt.upload, attempt.wait = upload, wait
+            assert request.event is not None
+            attempt.upload, attempt.wait = upload, min(wait, request.event.ttl)
         if request.dialect is None:
             attempt.begun = partial(self._began, action.id, number)
         opened.attempts.append(attempt)
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -77,7 +77,7 @@
     server: str
     head: bytes
     body: bytes
-    expires: float
+    expires: float  # infinite while an upload comes
     done: Callable[[Exchange], None]
     latest: float = math.inf  # its first byte goes out by then, or it never runs
     started: float = 0.0
@@ -559,10 +559,12 @@
         dial.add_done_callback(self._dials.discard)
 
     def whole(self, exchange: Exchange) -> None:
-        """An upload's last byte is on its way: the time for its answer begins."""
-        if exchange.wait < math.inf and not exchange.ended and exchange.timer is None:
-            exchange.started = self._clock()
-            self._time(exchange, exchange.wait)
+        """An upload's last byte is on its way: the time for its answer begins, be its dial up or not."""
+        if exchange.wait < math.inf and not exchange.ended and exchange.expires == math.inf:
+            now = exchange.started = self._clock()
+            exchange.expires = now + exchange.wait
+            latest = exchange.latest - now if exchange.connection is None else math.inf
+            self._time(exchange, min(exchange.wait, latest))
 
     def cancel(self, exchange: Exchange) -> None:
         """Stop waiting; the connection goes with it, so that no late answer meets another request."""
@@ -654,8 +656,8 @@
             return self.end(exchange, Status.NOT_SENT)
         if exchange.timer is None or exchange.latest < exchange.expires:
             self._time(exchange, left)  # a dial was timed by its latest instant, an answer has longer
-        wait = exchange.wait if exchange.upload is not None else left
-        timeout = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(wait * 1000))
+        # What is left, or, of a body that still comes, what there will be from its last byte on.
+        timeout = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(min(left, exchange.wait) * 1000))
         connection.send(exchange, exchange.head + timeout + exchange.body)
 
     def _time(self, exchange: Exchange, wait: float) -> None:
