Keep discovery's descriptors from idle clients also where the machine allows fewer than told

Cause: `serve` counted clients' and servers' connections from the configuration's figure alone.

Change: the lower of the two figures counts (`descriptor_limit`); the reserve is a function of it (`connection_share`) and takes three quarters at most where descriptors are few. SPARE_SOCKETS and DOOR_SOCKETS are RESERVED_DESCRIPTORS and DOOR_DESCRIPTORS. At the limit of clients a new one that has said nothing is shut before one whose request lies unread. A dial that fails for want of descriptors ends as FULL, as at our own limit: it was a sign against its server.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -7,6 +7,7 @@
 import json
 import logging
 import os
+import resource
 import signal
 import sys
 import time
@@ -41,8 +42,11 @@
 
 log = logging.getLogger("cypresspulley")
 
-SPARE_SOCKETS = 48  # descriptors kept for everything but clients and servers, and for those being closed
-DOOR_SOCKETS = 80  # and for the operators' door
+# Descriptors kept from clients and servers: 14 of a process at rest with its listener, 12 of discovery at most (six at
+# each of two addresses), those of the counter and of other limiters, and connections that are being closed.
+RESERVED_DESCRIPTORS = 48
+DOOR_DESCRIPTORS = 80  # and for the operators' door
+LARGEST_RESERVE = 0.75  # of all descriptors, where they are few
 ACCEPT_FOR = 0.5  # seconds after SIGTERM for which clients still come
 # And, after those, for what was taken. SIGKILL may come 3.7 s after SIGTERM, and what it finds is lost.
 ANSWER_WITHIN = 2.8
@@ -245,6 +249,18 @@
             self._timer = asyncio.get_running_loop().call_later(LOOK_AGAIN, self._look, looks - 1)
 
 
+def descriptor_limit(told: int, allowed: int) -> int:
+    """How many descriptors there are: what the configuration says, or the machine allows where that is less."""
+    return told if allowed == resource.RLIM_INFINITY else min(told, allowed)
+
+
+def connection_share(limit: int, door: bool) -> int:
+    """Connections that clients may hold, and servers as many again, of ``limit`` descriptors: the rest is kept for
+    discovery, the counter and the listener, whoever fills up his own."""
+    reserve = RESERVED_DESCRIPTORS + DOOR_DESCRIPTORS * door
+    return max(1, (limit - min(reserve, int(LARGEST_RESERVE * limit))) // 2)
+
+
 def configured() -> Config:
     """The configuration that LB_CONFIG names."""
     return load_config(os.environ.get("LB_CONFIG"))
@@ -276,8 +292,8 @@
     alone = clock is None  # in a process of its own
     clock = clock or unix_clock()
     # Usual clients hold a third of all at most; what silent ones hold beyond gives way to them.
-    spare = SPARE_SOCKETS + (DOOR_SOCKETS if config.operator else 0)
-    clients = servers = max(8, (config.sockets - spare) // 2)
+    limit = descriptor_limit(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+    clients = servers = connection_share(limit, config.operator is not None)
     service = Service(Lifecycle(), _folder(config))
     if opened is not None:
         opened(service)
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -1061,8 +1061,9 @@
         if len(self._clients) >= self._max:
             ranked = [(rank, c) for c in self._clients if (rank := c.rank) is not None]
             first = [c for _, c in nsmallest(UNREAD_LOOKS, ranked, key=lambda each: each[0])]
-            # One with bytes unread has sent a request, or sends on still: a reset might eat its answer.
-            out = next((c for c in first if not c.unread), first[0] if first else client)
+            # One with bytes unread has sent a request, or sends on still: a reset might eat its answer. Before it goes
+            # the new one, unless that has asked as well.
+            out = next((c for c in (*first, client) if not c.unread), first[0] if first else client)
             if out is client:
                 log.warning("out of client connections")
             out.abort()
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import fcntl
 import logging
 import math
@@ -39,6 +40,7 @@
 # silence: for so many seconds none is kept that has been idle for so long.
 DISTRUST = 10.0
 MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # all bytes of an answer: interim ones, chunk sizes and trailers too
+OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 LENGTH = re.compile(rb"[0-9]{1,9}")
 LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
 USED, CHARGED = b"x-quota-used", b"x-units-charged"
@@ -626,6 +628,8 @@
             connection.abort()
             if connection.transport is None:  # no connection_lost will count it off
                 self._closed(server)
+            if isinstance(error, OSError) and error.errno in OUT_OF_DESCRIPTORS:
+                return self.end(exchange, Status.FULL)  # that speaks of this process, and of no server
             # Only who has taken a connection can reset it; a port where nobody listens refuses.
             reset = isinstance(error, ConnectionResetError)
             return self.end(exchange, Status.DROPPED if reset else Status.UNREACHABLE)
