Call backpressure and the high-water mark of transfers by their names

`_clogged` and `_paused` of a client's connection are the transport's two pauses: `_writing_paused`, `_reading_paused`; `_throttle` applies backpressure; `MARK_MOST`, `MARK_LEAST` and `Relay.mark` are the high-water mark. Nothing else changes.

--- a/benchmarks/slow_transfers.py
+++ b/benchmarks/slow_transfers.py
@@ -25,7 +25,7 @@
 
 from benchmarks.cpu_per_request import HOST, limiter_config, request
 from benchmarks.upgrade_door import start
-from cypresspulley.net.relay import MARK_LEAST, READ, TOTAL
+from cypresspulley.net.relay import HIGH_WATER_LEAST, READ, TOTAL
 from cypresspulley.rehearsal.limiters import free_port
 
 SERVERS = 40  # a limiter holds 64 connections to one
@@ -110,7 +110,7 @@
     for server in servers:
         server.close()
     under_way = sum(begun)
-    bound = rest + TOTAL + under_way * (MARK_LEAST + 2 * READ + EACH)
+    bound = rest + TOTAL + under_way * (HIGH_WATER_LEAST + 2 * READ + EACH)
     return {"transfers": under_way, "rest_mb": rest / 1e6, "peak_mb": peak / 1e6, "bound_mb": bound / 1e6,
             "asked_mb": under_way * Giver.size / 1e6}  # fmt: skip
 
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -23,9 +23,9 @@
 from cypresspulley.lifecycle import LEAVING, Do, Phase, Place
 from cypresspulley.net.http import MAX_BODY, MAX_HEAD, NOT_FORWARDED
 from cypresspulley.net.relay import (
+    HIGH_WATER_MOST,
     LARGEST,
     LAST_CHUNK,
-    MARK_MOST,
     RATE,
     READER,
     WINDOW,
@@ -359,7 +359,7 @@
         self._seen, self._seen_at = 0, 0.0  # of a transfer, when it last got on
         self._linger, self._linger_bytes = LINGER, LINGER_BYTES
         self._buffered = 0  # bytes that wait for it, when it last moved
-        self._rejected = self._clogged = self._paused = False
+        self._rejected = self._writing_paused = self._reading_paused = False
         self._begun = 0  # requests in one read
         self.spoke = False
         self.since = frontend.clock()  # of the last thing that counts: coming, a request's begin, an answer
@@ -617,7 +617,7 @@
             raise
 
     def _hold(self, held: bool) -> None:
-        self._throttle()
+        self._apply_backpressure()
 
     def _flowed(self, upload: Upload) -> None:
         """The last byte of a body that flowed has come."""
@@ -626,7 +626,7 @@
             if request.upload is upload:
                 request.keep_alive = self._parser.should_keep_alive()
         upload.finish()
-        self._throttle()
+        self._apply_backpressure()
 
     def on_message_complete(self) -> None:
         if self._rejected:
@@ -643,7 +643,7 @@
             self._rejected, request.keep_alive = True, False
             request.turn_away(error.status)
             raise  # and nothing behind it is parsed
-        self._throttle()
+        self._apply_backpressure()
 
     def _dispatch(self, request: ClientRequest) -> None:
         method = self._parser.get_method()
@@ -694,7 +694,7 @@
                 self._close()
         if self._expects:
             self._continue()
-        self._throttle()
+        self._apply_backpressure()
         if self.frontend.passing is not None and self.idle:
             asyncio.get_running_loop().call_soon(self.hand_over)
 
@@ -721,12 +721,12 @@
             request.closes = self._ends(request) or (stream.length is None and not request.chunks)
             lines = framing(stream.length, request.chunks)
             close = b"Connection: close\r\n" if request.closes else b""
-            transport.set_write_buffer_limits(high=MARK_MOST)
+            transport.set_write_buffer_limits(high=HIGH_WATER_MOST)
             self.frontend.relay.cut(transport.get_extra_info("socket"))
             transport.write(b"".join((STATUS_LINES[200], stream.headers, lines, close, b"\r\n")))
             self._seen, self._seen_at = 0, self.frontend.clock()
             stream.turn(self._put, stream.length is None and request.chunks)
-            if self._clogged:
+            if self._writing_paused:
                 stream.hold(True)
         if not stream.whole:
             return False
@@ -743,10 +743,10 @@
         if self._transport is None:
             return
         self._transport.write(data)
-        mark, size = self.frontend.relay.mark(), self._account()
-        if size > mark and not self._clogged:
+        high, size = self.frontend.relay.high_water(), self._account()
+        if size > high and not self._writing_paused:
             # Above this the transport says at once that it is full, and below a quarter of it that it is not.
-            self._transport.set_write_buffer_limits(high=mark // 2)
+            self._transport.set_write_buffer_limits(high=high // 2)
 
     def _account(self) -> int:
         """Bytes that wait for this client, noted for the bound on all of them, also behind an answer's end."""
@@ -762,7 +762,9 @@
         stream = self._waiting[0].stream if self._waiting else None
         if stream is not None and stream.write is not None and not stream.whole and not stream.broken:
             if not held and self._transport is not None:
-                self._transport.set_write_buffer_limits(high=MARK_MOST)  # the room may have grown meanwhile
+                self._transport.set_write_buffer_limits(
+                    high=HIGH_WATER_MOST
+                )  # the room may have grown meanwhile
             stream.hold(held)
 
     def hand_over(self) -> None:
@@ -780,23 +782,23 @@
         if passing(fd):
             self._transport = None
             transport.abort()
-        elif not self._paused:
+        elif not self._reading_paused:
             transport.resume_reading()
 
     def pause_writing(self) -> None:
-        self._clogged = True
+        self._writing_paused = True
         self._seen, self._seen_at = -1, self.frontend.clock()
         self._hold_out(True)
-        self._throttle()
+        self._apply_backpressure()
 
     def resume_writing(self) -> None:
-        self._clogged = False
+        self._writing_paused = False
         self._hold_out(False)
-        self._throttle()
+        self._apply_backpressure()
         if self._lingering is not None:
             self._half_close()  # the last byte of its last answer has gone out
 
-    def _throttle(self) -> None:
+    def _apply_backpressure(self) -> None:
         """Read on only while answers are taken off: what one client does not read would fill the memory.
 
         What is not read hides the client's end: the sweep looks for it. What is dropped unparsed is read on.
@@ -804,12 +806,12 @@
         if self._rejected:
             stop = self._drained > self._linger_bytes
         else:
-            stop = self._clogged or len(self._waiting) >= MAX_PIPELINE
+            stop = self._writing_paused or len(self._waiting) >= MAX_PIPELINE
             stop = stop or (self._upload is not None and self._upload.held)
         transport = self._transport or self._lingering
-        if transport is None or transport.is_closing() or stop is self._paused:
+        if transport is None or transport.is_closing() or stop is self._reading_paused:
             return
-        self._paused = stop
+        self._reading_paused = stop
         if stop:
             transport.pause_reading()
         else:
@@ -838,7 +840,7 @@
         if transport.get_write_buffer_size():
             if not transport.is_closing():
                 transport.set_write_buffer_limits(0)  # ``resume_writing`` tells when all is out
-            self._throttle()
+            self._apply_backpressure()
         else:
             self._half_close()
 
@@ -853,14 +855,14 @@
                 sock.shutdown(socket.SHUT_WR)
         except OSError:  # it has been reset: the transport finds that out
             transport.write_eof()
-        self._throttle()
+        self._apply_backpressure()
 
     def _flooded(self) -> None:
         """It sends more than is read for the sake of its answer."""
         if self._half_closed:
             self.abort()
         else:
-            self._throttle()  # its answers come first
+            self._apply_backpressure()  # its answers come first
 
     def _break(self) -> None:
         """End in an answer. A tidy end would make a short body of it, for who goes by the connection's end."""
@@ -887,13 +889,13 @@
             self._account()
         if self._transport is None:
             return self._check_linger(age, now)
-        if self._paused and self.peer_closed:
+        if self._reading_paused and self.peer_closed:
             return self._left()
         if self._waiting:
             if self._upload is not None or self._waiting[0].stream is not None:
                 self._check_transfer(now)
             return
-        if self._clogged:
+        if self._writing_paused:
             self._check_taker(now)
         elif not self._reading:
             if age > patience and not self.unread:
@@ -931,7 +933,7 @@
     def _check_transfer(self, now: float) -> None:
         """End a transfer whose client does not get on with it; one that is held up by the server is left alone."""
         upload = self._upload
-        if upload is not None and not self._paused:  # who is not read cannot get on
+        if upload is not None and not self._reading_paused:  # who is not read cannot get on
             if now - self._seen_at > WINDOW and not self.unread:
                 if upload.size - self._seen < RATE * WINDOW:
                     return self._cut(upload, 408)
@@ -939,7 +941,7 @@
             return
         if upload is not None:
             self._seen, self._seen_at = upload.size, now
-        elif self._clogged:
+        elif self._writing_paused:
             self._check_taker(now)
 
     def _cut(self, upload: Upload, status: int) -> None:
--- a/cypresspulley/net/relay.py
+++ b/cypresspulley/net/relay.py
@@ -1,8 +1,8 @@
 """Bodies that pass as they arrive, with backpressure: an upload to a server, a download to a client.
 
 No decision is made here. What is small is handed over whole, as ever; what is larger than ``KEEP`` flows. Of each
-transfer no more is held than one side's buffer up to ``mark()`` and what one read brings, which the kernel's buffers
-bound: they are cut to ``READ``.
+transfer no more is held than one side's buffer up to ``high_water()`` and what one read brings, which the kernel's
+buffers bound: they are cut to ``READ``.
 """
 
 from __future__ import annotations
@@ -14,11 +14,11 @@
 
 KEEP = 64 * 1024  # bytes of an upload that are kept for another attempt; beyond them there is none
 LARGEST = 48 * 1024 * 1024  # bytes of one body: what says that it is larger is no body of this platform
-# Bytes that all transfers' buffers together may hold, beside ``MARK_LEAST`` and a read of each.
+# Bytes that all transfers' buffers together may hold, beside ``HIGH_WATER_LEAST`` and a read of each.
 TOTAL = 24 * 1024 * 1024
 # Of one transfer. An attempt is out, and its server held, until its last byte has been read here: what finds room
 # ends sooner.
-MARK_MOST, MARK_LEAST = 2 * 1024 * 1024, 4 * 1024
+HIGH_WATER_MOST, HIGH_WATER_LEAST = 2 * 1024 * 1024, 4 * 1024
 SHARE = 4  # of the room that is left, one transfer may take a quarter
 # Bytes of a socket's own buffers; the kernel gives twice as much. Half of it is less than a segment on loopback: each
 # then waits 40 ms for its acknowledgement (an upload of 3 MB took more than 20 s).
@@ -57,11 +57,11 @@
         self.buffered = 0  # bytes that wait for clients, as of when each transfer last moved
 
     def __repr__(self) -> str:
-        return f"<Relay {self.active} transfers, {self.buffered} bytes buffered, {self.mark()} for the next>"
+        return f"<Relay {self.active} transfers, {self.buffered} bytes buffered, {self.high_water()} for the next>"
 
-    def mark(self) -> int:
+    def high_water(self) -> int:
         """Bytes in one transfer's buffer from which its source is no longer read."""
-        return max(MARK_LEAST, min(MARK_MOST, (TOTAL - self.buffered) // SHARE))
+        return max(HIGH_WATER_LEAST, min(HIGH_WATER_MOST, (TOTAL - self.buffered) // SHARE))
 
     def begin(self, sock: socket.socket) -> None:
         """One more transfer, on a server's socket."""
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -268,7 +268,7 @@
 async def clog(limiter: Limiter, script: Script, peer: Peer) -> int:
     """How many answers were written until the client, which takes none off, is not read any more."""
     sent = 0
-    while not (limiter.frontend._clients and the_one(limiter)._clogged):
+    while not (limiter.frontend._clients and the_one(limiter)._writing_paused):
         peer.send(ask())
         sent += 1
         await script.until(api.Outcome, sent)
@@ -467,9 +467,9 @@
     peer = Peer(limiter, receive=65536)
     peer.send(ask(ttl=60_000))
     await script.until(api.Request)
-    await until(lambda: the_one(limiter)._clogged)
+    await until(lambda: the_one(limiter)._writing_paused)
     script.answer = silent
-    assert the_one(limiter)._paused
+    assert the_one(limiter)._reading_paused
     return peer
 
 
@@ -483,7 +483,7 @@
     peer = Peer(limiter, receive=65536)
     peer.send(ask(ttl=60_000) + ask(ttl=60_000))
     await script.until(api.Request, 2)
-    await until(lambda: the_one(limiter)._clogged)
+    await until(lambda: the_one(limiter)._writing_paused)
     return peer
 
 
@@ -494,7 +494,7 @@
     request = ask(POST, b"x" * 100_000, ttl=60_000)
     peer.send(request[:70_000])
     await script.until(api.Request)
-    await until(lambda: the_one(limiter)._paused)
+    await until(lambda: the_one(limiter)._reading_paused)
     peer.send(request[70_000:])
     return peer
 
--- a/tests/test_endings_gone.py
+++ b/tests/test_endings_gone.py
@@ -173,7 +173,7 @@
             await script.until(api.Request, 2 * MAX_PIPELINE + 1)
             out = await first_with_bytes(server)
             await server.request(out)
-            await until(lambda: all(each._paused for each in limiter.frontend._clients))
+            await until(lambda: all(each._reading_paused for each in limiter.frontend._clients))
             rest(limiter)
             peer.send(b"".join(ask() for _ in range(more)))
             leaves(peer)
--- a/tests/test_endings_leaving.py
+++ b/tests/test_endings_leaving.py
@@ -306,7 +306,7 @@
             peer.send(b"".join(ask(ttl=60_000) for _ in range(20)))
             requests = await script.until(api.Request, MAX_PIPELINE)
             sent = 0
-            while not the_one(limiter)._paused:
+            while not the_one(limiter)._reading_paused:
                 with contextlib.suppress(BlockingIOError):
                     sent += peer.socket.send(b"x" * 65536)
                 await turns(2)
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -252,7 +252,7 @@
             reader, writer = await limiter.connect()
             writer.transport.pause_reading()  # type: ignore[attr-defined]
             sent, clients = 0, limiter.frontend._clients
-            while not any(client._clogged for client in clients):
+            while not any(client._writing_paused for client in clients):
                 writer.write(ask())
                 sent += 1
                 await script.until(api.Outcome, sent)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,7 +16,16 @@
 from cypresspulley.net import frontend as net_frontend
 from cypresspulley.net import relay as net_relay
 from cypresspulley.net import upstream as net_upstream
-from cypresspulley.net.relay import KEEP, MARK_LEAST, MARK_MOST, READ, TOTAL, Download, Relay, Upload
+from cypresspulley.net.relay import (
+    HIGH_WATER_LEAST,
+    HIGH_WATER_MOST,
+    KEEP,
+    READ,
+    TOTAL,
+    Download,
+    Relay,
+    Upload,
+)
 from cypresspulley.policy.gateway import Gateway
 from tests import world as w
 from tests.loopback import OK, SETTINGS, Limiter, Script, ask, listening, read_message, run, send_on
@@ -78,12 +87,12 @@
 def test_however_many_transfers_fill_up_they_hold_no_more_than_the_bound() -> None:
     relay = Relay()
     for count in range(1, 3000):
-        mark = relay.mark()
-        assert MARK_LEAST <= mark <= MARK_MOST
+        mark = relay.high_water()
+        assert HIGH_WATER_LEAST <= mark <= HIGH_WATER_MOST
         relay.buffered += mark
-        assert relay.buffered <= TOTAL + count * MARK_LEAST
+        assert relay.buffered <= TOTAL + count * HIGH_WATER_LEAST
     relay.buffered = 0
-    assert relay.mark() == MARK_MOST, "and who comes alone has room"
+    assert relay.high_water() == HIGH_WATER_MOST, "and who comes alone has room"
 
 
 def test_a_download_waits_for_its_turn_and_holds_its_server() -> None:
@@ -600,7 +609,7 @@
             held = [c._transport.get_write_buffer_size() for c in clients if c._transport is not None]
             assert len(held) == 30 and all(held)
             # What all may hold together, and what one read brings on top of it.
-            assert sum(held) <= net_relay.TOTAL + 30 * (MARK_LEAST + 4 * READ)
+            assert sum(held) <= net_relay.TOTAL + 30 * (HIGH_WATER_LEAST + 4 * READ)
             assert limiter.upstream.relay.buffered == 0 and limiter.frontend.relay.buffered > 0
             assert sent < 30 * 1_000_000, "the servers wait too"
             for sock in socks:
