Let all requests of a client depart at once that leaves in an answer

Cause: `_left` breaks a connection whose answer flows and left the rest to `connection_lost`, a turn later. A look that found the client gone ended the attempt of a request behind that answer, the decisions still had it, sent once more, and each try took one from the further attempts that others may have (no byte was sent).

Change: `_left` lets them depart there, as `_close` does.

Test: `departs_at_once_with_all` in test_endings_gone.py, for FIN and RST; both red without the line (up to nine sends).

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -468,6 +468,7 @@
         stream = self._waiting[0].stream if self._waiting else None
         if stream is not None and stream.write is not None:
             self._break()  # its answer has begun and will not come whole
+            self._depart()
         else:
             self._close()
 
--- a/tests/test_endings_gone.py
+++ b/tests/test_endings_gone.py
@@ -192,6 +192,40 @@
     run(main())
 
 
+@LEAVES
+def test_who_leaves_in_an_answer_departs_at_once_with_all_that_waits_behind_it(leaves: Ends) -> None:
+    """Each attempt in vain would take one from those that others may have."""
+    sent = list[int]()
+
+    def insisting(event: api.Event) -> list[api.Action]:
+        if isinstance(event, api.Request) or (
+            isinstance(event, api.Outcome) and not event.finished and len(sent) < 9
+        ):
+            sent.append(event.id)
+            return [api.Send(event.id, "s1", 5.0)]
+        return []
+
+    async def main() -> None:
+        server, script = Server(), Script(insisting)
+        async with Limiter(script, {"s1": server.dial}) as limiter:
+            peer = Peer(limiter, receive=65536)
+            peer.send(ask() + ask())
+            first, second = await server.accept(), await server.accept()
+            for sock in (first, second):
+                await server.request(sock)
+            first.send(b"HTTP/1.1 200 OK\r\nContent-Length: 12000000\r\n\r\n" + b"x" * 100_000)
+            await script.until(api.Began)
+            await turns()
+            second.send(FULL)
+            leaves(peer)
+            await gone(limiter, script, 2)
+            assert sent == [1, 2, 2], "one further attempt was wanted, and it found the client gone"
+            peer.socket.close()
+        server.close()
+
+    run(main())
+
+
 @FIRST
 @LEAVES
 def test_what_waits_for_the_counter_is_not_sent_once_its_client_has_gone(
