--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import fcntl
 import logging
 import math
@@ -39,6 +40,7 @@
 # silence: for so many seconds none is kept that has been idle for so long.
 DISTRUST = 10.0
 MAX_ANSWER = MAX_HEAD + 2 * MAX_BODY  # all bytes of an answer: interim ones, chunk sizes and trailers too
+OUT_OF_DESCRIPTORS = (errno.EMFILE, errno.ENFILE)
 LENGTH = re.compile(rb"[0-9]{1,9}")
 LOAD, NOT_PROCESSED = b"x-server-load", b"x-not-processed"
 USED, CHARGED = b"x-quota-used", b"x-units-charged"
@@ -77,7 +79,7 @@
     server: str
     head: bytes
     body: bytes
-    expires: float
+    expires: float  # infinite while an upload comes
     done: Callable[[Exchange], None]
     latest: float = math.inf  # its first byte goes out by then, or it never runs
     started: float = 0.0
@@ -92,6 +94,7 @@
     units: float | None = None  # the request's true units
     upload: Upload | None = None  # in place of a body that is there
     wait: float = math.inf  # seconds for an answer, from the upload's last byte
+    present: Callable[[], bool] | None = None  # a look whether its client is still there; None: it has none
     # Takes a large answer as it comes; where it is None, an answer is whole or spoilt.
     begun: Callable[[Exchange, Download], None] | None = None
     download: Download | None = None
@@ -544,6 +547,8 @@
         server, left = self._servers.get(exchange.server), exchange.expires - exchange.started
         if server is None or not server.usable or left <= 0:
             return self.end(exchange, Status.NOT_SENT)
+        if self._left(exchange):
+            return None
         if (connection := self._take_idle(server)) is not None:
             return self._write(connection, exchange)
         if server.open >= PER_SERVER or (self._open >= self._max and not self._make_room()):
@@ -556,10 +561,12 @@
         dial.add_done_callback(self._dials.discard)
 
     def whole(self, exchange: Exchange) -> None:
-        """An upload's last byte is on its way: the time for its answer begins."""
-        if exchange.wait < math.inf and not exchange.ended and exchange.timer is None:
-            exchange.started = self._clock()
-            self._time(exchange, exchange.wait)
+        """An upload's last byte is on its way: the time for its answer begins, be its dial up or not."""
+        if exchange.wait < math.inf and not exchange.ended and exchange.expires == math.inf:
+            now = exchange.started = self._clock()
+            exchange.expires = now + exchange.wait
+            latest = exchange.latest - now if exchange.connection is None else math.inf
+            self._time(exchange, min(exchange.wait, latest))
 
     def cancel(self, exchange: Exchange) -> None:
         """Stop waiting; the connection goes with it, so that no late answer meets another request."""
@@ -621,12 +628,14 @@
             connection.abort()
             if connection.transport is None:  # no connection_lost will count it off
                 self._closed(server)
+            if isinstance(error, OSError) and error.errno in OUT_OF_DESCRIPTORS:
+                return self.end(exchange, Status.FULL)  # that speaks of this process, and of no server
             # Only who has taken a connection can reset it; a port where nobody listens refuses.
             reset = isinstance(error, ConnectionResetError)
             return self.end(exchange, Status.DROPPED if reset else Status.UNREACHABLE)
         finally:
             server.waiting.pop(exchange, None)
-        if exchange.ended:
+        if exchange.ended or self._left(exchange):
             self.release(connection, True)  # nothing was written on it
         elif connection.transport is not None and connection.unread:
             connection.abort()  # an answer before there is a request is none
@@ -634,6 +643,13 @@
         else:
             self._write(connection, exchange)
 
+    def _left(self, exchange: Exchange) -> bool:
+        """Whether the client has closed, maybe unread yet: then the attempt ends before its first byte."""
+        if exchange.present is None or exchange.present():
+            return False
+        self.cancel(exchange)
+        return True
+
     def _write(self, connection: _Connection, exchange: Exchange) -> None:
         # Time has passed if this waited for a dial: the server may drain, the try may be over.
         now, server = self._clock(), connection.server
@@ -644,8 +660,8 @@
             return self.end(exchange, Status.NOT_SENT)
         if exchange.timer is None or exchange.latest < exchange.expires:
             self._time(exchange, left)  # a dial was timed by its latest instant, an answer has longer
-        wait = exchange.wait if exchange.upload is not None else left
-        timeout = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(wait * 1000))
+        # What is left, or, of a body that still comes, what there will be from its last byte on.
+        timeout = b"X-Timeout-Ms: %d\r\n\r\n" % max(1, int(min(left, exchange.wait) * 1000))
         connection.send(exchange, exchange.head + timeout + exchange.body)
 
     def _time(self, exchange: Exchange, wait: float) -> None:
