Let a whole exchange go on where the last answer ended: no view is too large

Cause: an answer to a comparison ends after 24 datagrams (MOST_PIECES), marked as the last, and the next one began at the first bucket again (Exchange.on_compare). Rows that are new to the asker count for its digests only after View.quiet, 58 s at 231 members, so that the same buckets differed and the same first 24 pieces came each period. And Detector._on_piece took the last piece of a cut answer for the whole view: "joining" ended early. Ruled out: losses (none in the bed), rows without their member (the counts stand still), the view's bound (4,096). Now the asked one remembers by asker where a cut answer ended and the next one goes on behind it; who joins asks on at once, and is alive with the whole view. An answer has 24 datagrams at most as before, one round trip each, and the wire is unchanged: who is answered from the start each time, by a member of the version before, stops asking after the second. Each of five tests was seen red: without the memory of the cut (4 of 5), with asking on whatever comes (1), without asking on (3), without forgetting at a new life (1).

--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -381,6 +381,7 @@
     def _forget(self, name: str) -> None:
         self.peers.forget(name)
         self.clocks.forget(name)
+        self._exchange.forget(name)
 
     def _take_of_me(self, claim: Member) -> None:
         me = self.view.myself
@@ -518,7 +519,11 @@
             self.counts["unasked"] += 1
             return
         if envelope.message.last:
-            self._arrive()
+            more = self._exchange.goes_on(envelope.message)
+            if more and self.view.myself.state is State.JOINING:
+                self._exchange.begin(self._timers.number(), envelope.me.address)
+            else:
+                self._arrive()
         self._exchange.on_piece(envelope)
 
     def _on_amend(self, envelope: Envelope) -> None:
--- a/cypresspulley/fleet/exchange.py
+++ b/cypresspulley/fleet/exchange.py
@@ -6,7 +6,9 @@
     Amend (what the pieces lacked)   ------->
                                      <-------  Gossip (what it knows better of what it was amended)
 
-Each datagram is of use alone; whatever is lost is compared again.
+Each datagram is of use alone; whatever is lost is compared again. One answer has ``MOST_PIECES`` datagrams at most, and
+a large view does not fit in: the next answer to the same asker goes on behind the last one's end, whatever the digests
+say by then. (Rows that are new to an asker count for its digests only later: the same buckets may differ for a while.)
 """
 
 from __future__ import annotations
@@ -17,11 +19,13 @@
 from cypresspulley.fleet.outbox import MOST_PIECES, Outbox
 from cypresspulley.fleet.records import Member
 from cypresspulley.fleet.view import View, bucket
-from cypresspulley.fleet.wire import Envelope
+from cypresspulley.fleet.wire import Envelope, Key
 
 KEYS = 200  # bytes that two keys of a piece may take
 MOVING = 2  # periods after a change in which others still hear of it
 SELDOM = 4  # periods between comparisons meanwhile
+START: Key = (0, "", "")
+END: Key = (wire.BUCKETS, "", "")
 
 
 class Exchange:
@@ -31,6 +35,10 @@
         self._view, self._outbox, self._period = view, outbox, period
         self._compared = float("-inf")
         self._awaited = 0  # number of the comparison that is under way
+        self._reached = START  # where the last answer here ended; ``START`` where it was whole
+        self._cut = dict[
+            str, Key
+        ]()  # by asker, of its present life: where my last answer ended short of the whole
 
     def __repr__(self) -> str:
         return f"<Exchange, comparison {self._awaited} under way>"
@@ -46,14 +54,16 @@
         self._outbox.post(address, wire.Compare(number, self._view.bucket_digests()))
 
     def on_compare(self, envelope: Envelope) -> None:
-        """Answer with all that I hold in the buckets that differ, in pieces."""
-        compare, address, out = envelope.message, envelope.me.address, self._outbox
+        """Answer with all that I hold in the buckets that differ, in pieces, behind what my last answer got to."""
+        compare, asker, out = envelope.message, envelope.me, self._outbox
         assert isinstance(compare, wire.Compare)
-        mask = self._view.differing(compare.buckets)
-        after, end = (0, "", ""), (wire.BUCKETS, "", "")
-        room = out.room(wire.raw(wire.Piece(compare.number, 2**64 - 1, after, end, False))) - KEYS
+        address, mask = asker.address, self._view.differing(compare.buckets)
+        after = self._cut.pop(asker.name, START)
+        room = out.room(wire.raw(wire.Piece(compare.number, 2**64 - 1, START, END, False))) - KEYS
         entries, cells, used, sent, upto = list[Raw](), list[Raw](), 0, 0, after
         for key in self._view.keys(mask):
+            if key <= after:
+                continue
             record = self._view.cell(out.now, *key[1:]) if key[2] else self._view.entry(key[1])
             if record is None:
                 continue
@@ -62,13 +72,14 @@
                 done = sent == MOST_PIECES
                 piece = wire.Piece(compare.number, mask, after, upto, done)
                 out.send(address, wire.raw(piece), entries, cells)
-                if done:  # the rest is compared again
+                if done:
+                    self._cut[asker.name] = upto
                     return
                 after, entries, cells, used = upto, [], [], 0
             (cells if key[2] else entries).append(record)
             used += wire.size(record)
             upto = key
-        out.send(address, wire.raw(wire.Piece(compare.number, mask, after, end, True)), entries, cells)
+        out.send(address, wire.raw(wire.Piece(compare.number, mask, after, END, True)), entries, cells)
 
     def takes(self, piece: wire.Piece) -> bool:
         """Whether it is of the comparison that is under way, which ends with the last."""
@@ -78,6 +89,16 @@
             self._awaited = 0
         return True
 
+    def goes_on(self, last: wire.Piece) -> bool:
+        """Whether there is more behind the last piece of an answer, and it came further than the answer before: one who
+        always begins at the start would be asked for ever."""
+        before, self._reached = self._reached, last.upto if last.upto < END else START
+        return before < self._reached
+
+    def forget(self, name: str) -> None:
+        """A member of that name has ended, or has a new life."""
+        self._cut.pop(name, None)
+
     def on_piece(self, envelope: Envelope) -> None:
         """Answer with what I hold better in the range that the piece is whole in."""
         piece, view = envelope.message, self._view
--- /dev/null
+++ b/tests/fleet/test_exchange.py
@@ -0,0 +1,111 @@
+"""Whole exchange where one answer does not hold the view: it goes on behind its end."""
+
+from __future__ import annotations
+
+import pytest
+
+from benchmarks.fleet_bed import EPOCH, Bed, Host, address
+from cypresspulley.fleet import exchange, wire
+from cypresspulley.fleet.exchange import Exchange
+from cypresspulley.fleet.outbox import MOST_PIECES
+from cypresspulley.fleet.records import Member, State
+from cypresspulley.fleet.view import QUIET, Queue
+
+MANY = 1024
+LIFE = round(EPOCH * 1000)
+ROW = b"x" * 150
+IN_ORDER = 1e-20  # seconds of a delay that no clock tells: a row that overtakes its member is not taken
+LONG_AGO = -1000.0  # rows of then count for the digest, and what is held is no news
+
+
+def large(bed: Bed, size: int = MANY, rows: bool = True) -> Host:
+    """The one member of a large fleet that answers in this bed."""
+    known = [Member(f"l{n}", LIFE, 0, State.ALIVE, "zone", address(f"l{n}")) for n in range(size)]
+    host = bed.start("l0", known=known)
+    view = host.detector.view
+    for n in range(1, size if rows else 0):
+        for subsystem in ("lanes", "closing"):
+            view.merge_row(LONG_AGO, wire.Cell(f"l{n}", subsystem, LIFE, 1, 0, ROW))
+    view.turn(bed.now)
+    for n in range(size):
+        view.queue.drop_name(f"l{n}")
+    return host
+
+
+def held(host: Host) -> tuple[int, int]:
+    """Members and rows."""
+    view = host.detector.view
+    return view.present, sum(len(view.rows(0.0, key)) for key in ("lanes", "closing"))
+
+
+def test_one_that_joins_a_large_fleet_is_alive_once_it_has_the_whole_view() -> None:
+    bed = Bed(1, delay=IN_ORDER)
+    large(bed)
+    new = bed.start("new", ["l0"])
+    began = bed.now
+    assert bed.run(began + 1.0, lambda: new.detector.view.myself.state is State.ALIVE, every=0.001)
+    assert held(new) == (MANY + 1, 2 * (MANY - 1)) and bed.now - began < 0.5
+
+
+def test_a_view_whose_digests_differ_for_long_still_comes_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Rows that are new to one that joins change none of its digests at first: what differs stays the same, for all."""
+    monkeypatch.setattr(exchange, "MOST_PIECES", 4)
+    bed = Bed(1)
+    names = bed.fleet(40)
+    for host in bed.live():
+        view = host.detector.view
+        for subsystem in ("lanes", "closing"):
+            view.publish(LONG_AGO, subsystem, ROW)
+            for name in names:
+                view.merge_row(LONG_AGO, wire.Cell(name, subsystem, LIFE, 1, 0, ROW))
+        view.turn(bed.now)
+        view.queue = Queue()
+    new = bed.start("new", ["l0"])
+    assert bed.run(bed.now + QUIET / 2, lambda: held(new) == (41, 80)), held(new)
+
+
+def test_one_answer_has_no_more_pieces_than_before() -> None:
+    bed, pieces = Bed(1, delay=IN_ORDER), dict[int, int]()
+    codec = wire.Codec("bed", b"a key of the bed only")
+
+    def count(source: str, target: str, data: bytes) -> None:
+        message = codec.decode(data).message
+        if isinstance(message, wire.Piece):
+            pieces[message.number] = pieces.get(message.number, 0) + 1
+
+    large(bed)
+    bed.tap = count
+    bed.start("new", ["l0"])
+    bed.run(0.4)
+    assert len(pieces) > 10 and max(pieces.values()) <= MOST_PIECES
+
+
+def test_one_that_is_always_answered_from_the_start_does_not_ask_for_ever(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A member of the version before this one answers so."""
+    begun = exchange.Exchange.on_compare
+
+    def forgetful(self: Exchange, envelope: wire.Envelope) -> None:
+        self.forget(envelope.me.name)
+        begun(self, envelope)
+
+    monkeypatch.setattr(Exchange, "on_compare", forgetful)
+    bed = Bed(1, delay=IN_ORDER)
+    large(bed)
+    new = bed.start("new", ["l0"])
+    assert bed.run(bed.now + 0.4, lambda: new.detector.view.myself.state is State.ALIVE, every=0.001)
+    assert new.detector.counts["sent"] < 20
+
+
+def test_a_new_life_of_the_asker_is_answered_from_the_start() -> None:
+    bed = Bed(1, delay=IN_ORDER)
+    host = large(bed)
+    new = bed.start("new", ["l0"])
+    assert bed.run(bed.now + 0.4, lambda: bool(held(new)[1] and host.detector._exchange._cut), every=0.0002)
+    bed.kill("new")
+    assert held(new)[0] < MANY
+    bed.run(bed.now + 0.01)
+    again = bed.start("new", ["l0"])
+    assert bed.run(bed.now + 0.4, lambda: again.detector.view.myself.state is State.ALIVE, every=0.001)
+    assert held(again) == (MANY + 1, 2 * (MANY - 1))
