--- a/cypresspulley/keeper/engine.py
+++ b/cypresspulley/keeper/engine.py
@@ -61,7 +61,7 @@
 DIAL_TIMEOUT = 1.0
 FRESH = 0.5  # seconds between two readings of a cluster's slots
 SLOTS = 16384
-MOST_NODES = 1000
+MOST_NODES = SLOTS  # addresses of one life: no cluster has more masters than slots
 Done = Callable[[Status, float], None]
 Address = tuple[str, int]
 
--- a/cypresspulley/plans/serve.py
+++ b/cypresspulley/plans/serve.py
@@ -33,7 +33,8 @@
 BEAT = 1.0  # seconds
 MOST_HEAD = 8192  # bytes
 HEAD_WAIT = 5.0  # seconds for a head
-MOST_FOLLOWERS = 512
+MOST_FOLLOWERS = 4096  # as many limiters as a fleet's view holds (``fleet.view.MOST_MEMBERS``)
+BACKLOG = 1024  # dials that wait to be accepted: a fleet that restarts dials as one
 STALLED = 5.0  # seconds in which a follower must take what is written to it
 PATH = "/v1/plans"
 MOST_BODY = 65_536  # bytes of a wish
@@ -120,7 +121,7 @@
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         """Serve; the address taken."""
-        self._server = await asyncio.start_server(self._serve, host, port, limit=MOST_HEAD)
+        self._server = await asyncio.start_server(self._serve, host, port, limit=MOST_HEAD, backlog=BACKLOG)
         name = self._server.sockets[0].getsockname()
         return str(name[0]), int(name[1])
 
--- a/cypresspulley/takeover/channel.py
+++ b/cypresspulley/takeover/channel.py
@@ -21,6 +21,7 @@
 
 MOST = 64 * 1024
 FDS = 1
+FILE = 8 << 20  # characters of a file: 1,024 servers' ids, 1,024 long (``door.ROUTES``), six in JSON
 QUEUE = 8192  # messages that wait for the other side; one that takes none has stalled
 NAME = "takeover"
 Message = dict[str, Any]
@@ -163,8 +164,8 @@
             contextlib.suppress(OSError, UnicodeDecodeError),
             open(self._path(name), encoding="utf-8") as file,
         ):
-            text = file.read(MOST * 4 + 1)
-            return text if len(text) <= MOST * 4 else None
+            text = file.read(FILE + 1)
+            return text if len(text) <= FILE else None
         return None
 
 
