Refuse absurd figures in settings by key and expectation, and hold the last good ones

Every figure that the program reads was set, in turn, to -1, 0, a half, 1e308, a whole number of 400 digits, and NaN. Found: - the whole number of 400 digits ended a start with a traceback (OverflowError in _number, which config_from does not catch) and went through Reload as one, in place of the one line with the key; - negative limits were taken: quota_rate, store_size, parallel, never_over_rate, inbox_per_s and 12 more; so was 1e308; - a half of parallel was taken as 0, which is no limit at all; me and n_instances were cut in the same way; - n_instances, cold_from, fall_s, warm_after_s and count_wait_s were refused under the program's own names (gateways, cold_share, ...), dial_timeout_s and conn_idle_s together, other kinds as "has the wrong type", with nothing said of what was expected. The tests that were there stand as they are. New: 48 figures in service and at a start in seven absurd forms, 0 and a half; an empty server list that is followed and filled again, and 14 spoilt ones in service and in the configuration.

--- a/cypresspulley/settings.py
+++ b/cypresspulley/settings.py
@@ -22,11 +22,13 @@
 | ``specifics``: ``count_wait_s`` of a counter | an error |
 | ``specifics``: ``max_units``, ``inbox_per_s`` | 6, 60 |
 | ``report.how`` | loads come with answers, if at all |
+
+Every figure that is read is a number from 0 to 2 ** 53, and above 0 or whole where its page needs that. What is not
+ends a start and leaves a limiter in service with the settings it has; the error names the key and what was expected.
 """
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -35,6 +37,9 @@
 EFFECT = {"idempotent": api.Effect.SAFE, "deduplicated": api.Effect.KEYED, "at_most_once": api.Effect.UNSAFE}
 SCOPE = {scope.value: scope for scope in api.Scope}
 MAY_GO = frozenset({"aim_stretch"})  # the page says that this key may be absent
+MOST = (
+    2**53
+)  # beyond it floats leave whole numbers out: a store of that size would not notice a unit that is taken
 T = TypeVar("T")
 
 
@@ -77,23 +82,17 @@
 
 
 def check_sound(raw: dict[str, Any]) -> None:
-    """Figures that no limiter can serve by: deadlines, aims and attempts that are not above 0."""
+    """Figures that no limiter can serve by: deadlines, aims, attempts and a number of limiters that are not above 0."""
     for row in _rows(raw, "classes"):
         for key in ("hard_limit_s", "aim_s"):
-            if key in row and _number(row, key) <= 0:
-                raise SettingsError(
-                    f"settings: classes: {row['name']!r:.40}: {key}: expected a number above 0"
-                )
-    attempts = _number(_section(raw, "limits"), "max_attempts", 1)
-    if attempts < 1 or attempts != int(attempts):
-        raise SettingsError(
-            f"settings: limits.max_attempts: expected a whole number above 0, got {attempts:g}"
-        )
+            _number(row, key, above=True)
+    _number(raw, "n_instances", above=True, whole=True)
+    _number(_section(raw, "limits"), "max_attempts", above=True, whole=True)
 
 
 def _word(table: dict[str, T], what: str, word: object) -> T:
     if not isinstance(word, str) or word not in table:
-        raise SettingsError(f"settings: {what}: unknown word {word!r:.60}")
+        raise SettingsError(f"settings: {what}: expected one of {', '.join(table)}, got {word!r:.60}")
     return table[word]
 
 
@@ -106,29 +105,41 @@
     return value
 
 
-def _number(owner: dict[str, Any], key: str, missing: float = 0.0) -> float:
+def _number(
+    owner: dict[str, Any], key: str, missing: float = 0.0, *, above: bool = False, whole: bool = False
+) -> float:
+    """A figure from 0, or ``above`` it, to ``MOST``; ``missing`` where there is none."""
     value = owner.get(key)
     if value is None:
         return missing
-    if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
-        raise SettingsError(f"settings: {key} has the wrong type: {value!r:.60}")
+    # A whole number may be too large for a float, and is compared as it is; no comparison holds for NaN.
+    fits = isinstance(value, int | float) and not isinstance(value, bool) and 0 <= value <= MOST
+    if not fits or (above and not value) or (whole and value != int(value)):
+        bounds = f"above 0, at most {MOST}" if above else f"from 0 to {MOST}"
+        raise _unfit(owner, key, f"a {'whole ' * whole}number {bounds}")
     return float(value)
 
 
 def _text(owner: dict[str, Any], key: str) -> str:
     value = owner.get(key)
     if value is not None and not isinstance(value, str):
-        raise SettingsError(f"settings: {key} has the wrong type: {value!r:.60}")
+        raise _unfit(owner, key, "a text")
     return value or ""
 
 
 def _flag(owner: dict[str, Any], key: str) -> bool:
     value = owner.get(key)
     if value is not None and not isinstance(value, bool):
-        raise SettingsError(f"settings: {key} has the wrong type: {value!r:.60}")
+        raise _unfit(owner, key, "true or false")
     return bool(value)
 
 
+def _unfit(owner: dict[str, Any], key: str, expected: str) -> SettingsError:
+    """``owner`` is a section, or a row with its name."""
+    row = f"{owner['name']!r:.40}: " if "name" in owner else ""
+    return SettingsError(f"settings: {row}{key}: expected {expected}, got {owner[key]!r:.60}")
+
+
 def _rows(owner: dict[str, Any], key: str) -> list[dict[str, Any]]:
     rows = owner.get(key) or []
     if not isinstance(rows, list) or not all(isinstance(row, dict) for row in rows):
@@ -193,7 +204,7 @@
             price=_number(row, "price", 1.0),
             rate=_number(row, "quota_rate"),
             burst=_number(row, "store_size"),
-            open_limit=int(_number(row, "parallel")),
+            open_limit=int(_number(row, "parallel", whole=True)),
             over_worth=_number(row, "over_worth"),
             over_cost=_number(row, "over_cost", 0.5),
             ceiling_rate=_number(row, "never_over_rate"),
@@ -202,12 +213,12 @@
         for row in _rows(raw, "tariffs")
     )
     return api.Settings(
-        index=int(_number(raw, "me")),
-        gateways=int(_number(raw, "n_instances", 1)),
+        index=int(_number(raw, "me", whole=True)),
+        gateways=int(_number(raw, "n_instances", 1, whole=True)),
         zone=_text(raw, "my_zone"),
         classes=classes,
         plans=plans,
-        max_attempts=int(_number(limits, "max_attempts", 1)),
+        max_attempts=int(_number(limits, "max_attempts", 1, above=True, whole=True)),
         may_duplicate=_flag(limits, "may_duplicate"),
         may_cancel=_flag(limits, "cancel"),
         may_probe=_flag(limits, "probes"),
@@ -216,10 +227,10 @@
         counter_timeout=_number(specifics, "count_wait_s"),
         max_units=_number(specifics, "max_units", 6.0),
         max_retry_after=_number(limits, "max_retry_after_s", 1.0) if _flag(limits, "retry_after") else 0.0,
-        cold_share=_number(contract, "cold_from", 1.0),
+        cold_share=_number(contract, "cold_from", 1.0, above=True),
         warm_after=_number(contract, "warm_after_s"),
         fall_multiple=_number(contract, "fall_multiple", 1.0),
-        fall_window=_number(contract, "fall_s", 1.0),
+        fall_window=_number(contract, "fall_s", 1.0, above=True),
         may_tell=_flag(limits, "peers"),
         inbox=_number(specifics, "inbox_per_s", 60.0),
         meter=_number(specifics, "meter_s"),
@@ -229,11 +240,8 @@
 def timing_from(raw: dict[str, Any]) -> Timing:
     """The connection times of the settings object."""
     limits = _section(raw, "limits")
-    timing = Timing(
-        _number(limits, "dial_timeout_s", 0.25),
-        _number(limits, "conn_idle_s", 15.0),
+    return Timing(
+        _number(limits, "dial_timeout_s", 0.25, above=True),
+        _number(limits, "conn_idle_s", 15.0, above=True),
         _text(raw, "discovery") != "ask",
     )
-    if timing.dial_timeout <= 0 or timing.conn_idle <= 0:
-        raise SettingsError("settings: dial_timeout_s and conn_idle_s must be above 0")
-    return timing
--- /dev/null
+++ b/tests/test_bad_lists.py
@@ -0,0 +1,91 @@
+"""An empty server list is followed; of a spoilt one the last good list holds, and the watch goes on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from cypresspulley.__main__ import ConfigError, config_from
+from cypresspulley.rehearsal.standins.discovery import Agent, Host
+from tests.loopback import Origin, ask, listening, read_message, run
+from tests.test_program import Program, config, stand_in_stage, started
+
+ROW: dict[str, Any] = {"host": "s1", "dial": "127.0.0.1:7070", "site": "a", "health": "ready"}
+SPOILT: dict[str, Any] = {
+    "no object": "x", "a list": [ROW], "no servers": {"seq": 9, "whole": True},
+    "servers that are none": {"seq": 9, "whole": True, "hosts": None},
+    "a text for them": {"seq": 9, "whole": True, "hosts": "s1"},
+    "a number among them": {"seq": 9, "whole": True, "hosts": [ROW, 3]},
+    "one without a health": {"seq": 9, "whole": True, "hosts": [ROW, {"host": "s2", "dial": "127.0.0.1:1"}]},
+    "one without an address": {"seq": 9, "whole": True, "hosts": [ROW | {"dial": ""}]},
+    "an address that is none": {"seq": 9, "whole": True, "hosts": [ROW | {"dial": "127.0.0.1:99999"}]},
+    "a birth that is none": {"seq": 9, "whole": True, "hosts": [ROW | {"born_ms": "then"}]},
+    "no number": {"whole": True, "hosts": [ROW]}, "a number that is none": {"seq": "x", "hosts": [ROW]},
+}  # fmt: skip
+
+
+async def status(program: Program) -> int:
+    reader, writer = await program.connect()
+    writer.write(ask())
+    first, _, _ = await read_message(reader)
+    writer.close()
+    return int(first.split()[1])
+
+
+async def until(program: Program, wanted: int) -> None:
+    while await status(program) != wanted:
+        await asyncio.sleep(0.01)
+
+
+def test_an_empty_list_refuses_at_once_and_the_next_one_serves_again(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin, agent = Origin(), Agent(stand_in_stage(), "n0")
+        async with listening(origin.talk) as dial:
+            raw = config(dial, agent.listen("127.0.0.1"))
+            raw["known"]["seq"] = 0  # older than what discovery has: it tells the whole list, of nobody
+            async with started(raw, tmp_path) as program:
+                await until(program, 429)
+                agent.publish(Host("s1", dial, "a", 0, "ready"))
+                await until(program, 200)
+        agent.close()
+
+    run(main())
+
+
+def test_a_spoilt_list_leaves_the_last_good_one(tmp_path: Path) -> None:
+    async def main() -> None:
+        origin, agent = Origin(), Agent(stand_in_stage(), "n0")
+        async with listening(origin.talk) as dial:
+            agent.publish(Host("s1", dial, "a", 0, "ready"))
+            async with started(config("127.0.0.1:1", agent.listen("127.0.0.1")), tmp_path) as program:
+                await until(program, 200)
+                for text in (
+                    *map(json.dumps, SPOILT.values()),
+                    "{",
+                    '{"seq": 1e400, "whole": true, "hosts": []}',
+                ):
+                    while not agent.watchers:
+                        await asyncio.sleep(0.005)
+                    for watcher in list(agent.watchers):
+                        watcher.chunk(text.encode() + b"\n")
+                    assert await status(program) == 200
+                agent.publish(Host("s1", dial, "a", 0, "gone"))
+                await until(program, 429)  # what comes next is heard
+        agent.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("known", SPOILT.values(), ids=SPOILT)
+def test_a_spoilt_list_in_the_configuration_is_named(known: object) -> None:
+    with pytest.raises(ConfigError, match=r"^not a list of servers: "):
+        config_from(config("127.0.0.1:1") | {"known": known})
+
+
+def test_an_empty_list_in_the_configuration_is_one() -> None:
+    read = config_from(config("127.0.0.1:1") | {"known": {"seq": 9, "whole": True, "hosts": []}}).known
+    assert read is not None and read.servers.complete and not read.servers.entries
--- a/tests/test_settings_keys.py
+++ b/tests/test_settings_keys.py
@@ -11,8 +11,9 @@
 import pytest
 
 from cypresspulley import interface as api
-from cypresspulley.__main__ import Config, ConfigError, config_from
+from cypresspulley.__main__ import Config, ConfigError, Reload, config_from
 from cypresspulley.settings import SettingsError, check_whole, settings_from, timing_from
+from tests.test_reload import Counted
 
 # The object of the wire's page, with a keyed class, a plan that limits what is out, and messages between limiters.
 WHOLE: dict[str, Any] = {
@@ -170,6 +171,60 @@
         read(changed(path, value))
 
 
+ABOVE = {
+    "n_instances", "classes.*.aim_s", "contract.cold_from", "contract.fall_s", "limits.max_attempts",
+    "limits.dial_timeout_s", "limits.conn_idle_s",
+}  # fmt: skip
+COUNTS = {"n_instances", "me", "limits.max_attempts", "tariffs.*.parallel"}
+ABSURD = {
+    "negative": -1, "a little below 0": -1e-9, "too large to count by": 2**53 + 1, "a larger one": 1e308,
+    "too large for a float": 10**400, "infinite": float("inf"), "not a number": float("nan"),
+}  # fmt: skip
+
+
+def figures() -> Iterator[Path]:
+    """Every figure that the program reads."""
+    for path in paths(WHOLE):
+        value = value_at(path)
+        if isinstance(value, int | float) and not isinstance(value, bool) and default_of(path) is not None:
+            yield path
+
+
+@pytest.mark.parametrize("value", ABSURD.values(), ids=ABSURD)
+@pytest.mark.parametrize("path", figures(), ids=lambda path: ".".join(map(str, path)))
+def test_a_figure_that_is_absurd_is_named_with_what_was_expected(path: Path, value: float) -> None:
+    """Of a limit above all: a negative one would be none, and by a huge one no store counts."""
+    kind = "whole number" if COUNTS & set(named(path)) else "number"
+    bounds = r"above 0, at most \d+" if ABOVE & set(named(path)) else r"from 0 to \d+"
+    row = f"'{WHOLE[str(path[0])][path[1]]['name']}': " if len(path) == 3 else ""
+    with pytest.raises(ConfigError, match=rf"^settings: {row}{path[-1]}: expected a {kind} {bounds}, got "):
+        config_from(configuration(changed(path, value)))
+
+
+@pytest.mark.parametrize("path", figures(), ids=lambda path: ".".join(map(str, path)))
+def test_nothing_and_a_half_are_taken_but_where_they_make_no_sense(path: Path) -> None:
+    for value, wrong in ((0, ABOVE), (0.5, COUNTS)):
+        raw = configuration(changed(path, value))
+        if wrong & set(named(path)):
+            with pytest.raises(ConfigError, match=rf"\b{path[-1]}: expected a (whole )?number "):
+                config_from(raw)
+        else:
+            config_from(raw)
+
+
+@pytest.mark.parametrize("path", figures(), ids=lambda path: ".".join(map(str, path)))
+def test_a_figure_that_is_absurd_leaves_a_limiter_in_service_as_it_is(
+    path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    whole = config_from(configuration(WHOLE))
+    files = [configuration(changed(path, value)) for value in (10**400, -1, "many")]
+    moved: Any = Counted()
+    reload = Reload(whole, moved, None, lambda: config_from(files.pop()), moved.retune)
+    for _ in range(len(files)):
+        assert not reload()
+    assert moved.calls == [] and caplog.text.count(f"{path[-1]}: expected ") == 3
+
+
 def configuration(settings: dict[str, Any]) -> dict[str, Any]:
     host = {"host": "s1", "dial": "127.0.0.1:7070", "site": "a", "block": 0, "health": "ready", "born_ms": 0}
     return {
