--- a/cypresspulley/fleet/exchange.py
+++ b/cypresspulley/fleet/exchange.py
@@ -36,9 +36,7 @@
         self._compared = float("-inf")
         self._awaited = 0  # number of the comparison that is under way
         self._reached = START  # where the last answer here ended; ``START`` where it was whole
-        self._cut = dict[
-            str, Key
-        ]()  # by asker, of its present life: where my last answer ended short of the whole
+        self._cursors = dict[str, Key]()  # by asker, of its present life: where my last answer stopped short
 
     def __repr__(self) -> str:
         return f"<Exchange, comparison {self._awaited} under way>"
@@ -58,7 +56,7 @@
         compare, asker, out = envelope.message, envelope.me, self._outbox
         assert isinstance(compare, wire.Compare)
         address, mask = asker.address, self._view.differing(compare.buckets)
-        after = self._cut.pop(asker.name, START)
+        after = self._cursors.pop(asker.name, START)
         room = out.room(wire.raw(wire.Piece(compare.number, 2**64 - 1, START, END, False))) - KEYS
         entries, cells, used, sent, upto = list[Raw](), list[Raw](), 0, 0, after
         for key in self._view.keys(mask):
@@ -73,7 +71,7 @@
                 piece = wire.Piece(compare.number, mask, after, upto, done)
                 out.send(address, wire.raw(piece), entries, cells)
                 if done:
-                    self._cut[asker.name] = upto
+                    self._cursors[asker.name] = upto
                     return
                 after, entries, cells, used = upto, [], [], 0
             (cells if key[2] else entries).append(record)
@@ -97,7 +95,7 @@
 
     def forget(self, name: str) -> None:
         """A member of that name has ended, or has a new life."""
-        self._cut.pop(name, None)
+        self._cursors.pop(name, None)
 
     def on_piece(self, envelope: Envelope) -> None:
         """Answer with what I hold better in the range that the piece is whole in."""
--- a/cypresspulley/operators.py
+++ b/cypresspulley/operators.py
@@ -67,7 +67,7 @@
     own = {table: (path, raw[table]) if table in raw else None for table in OWN_CHECK}
     keeper = raw.get("keeper", {}).get("url")
     tally = raw.get("tally", {}).get("every")
-    if tally is not None and tally < LEAST_TALLY:
+    if tally is not None and not LEAST_TALLY <= tally < float("inf"):  # no comparison holds for NaN
         raise OperatorsError(f"{path}: tally.every: expected at least {LEAST_TALLY:g} seconds, got {tally:g}")
     plans = (raw["plans"]["writer"], raw["plans"]["installation"]) if "plans" in raw else None
     log = access_log.replace("{name}", name) if access_log else None
--- a/tests/fleet/test_exchange.py
+++ b/tests/fleet/test_exchange.py
@@ -102,7 +102,9 @@
     bed = Bed(1, delay=IN_ORDER)
     host = large(bed)
     new = bed.start("new", ["l0"])
-    assert bed.run(bed.now + 0.4, lambda: bool(held(new)[1] and host.detector._exchange._cut), every=0.0002)
+    assert bed.run(
+        bed.now + 0.4, lambda: bool(held(new)[1] and host.detector._exchange._cursors), every=0.0002
+    )
     bed.kill("new")
     assert held(new)[0] < MANY
     bed.run(bed.now + 0.01)
