--- a/tests/test_cold_budget.py
+++ b/tests/test_cold_budget.py
@@ -1,6 +1,6 @@
 """What 200 limiters together send to a server that has just started, against the figure at which it falls.
 
-A cold server falls at more than N + 3 sqrt(N) + 3 requests of mean work in the settings' time, N being what the
+A cold server falls at more than N + 2 sqrt(N) + 2 requests of mean work in the settings' time, N being what the
 settings allow it then. No limiter sees what the others send; see ``docs/design/large-fleet.md``.
 """
 
@@ -101,7 +101,7 @@
         for first, at in enumerate(self.sent):
             n = self.allowed(at)
             much = sum(at <= other < at + SETTINGS.fall_window for other in self.sent[first:])
-            worst = max(worst, much / (n + 3 * math.sqrt(n) + 3))
+            worst = max(worst, much / (n + 2 * math.sqrt(n) + 2))
         return worst
 
     def used(self) -> float:
