Ask discovery so soon that a list is read 6 s after it can answer, in every state

Terms: whatever failed, was refused or given up before, a change counts as told 6 s after discovery had it and could be reached. Seen in virtual time: after 503 a limiter asked again 15.1 s after discovery's return (worst of three phases, longest waits; where lists are pushed too), four 503, four heads and four mute calls (asked) came 6.63, 6.26 and 6.25 s after a silence. Found with it: where lists are asked for, an answer of 2 s and a list of 1.2 s in pieces were never read, in 60 s, whatever the state before: a call beside it began every 0.6 s, four could be out, and the oldest gave way. At fault: RETRY_BUSY, RETRY_PUSHED and RETRY_TOLD, BESIDE, MOST_TRIES and _begin's choice.

Change: all waits come from one budget (beside the constants and in docs/design/restarts.md): 6 s - 0.3 (margin) - 0.5 (dial) - 2.5 (head) - 1.5 (list) leaves 1.2 s for the longest wait with jitter, so 0.8 s after 503; within 6 s of a watch's last byte 0.76 s for each of four calls that fail. Where lists are pushed a call costs nothing: 0.25 s in every state. Eight calls may be out where lists are asked for, so one outlasts its turn of 2 s at the shortest waits, and of those that came least far the oldest gives way. Names: backoff, jitter, hedge, time-out, heartbeat.

Two tests changed: what cannot be met has the new, lower figures (five 503 where lists are pushed are met now and stand in a test of their own, with eight), and the cap after 503 must be within the budget besides.

--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -18,20 +18,10 @@
 
 log = logging.getLogger(__name__)
 
-# Discovery counts as heard 6 s after a watch fell silent, whether or not it was; docs/design/restarts.md has the sum.
-TOLD = 6.0
-BEAT = 2.0  # seconds between two signs of life of a watch: an empty line comes while nothing changes
-# Seconds until the next try after one that ended, each give or take a half: the first, and at most after a row of them.
-RETRY, RETRY_BROKEN = 0.1, 0.25
-# At most after a row of refusals (503): while what was missed does not count as told; later, where the agent's lists
-# count whether or not they were heard; and else, since a restarted fleet that asked a busy discovery for whole lists
-# 100 times a second got none.
-RETRY_TOLD, RETRY_PUSHED, RETRY_BUSY = 0.8, 3.2, 16.0
-MOST_TRIES = 4  # at one time; the oldest gives way
 TICK = 0.25  # seconds between two looks at a watch
 HELD = 0.25  # seconds by which a look may be late before the loop counts as held
 TURNS = 3  # of the loop before a verdict: one that was held comes to its timers before it reads
-TURNS_OUT = 8  # the same before the next try: a dial that came up has to be known to its own call first
+TURNS_OUT = 8  # the same before the next call: a dial that came up has to be known to its own call first
 BUSY = frozenset(
     (429, 500, 502, 503, 504)
 )  # of discovery itself; any other refusal may be of the version asked for
@@ -76,12 +66,32 @@
     HALF = "half a message"  # a message has begun and not ended
 
 
-# Seconds from the last byte (HALF: from the message's first) until a watch is given up; a call may wait for its turn.
-PATIENCE = {At.DIALING: 0.5, At.ASKED: 2.5, At.FOLLOWING: BEAT + 0.5, At.HALF: 1.5}
-# Seconds without a step forward until the next try begins beside one that has said nothing, give or take a half. An
-# agent on this machine answers at once and at no cost; where lists are asked for, a call is work for others.
-BESIDE = {At.DIALING: 0.25, At.ASKED: 0.25, At.FOLLOWING: 0.6, At.HALF: 0.6}
-BESIDE_ASKED = BESIDE | {At.ASKED: 0.6}
+# The budget (docs/design/restarts.md): whatever failed before, a change counts as told 6 s after discovery had it and
+# could be reached, and 6 s after a watch fell silent.
+TOLD = 6.0
+MARGIN = 0.3  # seconds of it kept back, for looks that come late without counting as held
+HEARTBEAT = 2.0  # seconds between two signs of life of a watch: an empty line comes while nothing changes
+# Seconds from the last byte (HALF: from the message's first) until a call is given up. Where lists are asked for, one
+# that waits for its turn is answered or turned away within 2 s.
+TIMEOUT = {At.DIALING: 0.5, At.ASKED: 2.5, At.FOLLOWING: HEARTBEAT + 0.5, At.HALF: 1.5}
+JITTER = 0.5  # each wait is drawn from so much less to so much more of it, that limiters do not ask in step
+# Seconds until the next call after one that broke: the first wait, then four times the one before, up to the second.
+BACKOFF_FIRST, BACKOFF_BROKEN = 0.1, 0.25
+# The longest wait between the beginnings of two calls, whatever came of the first: the second may take as long as a
+# call may, its dial, its head and its list, and is through in time. 6 - 0.3 - 0.5 - 2.5 - 1.5 = 1.2 s.
+LONGEST_WAIT = TOLD - MARGIN - TIMEOUT[At.DIALING] - TIMEOUT[At.ASKED] - TIMEOUT[At.HALF]
+# The same while what a silent watch missed does not count as told: four calls that fail leave time for a fifth.
+# (6 - 0.3 - 2.5 - 0.15) / 4 = 0.76 s.
+URGENT_CALLS = 4
+URGENT_WAIT = (TOLD - MARGIN - TIMEOUT[At.FOLLOWING] - BACKOFF_FIRST * (1 + JITTER)) / URGENT_CALLS
+BACKOFF_BUSY, BACKOFF_URGENT = LONGEST_WAIT / (1 + JITTER), URGENT_WAIT / (1 + JITTER)  # after a 503, at most
+# Seconds without a step forward until the next call begins beside one that has said nothing (hedging). An agent on this
+# machine answers at once and at no cost; where lists are asked for, a call takes its turn among those of others.
+HEDGE = dict.fromkeys(At, 0.25)
+HEDGE_ASKED = HEDGE | dict.fromkeys((At.ASKED, At.FOLLOWING, At.HALF), 0.6)
+HEDGE_URGENT = HEDGE | dict.fromkeys((At.ASKED, At.FOLLOWING, At.HALF), BACKOFF_URGENT)
+# Calls at one time. Where lists are asked for, as many as let one outlast its turn of 2 s: 8 x 0.5 x 0.51 s.
+MAX_CALLS, MAX_CALLS_ASKED = 4, 8
 
 
 class SilenceError(ConnectionError):
@@ -197,7 +207,7 @@
         """Dial and ask; ``OSError`` where that fails, ``SilenceError`` where it does not come up."""
         dial = self._loop.create_task(self._loop.create_connection(lambda: self, host, port))
         try:
-            await asyncio.wait({dial}, timeout=PATIENCE[At.DIALING])
+            await asyncio.wait({dial}, timeout=TIMEOUT[At.DIALING])
             for _ in range(TURNS):
                 if not dial.done():
                     await asyncio.sleep(0)
@@ -250,8 +260,8 @@
     @property
     def _due(self) -> float:
         """When the watch will have been silent for as long as it may."""
-        due = max(self._heard + PATIENCE[self._at], self._trusted)
-        return due if self._begun is None else min(due, self._begun + PATIENCE[At.HALF])
+        due = max(self._heard + TIMEOUT[self._at], self._trusted)
+        return due if self._begun is None else min(due, self._begun + TIMEOUT[At.HALF])
 
     # The connection.
 
@@ -268,7 +278,7 @@
         if now - self._looked > TICK + HELD:
             self._late_at, self._late_from, self._looked = now, self._looked, now
         if now - self._late_at < TICK:
-            self._heard, self._trusted = max(self._heard, self._late_from), self._late_at + BEAT + HELD
+            self._heard, self._trusted = max(self._heard, self._late_from), self._late_at + HEARTBEAT + HELD
         else:
             self._heard = now
         try:
@@ -322,7 +332,7 @@
     ) -> None:  # fmt: skip
         """``pushed``: an agent on this machine has what it was sent, and a call costs nobody anything."""
         self._host, self._port, self._since, self._tell = host, port, since, tell
-        self._draw, self._wait, self.pushed = draw, RETRY, pushed
+        self._draw, self._wait, self.pushed = draw, BACKOFF_FIRST, pushed
         self._failing, self._busy = False, False
         self._spoilt = False  # the last message could not be read, and has been asked for again
         self._doubted = False  # the last message was older than what is known, and has been asked for again
@@ -340,7 +350,7 @@
                 while self._watch is not None:
                     self._news.clear()
                     await self._news.wait()
-                await asyncio.sleep(self.pause())
+                await asyncio.sleep(self.backoff())
         finally:
             self.close()
 
@@ -351,15 +361,26 @@
             watch.close()
         self._drop_old()
 
-    def pause(self) -> float:
-        """Seconds until the next try after one that ended: longer after each, and not those of other limiters."""
-        most = RETRY_BROKEN
-        if self._busy and self._lived_at is not None and _now() < self._lived_at + TOLD:
-            most = RETRY_TOLD
-        elif self._busy:
-            most = RETRY_PUSHED if self.pushed and self._lived_at is not None else RETRY_BUSY
+    def backoff(self) -> float:
+        """Seconds until the next call after one that ended: longer after each, and not those of other limiters."""
+        most = BACKOFF_BROKEN
+        if self._busy and not self.pushed:
+            most = BACKOFF_URGENT if self._urgent else BACKOFF_BUSY
         wait, self._wait = min(most, self._wait), min(most, 4 * self._wait)
-        return wait * (0.5 + self._draw())
+        return self._jittered(wait)
+
+    def _hedge(self, at: At) -> float:
+        """Seconds until the next call beside one that stays in this state."""
+        table = HEDGE if self.pushed else HEDGE_URGENT if self._urgent else HEDGE_ASKED
+        return self._jittered(table[at])
+
+    def _jittered(self, wait: float) -> float:
+        return wait * (1 - JITTER + 2 * JITTER * self._draw())
+
+    @property
+    def _urgent(self) -> bool:
+        """Whether what the last watch missed does not count as told yet."""
+        return self._lived_at is not None and _now() < self._lived_at + TOLD
 
     async def _race(self) -> None:
         """Up to a watch that has spoken."""
@@ -367,8 +388,7 @@
             newest, stands = self._begin(), True
             while stands and self._watch is None:
                 at, over = newest.at, newest.ended.done()
-                beside = RETRY_TOLD if self._busy else (BESIDE if self.pushed else BESIDE_ASKED)[at]
-                wait = self.pause() if over else beside * (0.5 + self._draw())
+                wait = self.backoff() if over else self._hedge(at)
                 stands = await self._step(newest, at, over, _now() + wait)
 
     async def _step(self, newest: _Watch, at: At, over: bool, until: float) -> bool:
@@ -389,9 +409,10 @@
                 turned = True
 
     def _begin(self) -> _Watch:
-        """The next try; a row of mute ones is bounded."""
-        if len(self._tries) >= MOST_TRIES:
-            self._tries.pop(next(iter(self._tries))).cancel()
+        """The next call; a row of mute ones is bounded: of those that came least far, the oldest gives way."""
+        if len(self._tries) >= (MAX_CALLS if self.pushed else MAX_CALLS_ASKED):
+            stages = list(At)
+            self._tries.pop(min(self._tries, key=lambda watch: stages.index(watch.at))).cancel()
         watch = _Watch(self._message, self._lived, self._spoilt, self._news.set)
         self._tries[watch] = asyncio.get_running_loop().create_task(self._live(watch))
         return watch
@@ -464,7 +485,7 @@
         if watch is not self._watch and watch not in self._tries:
             return  # another has spoken before
         self._check_newer(listing)
-        self._since, self._failing, self._wait, self._spoilt = listing.version, False, RETRY, False
+        self._since, self._failing, self._wait, self._spoilt = listing.version, False, BACKOFF_FIRST, False
         self._tell(listing)
 
     def _check_newer(self, listing: Listing) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -13,10 +13,11 @@
 from cypresspulley import interface as api
 from cypresspulley.net import discovery
 from cypresspulley.net.discovery import (
-    PATIENCE,
-    RETRY,
-    RETRY_BROKEN,
-    RETRY_BUSY,
+    BACKOFF_BROKEN,
+    BACKOFF_BUSY,
+    BACKOFF_FIRST,
+    LONGEST_WAIT,
+    TIMEOUT,
     At,
     Discovery,
     Follower,
@@ -102,7 +103,7 @@
 
 
 def test_a_silent_watch_is_begun_anew(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setitem(discovery.PATIENCE, At.FOLLOWING, 0.2)
+    monkeypatch.setitem(discovery.TIMEOUT, At.FOLLOWING, 0.2)
 
     async def main() -> None:
         agent = Agent([HEAD], [HEAD, chunk(message(58))], end=False)
@@ -121,7 +122,7 @@
             task = asyncio.create_task(Discovery(host, int(port), 41, lambda _: heard.set()).follow())
             for _ in range(turns):
                 await asyncio.sleep(0)
-            time.sleep(PATIENCE[At.DIALING] + 0.1)  # the timer is due before the loop sees that it is up
+            time.sleep(TIMEOUT[At.DIALING] + 0.1)  # the timer is due before the loop sees that it is up
             await heard.wait()
             task.cancel()
         assert len(agent.asked) == 1 and agent.connections == 1
@@ -166,45 +167,45 @@
     run(main())
 
 
-def pauses(seed: int, busy: bool) -> list[float]:
+def backoffs(seed: int, busy: bool) -> list[float]:
     watch = Discovery("127.0.0.1", 1, 41, lambda _: None, Random(seed).random)
     watch._busy = busy
-    return [watch.pause() for _ in range(9)]
+    return [watch.backoff() for _ in range(9)]
 
 
 def test_a_discovery_that_is_silent_or_breaks_is_asked_again_before_its_news_count_as_told() -> None:
     """What it has to tell counts as told after 6 s: a drain that came then was heard of 10 s and more too late."""
-    assert PATIENCE[At.FOLLOWING] + PATIENCE[At.ASKED] + 1.5 * RETRY_BROKEN < 6
-    assert all(max(pauses(seed, busy=False)) <= 1.5 * RETRY_BROKEN for seed in range(40))
+    assert TIMEOUT[At.FOLLOWING] + TIMEOUT[At.ASKED] + 1.5 * BACKOFF_BROKEN < 6
+    assert all(max(backoffs(seed, busy=False)) <= 1.5 * BACKOFF_BROKEN for seed in range(40))
 
 
 def test_a_watch_that_was_busy_once_and_then_silent_does_not_wait_as_for_a_busy_one(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setitem(discovery.PATIENCE, At.ASKED, 0.05)
-    monkeypatch.setattr(discovery, "RETRY", 0.01)
+    monkeypatch.setitem(discovery.TIMEOUT, At.ASKED, 0.05)
+    monkeypatch.setattr(discovery, "BACKOFF_FIRST", 0.01)
     waited = list[float]()
 
     async def main() -> None:
         busy = [b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"]
         agent = Agent(busy, busy, busy, [], [HEAD, chunk(message(1))])
-        pause = Discovery.pause
+        backoff = Discovery.backoff
 
         def noted(watch: Discovery) -> float:
-            waited.append(pause(watch))
+            waited.append(backoff(watch))
             return 0.0
 
-        monkeypatch.setattr(Discovery, "pause", noted)
+        monkeypatch.setattr(Discovery, "backoff", noted)
         await follow(agent, 1, 5)
 
     run(main())
-    assert len(waited) >= 4 and waited[3] <= 1.5 * RETRY_BROKEN
+    assert len(waited) >= 4 and waited[3] <= 1.5 * BACKOFF_BROKEN
 
 
 def test_each_try_waits_longer_than_the_one_before_and_apart_from_other_limiters() -> None:
-    each = [pauses(seed, busy=True) for seed in range(40)]
-    assert sum(first[0] for first in each) / 40 == pytest.approx(RETRY, rel=0.2)
-    assert all(RETRY_BUSY / 2 <= last[-1] <= 1.5 * RETRY_BUSY for last in each)
+    each = [backoffs(seed, busy=True) for seed in range(40)]
+    assert sum(first[0] for first in each) / 40 == pytest.approx(BACKOFF_FIRST, rel=0.2)
+    assert all(BACKOFF_BUSY / 2 <= last[-1] <= 1.5 * BACKOFF_BUSY <= LONGEST_WAIT + 1e-9 for last in each)
     # What 40 limiters ask together in the busiest tenth of a second, at their fifth try.
     at = sorted(sum(waits[:5]) for waits in each)
     assert max(sum(t <= other < t + 0.1 for other in at) for t in at) <= 10
--- a/tests/test_watch_clock.py
+++ b/tests/test_watch_clock.py
@@ -14,7 +14,7 @@
 from hypothesis import strategies as st
 
 from cypresspulley.net import discovery
-from cypresspulley.net.discovery import Discovery, Follower, Listing, Messages, UnreadableError
+from cypresspulley.net.discovery import LONGEST_WAIT, Discovery, Follower, Listing, Messages, UnreadableError
 from cypresspulley.rehearsal.virtual.loop import VirtualLoop, run_virtual
 from cypresspulley.rehearsal.virtual.owner import OWNER, Owner
 from tests.test_discovery import HEAD, chunk, message
@@ -115,6 +115,7 @@
     ("head",) * 3, ("busy",), ("busy",) * 2, ("busy",) * 3, ("busy", "never up"), ("busy", "mute"), ("half",),
     ("half",) * 2, ("half", "never up"), ("half, beats",), ("half, beats",) * 2, ("refused", "mute", "never up"),
     ("head", "half", "mute"), ("half", "busy", "refused"), ("never up", "busy", "head"),
+    ("busy",) * 4, ("head",) * 4, ("mute",) * 4, ("half",) * 3, ("busy", "busy", "mute", "mute"),
 ]  # fmt: skip
 
 
@@ -135,12 +136,14 @@
     assert seconds(*troubles, pushed=pushed, draw=Random(seed).random) < TOLD
 
 
-@pytest.mark.parametrize(
-    ("troubles", "pushed"), [(("busy",) * 5, True), (("busy",) * 5, False), (("mute",) * 5, False)], ids=str
-)
-def test_what_cannot_be_met_is_known_soon_after_the_trouble(troubles: tuple[str, ...], pushed: bool) -> None:
+@pytest.mark.parametrize("troubles", [("busy",) * 5, ("mute",) * 5], ids=", ".join)
+def test_what_cannot_be_met_is_known_soon_after_the_trouble(troubles: tuple[str, ...]) -> None:
     """The note states these; the decisions have to do with them."""
-    assert TOLD < seconds(*troubles, pushed=pushed) < (12 if pushed else 28 if "busy" in troubles else 10)
+    assert TOLD < seconds(*troubles, pushed=False) < TOLD + LONGEST_WAIT
+
+
+def test_where_lists_are_pushed_a_row_of_refusals_ends_in_time() -> None:
+    assert seconds(*("busy",) * 8, pushed=True) < TOLD
 
 
 @pytest.mark.parametrize("count", [4, 8, 11])
