--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -89,6 +89,9 @@
 # machine answers at once and at no cost; where lists are asked for, a call takes its turn among those of others.
 HEDGE = dict.fromkeys(At, 0.25)
 HEDGE_ASKED = HEDGE | dict.fromkeys((At.ASKED, At.FOLLOWING, At.HALF), 0.6)
+HEDGE_BUSY = HEDGE_ASKED | {
+    At.ASKED: BACKOFF_BUSY
+}  # it turned the call before away: this one waits for its turn
 HEDGE_URGENT = HEDGE | dict.fromkeys((At.ASKED, At.FOLLOWING, At.HALF), BACKOFF_URGENT)
 # Calls at one time. Where lists are asked for, as many as let one outlast its turn of 2 s: 8 x 0.5 x 0.51 s.
 MAX_CALLS, MAX_CALLS_ASKED = 4, 8
@@ -371,7 +374,12 @@
 
     def _hedge(self, at: At) -> float:
         """Seconds until the next call beside one that stays in this state."""
-        table = HEDGE if self.pushed else HEDGE_URGENT if self._urgent else HEDGE_ASKED
+        if self.pushed:
+            table = HEDGE
+        elif self._urgent:
+            table = HEDGE_URGENT
+        else:
+            table = HEDGE_BUSY if self._busy else HEDGE_ASKED
         return self._jittered(table[at])
 
     def _jittered(self, wait: float) -> float:
--- a/tests/test_discovery_budget.py
+++ b/tests/test_discovery_budget.py
@@ -17,6 +17,7 @@
     HEARTBEAT,
     HEDGE,
     HEDGE_ASKED,
+    HEDGE_BUSY,
     HEDGE_URGENT,
     JITTER,
     LONGEST_WAIT,
@@ -214,7 +215,9 @@
     """The longest wait, a dial, a head and a whole list take 6 s less the margin."""
     longest = LONGEST_WAIT + TIMEOUT[At.DIALING] + TIMEOUT[At.ASKED] + TIMEOUT[At.HALF]
     assert longest == pytest.approx(TOLD - MARGIN) and MARGIN >= 0.3 and TIMEOUT[At.ASKED] > TURN
-    hedges = [table[at] * (1 + JITTER) for table in (HEDGE, HEDGE_ASKED, HEDGE_URGENT) for at in table]
+    hedges = [
+        table[at] * (1 + JITTER) for table in (HEDGE, HEDGE_ASKED, HEDGE_BUSY, HEDGE_URGENT) for at in table
+    ]
     assert max(hedges) <= LONGEST_WAIT + 1e-9 and BACKOFF_BROKEN * (1 + JITTER) < GRACE
     for busy, pushed in ((True, False), (False, False), (True, True)):
         watch = Discovery(*WATCH, 41, lambda _: None, lambda: 1.0, pushed)
@@ -252,3 +255,30 @@
         return loop.time()
 
     assert run_virtual(partial(main)) < TURN + 1.2
+
+
+@pytest.mark.parametrize(("refusals", "waits"), [(1, 0.8), (0, 0.6)], ids=["behind a refusal", "else"])
+def test_a_call_that_a_busy_discovery_took_has_longer_until_the_next_begins_beside_it(
+    refusals: int, waits: float
+) -> None:
+    """It answers: what it has not turned away waits for its turn, and a second call would wait behind it."""
+
+    async def main(loop: VirtualLoop) -> float:
+        asked, third = list[float](), asyncio.Event()
+
+        async def talk(reader: Reader, writer: Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            asked.append(loop.time())
+            if len(asked) <= refusals:
+                writer.write(BUSY)
+            if len(asked) == refusals + 2:
+                third.set()
+            await reader.read()
+
+        await asyncio.start_server(talk, *WATCH)
+        task = loop.create_task(Discovery(*WATCH, 41, lambda _: None).follow())
+        await asyncio.wait_for(third.wait(), 60)
+        task.cancel()
+        return asked[-1] - asked[-2]
+
+    assert run_virtual(main) == pytest.approx(waits, abs=0.05)
