--- /dev/null
+++ b/benchmarks/ready_times.py
@@ -0,0 +1,153 @@
+"""How long restarted processes take until they are ready, so many at once, with discovery and the counter up or down.
+
+    python -m benchmarks.ready_times [--count 40] [--servers 200] [--json FILE]
+
+Each process has an old list of ``--servers`` servers in its configuration. Discovery and the counter listen with a full
+queue (dials hang), refuse, or, for discovery, answer each call with 503. Ready is the first 200 to ``GET /healthz``,
+asked every 50 ms, counted from the process's start; the time ends at ``LATEST`` seconds. Printed are median, ninth
+tenth and worst, the processor time of a process, and how many were ready within 10 s. All processes of a case start at
+one moment and are killed once all are ready. Takes some 20 s on 8 cores with nothing beside it.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import socket
+import statistics
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from benchmarks.cpu_per_request import HOST, limiter_config
+
+CASES = (
+    ("503", "hangs"), ("hangs", "up"), ("refuses", "refuses"), ("hangs", "hangs"),
+)  # fmt: skip
+WANTED, LATEST = 10.0, 30.0
+BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+async def turns_away(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(BUSY)
+    writer.close()
+
+
+async def counts(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    with contextlib.suppress(OSError):
+        while line := await reader.readline():
+            writer.write(b"pong\r\n" if line.startswith(b"ping") else b"ok 1\r\n")
+    writer.close()
+
+
+async def stand_in(how: str, stack: contextlib.AsyncExitStack) -> str:
+    """An address that behaves so."""
+    talk: dict[str, Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]] = {
+        "503": turns_away, "up": counts,
+    }  # fmt: skip
+    if how in talk:
+        server = await asyncio.start_server(talk[how], HOST, 0, backlog=1024)
+        stack.callback(server.close)
+        return "{}:{}".format(*server.sockets[0].getsockname())
+    bound = stack.enter_context(socket.socket())
+    bound.bind((HOST, 0))
+    if how == "hangs":
+        bound.listen(0)
+        for _ in range(3):
+            full = stack.enter_context(socket.socket())
+            full.setblocking(False)
+            full.connect_ex(bound.getsockname())
+    return "{}:{}".format(*bound.getsockname())
+
+
+async def healthy(port: int) -> bool:
+    try:
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+    except OSError:
+        return False
+    return b" 200 " in line
+
+
+def processor_seconds(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def one(path: Path, port: int) -> tuple[float, float]:
+    """Seconds until it was ready and of processor time by then; inf where it was not."""
+    began = time.monotonic()
+    child = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cypresspulley", env={**os.environ, "LB_CONFIG": str(path)},
+        stderr=asyncio.subprocess.DEVNULL,
+    )  # fmt: skip
+    try:
+        while time.monotonic() - began < LATEST and child.returncode is None:
+            if await healthy(port):
+                return time.monotonic() - began, processor_seconds(child.pid)
+            await asyncio.sleep(0.05)
+        return float("inf"), 0.0
+    finally:
+        if child.returncode is None:
+            child.kill()
+        await child.wait()
+
+
+async def case(count: int, servers: int, discovery: str, counter: str) -> dict[str, Any]:
+    async with contextlib.AsyncExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        addresses = {"discovery": await stand_in(discovery, stack), "counter": await stand_in(counter, stack)}
+        ports = [free_port() for _ in range(count)]
+        paths = []
+        for number, port in enumerate(ports):
+            path = limiter_config(folder, port, [9] * servers, f"{number}.json")
+            raw = json.loads(path.read_text()) | addresses | {"seed": f"{number:x}"}
+            raw["settings"]["specifics"] = {"has_counter": True, "count_wait_s": 0.05}
+            path.write_text(json.dumps(raw))
+            paths.append(path)
+        results = await asyncio.gather(*(one(path, port) for path, port in zip(paths, ports, strict=True)))
+    times = sorted(waited for waited, _ in results)
+    return {
+        "discovery": discovery, "counter": counter, "count": count, "median_s": round(statistics.median(times), 2),
+        "p90_s": round(times[-(-9 * count // 10) - 1], 2), "worst_s": round(times[-1], 2),
+        "cpu_s": round(statistics.median(cpu for _, cpu in results), 2),
+        "within_10_s": sum(waited <= WANTED for waited in times),
+    }  # fmt: skip
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    parser.add_argument("--count", type=int, default=40)
+    parser.add_argument("--servers", type=int, default=200)
+    parser.add_argument("--json", help="a file for the figures")
+    options = parser.parse_args()
+    rows = []
+    for discovery, counter in CASES:
+        rows.append(asyncio.run(case(options.count, options.servers, discovery, counter)))
+        print(rows[-1], flush=True)
+    if options.json:
+        Path(options.json).write_text(json.dumps(rows, indent=1) + "\n")
+    return 0 if all(row["within_10_s"] >= 0.9 * row["count"] for row in rows) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
