Name what is wrong with a server's figures and with the limit on descriptors

At fault: listing_from's except line, config_from's int(). The comment on reserved descriptors counts discovery's ten calls of now.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -30,7 +30,7 @@
 from cypresspulley.operators import Operators, OperatorsError, load_operators
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.service import Service
-from cypresspulley.settings import Timing, check_sound, check_whole, settings_from, timing_from
+from cypresspulley.settings import MOST, Timing, check_sound, check_whole, settings_from, timing_from
 from cypresspulley.takeover.channel import Folder
 
 if TYPE_CHECKING:
@@ -42,8 +42,8 @@
 
 log = logging.getLogger("cypresspulley")
 
-# Descriptors kept from clients and servers: 14 of a process at rest with its listener, 12 of discovery at most (six at
-# each of two addresses), those of the counter and of other limiters, and connections that are being closed.
+# Descriptors kept from clients and servers: 14 of a process at rest with its listener, 22 of discovery at most (ten
+# calls and an old watch at each of two addresses), those of the counter and of other limiters, and those being closed.
 RESERVED_DESCRIPTORS = 48
 DOOR_DESCRIPTORS = 80  # and for the operators' door
 LARGEST_RESERVE = 0.75  # of all descriptors, where they are few
@@ -105,14 +105,13 @@
     if not isinstance(raw, dict) or not isinstance(raw.get("settings"), dict):
         raise ConfigError("the configuration is not an object with settings")
     try:
-        limits = raw.get("limits") or {}
         check_sound(raw["settings"])
         return Config(
             listen=_address(raw, "listen"),
             discovery=_address(raw, "discovery"),
             counter=_address(raw, "counter") if raw.get("counter") else None,
             seed=int(str(raw.get("seed") or "0"), 16),
-            sockets=int(limits.get("sockets") or 1024),
+            sockets=_sockets(raw),
             known=listing_from(raw["known"]) if raw.get("known") else None,
             peers=_peers_from(raw),
             operator=_address(raw, "operator") if raw.get("operator") else None,
@@ -124,6 +123,18 @@
         raise ConfigError(str(error)) from None
 
 
+def _sockets(raw: dict[str, Any]) -> int:
+    """How many descriptors this process may hold: 1,024 where nothing is said."""
+    limits = raw.get("limits") or {}
+    if not isinstance(limits, dict):
+        raise ConfigError(f"limits: expected an object, got {limits!r:.40}")
+    sockets = 1024 if limits.get("sockets") is None else limits["sockets"]
+    number = isinstance(sockets, int | float) and not isinstance(sockets, bool) and 0 < sockets <= MOST
+    if not number or sockets != int(sockets):
+        raise ConfigError(f"limits.sockets: expected a whole number from 1 to {MOST}, got {sockets!r:.40}")
+    return int(sockets)
+
+
 def _address(raw: dict[str, Any], key: str) -> tuple[str, int]:
     if raw.get(key) is None:
         raise ConfigError(f"{key} is missing")
--- a/cypresspulley/net/discovery.py
+++ b/cypresspulley/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+import math
 import re
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -50,10 +51,12 @@
                 split_address(dial)
             name, born = str(row["host"]), float(row.get("born_ms") or 0) / 1000
             size, cell = float(row.get("share") or 1.0), int(row.get("block") or 0)
+            if not (0 <= born < math.inf and 0 < size < math.inf):
+                raise ValueError(f"{name!r:.40}: a birth or a share that is no figure")
             entries.append(api.ServerEntry(name, health, str(row.get("site") or ""), cell, size, born))
             dials[name] = dial
         return Listing(int(raw["seq"]), api.ServerList(tuple(entries), bool(raw.get("whole"))), dials)
-    except (KeyError, TypeError, AttributeError, ValueError) as error:
+    except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as error:
         raise ValueError(f"not a list of servers: {error!r:.80}") from None
 
 
--- a/tests/test_bad_lists.py
+++ b/tests/test_bad_lists.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,10 @@
     "one without an address": {"seq": 9, "whole": True, "hosts": [ROW | {"dial": ""}]},
     "an address that is none": {"seq": 9, "whole": True, "hosts": [ROW | {"dial": "127.0.0.1:99999"}]},
     "a birth that is none": {"seq": 9, "whole": True, "hosts": [ROW | {"born_ms": "then"}]},
+    "an endless birth": {"seq": 9, "whole": True, "hosts": [ROW | {"born_ms": math.inf}]},
+    "a birth of 400 digits": {"seq": 9, "whole": True, "hosts": [ROW | {"born_ms": 10**400}]},
+    "a share below nothing": {"seq": 9, "whole": True, "hosts": [ROW | {"share": -1}]},
+    "an endless number": {"seq": math.inf, "whole": True, "hosts": [ROW]},
     "no number": {"whole": True, "hosts": [ROW]}, "a number that is none": {"seq": "x", "hosts": [ROW]},
 }  # fmt: skip
 
@@ -86,6 +91,19 @@
         config_from(config("127.0.0.1:1") | {"known": known})
 
 
+@pytest.mark.parametrize(
+    "sockets", [0, -5, 1.5, True, "many", 10**400, math.inf, math.nan], ids=lambda value: f"{value!r:.8}"
+)
+def test_a_number_of_descriptors_that_is_none_is_named(sockets: object) -> None:
+    with pytest.raises(ConfigError, match=r"^limits\.sockets: expected a whole number from 1 to "):
+        config_from(config("127.0.0.1:1") | {"limits": {"sockets": sockets}})
+
+
+def test_limits_that_are_no_object_are_named() -> None:
+    with pytest.raises(ConfigError, match=r"^limits: expected an object"):
+        config_from(config("127.0.0.1:1") | {"limits": 64})
+
+
 def test_an_empty_list_in_the_configuration_is_one() -> None:
     read = config_from(config("127.0.0.1:1") | {"known": {"seq": 9, "whole": True, "hosts": []}}).known
     assert read is not None and read.servers.complete and not read.servers.entries
