--- a/tests/test_sites.py
+++ b/tests/test_sites.py
@@ -44,8 +44,8 @@
     return [line.strip() for line in text.splitlines() if pattern.search(line)]
 
 
-def test_two_sites_of_our_own_are_whole() -> None:
-    assert len(OURS) >= 2
+def test_sites_of_our_own_are_whole() -> None:
+    assert len(OURS) >= 3
     for path in OURS:
         assert path.stem == path.parent.name == tomllib.loads(path.read_text())["name"]
         assert {"real.json", "wire.json", "unlock.txt"} <= {file.name for file in path.parent.iterdir()}
@@ -75,7 +75,7 @@
         assert not spoken("berth-grab", line) and not spoken("standard", line) and not spoken("basic", line)
 
 
-def test_the_two_sites_differ_from_each_other_and_from_the_operators() -> None:
+def test_the_sites_differ_from_each_other_and_from_the_operators() -> None:
     every = [names(tomllib.loads(path.read_text())) for path in [*OURS, *THEIRS]]
     for place, ours in enumerate(every[: len(OURS)]):
         assert not any(ours & other for other in every[place + 1 :])
@@ -89,3 +89,6 @@
     assert not any("ceiling" in plan for plan in berths["fam"]["plan"])
     assert len(relay["net"]["zones"]) >= 5 and relay["tier"][0]["weights"] == "nominal"
     assert max(row["deadline_ms"] for row in relay["class"]) <= 1500
+    kiosks = sites["suvanto-kiosks"]["fam"]["plan"]
+    assert all(row["burst_s"][1] <= 1.5 for row in kiosks), "its accounts' stores hold next to nothing"
+    assert max(row["over_cost"] for row in kiosks) > 1
