--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -11,7 +11,7 @@
 from cypresspulley.policy.windows import Windows, kept_alone
 
 RECENT = 1.0  # seconds over which the others' use, told by messages, is taken for what they go on using
-SILENT, DOWN = 0.25, 5  # seconds between calls to a counter that is silent; misses in a row from a lost one
+SILENT = 0.25  # seconds between two calls to a counter that is silent
 CALLS = 300.0  # calls a second to the counter, thought possible at first by all, and at most by one
 Answered = Callable[[float, api.Counted], None]
 
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -8,7 +8,7 @@
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Status
 from cypresspulley.messages import KEYS
-from cypresspulley.policy.account import DOWN, Account, Answered, Calls
+from cypresspulley.policy.account import Account, Answered, Calls
 from cypresspulley.policy.request import Request
 from cypresspulley.policy.slots import LASTS, Slots
 from cypresspulley.policy.tells import Tells
@@ -166,13 +166,12 @@
             return Verdict(bool(self.room_out(now, r)), voucher="level")
         if self.tells is not None and now - self.tells.heard_at < DEAF:
             return Verdict(a.level >= r.units, voucher="message")
-        silent = not self._set.has_counter or now < calls.silent_until
-        if silent and (calls.misses >= DOWN or not (a.thin and self._set.has_counter)):
+        if not self._set.has_counter or now < calls.silent_until:
             inside = expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()
             return Verdict(inside, voucher="even share")
         if a.level < r.units or (plenty and not a.thin):
             return Verdict(a.level >= r.units, voucher="level")
-        late = silent or r.deadline - now < 3 * self._set.counter_timeout
+        late = r.deadline - now < 3 * self._set.counter_timeout
         if late or plan.over_worth > plan.over_cost or chance < max(0.05, self._rng.random()):
             return self._unvouched(r, expected)
         # Near the quota the counter is asked first, with the units where they will likely be granted.
