--- a/tests/test_endings_servers.py
+++ b/tests/test_endings_servers.py
@@ -1185,7 +1185,7 @@
         for _ in range(70):
             play.counter_answers(4, 2)
             await asyncio.sleep(0.25)
-        # A call that a tick made a moment ago is owed its answer, or, where nobody is at the counter's address, its time.
+        # A call that a tick just made is owed its answer, or, where nobody is at the counter's address, its time.
         await asyncio.sleep(2 * config.counter_timeout)
         while play.lines:
             play.counter_answers(4, 2)
