--- a/tests/test_large_program.py
+++ b/tests/test_large_program.py
@@ -45,7 +45,11 @@
     """The last of as many limiters, which may send each other messages; the limits of the days that are scored."""
     raw = config("127.0.0.1:1", discovery)
     here = f"127.0.0.1:{free_port()}"
-    raw["settings"] = raw["settings"] | {"n_instances": MANY, "me": MANY - 1, "specifics": {"inbox_per_s": 60.0}}
+    raw["settings"] = raw["settings"] | {
+        "n_instances": MANY,
+        "me": MANY - 1,
+        "specifics": {"inbox_per_s": 60.0},
+    }
     raw["settings"]["limits"] = raw["settings"]["limits"] | {"peers": True}
     raw["limits"] = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
     raw["known"] = {"seq": 0, "whole": True, "hosts": [host.row() for host in known]}
