Let the counter time the windows of ceilings and the marks of earlier processes

Callers saw an account served up to 7.2 units (even shares 7.4) beyond the slack of a ceiling of 16 behind a step of the wall clock, with and without restarts.

A step back by more than two windows enters a window again whose count the counter forgets in its middle: "25.00 sent 5010 2.0", "25.06 forgotten 5010 8.0", "25.06 sent 5010 1.0". And the count that tells of an earlier process was named by 30 s of wall time: behind a step each restart began with a full even share.

Why this holds: no name holds a time. A window is one name's count, as long as the counter keeps it, by real time; n of them in a span cover n - 2 lengths, whoever restarts or steps. Nothing is taken off a count any more (the call could come in the next one): what is granted and not sent on stays with the gateway while the count surely lives.

Found on the way: a plan with a ceiling and no quota was refused always where windows keep its ceiling; a window longer than 60 s lost its count in its middle with no step at all.

--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -8,7 +8,7 @@
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Status
 from cypresspulley.policy.slots import Slots
-from cypresspulley.policy.windows import Windows, kept_alone
+from cypresspulley.policy.windows import CeilingWindow, kept_alone
 
 RECENT = 1.0  # seconds over which the others' use, told by messages, is taken for what they go on using
 SILENT = 0.25  # seconds between two calls to a counter that is silent
@@ -79,7 +79,7 @@
 
     __slots__ = (
         "asked", "at", "ceiling", "debt", "drawn", "floor", "floor_cap", "guessed", "heard", "keep", "level",
-        "mine", "name", "open", "others", "pending", "plan", "share", "slots", "synced", "thin", "total", "windows",
+        "mine", "name", "open", "others", "pending", "plan", "share", "slots", "synced", "thin", "total", "window",
     )  # fmt: skip
 
     def __init__(
@@ -109,7 +109,7 @@
         self.plan, self.thin = plan, plan.burst < 2 * self.share  # the even share holds next to nothing
         self.floor_cap = max(plan.burst / self.share, min(settings.max_units, plan.burst) * self.thin)
         self.keep = kept_alone(plan, self.share, settings.max_units, settings.has_counter)
-        self.windows = Windows(label, plan, 1 - self.keep) if self.keep < 1 else None
+        self.window = CeilingWindow(label, plan) if self.keep < 1 else None
         shared = plan.open_limit > 0 and self.share > 1 and settings.has_counter
         self.slots = (self.slots or Slots(label)) if shared else None
 
@@ -127,8 +127,8 @@
         whole = self.ceiling * self.share + self.keep * plan.ceiling_rate * dt
         self.ceiling = min(self.keep * plan.ceiling_burst, whole) / self.share
 
-    def vouched(self) -> None:
-        """No earlier life of this gateway drew on the even share: it was full when this one began."""
+    def begin_full(self) -> None:
+        """No earlier incarnation of this gateway drew on the even share: it was full when this one began."""
         self.ceiling = max(self.ceiling, self.keep * self.plan.ceiling_burst / self.share - self.drawn)
 
     def ceiling_back(self, units: float) -> None:
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -37,7 +37,7 @@
             api.Request: self._arrive, api.Body: self._body, api.Began: self._began, api.Outcome: self._outcome,
             api.ServerList: self.fleet.listed, api.Suspend: self._suspend, api.Retune: self._retune,
             api.Probed: self.fleet.probed, api.Heard: self.quotas.heard, api.Counted: self.quotas.calls.answered,
-            api.WallClock: lambda now, ev: self.quotas.wall.step(now, ev.shift), api.TimerFired: lambda _now, _ev: None,
+            api.WallClock: lambda _now, ev: self.quotas.wall.step(ev.shift), api.TimerFired: lambda _now, _ev: None,
             api.Departed: lambda now, ev: self._forget(now, ev.id),
         }  # fmt: skip
 
@@ -83,7 +83,7 @@
         r.rank = bisect_left(self._ranks, value) / len(self._ranks) if self._ranks else 1.0
         if r.bound and self.quotas.too_dear(r):
             self._end(now, r, "too dear")
-        elif not (self.quotas.under_ceiling(r) or self.quotas.may_ask(now, r)):
+        elif not (self.quotas.under_ceiling(r) or self.quotas.window_may_hold(now, r)):
             self._end(now, r, "ceiling")
         elif not self.gate.passes(now, r.work, RESERVE * (1 - r.rank)):
             self._end(now, r, "gate")
@@ -215,7 +215,7 @@
     def _forget(self, now: float, request: int) -> None:
         if r := self._requests.pop(request, None):
             if not r.tries:
-                self.quotas.give_back(now, r)
+                self.quotas.give_back(r)
             self.quotas.free(now, r)
             for s in r.out.values():
                 s.ended(r.work if r.busy else 0.0)
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -10,11 +10,12 @@
 from cypresspulley.messages import KEYS
 from cypresspulley.policy.account import Account, Answered, Calls
 from cypresspulley.policy.classes import Plans
+from cypresspulley.policy.incarnation import Incarnation
 from cypresspulley.policy.request import Request
 from cypresspulley.policy.slots import LASTS, Slots
 from cypresspulley.policy.tells import Tells
 from cypresspulley.policy.walltime import WallTime
-from cypresspulley.policy.windows import Life, Windows
+from cypresspulley.policy.windows import CeilingWindow
 
 UNVOUCHED, SAMPLE = 0.08, 0.1  # of the worth asked inside quotas, what the rest may cost; a weight
 FORGET, LIFETIME = 60.0, 60.0  # idle seconds until an account is dropped; seconds that a shared count lives
@@ -46,7 +47,7 @@
         self._keys = dict[int, Account]()  # by the part of a name that messages carry
         self._follow_tells(now, settings)
         self.calls = Calls(now, settings.gateways, rng.random(), emit)
-        self._life, self.wall = Life(settings, rng, now), WallTime()
+        self.incarnation, self.wall = Incarnation(settings, rng, now), WallTime()
         self._spare, self._young, self._beyond = 0.0, 0.5, 0.2  # left of that; shares of answers
 
     def _settle(self, settings: api.Settings) -> None:
@@ -73,7 +74,7 @@
         for r in self._open.values():
             r.slot = r.slot and r.account.slots is not None
         self.calls.follow(settings.gateways)
-        self._life.follow(settings)
+        self.incarnation.follow(settings)
         self._follow_tells(now, settings)
 
     def account(self, now: float, ev: api.Request) -> Account:
@@ -82,28 +83,28 @@
         if (a := self.accounts.get(key)) is None:
             plan = self._plans.get(ev.plan) or self.dropped_plans.record(now, ev.plan) or api.Plan(ev.plan)
             a = self.accounts[key] = Account(now, ev, plan, self._born, self._set)
-            if self._life.vouched:
-                a.vouched()
+            if self.incarnation.first:
+                a.begin_full()
             if self.tells is not None:
                 self._keys[a.name % KEYS] = a
                 self.tells.met(now, a)
                 a.heard = now
         a.refill(now)
-        self.live(now)
+        self._mark_incarnation(now)
         return a
 
-    def live(self, now: float) -> None:
-        """The counter is asked whether this gateway was there before, when that is due."""
-        if self._life.wanted and (call := self._life.call(now, self.wall.at(now))) is not None:
-            self.calls.ask(now, call.name, call.lifetime, call.amount, self._told_of_life)
+    def _mark_incarnation(self, now: float) -> None:
+        """The counter is asked whether this gateway was there before, and told that it is, when that is due."""
+        if (call := self.incarnation.call(now)) is not None:
+            self.calls.ask(now, call.name, call.lifetime, call.amount, self._told_of_incarnation)
 
-    def _told_of_life(self, now: float, ev: api.Counted) -> None:
-        for account in self.accounts.values() if self._life.told(now, ev) else ():
-            account.vouched()
+    def _told_of_incarnation(self, now: float, ev: api.Counted) -> None:
+        for account in self.accounts.values() if self.incarnation.told(now, ev) else ():
+            account.begin_full()
 
     def tick(self, now: float) -> None:
         """Once an interval: idle accounts go, what is owed to the counter is told."""
-        self.live(now)
+        self._mark_incarnation(now)
         for key, a in list(self.accounts.items()):
             # A ceiling is full before it is forgotten: a new account would start with more than was left.
             grown = a.ceiling * a.share + a.keep * a.plan.ceiling_rate * (now - a.at)
@@ -121,7 +122,7 @@
     def too_dear(r: Request) -> bool:
         """Whether no store of the plan could ever hold it here: waiting for one would be in vain."""
         a, plan = r.account, r.account.plan
-        most = max(a.keep * plan.ceiling_burst / a.share, a.windows.most if a.windows else 0.0)
+        most = max(a.keep * plan.ceiling_burst / a.share, a.window.most if a.window else 0.0)
         capped = plan.ceiling_rate > 0 and r.most > most + 1e-9
         return capped or (plan.rate > 0 and r.units > plan.burst + 1e-9)
 
@@ -130,54 +131,49 @@
         """Whether the even share of the ceiling holds it, or a window that was asked."""
         return r.account.plan.ceiling_rate <= 0 or r.granted is not None or r.account.ceiling >= r.most
 
-    def may_ask(self, now: float, r: Request) -> bool:
-        """Whether its window may hold what the even share does not, and the counter can be asked."""
-        w, in_time = r.account.windows, r.deadline - now >= 3 * self._set.counter_timeout
-        if w is None or not in_time or not self.wall.settled(now, w.length):
+    def window_may_hold(self, now: float, r: Request) -> bool:
+        """Whether its window may hold what the even share does not: by the counter, or by what is kept here."""
+        window, in_time = r.account.window, r.deadline - now >= 3 * self._set.counter_timeout
+        if window is None:
             return False
-        return w.room(self.wall.at(now), r.most) and self.calls.left(now) >= 1
+        asks = in_time and window.has_room(now, r.most) and self.calls.left(now) >= 1
+        return asks or window.has_credit(now, r.most)
 
-    def give_back(self, now: float, r: Request) -> None:
-        """What a window holds for a try that was not sent on."""
-        windows = r.account.windows
-        if r.granted is not None and windows is not None and windows.index_at(self.wall.at(now)) == r.granted:
-            self._take_off(now, windows, r.granted, r.most)
+    @staticmethod
+    def give_back(r: Request) -> None:
+        """What a window holds for a try that was not sent on: no count is lowered, which could have ended meanwhile."""
+        if r.granted is not None and r.account.window is not None:
+            r.account.window.keep(r.granted, r.most)
         r.granted = None
 
-    def _take_off(self, now: float, windows: Windows, index: int, units: float) -> None:
-        self.calls.ask(now, windows.name(index), 2 * windows.length + 1, -units, lambda _now, _ev: None)
+    def _ask_window(self, now: float, r: Request, window: CeilingWindow) -> None:
+        answered = partial(self._window_answered, r, now)
+        self.calls.ask(now, window.name, window.length, r.most, answered)
 
-    def _window_answered(self, r: Request, index: int, now: float, ev: api.Counted) -> None:
+    def _window_answered(self, r: Request, asked: float, now: float, ev: api.Counted) -> None:
         r.account.refill(now)
-        back, windows = 0.0, r.account.windows
-        if ev.status is Status.OK and windows is not None:
-            fits, back = windows.granted(index, ev.total, r.most)
-            r.granted = index if fits else None
+        if ev.status is Status.OK and (window := r.account.window) is not None:
+            r.granted = window.granted(asked, now, ev.total, r.most, self._rng.random())
         if self._open.get(r.id) is not r:
-            self.give_back(now, r)  # its client left meanwhile
+            self.give_back(r)  # its client left meanwhile
         elif r.granted is not None:
             self._launch(now, r, self._plainly(now, r))
         else:
             self._launch(now, r, Verdict(False, why="ceiling"))
-        if back and windows is not None:
-            self._take_off(now, windows, index, back)
 
     @staticmethod
     def _plainly(now: float, r: Request) -> Verdict:
         """Inside its quota as far as is known here: a ceiling kept by its windows bounds what passes unseen."""
         a = r.account
-        return Verdict(min(a.plan.burst, a.level - a.others * (now - a.synced)) >= r.units, 0.0, "window")
+        level = min(a.plan.burst, a.level - a.others * (now - a.synced))
+        return Verdict(a.plan.rate <= 0 or level >= r.units, 0.0, "window")
 
     def judge(self, now: float, r: Request) -> Verdict | None:
         """Whether a try is inside its quota, by the first who can vouch for its units; None: the counter is asked."""
         a, plan = r.account, r.account.plan
         self._spare = min(r.worth, self._spare + UNVOUCHED * (1 - self._beyond) * r.worth * (not r.repeat))
-        if a.windows is not None or (a.thin and plan.ceiling_rate > 0 and self._set.has_counter):
-            if a.windows is None or self.under_ceiling(r):
-                return self._plainly(now, r)
-            index, life = a.windows.index, 2 * a.windows.length + 1
-            self.calls.ask(now, a.windows.name(index), life, r.most, partial(self._window_answered, r, index))
-            return None
+        if a.window is not None or (a.thin and plan.ceiling_rate > 0 and self._set.has_counter):
+            return self._judge_by_window(now, r)
         expected, calls = min(plan.burst, a.level - a.others * (now - a.synced)), self.calls
         worst = min(0.9 * plan.burst * (1 - 1 / a.share), max(a.others, plan.rate) * (now - a.synced))
         plenty = expected - worst - 0.1 * plan.burst >= r.units or a.share <= 1
@@ -200,6 +196,19 @@
         self.count(now, a, r, step)
         return None
 
+    def _judge_by_window(self, now: float, r: Request) -> Verdict | None:
+        """The verdict on a try whose ceiling is kept by a window, or by an even share of which little is known."""
+        window, verdict = r.account.window, self._plainly(now, r)
+        if window is None or self.under_ceiling(r):
+            return verdict
+        if not verdict.inside and r.account.plan.over_worth <= r.account.plan.over_cost:
+            return verdict  # it is refused anyway: it needs nothing of the window
+        r.granted = window.use_credit(now, r.most)
+        if r.granted is not None:
+            return verdict
+        self._ask_window(now, r, window)
+        return None
+
     def _unvouched(self, r: Request, expected: float) -> Verdict:
         """Nobody vouches for its units. What comes again or often here is most likely beyond its quota; of the rest so
         much passes as may cost a part of what is asked inside quotas here: summed over gateways, the same part."""
--- a/cypresspulley/policy/request.py
+++ b/cypresspulley/policy/request.py
@@ -23,7 +23,9 @@
         self.coming, self.kept, self.busy = ev.coming, True, False  # busy: its work counts at its server
         self.begin(now)
         self.slot = False  # it counts among what its customer has out over all gateways
-        self.granted: int | None = None  # the window of the ceiling that holds it, where no even share does
+        self.granted: int | None = (
+            None  # the incarnation of its window's count that holds it, where no even share does
+        )
         self.worth = cls.worth * account.plan.price * ev.units
         self.work, self.rank = 0.0, 1.0  # expected work; place among the recent by worth per work
         self.tries, self.out = list[tuple[Server, float]](), dict[int, Server]()
--- a/cypresspulley/policy/slots.py
+++ b/cypresspulley/policy/slots.py
@@ -4,7 +4,7 @@
 is forgotten with the spell, what is still out goes over to the next one.
 """
 
-from cypresspulley.policy.windows import count_name
+from cypresspulley.policy.counts import count_name
 
 LASTS = 8.0  # seconds of a spell
 
@@ -34,7 +34,7 @@
     def call(self) -> tuple[int, float, int]:
         """The count's name, the amount that brings it up to date, and its spell."""
         owed, self.owed = self.owed, 0.0
-        return count_name(f"out {self._label}", self.spell), owed, self.spell
+        return count_name("out", self._label, self.spell), owed, self.spell
 
     def missed(self, spell: int, amount: float) -> None:
         """A call has certainly not been added: the next one makes up for it."""
--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -30,7 +30,7 @@
     "heard", "debt",
 )  # fmt: skip
 STORES = ("level", "floor", "ceiling")  # of an account, that are split
-WINDOWS = ("index", "_own", "_spent")
+WINDOW = ("_seen", "_ends_after", "_ends_by", "_ask_at", "_retry_by")
 CALLS = ("rate", "room", "silent_until", "misses")
 SIZES = ("mean", "slope", "_spread", "_common", "_latency", "_seen")
 
@@ -51,10 +51,15 @@
         setattr(owner, name, value)
 
 
+def _window(account: Account) -> dict[str, Any] | None:
+    window = account.window
+    return _carry(window, WINDOW) if window is not None and window.known else None
+
+
 def take(gateway: Gateway) -> dict[str, Any]:
     """The state of the decisions; nothing is changed by it."""
     fleet, quotas = gateway.fleet, gateway.quotas
-    life, tells = quotas._life, quotas.tells
+    incarnation, tells = quotas.incarnation, quotas.tells
     accounts = sorted(quotas.accounts.items(), key=lambda each: -each[1].at)[:ACCOUNTS]
     return {
         "retries": gateway._retries,
@@ -73,10 +78,10 @@
         ],
         "born": quotas._born,
         "calls": _carry(quotas.calls, CALLS),
-        "life": {"vouched": life.vouched, "own": life._own, "clear": sorted(life._clear), "spell": life._spell},
+        "first": incarnation.first,
         "tells": None if tells is None else [tells.born, tells.late, list(tells.strange.items())],
         "accounts": [
-            [*key, a.share, a.open, _carry(a, ACCOUNT), _carry(a.windows, WINDOWS) if a.windows else None]
+            [*key, a.share, a.open, _carry(a, ACCOUNT), _window(a)]
             for key, a in accounts
         ],
     }  # fmt: skip
@@ -119,23 +124,21 @@
     fleet._arrange(now)
     quotas._born = float(state["born"])
     _lay(quotas.calls, state["calls"], CALLS)
-    life, quotas._life.vouched = state["life"], bool(state["life"]["vouched"])
-    quotas._life._own = [(int(spell), float(amount)) for spell, amount in life["own"]]
-    # Nothing may be called from here: the caller has no actions to carry out.
-    quotas._life._due = max(quotas._life._due, now + 0.1)
-    quotas._life._clear, quotas._life._spell = set(map(int, life["clear"])), int(life["spell"])
+    # A predecessor of an older version tells it as "life".
+    quotas.incarnation.resume(now, bool(state["first"] if "first" in state else state["life"]["vouched"]))
     if state["tells"] is not None and quotas.tells is not None:
         quotas.tells.born, quotas.tells.late = float(state["tells"][0]), bool(state["tells"][1])
         quotas.tells.strange.update({int(key): (float(u), float(at)) for key, (u, at) in state["tells"][2]})
-    for plan, name, share, _open, values, windows in state["accounts"]:
+    for plan, name, share, _open, values, window in state["accounts"]:
         if plan not in quotas._plans:
             continue  # the plan was dropped meanwhile
         a = quotas.account(now, api.Request(0, "", plan, 1.0, name, gateways=int(share)))
         _lay(a, values, ACCOUNT)
         for store in STORES:
             setattr(a, store, (1 - KEPT) * getattr(a, store) if getattr(a, store) > 0 else getattr(a, store))
-        if windows is not None and a.windows is not None:
-            _lay(a.windows, windows, WINDOWS)
+        # One of an older version tells of windows with other names: the counter has what it needs to be known of them.
+        if a.window is not None and window is not None and set(WINDOW) <= set(window):
+            _lay(a.window, window, WINDOW)
 
 
 class Split:
@@ -143,7 +146,7 @@
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway, quotas = gateway, gateway.quotas
-        self._plans, self._vouched = dict[str, api.Plan](), quotas._life.vouched
+        self._plans, self._first = dict[str, api.Plan](), quotas.incarnation.first
         self._given = list[tuple[Account, dict[str, float]]]()
         for a in quotas.accounts.values():
             given = {store: (1 - KEPT) * max(0.0, getattr(a, store)) for store in STORES}
@@ -154,8 +157,8 @@
         self._budgets = [(s, (1 - KEPT) * max(0.0, s.budget)) for s in gateway.fleet.servers.values()]
         for server, budget in self._budgets:
             server.budget -= budget
-        quotas._life.vouched = False
-        self._wanted, quotas._life.wanted = quotas._life.wanted, False
+        quotas.incarnation.first = False
+        self._wanted, quotas.incarnation.wanted = quotas.incarnation.wanted, False
         self.replan()
 
     def replan(self) -> None:
@@ -185,9 +188,9 @@
         """Serve alone again. ``whole``: nothing was drawn on the other side; else what was given is taken for used."""
         quotas = self._gateway.quotas
         plans = {name: self._plans[name] for name in quotas._plans}
-        quotas._plans, quotas._life.wanted = plans, self._wanted
+        quotas._plans, quotas.incarnation.wanted = plans, self._wanted
         if whole:
-            quotas._life.vouched = self._vouched
+            quotas.incarnation.first = self._first
             for server, budget in self._budgets:
                 server.budget += budget
         else:
