--- /dev/null
+++ b/tests/fleet/test_final_death.py
@@ -0,0 +1,56 @@
+"""An end is final in a life, as SWIM's confirm is: who was held dead wrongly comes back in a new life.
+
+What operators saw: a limiter that was gone was held present again by some others for up to the detection bound, and
+what it had said last counted once more. In ``fawnseam explore closing-paused``, seed 209 (days of 2 s), limiter-1 held
+limiter-2 dead at 3.972 s and alive in the same life at 3.991 s: a refutation that limiter-2 had said before it died
+came by hearsay. The view ordered claims by life, incarnation and state, so that any larger incarnation went before a
+death; by SWIM's rules (section 4.2) a confirm goes before any incarnation.
+"""
+
+from __future__ import annotations
+
+from itertools import permutations
+
+import pytest
+
+from cypresspulley.explore.examine import examine
+from cypresspulley.explore.schedule import drawn_day, kinds_of, small_day
+from cypresspulley.fleet.records import Member, State
+from cypresspulley.fleet.view import View
+from cypresspulley.rehearsal.scenario import load_scenario
+from tests.fleet.test_detector import One, claim
+
+LIFE = 1_700_000_000_000  # as ``claim`` says
+
+
+@pytest.mark.parametrize("ended", [State.LEFT, State.DEAD])
+def test_no_incarnation_brings_a_life_back_in_whatever_order_it_is_told(ended: State) -> None:
+    told = [Member("x", 7, 0, ended), Member("x", 7, 1, State.ALIVE), Member("x", 7, 4, State.SUSPECTED)]
+    for order in permutations(told):
+        view = View(Member("me", 1, 0, State.ALIVE))
+        for member in order:
+            view.merge(1.0, member)
+        held = view.get("x")
+        assert held is not None and held.state is ended, order
+        assert view.merge(2.0, Member("x", 8, 0, State.ALIVE)), "a new life does"
+
+
+def test_who_is_told_that_it_is_dead_goes_on_in_a_new_life() -> None:
+    one = One("x")
+    one.hear("x", told=(claim("me", State.DEAD, 0, by="x"),))
+    me = one.detector.view.myself
+    assert (me.life, me.incarnation) == (LIFE + 1, 0) and me.state.present
+
+
+def test_a_death_that_is_older_than_a_refutation_suspects_nobody() -> None:
+    one = One("x", "y")
+    one.hear("y", told=(claim("x", State.ALIVE, 2),))
+    one.hear("y", told=(claim("x", State.DEAD, 1, by="y"),))
+    held = one.detector.view.get("x")
+    assert held is not None and held.state is State.ALIVE
+
+
+def test_the_day_that_showed_it_shows_nothing() -> None:
+    scenario = load_scenario("closing-paused")
+    kinds = dict.fromkeys(kinds_of(scenario), 1.0)
+    assert examine(drawn_day(small_day(scenario, 2.0, 12.0), 209, kinds)).finds == ()
