Make the end of a life final in it, as SWIM's confirm is

Callers of the view saw a limiter that was gone present again, and its last rows counted.

Cause: a refutation that it had said before it died came by hearsay 19 ms behind its death, and the rank (life, incarnation, state) let any larger incarnation go before a death. By SWIM's rules (4.2) a confirm goes before any incarnation: the view was wrong, the promise is right and its checker unchanged.

Why this holds: a rank is (life, ended, incarnation, state), still one chain, so a merge stays a join; no claim of a life brings it back once it is held over. Who hears of its own end goes on in a life one above, by the way that there was for a name used twice.

Test changed: a detector's test raised the incarnation over a told death; it does so over suspicions now, and over a death the life, once.

--- a/cypresspulley/fleet/detector.py
+++ b/cypresspulley/fleet/detector.py
@@ -20,13 +20,14 @@
     leaving        missed, and then I or a helper of mine hear it    leaving, no longer missed
     leaving        missed for the time of a suspicion, no doubt      left: a leaver is never suspected, nor dead
     leaving        says or told left                                 left
-    left, dead     says or told a larger incarnation or life         that
+    left, dead     says or told a larger life                        that: an end is final in a life (SWIM: confirm)
     any            a larger life                                     that, in the state it comes with
 
 And of itself:
 
     joining        another's whole view is here, or no seed to ask   alive
-    any            told of itself suspected, left or dead            the same state, incarnation above the one told
+    any            told of itself suspected                          the same state, incarnation above the one told
+    any            told of itself left or dead                       the same state, in a life one above this one
     any            told of a later life of its own name              the same state, a life one above it
     joining,alive  leave                                             leaving, incarnation + 1
     any            end                                               left; nothing is said or heard from then on
@@ -330,10 +331,11 @@
     def _known(self, entry: wire.Entry, by: str) -> bool:
         """Whether the claim surely changes nothing: most do not, and this is quicker than to take them."""
         held = self.view.get(entry.name)
-        if held is None or entry.life != held.life or entry.incarnation != held.incarnation:
-            return held is not None and (entry.life, entry.incarnation) < (held.life, held.incarnation)
-        if entry.state < held.state:
-            return True
+        if held is None:
+            return False
+        claimed, rank = entry.member().rank, held.rank
+        if claimed[:3] != rank[:3] or entry.state < held.state:
+            return claimed < rank
         suspicion = self._suspicions.get(entry.name)
         if suspicion is None:
             return entry.state == held.state and entry.zone == held.zone and entry.address == held.address
@@ -347,10 +349,7 @@
             return
         held = self.view.get(claim.name)
         if claim.state is State.DEAD and held is not None and held.state.present and claim.rank > held.rank:
-            said = replace(claim, state=State.SUSPECTED)
-            if said.rank > held.rank:
-                self._hold(said, cause, by)
-            self._accuse(claim.name, by, True)
+            self._take_death(held, claim, cause, by)
             return
         if held is not None and claim.rank == held.rank:
             if claim.state is State.SUSPECTED:
@@ -362,11 +361,21 @@
         if claim.state is State.SUSPECTED and self.view.get(claim.name) == claim:
             self._accuse(claim.name, by, False)
 
+    def _take_death(self, held: Member, claim: Member, cause: str, by: str) -> None:
+        """A death that is told of one who is present here is a suspicion first. One that it has refuted meanwhile is
+        none: it hears of it itself, and goes on in a new life."""
+        said = replace(claim, state=State.SUSPECTED)
+        if claim.life == held.life and claim.incarnation < held.incarnation:
+            return
+        if said.rank > held.rank:
+            self._hold(said, cause, by)
+        self._accuse(claim.name, by, True)
+
     def _hold(self, claim: Member, cause: str, by: str) -> None:
         held = self.view.get(claim.name)
         if not self.view.merge(self._now, claim):
             return
-        if claim.state is not State.SUSPECTED or (held is not None and held.rank[:2] != claim.rank[:2]):
+        if claim.state is not State.SUSPECTED or (held is not None and held.rank[:3] != claim.rank[:3]):
             self._suspicions.end(claim.name)
         if held is not None and held.life != claim.life:
             self._forget(claim.name)
@@ -392,7 +401,10 @@
         elif claim.life == me.life and claim.rank > me.rank:
             if claim.state >= State.SUSPECTED:
                 self.health.feel(1)
-            self._become(replace(me, incarnation=claim.incarnation + 1), "refuted")
+            if claim.state.present:
+                self._become(replace(me, incarnation=claim.incarnation + 1), "refuted")
+            else:
+                self._become(replace(me, life=me.life + 1, incarnation=0), "refuted")
 
     def _changed(self, member: Member, cause: str) -> None:
         self._outbox.act(Changed(member, cause))
--- a/cypresspulley/fleet/records.py
+++ b/cypresspulley/fleet/records.py
@@ -34,9 +34,13 @@
 
 
 class Rank(NamedTuple):
-    """The order of what is known of one member: the larger one holds. A merge takes the larger (a join of a chain)."""
+    """The order of what is known of one member: the larger one holds. A merge takes the larger (a join of a chain).
+
+    The end of a life is final in it, whatever the incarnation, as SWIM's confirm is (section 4.2).
+    """
 
     life: int
+    ended: bool
     incarnation: int
     state: State
 
@@ -54,7 +58,7 @@
 
     @property
     def rank(self) -> Rank:
-        return Rank(self.life, self.incarnation, self.state)
+        return Rank(self.life, not self.state.present, self.incarnation, self.state)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cypresspulley/fleet/view.py
+++ b/cypresspulley/fleet/view.py
@@ -1,6 +1,6 @@
 """What one limiter holds of its fleet: members, rows, and what is still to be sent on. No I/O and no clock.
 
-The view is a lattice. Of one name it holds a pair: the member, a chain ordered by rank (life, incarnation, state) and,
+The view is a lattice. Of one name it holds a pair: the member, a chain ordered by rank (life, ended, incarnation, state) and,
 between equal ranks, by zone and address; and for each subsystem a row, a chain ordered by (life, version, body). A
 merge takes the larger of each: a product of chains, so that it is commutative, associative and idempotent, and any
 order and any doubling of the same claims ends in the same view. A row counts only while its owner is present in the
@@ -26,7 +26,7 @@
 from msgspec import Raw
 
 from cypresspulley.fleet import timing
-from cypresspulley.fleet.records import MOST_ROW, MOST_SUBSYSTEMS, Member, Row, State
+from cypresspulley.fleet.records import MOST_ROW, MOST_SUBSYSTEMS, Member, Rank, Row, State
 from cypresspulley.fleet.wire import BUCKETS, Cell, Entry, raw, size
 
 MOST_MEMBERS = 4096  # present ones; a new name beyond is not taken
@@ -395,5 +395,5 @@
     return int.from_bytes(blake2b(data, digest_size=8).digest(), "big")
 
 
-def _order(member: Member) -> tuple[int, int, int, str, str]:
-    return (*member.rank, member.zone, member.address)
+def _order(member: Member) -> tuple[Rank, str, str]:
+    return member.rank, member.zone, member.address
--- a/tests/fleet/test_detector.py
+++ b/tests/fleet/test_detector.py
@@ -152,10 +152,16 @@
     one.hear("x", told=(claim("me", State.SUSPECTED, 4, by="x"),))
     me = one.detector.view.myself
     assert (me.incarnation, me.state) == (5, State.ALIVE) or me.state is State.JOINING
-    one.hear("x", told=(claim("me", State.DEAD, 5, by="x"),))
+    one.hear("x", told=(claim("me", State.SUSPECTED, 5, by="x"),))
     assert one.detector.view.myself.incarnation == 6
-    one.hear("x", told=(claim("me", State.DEAD, 5, by="x"),))
+    one.hear("x", told=(claim("me", State.SUSPECTED, 5, by="x"),))
     assert one.detector.view.myself.incarnation == 6
+    one.hear(
+        "x", told=(claim("me", State.DEAD, 5, by="x"),)
+    )  # an end is final in a life, whatever the incarnation
+    assert one.detector.view.myself.rank[:3] == (LIFE + 1, False, 0)
+    one.hear("x", told=(claim("me", State.DEAD, 5, by="x"),))
+    assert one.detector.view.myself.rank[:3] == (LIFE + 1, False, 0)
 
 
 def test_a_later_life_of_its_name_lifts_its_own_above_and_says_its_rows_anew() -> None:
