Let faults of the kit that overlap end with the last of them, and begin with the first

The second cut overwrote the instant since when what a cut holds back may have been under way, so attempts sent before were judged as begun at 6.98 s; and the end of any spell of a fault ended all spells of it on that target.

Why this holds: a link counts its cuts, of one hall or of both its ends; all other faults that last go through one small table, in which the latest value that lasts is in force.

--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -35,6 +35,7 @@
 )
 from cypresspulley.rehearsal.plan import Plan, PlannedFault, draw, random_for, work_of
 from cypresspulley.rehearsal.scenario import VIRTUAL_ONLY, Scenario, limiter_names, server_names
+from cypresspulley.rehearsal.spells import Spells, Value
 from cypresspulley.rehearsal.standins.bagserver import BagServer, RepeatMemory
 from cypresspulley.rehearsal.standins.clients import ClientFleet, Front
 from cypresspulley.rehearsal.standins.discovery import Agent, Host
@@ -167,7 +168,7 @@
         self._sink = sink
         self.stage = Stage(self._seen, lambda id, cls: work_of(plan.seed, id, classes[cls]), clock, unix)
         self.stage.on_arrival = self._on_arrival
-        self.net = Net(scenario, base)
+        self.net, self._spells = Net(scenario, base), Spells()
         self.day = describe(scenario, plan)
         self.halls = scenario.fleet.halls
         k = scenario.keeper
@@ -618,28 +619,16 @@
             "limiter-restart-all-but-one": lambda name: self._restart_but(name, spec.back_after),
             "purge": lambda name: self._purge(name),
         }
-        spells: dict[str, Callable[[str, bool], None]] = {
-            "server-hang": lambda n, on: self.servers[n].hang(on),
-            "server-slow": lambda n, on: setattr(self.servers[n], "slow_by", spec.add_ms / 1000 * on),
-            "limiter-pause": lambda n, on: self._pause(n, on),
-            "keeper-spoilt": lambda _n, on: setattr(self.keeper, "spoilt_share", spec.size if on else 0.0),
-            "hall-cut": lambda hall, on: self.net.cut(hall, on, self.stage.now()),
-            "keeper-slow": lambda _n, on: setattr(self.keeper, "slow_by", spec.add_ms / 1000 if on else 0.0),
-            "keeper-stop": lambda _n, on: setattr(self.keeper, "stopped", on),
-            "discovery-silent": lambda _n, on: self._silence(on),
-        }
         if fault.kind in each:
             for target in fault.targets:
                 self._spawn(each[fault.kind](target))
-        elif fault.kind in SERVER_SHARES:
-            share = SERVER_SHARES[fault.kind]
-            for server in (self.servers[target] for target in fault.targets):
-                setattr(server, share, spec.size)
-                asyncio.get_running_loop().call_later(lasts, setattr, server, share, 0.0)
-        elif fault.kind in spells:
+        elif (spell := self._spell(fault)) is not None:
+            value, applied = spell
             for target in fault.targets or ("",):
-                spells[fault.kind](target, True)
-                asyncio.get_running_loop().call_later(lasts, spells[fault.kind], target, False)
+                apply = partial(applied, target)
+                self._spells.begin(fault.kind, target, value, apply)
+                loop = asyncio.get_running_loop()
+                loop.call_later(lasts, self._spells.end, fault.kind, target, value, apply)
         elif fault.kind == "limiter-reload":
             for target in fault.targets:
                 self._reload(target)
@@ -662,6 +651,24 @@
             self.keeper.break_connections()
         # A flood or a surge is in the arrivals.
 
+    def _spell(self, fault: PlannedFault) -> tuple[Value, Callable[[str, Value], None]] | None:
+        """Of a fault that lasts, its value while it does, and what sets a target to one; None for others."""
+        spec, late = fault.spec, fault.spec.add_ms / 1000
+        if fault.kind in SERVER_SHARES:
+            share = SERVER_SHARES[fault.kind]
+            return spec.size, lambda name, value: setattr(self.servers[name], share, value)
+        spells: dict[str, tuple[Value, Callable[[str, Value], None]]] = {
+            "server-hang": (True, lambda name, on: self.servers[name].hang(bool(on))),
+            "server-slow": (late, lambda name, by: setattr(self.servers[name], "slow_by", by)),
+            "limiter-pause": (True, lambda name, on: self._pause(name, bool(on))),
+            "keeper-spoilt": (spec.size, lambda _, share: setattr(self.keeper, "spoilt_share", share)),
+            "hall-cut": (True, lambda hall, on: self.net.cut(hall, bool(on), self.stage.now())),
+            "keeper-slow": (late, lambda _, by: setattr(self.keeper, "slow_by", by)),
+            "keeper-stop": (True, lambda _, on: setattr(self.keeper, "stopped", on)),
+            "discovery-silent": (True, lambda _, on: self._silence(bool(on))),
+        }
+        return spells.get(fault.kind)
+
     @property
     def _asked(self) -> Counter[str]:
         return Counter(arrival.account for arrival in self.plan.arrivals)
--- /dev/null
+++ b/cypresspulley/rehearsal/spells.py
@@ -0,0 +1,37 @@
+"""Faults that last, and overlap: what is in force of them on each target. No I/O and no clock."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+
+Value = bool | float
+Apply = Callable[[Value], None]
+
+
+class Spells:
+    """The values of one fault on one target that have begun and not ended; the latest of them is in force.
+
+    ``apply`` takes what is in force whenever that changes, and ``False`` or 0 when the last spell has ended.
+    """
+
+    def __init__(self) -> None:
+        self._values = defaultdict[tuple[str, str], list[Value]](list)
+
+    def __repr__(self) -> str:
+        return f"<Spells {dict(self._values)}>"
+
+    def begin(self, kind: str, target: str, value: Value, apply: Apply) -> None:
+        values = self._values[kind, target]
+        if not values or values[-1] != value:
+            apply(value)
+        values.append(value)
+
+    def end(self, kind: str, target: str, value: Value, apply: Apply) -> None:
+        """A spell of this value ends; ``ValueError`` where none has begun."""
+        values = self._values[kind, target]
+        before = values[-1] if values else None
+        values.remove(value)
+        after = values[-1] if values else type(value)(0)
+        if after != before:
+            apply(after)
--- a/cypresspulley/rehearsal/standins/network.py
+++ b/cypresspulley/rehearsal/standins/network.py
@@ -25,8 +25,9 @@
     """The way between one limiter and one stand-in; ``delay`` is one way, in seconds."""
 
     def __init__(self, limiter: str, delay: float = 0.0) -> None:
-        self.limiter, self.delay, self.is_cut = limiter, delay, False
-        self.cut_at = 0.0
+        self.limiter, self.delay = limiter, delay
+        self.cut_at = 0.0  # when the silence began
+        self._cuts = 0  # that last: cuts of one hall or of both ends' halls may overlap
         self.ends = dict[LinkedProtocol, None]()  # in the order of their coming, as all tables here
         self.listeners = dict[Listening, None]()
 
@@ -35,17 +36,27 @@
             f"<Link {self.limiter} {self.delay * 1000:.1f} ms{' cut' * self.is_cut}, {len(self.ends)} open>"
         )
 
+    @property
+    def is_cut(self) -> bool:
+        return self._cuts > 0
+
     def cut(self, now: float) -> None:
-        """Silence from ``now`` (seconds of the day) on."""
-        self.is_cut, self.cut_at = True, now
+        """Silence from ``now`` (seconds of the day) on. One that begins in another lengthens it: what is held back may
+        have been sent since the first began."""
+        self._cuts += 1
+        if self._cuts > 1:
+            return
+        self.cut_at = now
         for end in list(self.ends):
             end.hold()
         for listener in self.listeners:
             listener.block()
 
     def heal(self) -> None:
-        """What was held flows on, as after retransmission."""
-        self.is_cut = False
+        """A cut ends. With the last one what was held flows on, as after retransmission."""
+        self._cuts -= 1
+        if self.is_cut:
+            return
         for listener in self.listeners:
             listener.unblock()
         for end in list(self.ends):
--- a/tests/rehearsal/test_spells.py
+++ b/tests/rehearsal/test_spells.py
@@ -3,12 +3,18 @@
 What was seen: ``python -m tests.soak --first 7036 --seeds 1`` blamed a limiter, five times of five at 6.98 s: "told
 bag-00 0.281 s too much". The day cuts east-hall at 5.92 s for 2.77 s, and again at 6.98 s. The second cut overwrote
 the instant since when what a cut holds back may have been under way: attempts of the time before were taken for sent
-at 6.98 s. And the end of the first cut healed the second one.
+at 6.98 s. And the end of the first cut healed the second one. Every other fault that lasts ended with the first spell
+as well.
 """
 
 from __future__ import annotations
 
+import pytest
+
+from cypresspulley.rehearsal.play import Net
+from cypresspulley.rehearsal.spells import Spells, Value
 from cypresspulley.rehearsal.standins.network import Link
+from tests.rehearsal.small import small
 
 
 def test_a_cut_inside_another_neither_begins_it_anew_nor_ends_it() -> None:
@@ -22,3 +28,38 @@
     assert not link.is_cut
     link.cut(5.0)
     assert link.is_cut and link.cut_at == 5.0
+
+
+def test_cuts_of_both_halls_of_a_way_are_two() -> None:
+    net = Net(small(), "127.1")
+    link = net.link("limiter-1", "east", "west")
+    net.cut("east", True, 1.0)
+    net.cut("west", True, 2.0)
+    net.cut("east", False, 3.0)
+    assert link.is_cut and link.cut_at == 1.0
+    net.cut("west", False, 4.0)
+    assert not link.is_cut
+
+
+def test_of_spells_that_overlap_the_latest_one_that_lasts_is_in_force() -> None:
+    spells, seen = Spells(), list[Value]()
+    spells.begin("server-slow", "s", 0.1, seen.append)
+    spells.begin("server-slow", "s", 0.3, seen.append)
+    spells.begin("server-slow", "other", 0.2, lambda _: None)
+    spells.end("server-slow", "s", 0.1, seen.append)
+    assert seen == [0.1, 0.3], "the second one lasts"
+    spells.begin("server-slow", "s", 0.2, seen.append)
+    spells.end("server-slow", "s", 0.2, seen.append)
+    spells.end("server-slow", "s", 0.3, seen.append)
+    assert seen == [0.1, 0.3, 0.2, 0.3, 0.0]
+
+
+def test_a_spell_of_on_and_off_is_switched_once_each_way() -> None:
+    spells, seen = Spells(), list[Value]()
+    for _ in range(3):
+        spells.begin("server-hang", "s", True, seen.append)
+    for _ in range(3):
+        spells.end("server-hang", "s", True, seen.append)
+    assert seen == [True, False]
+    with pytest.raises(ValueError):
+        spells.end("server-hang", "s", True, seen.append)
