Show in virtual time which bytes lie unread at a process that was stopped

Cause: limiters ask their machine (FIONREAD) whether bytes lie unread before they close a silent connection; the kit's virtual connections answered by one socket on which nothing ever lies.

Why this holds: what comes to a stopped process counts until it is read, and a paused reader's way counts while bytes wait; the descriptor that is shown has a byte unread just then.

A docstring of fleet/view.py is wrapped.

--- a/cypresspulley/fleet/view.py
+++ b/cypresspulley/fleet/view.py
@@ -1,11 +1,11 @@
 """What one limiter holds of its fleet: members, rows, and what is still to be sent on. No I/O and no clock.
 
-The view is a lattice. Of one name it holds a pair: the member, a chain ordered by rank (life, ended,
-incarnation, state) and, between equal ranks, by zone and address; and for each subsystem a row, a chain ordered by (life, version, body). A
-merge takes the larger of each: a product of chains, so that it is commutative, associative and idempotent, and any
-order and any doubling of the same claims ends in the same view. A row counts only while its owner is present in the
-very life of the row; rows of lower lives are dropped, which no later merge can tell from keeping them. (A row of an
-unknown member is not taken: it comes again with the member, by the next exchange.)
+The view is a lattice. Of one name it holds a pair: the member, a chain ordered by rank (life, ended, incarnation,
+state) and, between equal ranks, by zone and address; and for each subsystem a row, a chain ordered by (life, version,
+body). A merge takes the larger of each: a product of chains, so that it is commutative, associative and idempotent,
+and any order and any doubling of the same claims ends in the same view. A row counts only while its owner is present
+in the very life of the row; rows of lower lives are dropped, which no later merge can tell from keeping them. (A row
+of an unknown member is not taken: it comes again with the member, by the next exchange.)
 
 Two things are no part of the lattice, and of no digest: how old a row is (it only ever gets younger by a merge), and
 that a tombstone is forgotten after ``TOMBSTONE`` seconds or beyond ``MOST_TOMBSTONES``.
--- a/cypresspulley/rehearsal/virtual/network.py
+++ b/cypresspulley/rehearsal/virtual/network.py
@@ -108,7 +108,8 @@
         self._waiting = deque[bytes]()  # written, and not yet under way: the way is full
         self._waiting_size, self._high, self._low = 0, HIGH, HIGH // 4
         self._eof_sent = False
-        self._socket = _Socket(network)
+        self._socket = _Socket(network, self)
+        self._unread = 0  # bytes that came while the process was stopped
         self.owner: Owner | None = None
         self.out: Path = cast(Path, None)
         self.other: VirtualTransport = cast(VirtualTransport, None)
@@ -117,6 +118,11 @@
         state = "lost" if self._lost else "closing" if self._closing else "open"
         return f"<VirtualTransport {self.address} to {self.peer_address} {state}{' paused' * self.paused}>"
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have come that the process has not read: it was stopped, or it reads nothing."""
+        return self._unread > 0 or (self.paused and self.other.out.size > 0)
+
     # What a program asks.
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
@@ -237,12 +243,17 @@
             self._tell(self._protocol.connection_made, self)
 
     def data_came(self, data: bytes) -> None:
-        if self._later_if_asleep(self.data_came, data):
+        if self._later_if_asleep(self._read_late, data):
+            self._unread += len(data)
             return
         if not self._closing:
             self._tell(self._protocol.data_received, data)
         self.other.move_on()
 
+    def _read_late(self, data: bytes) -> None:
+        self._unread -= len(data)
+        self.data_came(data)
+
     def end_came(self) -> None:
         if self._later_if_asleep(self.end_came) or self._closing:
             return
@@ -278,13 +289,14 @@
 
 
 class _Socket:
-    """Stands where a connection's socket stands: its options, and a descriptor on which nothing is unread."""
+    """Stands where a connection's socket stands: its options, and a descriptor that shows whether bytes are unread."""
 
-    def __init__(self, network: VirtualNetwork) -> None:
-        self._network, self.resets = network, False
+    def __init__(self, network: VirtualNetwork, transport: VirtualTransport) -> None:
+        self._network, self._transport, self.resets = network, transport, False
 
     def fileno(self) -> int:
-        return self._network.bare_socket.fileno()
+        shown = self._network.unread_socket if self._transport.has_unread else self._network.bare_socket
+        return shown.fileno()
 
     def getsockopt(self, level: int, option: int, size: int = 0) -> Any:
         raise OSError(errno.ENOPROTOOPT, os.strerror(errno.ENOPROTOOPT))
@@ -354,8 +366,11 @@
     def __init__(self, loop: Times, seed: int, bandwidth: float = 0.0) -> None:
         self.loop, self.rng, self.bandwidth = loop, Random(seed), bandwidth
         self.listeners = dict[Address, VirtualServer]()
-        # What a program may ask of a connection's socket (options, unread bytes): one that is never connected.
+        # What a program may ask of a connection's socket (options, unread bytes): one that is never connected, and one
+        # on which a byte is always unread.
         self.bare_socket = socket.socket()
+        self.unread_socket, self._writer = socket.socketpair()
+        self._writer.send(b"\0")
         self.open = dict[VirtualTransport, None]()
         self.sockets = dict[Address, DatagramSocket]()
         self._cuts = set[frozenset[str]]()
@@ -382,7 +397,8 @@
             bound.bury()
 
     def close(self) -> None:
-        self.bare_socket.close()
+        for each in (self.bare_socket, self.unread_socket, self._writer):
+            each.close()
 
     def delay(self) -> float:
         return self.rng.uniform(LEAST_DELAY, MOST_DELAY)
