Convict a limiter that reads ceilings too high, and say why a wrong effect breaks no rule

Two broken limiters were let go by the judge.

One that takes each class for safe breaks no rule: the method of a request says what it is, and one whose form its class does not have is refused. Its service convicts it (no handover is served).

--- /dev/null
+++ b/tests/rehearsal/virtual/test_settings_read_wrong.py
@@ -0,0 +1,94 @@
+"""A limiter that reads a key of its settings wrongly is convicted of the rule that the key is for, and of no other.
+
+Why two of them had been let go. On account-flood a limiter that reads each ceiling's rate four times as high passed: a
+ceiling is above its quota, and where a plan's excess costs more than it earns, quotas refuse before the ceiling is
+reached. So the day here has a plan whose excess earns. And a limiter that reads each class as safe to repeat breaks no
+rule: the method of a request says what it is (GET is safe), and one whose form its class does not have is refused.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from cypresspulley import interface as api
+from cypresspulley.rehearsal.judge import Verdict, judge
+from cypresspulley.rehearsal.scenario import Scenario
+from cypresspulley.rehearsal.virtual.play import play_virtual
+from cypresspulley.settings import settings_from
+from tests.rehearsal.small import small
+
+SEEDS = range(3)
+EARNS = {"over_worth": 0.5, "over_cost": 0.1}
+Read = Callable[[api.Settings], api.Settings]
+
+
+def pressed() -> Scenario:
+    """A day on which half of the accounts are under a ceiling, ask far beyond it, and beyond quota earn."""
+    return small(
+        seconds=8,
+        load={"inside": 30, "heavy": 0.0, "full": 0.5, "spiky": 0, "spread": [2, 2]},
+        plan=[
+            {"name": "free", "share": 0.5, "rate": 8, "burst": 20},
+            {"name": "hard", "share": 0.5, "rate": 2, "burst": 3, "ceiling": 1.5, **EARNS},
+        ],
+        fault=[{"kind": "account-surge", "at": 0.5, "lasts": 7, "size": 2.0, "count": 6}],
+    )
+
+
+def plans(**times: float) -> Read:
+    """Each plan's figures are read so many times as high."""
+
+    def read(settings: api.Settings) -> api.Settings:
+        changed = [
+            replace(plan, **{key: getattr(plan, key) * factor for key, factor in times.items()})
+            for plan in settings.plans
+        ]
+        return replace(settings, plans=tuple(changed))
+
+    return read
+
+
+def each_class_safe(settings: api.Settings) -> api.Settings:
+    return replace(settings, classes=tuple(replace(c, effect=api.Effect.SAFE) for c in settings.classes))
+
+
+def verdict(monkeypatch: pytest.MonkeyPatch, day: Scenario, seed: int, read: Read | None) -> Verdict:
+    def wrong(raw: dict[str, Any]) -> api.Settings:
+        return read(settings_from(raw)) if read is not None else settings_from(raw)
+
+    monkeypatch.setattr("cypresspulley.config.settings_from", wrong)
+    found = judge(play_virtual(day, seed))
+    assert not found.void and not found.crash, found.void or found.crash
+    return found
+
+
+def broken(found: Verdict) -> list[str]:
+    return [rule.rule for rule in found.rules if not rule.kept]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("read", [plans(ceiling_rate=4.0), plans(ceiling_burst=4.0)], ids=["rate", "burst"])
+def test_one_that_reads_ceilings_too_high_passes_them(
+    monkeypatch: pytest.MonkeyPatch, read: Read, seed: int
+) -> None:
+    assert broken(verdict(monkeypatch, pressed(), seed, read)) == ["ceilings kept"]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_the_shipped_one_keeps_them(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
+    assert broken(verdict(monkeypatch, pressed(), seed, None)) == []
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_one_that_takes_every_class_for_safe_serves_none_that_is_not(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """No rule convicts it, as it never sends what it takes for something else; its service does."""
+    found = verdict(monkeypatch, pressed(), seed, each_class_safe)
+    assert broken(found) == []
+    assert found.service.by_class["hand"] == 0.0
+    assert found.service.by_class["look"] > 0.5
