Show that a step back lets more be out than a plan's limit (red)

Symptom: spells of what is out are named by wall time. A step back of more than one spell enters one again whose count the counter forgets in its middle: four out where three are allowed, until the next spell. A count timed by the counter alone would not do as it does for ceilings: all that is held would have to be told anew in each, and no gateway can tell a forgotten count from the answers of others.

--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -184,3 +184,21 @@
     for _ in range(LIMIT + 1):
         fleet.ask(0, gateways=1)
     assert len(fleet.out) == LIMIT and not fleet.totals
+
+
+def test_no_more_are_out_than_the_limit_where_a_step_of_the_wall_clock_enters_a_spell_again() -> None:
+    """A spell's count lives for two spells, so that one that is entered again by a step back of more than one spell may
+    be forgotten in its middle, with all that is out and was told of."""
+    settings = replace(SETTINGS, classes=(replace(w.SAFE, aim=60.0),))
+    fleet = Fleet(settings)
+    fleet.ask(1, ttl=1.0)  # the first spell's count begins
+    fleet.advance(14.0)  # into the next spell
+    for world in fleet.worlds:
+        world.feed(api.WallClock(-11.0))  # back into the first one
+    for _ in range(LIMIT):
+        fleet.ask(0, ttl=40.0)
+    fleet.advance(1.0)
+    assert len(fleet.out) == LIMIT
+    fleet.advance(1.5)  # by now the count has been forgotten
+    fleet.ask(1, ttl=40.0)
+    assert len(fleet.out) == LIMIT
