Give each process of the start benchmark a port of its own, and tell its memory and exit

230 at once ended in a traceback: ports were asked for one at a time and let go, so that two of 230 were often the same; the second process ends with 'cannot listen', and the first answers for it.

--- a/benchmarks/ready_times.py
+++ b/benchmarks/ready_times.py
@@ -22,6 +22,7 @@
 import tempfile
 import time
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -34,11 +35,13 @@
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        port: int = probe.getsockname()[1]
-        return port
+def free_ports(count: int) -> list[int]:
+    """Ports that differ: one that is let go before the next is asked for may be given again."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((HOST, 0))
+        return [int(probe.getsockname()[1]) for probe in probes]
 
 
 async def turns_away(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -91,8 +94,24 @@
     return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
-async def one(path: Path, port: int) -> tuple[float, float]:
-    """Seconds until it was ready and of processor time by then; inf where it was not."""
+def memory_megabytes(pid: int) -> float:
+    """The most that the process has held so far."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+
+
+@dataclass(frozen=True)
+class Start:
+    """How a process came up; ``waited`` is infinite for one that did not, ``exit_code`` then says how it ended."""
+
+    waited: float  # seconds
+    processor: float = 0.0  # seconds
+    memory: float = 0.0  # MB
+    exit_code: int | None = None
+
+
+async def one(path: Path, port: int) -> Start:
+    """A process from its start until it is ready."""
     began = time.monotonic()
     child = await asyncio.create_subprocess_exec(
         sys.executable, "-m", "cypresspulley", env={**os.environ, "LB_CONFIG": str(path)},
@@ -101,9 +120,10 @@
     try:
         while time.monotonic() - began < LATEST and child.returncode is None:
             if await healthy(port):
-                return time.monotonic() - began, processor_seconds(child.pid)
+                waited = time.monotonic() - began
+                return Start(waited, processor_seconds(child.pid), memory_megabytes(child.pid))
             await asyncio.sleep(0.05)
-        return float("inf"), 0.0
+        return Start(float("inf"), exit_code=child.returncode)
     finally:
         if child.returncode is None:
             child.kill()
@@ -114,7 +134,7 @@
     async with contextlib.AsyncExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         addresses = {"discovery": await stand_in(discovery, stack), "counter": await stand_in(counter, stack)}
-        ports = [free_port() for _ in range(count)]
+        ports = free_ports(count)
         paths = []
         for number, port in enumerate(ports):
             path = limiter_config(folder, port, [9] * servers, f"{number}.json")
@@ -123,11 +143,13 @@
             path.write_text(json.dumps(raw))
             paths.append(path)
         results = await asyncio.gather(*(one(path, port) for path, port in zip(paths, ports, strict=True)))
-    times = sorted(waited for waited, _ in results)
+    times = sorted(start.waited for start in results)
     return {
         "discovery": discovery, "counter": counter, "count": count, "median_s": round(statistics.median(times), 2),
         "p90_s": round(times[-(-9 * count // 10) - 1], 2), "worst_s": round(times[-1], 2),
-        "cpu_s": round(statistics.median(cpu for _, cpu in results), 2),
+        "cpu_s": round(statistics.median(start.processor for start in results), 2),
+        "most_mb": round(max(start.memory for start in results), 1),
+        "ended": sorted({start.exit_code for start in results if start.exit_code is not None}),
         "within_10_s": sum(waited <= WANTED for waited in times),
     }  # fmt: skip
 
