Begin a new line in the access log behind one that a full disk took in part

What readers saw: behind a disk that was full for a moment the next line stood glued to the half one, so that both were lost to them, and lines that had been written were counted as dropped.

Cause: a batch that broke off in a line left no mark, and counted whole.

--- a/cypresspulley/accesslog.py
+++ b/cypresspulley/accesslog.py
@@ -37,6 +37,7 @@
         self._waiting = 0  # bytes handed over; the loop adds, the thread takes off
         self._lock = threading.Lock()
         self._reopen = threading.Event()
+        self._torn = False  # whether the file ends in a part of a line
         self.dropped = 0  # lines, since the last that was taken
         self._thread = threading.Thread(target=self._write, name="access-log", daemon=True)
         self._thread.start()
@@ -78,17 +79,22 @@
         self._file.close()
 
     def _put_out(self, data: bytes, count: int) -> None:
+        written = 0
         try:
             if self._reopen.is_set():
                 self._reopen.clear()
                 new = open(self._path, "ab", buffering=0)  # noqa: SIM115
                 self._file.close()
-                self._file = new
-            rest = memoryview(data)
-            while rest:
-                rest = rest[self._file.write(rest) :]
+                self._file, self._torn = new, False
+            if self._torn:
+                # Of the last batch a line was written in part: what comes now begins on one of its own.
+                self._torn = self._file.write(b"\n") == 0
+            while written < len(data):
+                written += self._file.write(memoryview(data)[written:])
         except OSError as error:
-            self.dropped += count
+            whole = data.count(b"\n", 0, written)
+            self._torn = self._torn or (written > 0 and data[written - 1 : written] != b"\n")
+            self.dropped += count - whole
             log.error("the access log takes no lines: %s", error)
         with self._lock:
             self._waiting -= len(data)
--- a/tests/test_accesslog.py
+++ b/tests/test_accesslog.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import io
 import json
 import os
 import signal
@@ -129,6 +131,40 @@
     assert written + sum(line["lines"] for line in lines if "kind" in line) == number
 
 
+class FillingDisk(io.RawIOBase):
+    """Takes bytes up to some room, the last of them in part, and then none (ENOSPC) until there is room again."""
+
+    def __init__(self, room: int) -> None:
+        self.room, self.taken = room, bytearray()
+
+    def write(self, data: object) -> int:
+        if self.room == 0:
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        part = bytes(memoryview(data))[: self.room]  # type: ignore[arg-type]
+        self.taken += part
+        self.room -= len(part)
+        return len(part)
+
+
+@pytest.mark.parametrize("room", [0, 1, 8, 9, 10, 20])
+def test_a_line_that_a_full_disk_took_in_part_spoils_none_behind_it(tmp_path: Path, room: int) -> None:
+    """Whoever reads the log finds each line whole but the one that broke off, and knows how many are missing."""
+    file, disk = LogFile(str(tmp_path / "log")), FillingDisk(room)
+    file._file = disk  # type: ignore[assignment]
+    for number in range(3):
+        file.put(b'{"n":%d}' % number)
+    file.flush()
+    wait_for(lambda: file.dropped)
+    disk.room = 1000
+    file.put(b'{"n":"last"}')
+    file.close()
+    lines = bytes(disk.taken).splitlines()
+    whole = [json.loads(line) for line in lines if line.endswith(b"}")]
+    assert whole[-2:] == [{"kind": "dropped", "lines": 3 - room // 8}, {"n": "last"}]
+    assert whole[:-2] == [{"n": number} for number in range(room // 8)]
+    assert len(lines) == len(whole) + (room % 8 > 0)
+
+
 def test_a_disk_that_takes_nothing_is_counted() -> None:
     file = LogFile("/dev/full")
     file.put(b"1")
