--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import socket
 from collections.abc import Callable
 
@@ -103,6 +105,68 @@
     run(main())
 
 
+ENDINGS = (
+    errno.ECONNRESET, errno.EPIPE, errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ENETDOWN,
+    errno.ENOBUFS, errno.ENOMEM, errno.EIO, errno.ECONNABORTED,
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("number", ENDINGS, ids=lambda number: errno.errorcode[number])
+@pytest.mark.parametrize("whole", [True, False], ids=["written", "in part"])
+def test_whatever_error_ends_a_connection_what_was_written_tells_whether_it_ran(
+    whole: bool, number: int
+) -> None:
+    """Read or write errors that Linux documents for an open connection: none of them proves that nothing ran once the
+    last byte has left, and each proves it before."""
+
+    async def main() -> None:
+        asked = asyncio.Event()
+
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            asked.set()
+            await asyncio.sleep(10)
+
+        async with listening(silent) as dial:
+            pool = Pool(dial)
+            exchange, ended = pool.start(body=b"" if whole else b"x" * 50_000_000)
+            await asyncio.wait_for(asked.wait(), 5)
+            assert exchange.written is whole
+            connection = exchange.connection
+            assert connection is not None
+            transport = connection.transport
+            connection.connection_lost(OSError(number, os.strerror(number)))
+            assert (await ended).status is (Status.BROKEN if whole else Status.DROPPED)
+            assert transport is not None
+            transport.abort()
+            pool.upstream.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize("size", [1, 2, 7])
+@pytest.mark.parametrize(
+    "answer", [OK, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n"]
+)
+def test_an_answer_is_read_whatever_each_read_brings(answer: bytes, size: int) -> None:
+    async def main() -> None:
+        async def in_pieces(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while await read_message(reader):
+                for at in range(0, len(answer), size):
+                    writer.write(answer[at : at + size])
+                    await writer.drain()
+                    await asyncio.sleep(0.001)
+
+        async with listening(in_pieces) as dial:
+            pool = Pool(dial)
+            for _ in range(2):
+                done = await pool.fetch()
+                assert (done.status, done.answer) == (Status.OK, b"hi")
+            pool.upstream.close()
+
+    run(main())
+
+
 def full_backlog() -> tuple[socket.socket, list[socket.socket]]:
     """A listener that takes no more connections: a dial to it never comes up."""
     listener = socket.socket()
