--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -13,7 +13,7 @@
 from cypresspulley.policy.incarnation import Incarnation
 from cypresspulley.policy.request import Request
 from cypresspulley.policy.slots import LASTS, Slots
-from cypresspulley.policy.tells import Tells
+from cypresspulley.policy.usage import UsageBroadcast
 from cypresspulley.policy.walltime import WallTime
 from cypresspulley.policy.windows import CeilingWindow
 
@@ -43,9 +43,9 @@
         self._settle(settings)
         self.dropped_plans = Plans(settings)
         self.accounts = dict[tuple[str, str], Account]()
-        self.tells: Tells | None = None
+        self.usage: UsageBroadcast | None = None
         self._keys = dict[int, Account]()  # by the part of a name that messages carry
-        self._follow_tells(now, settings)
+        self._follow_usage(now, settings)
         self.calls = Calls(now, settings.gateways, rng.random(), emit)
         self.incarnation, self.wall = Incarnation(settings, rng, now), WallTime()
         self._spare, self._young, self._beyond = 0.0, 0.5, 0.2  # left of that; shares of answers
@@ -54,15 +54,15 @@
         self._set, self._plans = settings, {p.name: p for p in settings.plans}
         self._price = sum(p.price for p in settings.plans) / max(1, len(settings.plans)) or 1.0
 
-    def _follow_tells(self, now: float, settings: api.Settings) -> None:
+    def _follow_usage(self, now: float, settings: api.Settings) -> None:
         """Messages between gateways, where there is a way for them and no counter."""
         if not settings.may_tell or settings.inbox <= 0 or settings.gateways < 2 or settings.has_counter:
-            self.tells = None
-        elif self.tells is None:
-            self.tells = Tells(now, settings.gateways, settings.inbox)
+            self.usage = None
+        elif self.usage is None:
+            self.usage = UsageBroadcast(now, settings.gateways, settings.inbox)
             self._keys = {a.name % KEYS: a for a in self.accounts.values()}
         else:
-            self.tells.follow(settings.gateways, settings.inbox)
+            self.usage.follow(settings.gateways, settings.inbox)
 
     def retune(self, now: float, settings: api.Settings) -> None:
         """Other settings. Levels go on, under the new plans' bounds; an account of a dropped plan keeps its own."""
@@ -75,7 +75,7 @@
             r.slot = r.slot and r.account.slots is not None
         self.calls.follow(settings.gateways)
         self.incarnation.follow(settings)
-        self._follow_tells(now, settings)
+        self._follow_usage(now, settings)
 
     def account(self, now: float, ev: api.Request) -> Account:
         """The account that a try is of, refilled to now."""
@@ -85,9 +85,9 @@
             a = self.accounts[key] = Account(now, ev, plan, self._born, self._set)
             if self.incarnation.first:
                 a.begin_full()
-            if self.tells is not None:
+            if self.usage is not None:
                 self._keys[a.name % KEYS] = a
-                self.tells.met(now, a)
+                self.usage.met(now, a)
                 a.heard = now
         a.refill(now)
         self._mark_incarnation(now)
@@ -181,7 +181,7 @@
         chance = min(1.0, calls.left(now) / 2) * min(1.0, plan.price / self._price)  # and by the stake
         if plan.rate <= 0 or not self.room_out(now, r):
             return Verdict(bool(self.room_out(now, r)), voucher="level")
-        if self.tells is not None and now - self.tells.heard_at < DEAF:
+        if self.usage is not None and now - self.usage.heard_at < DEAF:
             return Verdict(a.level >= r.units, voucher="message")
         if not self._set.has_counter or now < calls.silent_until:
             inside = expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()
@@ -229,8 +229,8 @@
         a.level = max(0.0, a.level - (0.0 if counted else r.units))
         a.pending += r.units * (counted is None)
         a.mine += r.units
-        if self.tells is not None:
-            self.tells.owed[a.name] = a
+        if self.usage is not None:
+            self.usage.owed[a.name] = a
         due = a.pending >= 0.3 * min(a.level, plan.burst) / a.share
         if counted is None and self._set.has_counter and due and a.share > 1:
             self.count(now, a)
@@ -332,23 +332,23 @@
 
     def tell(self, now: float) -> None:
         """A message to the others, where one is due."""
-        if self.tells is not None and self.tells.due(now):
-            self._emit(api.Tell(self.tells.write(now)))
+        if self.usage is not None and self.usage.due(now):
+            self._emit(api.Tell(self.usage.write(now)))
 
     def heard(self, now: float, ev: api.Heard) -> None:
         """Another gateway's message."""
-        if self.tells is None or ev.sender == self._set.index:
+        if self.usage is None or ev.sender == self._set.index:
             return
-        known, rows = self.tells.late, self.tells.read(now, ev.text)
-        if self.tells.late and not known:
+        known, rows = self.usage.late, self.usage.read(now, ev.text)
+        if self.usage.late and not known:
             for account in self.accounts.values():
                 account.refill(now)
-                self.tells.doubt(now, account)
+                self.usage.doubt(now, account)
         for key, units in rows:
             if (a := self._keys.get(key)) is not None:
                 a.heard_of(now, units)
             else:
-                self.tells.keep(now, key, units)
+                self.usage.keep(now, key, units)
 
     def settle(self, _now: float, r: Request, ev: api.Outcome) -> None:
         """What an answer tells of its customer: the request's true units."""
@@ -360,5 +360,5 @@
             a.ceiling_back(r.most - true)
         if known and r.inside:
             a.settled(true - r.units)
-            if self.tells is not None:
-                self.tells.owed[a.name] = a
+            if self.usage is not None:
+                self.usage.owed[a.name] = a
--- a/cypresspulley/policy/tells.py
+++ b/cypresspulley/policy/usage.py
@@ -8,7 +8,7 @@
 HEARD_AT_MOST = 4096  # customers of others' messages that have not been met here
 
 
-class Tells:
+class UsageBroadcast:
     """What this gateway tells the others of its customers' use, and what it hears of customers it has not met. Lost
     messages are lost; with nothing to tell there is one a second, so that an idle gateway is not taken for a cut."""
 
--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -59,7 +59,7 @@
 def take(gateway: Gateway) -> dict[str, Any]:
     """The state of the decisions; nothing is changed by it."""
     fleet, quotas = gateway.fleet, gateway.quotas
-    incarnation, tells = quotas.incarnation, quotas.tells
+    incarnation, usage = quotas.incarnation, quotas.usage
     accounts = sorted(quotas.accounts.items(), key=lambda each: -each[1].at)[:ACCOUNTS]
     return {
         "retries": gateway._retries,
@@ -79,7 +79,7 @@
         "born": quotas._born,
         "calls": _carry(quotas.calls, CALLS),
         "first": incarnation.first,
-        "tells": None if tells is None else [tells.born, tells.late, list(tells.strange.items())],
+        "tells": None if usage is None else [usage.born, usage.late, list(usage.strange.items())],
         "accounts": [
             [*key, a.share, a.open, _carry(a, ACCOUNT), _window(a)]
             for key, a in accounts
@@ -126,9 +126,9 @@
     _lay(quotas.calls, state["calls"], CALLS)
     # A predecessor of an older version tells it as "life".
     quotas.incarnation.resume(now, bool(state["first"] if "first" in state else state["life"]["vouched"]))
-    if state["tells"] is not None and quotas.tells is not None:
-        quotas.tells.born, quotas.tells.late = float(state["tells"][0]), bool(state["tells"][1])
-        quotas.tells.strange.update({int(key): (float(u), float(at)) for key, (u, at) in state["tells"][2]})
+    if state["tells"] is not None and quotas.usage is not None:
+        quotas.usage.born, quotas.usage.late = float(state["tells"][0]), bool(state["tells"][1])
+        quotas.usage.strange.update({int(key): (float(u), float(at)) for key, (u, at) in state["tells"][2]})
     for plan, name, share, _open, values, window in state["accounts"]:
         if plan not in quotas._plans:
             continue  # the plan was dropped meanwhile
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,7 +16,7 @@
 from cypresspulley.messages import DIGITS, STEP
 from cypresspulley.net.peers import MAX_MESSAGE, Peers
 from cypresspulley.policy.account import Account
-from cypresspulley.policy.tells import HEARD_AT_MOST, Tells
+from cypresspulley.policy.usage import HEARD_AT_MOST, UsageBroadcast
 from tests import world as w
 from tests.loopback import Limiter, Origin, Script, ask, listening, run, send_on
 from tests.test_program import config
@@ -155,10 +155,10 @@
 
 
 def test_messages_of_customers_nobody_meets_do_not_pile_up() -> None:
-    tells = Tells(0.0, 3, 40.0)
+    usage = UsageBroadcast(0.0, 3, 40.0)
     for key in range(HEARD_AT_MOST + 500):
-        tells.keep(0.0, key, 1.0)
-    assert len(tells.strange) == HEARD_AT_MOST
+        usage.keep(0.0, key, 1.0)
+    assert len(usage.strange) == HEARD_AT_MOST
 
 
 @hypothesis.settings(derandomize=True, deadline=None)
@@ -171,10 +171,10 @@
     ]
     for account, amount in zip(accounts, amounts, strict=True):
         account.pending = amount
-    tells, heard = Tells(0.0, 3, 40.0), dict[int, float]()
+    usage, heard = UsageBroadcast(0.0, 3, 40.0), dict[int, float]()
     for now in (1.0, 2.0):
-        tells.owed = {a.name: a for a in accounts}
-        for key, units in tells.read(now, tells.write(now)):
+        usage.owed = {a.name: a for a in accounts}
+        for key, units in usage.read(now, usage.write(now)):
             heard[key] = heard.get(key, 0.0) + units
     for account, amount in zip(accounts, amounts, strict=True):
         assert heard.get(account.name % 64**6, 0.0) + account.pending == pytest.approx(amount)
@@ -182,7 +182,7 @@
 
 
 def test_messages_are_no_more_than_an_inbox_takes() -> None:
-    few, many = Tells(0.0, 3, 40.0), Tells(0.0, 300, 40.0)
+    few, many = UsageBroadcast(0.0, 3, 40.0), UsageBroadcast(0.0, 300, 40.0)
     assert few.every == 0.25 and 299 / many.every < 40.0
 
 
--- a/tests/test_reload_shared.py
+++ b/tests/test_reload_shared.py
@@ -40,12 +40,12 @@
     world.feed(api.Retune(settings(gateways=200)))
     assert account.slots is None
     world.feed(api.Retune(settings(gateways=200, may_tell=True, inbox=40.0)))
-    assert quotas.tells is not None
-    every = quotas.tells.every
+    assert quotas.usage is not None
+    every = quotas.usage.every
     world.feed(api.Retune(settings(gateways=400, may_tell=True, inbox=40.0)))
-    assert quotas.tells.every == pytest.approx(every * 399 / 199)
+    assert quotas.usage.every == pytest.approx(every * 399 / 199)
     world.feed(api.Retune(settings(gateways=400)))
-    assert quotas.tells is None
+    assert quotas.usage is None
 
 
 def test_a_reload_brings_the_counter_and_the_other_limiters(tmp_path: Path) -> None:
