--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -79,7 +79,7 @@
 
     __slots__ = (
         "asked", "at", "ceiling", "debt", "drawn", "floor", "floor_cap", "guessed", "heard", "keep", "level",
-        "mine", "name", "open", "others", "pending", "plan", "share", "slots", "synced", "thin", "total", "window",
+        "low_traffic", "mine", "name", "open", "others", "pending", "plan", "share", "slots", "synced", "total", "window",
     )  # fmt: skip
 
     def __init__(
@@ -106,8 +106,9 @@
 
     def follow(self, plan: api.Plan, label: str, settings: api.Settings) -> None:
         """What the plan bounds: at first, and when new settings hold. Levels go on under it."""
-        self.plan, self.thin = plan, plan.burst < 2 * self.share  # the even share holds next to nothing
-        self.floor_cap = max(plan.burst / self.share, min(settings.max_units, plan.burst) * self.thin)
+        self.plan = plan
+        self.low_traffic = plan.burst < 2 * self.share  # the even share holds next to nothing
+        self.floor_cap = max(plan.burst / self.share, min(settings.max_units, plan.burst) * self.low_traffic)
         self.keep = kept_alone(plan, self.share, settings.max_units, settings.has_counter)
         self.window = CeilingWindow(label, plan) if self.keep < 1 else None
         shared = plan.open_limit > 0 and self.share > 1 and settings.has_counter
@@ -179,5 +180,5 @@
         lost = max(0.0, self.level + units - self.plan.burst)
         self.level -= lost
         # Another may tell a thin gate's.
-        self.pending += lost * (not self.thin or lost > 0.5 * self.plan.burst)
+        self.pending += lost * (not self.low_traffic or lost > 0.5 * self.plan.burst)
         return older
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -172,7 +172,7 @@
         """Whether a try is inside its quota, by the first who can vouch for its units; None: the counter is asked."""
         a, plan = r.account, r.account.plan
         self._spare = min(r.worth, self._spare + UNVOUCHED * (1 - self._beyond) * r.worth * (not r.repeat))
-        if a.window is not None or (a.thin and plan.ceiling_rate > 0 and self._set.has_counter):
+        if a.window is not None or (a.low_traffic and plan.ceiling_rate > 0 and self._set.has_counter):
             return self._judge_by_window(now, r)
         expected, calls = min(plan.burst, a.level - a.others * (now - a.synced)), self.calls
         worst = min(0.9 * plan.burst * (1 - 1 / a.share), max(a.others, plan.rate) * (now - a.synced))
@@ -184,15 +184,15 @@
         if self.usage is not None and now - self.usage.heard_at < DEAF:
             return Verdict(a.level >= r.units, voucher="message")
         if not self._set.has_counter or now < calls.silent_until:
-            inside = expected >= r.units if a.thin else a.floor >= r.units * self._rng.random()
+            inside = expected >= r.units if a.low_traffic else a.floor >= r.units * self._rng.random()
             return Verdict(inside, voucher="even share")
-        if a.level < r.units or (plenty and not a.thin):
+        if a.level < r.units or (plenty and not a.low_traffic):
             return Verdict(a.level >= r.units, voucher="level")
         late = r.deadline - now < 3 * self._set.counter_timeout
         if late or plan.over_worth > plan.over_cost or chance < max(0.05, self._rng.random()):
             return self._unvouched(r, expected)
         # Near the quota the counter is asked first, with the units where they will likely be granted.
-        step = 0.0 if r.repeat and a.thin else r.units / (max(0.4, chance) if a.thin else 1.0)
+        step = 0.0 if r.repeat and a.low_traffic else r.units / (max(0.4, chance) if a.low_traffic else 1.0)
         self.count(now, a, r, step)
         return None
 
@@ -213,9 +213,11 @@
         """Nobody vouches for its units. What comes again or often here is most likely beyond its quota; of the rest so
         much passes as may cost a part of what is asked inside quotas here: summed over gateways, the same part."""
         a, allowed = r.account, self._spare >= 0
-        passes = expected >= r.units and (not a.thin or (allowed and not r.repeat and a.floor >= r.units))
-        self._spare -= passes * a.thin * self._beyond * a.plan.over_cost * r.worth
-        return Verdict(passes, 0.0 if a.thin else None, "nobody")
+        passes = expected >= r.units and (
+            not a.low_traffic or (allowed and not r.repeat and a.floor >= r.units)
+        )
+        self._spare -= passes * a.low_traffic * self._beyond * a.plan.over_cost * r.worth
+        return Verdict(passes, 0.0 if a.low_traffic else None, "nobody")
 
     def sent(self, now: float, r: Request, verdict: Verdict) -> None:
         """A try was sent on: it takes its units."""
@@ -316,7 +318,7 @@
         own = r.units if r is not None else 0.0
         left = a.level + units - own - (0 if ev.status is Status.OK else a.others * (now - a.synced))
         # Where the guess in the step was wrong the count gets the units back, or gets them at all.
-        lost = r is not None and a.thin and ev.status is not Status.OK
+        lost = r is not None and a.low_traffic and ev.status is not Status.OK
         verdict = self._unvouched(r, left + own) if r is not None and lost else Verdict(left >= -1e-6)
         used = own if verdict.inside else 0.0
         right = used if units == 0 else -units * (used == 0)
--- a/tests/test_reload_plans.py
+++ b/tests/test_reload_plans.py
@@ -45,7 +45,7 @@
 def shape(account: Account) -> tuple[object, ...]:
     window = account.window
     kept = None if window is None else (window.length, window.most)
-    return account.plan, account.thin, account.floor_cap, account.keep, kept
+    return account.plan, account.low_traffic, account.floor_cap, account.keep, kept
 
 
 @pytest.mark.parametrize("new", PLANS)
