--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -79,7 +79,8 @@
 
     __slots__ = (
         "asked", "at", "ceiling", "debt", "drawn", "floor", "floor_cap", "guessed", "heard", "keep", "level",
-        "low_traffic", "mine", "name", "open", "others", "pending", "plan", "share", "slots", "synced", "total", "window",
+        "low_traffic", "mine", "name", "open", "others", "pending", "plan", "share", "slots", "synced", "total",
+        "window",
     )  # fmt: skip
 
     def __init__(
