Take a crossing whose second sending finds a restarting limiter's port shut for no loss

Cause, by the play's records: sent 1.72311, ended 1.72333, new connection not taken 1.72391 s. A way takes 0.1 to 0.4 ms: the end had left before the request came.

--- a/cypresspulley/rehearsal/rules.py
+++ b/cypresspulley/rehearsal/rules.py
@@ -18,6 +18,7 @@
 from cypresspulley.rehearsal.timeline import FOREVER, Attempt, Timeline, Try
 
 SOCKETS = 0.05  # seconds by which each time limit is longer on sockets
+ROUND_TRIP = 0.001  # seconds there and back between a client and its limiter
 ANSWER_SLACK = 0.008 + SOCKETS  # past the client's time
 CEILING_SLACK = 0.1  # of the ceiling's burst, one of the largest requests at least
 BOOK_LEASE = LEASE / 1000  # seconds that a limiter may go by a plan book without a word of it
@@ -91,7 +92,8 @@
         # The first request of a connection that is closed with nothing sent on has failed, and is not lost;
         # one that crosses the end of a kept connection was not read, and its client sends it once more.
         sent_on = any(sent.t <= a.arrived.t <= broke.t for a in one.attempts)
-        if broke.begun or sent_on or (is_last and not sent.fresh):
+        owed = is_last and not sent.fresh and not _crossed_in_vain(one, sent, broke)
+        if broke.begun or sent_on or owed:
             part = "after a part of the answer" if broke.begun else "with no answer"
             yield Violation(broke.t, sent.limiter, one.id, f"its connection was ended {part}")
     elif line.asleep_within(sent.limiter, sent.t - SOCKETS, until):
@@ -100,6 +102,12 @@
         yield Violation(until, sent.limiter, one.id, "no answer while the client waited")
 
 
+def _crossed_in_vain(one: Try, sent: log.Sent, broke: log.Broke) -> bool:
+    """Whether a request met the end of its connection on the way, and its client found nobody to send it to again: the
+    limiter restarts. An end that came sooner than a byte can go there and back was sent before the request came."""
+    return broke.t - sent.t < ROUND_TRIP and any(r.t >= broke.t for r in one.unreached)
+
+
 def _answers(line: Timeline, one: Try) -> Iterator[Violation]:
     sent = one.sent[-1]
     for extra in one.answers[1:]:
--- a/tests/rehearsal/test_judge.py
+++ b/tests/rehearsal/test_judge.py
@@ -61,6 +61,24 @@
     s.served(2.002, id=id, fresh=True)
 
 
+def crossed_and_nobody_there(after: float) -> Bend:
+    """A kept connection ends so long after a request was sent on it, and no new one comes up: its limiter restarts."""
+
+    def bend(s: Story) -> None:
+        id = s.sent(2.0)
+        s.broke(2.0 + after, id)
+        s.records.append(log.Unreached(2.01, id, id, "n0"))
+
+    return bend
+
+
+def sent_on_and_crossed_and_nobody_there(s: Story) -> None:
+    id = s.sent(2.0)
+    s.arrived(2.0001, id)
+    s.broke(2.0002, id)
+    s.records.append(log.Unreached(2.01, id, id, "n0"))
+
+
 def sent_on_and_closed_and_sent_once_more(s: Story) -> None:
     id = s.sent(2.0)
     s.arrived(2.1, id)
@@ -307,6 +325,8 @@
     (lambda s: None, []),
     (unanswered, [LOST]), (left_first, []), (closed, [LOST]), (closed_on_a_new_connection, []),
     (closed_on_a_new_connection_after_sending_on, [LOST]), (closed_half_way, [LOST]), (crossed_and_sent_once_more, []),
+    (crossed_and_nobody_there(0.0002), []), (crossed_and_nobody_there(0.0011), [LOST]),
+    (sent_on_and_crossed_and_nobody_there, [LOST]),
     (sent_on_and_closed_and_sent_once_more, [LOST]), (sent_on_and_closed_and_refused_once_more, [LOST]), (killed, []),
     (killed_too_late, [LOST]), (killed_and_gone_and_back_in_one_tick, []), (killed_just_before, []),
     (back_before_the_break, [LOST]),
