--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -12,11 +12,17 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
+from cypresspulley import interface as api
+from cypresspulley.policy.account import Answered, Calls
+from cypresspulley.policy.incarnation import Incarnation
 from tests.stepped_clock import Case, Play, Trouble, drawn
 
 DRAWN = range(160)  # seeds
+WINDOW = 2.0  # seconds
 # Steps back by so many windows re-enter one whose count the counter forgets in its middle.
 FORGOTTEN = (-2.0, -2.125, -2.25, -2.375, -2.5)
 RESTARTED = (
@@ -74,3 +80,28 @@
 def test_a_play_with_the_counter_away_refuses_and_does_not_pass_the_ceiling() -> None:
     result = Play(Case(1, 2.0, 30, (-4.5,), trouble=Trouble.SILENT)).run()
     assert result.beyond == 0 and result.sent > 0
+
+
+def test_windows_whose_counts_are_forgotten_early_are_convicted(monkeypatch: pytest.MonkeyPatch) -> None:
+    ask = Calls.ask
+
+    def short_lived(
+        calls: Calls, now: float, name: int, lifetime: float, amount: float, then: Answered
+    ) -> None:
+        ask(calls, now, name, lifetime / 2 if lifetime == WINDOW else lifetime, amount, then)
+
+    monkeypatch.setattr(Calls, "ask", short_lived)
+    assert Play(Case(1, WINDOW, 30, (0.0,))).run().beyond > 0
+
+
+def test_processes_that_all_take_themselves_for_the_first_are_convicted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    begin = Incarnation.__init__
+
+    def first(incarnation: Incarnation, settings: api.Settings, rng: Random, now: float) -> None:
+        begin(incarnation, settings, rng, now)
+        incarnation.first, incarnation.asking = True, False
+
+    monkeypatch.setattr(Incarnation, "__init__", first)
+    assert Play(Case(1, WINDOW, 3, (-3600.0,), restarted=1.0)).run().beyond > 0
