--- a/tests/fleet/test_final_death.py
+++ b/tests/fleet/test_final_death.py
@@ -48,6 +48,7 @@
     one.hear("y", told=(claim("x", State.DEAD, 1, by="y"),))
     held = one.detector.view.get("x")
     assert held is not None and held.state is State.ALIVE
+    assert one.detector._suspicions.get("x") is None, "and no time runs against it"
 
 
 def test_the_day_that_showed_it_shows_nothing() -> None:
