--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,151 +1,126 @@
-"""After new settings make the class of GraphQL mutations keyed, mutations without a key are sent twice and run twice."""
+"""A third of the descriptors is the clients' due; with the operators' door a limiter of 256 accepts fewer."""
 
 from __future__ import annotations
 
 import asyncio
-import copy
-import json
-import signal
 import sys
 import tempfile
+import time
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
-from world import (
-    REQUEST_NUMBERS, ROOT, CannotRun, Counter, Discovery, Limiter, Message, Record, Server, free_port, read_message,
-    run_main, settings,
-)
-
-PACKAGES = HERE.parent / ".packages"
-MUTATIONS = 20  # in each of two spells: before and after the new settings
-KNOWN_AFTER_S = 1.5  # the page: 1.2 s after SIGHUP clients go by the new settings
-
-
-class Floor:
-    """What all bag servers have run, and what they remember of idempotency keys."""
-
-    def __init__(self, record: Record) -> None:
-        self.record = record
-        self.runs = dict[str, list[tuple[str, str]]]()  # by request id: server and key ("-": none)
-        self._keys = set[str]()
-
-    def behaviour(self, server: Server):
-        async def behave(message: Message, writer: asyncio.StreamWriter) -> bool:
-            id, key = message.fields.get("x-request-id", "?"), message.fields.get("idempotency-key", "-")
-            if b"mutation" not in message.body:
-                return False
-            if key != "-" and key in self._keys:
-                self.record(f"{server.name} drops the repeat of {id} by its key {key}")
-            else:
-                self._keys.add(key)
-                runs = self.runs.setdefault(id, [])
-                runs.append((server.name, key))
-                kind = message.fields.get("x-priority-class", "?")
-                self.record(f"{server.name} RUNS mutation {id}, run {len(runs)}, class {kind}, idempotency key {key}")
-                if len(runs) == 1:
-                    # The connection is reset under a request that has begun, once for each mutation.
-                    await asyncio.sleep(0.05)
-                    writer.transport.abort()
-                    raise ConnectionResetError
-            answer = json.dumps({"data": {"handover": {"id": "h1"}}, "extensions": {"cost": {"actual": 15}}}).encode()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n" % len(answer) + answer)
-            return True
-
-        return behave
-
-
-async def mutate(address: tuple[str, int], number: int, record: Record) -> tuple[str, str]:
-    """Send one handover as a GraphQL mutation; return its id and the first line of the answer."""
-    id = f"{next(REQUEST_NUMBERS):016x}"
-    body = json.dumps({
-        "query": "mutation Hand($b: ID!, $to: String!) { handover(bag: $b, to: $to) { id } }",
-        "variables": {"b": str(number), "to": "cart-1"},
-    }).encode()
-    head = (
-        f"POST /graphql?account={0x2000 + number:016x} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id}\r\nX-Plan: chain\r\n"
-        f"X-Timeout-Ms: 5000\r\nX-Quota: units=1,spread=3,first=0\r\nContent-Type: application/json\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
+from world import Counter, Discovery, Limiter, Record, Server, free_port, read_message, request_bytes, run_main, settings
+
+SOCKETS = 256
+MOST_CLIENTS = SOCKETS // 3  # connections that clients hold for requests: 85
+UPLOADS = 66
+LOOKUPS = MOST_CLIENTS - UPLOADS  # 19
+BODY_BYTES = 1024 * 1024
+BYTES_PER_SECOND = 64_000
+ANSWER_SLACK_S = 0.5
+
+
+class ClosedUnreadError(Exception):
+    """The limiter closed the connection without a byte of an answer: the client sends once more on a new one."""
+
+
+async def try_once(
+    address: tuple[str, int], head: bytes, body_bytes: int, wait_s: float
+) -> tuple[float, str]:
+    """Send a request, its body at 64 kB a second; return seconds from its last byte to its answer, and its first line."""
     reader, writer = await asyncio.open_connection(*address)
+    answer = asyncio.ensure_future(read_message(reader))
     try:
-        writer.write(head.encode() + body)
-        async with asyncio.timeout(5.5):
-            answer = await read_message(reader)
-        record(f"client mutation {id}: {answer.first} {answer.body[:160]!r}")
-        return id, answer.first
-    except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
-        record(f"client mutation {id}: none, {error!r}")
-        return id, "none"
+        sent, started = min(body_bytes, BYTES_PER_SECOND // 10), time.monotonic()
+        writer.write(head + b"u" * sent)
+        while sent < body_bytes and not answer.done():
+            await asyncio.sleep(max(0.0, started + sent / BYTES_PER_SECOND - time.monotonic()))
+            piece = min(body_bytes - sent, BYTES_PER_SECOND // 10)
+            writer.write(b"u" * piece)
+            sent += piece
+            async with asyncio.timeout(40):
+                await writer.drain()
+        last = time.monotonic()
+        async with asyncio.timeout(wait_s):
+            return time.monotonic() - last, (await answer).first
+    except TimeoutError:
+        return wait_s, "none"
+    except (OSError, asyncio.IncompleteReadError) as error:
+        raise ClosedUnreadError(repr(error)) from None
     finally:
+        answer.cancel()
         writer.transport.abort()
 
 
+async def ask(address: tuple[str, int], what: str, head: bytes, body_bytes: int, ttl_s: float, record: Record) -> str:
+    """Send a request as a sound client does; return the first line of its answer, or "none"."""
+    first = "none"
+    for attempt in range(2):
+        record(f"client {what} sends, try {attempt}, body {body_bytes} bytes")
+        try:
+            seconds, first = await try_once(address, head, body_bytes, ttl_s + ANSWER_SLACK_S)
+        except ClosedUnreadError as error:
+            record(f"client {what}: closed without an answer: {error}")
+            continue
+        record(f"client {what}: {first}, {seconds:.3f} s after its last byte")
+        return first
+    return first
+
+
+async def upload(address: tuple[str, int], number: int, size: int, record: Record) -> str:
+    await asyncio.sleep(number * 0.02)
+    id, head = request_bytes("handover-post", 0x1000 + number, ttl_ms=5000, length=size)
+    return await ask(address, f"handover {id}", head, size, 5.0, record)
+
+
+async def lookup(address: tuple[str, int], number: int, record: Record) -> str:
+    await asyncio.sleep(number * 0.02)
+    id, head = request_bytes("bag-lookup", 0x9000 + number, ttl_ms=4000)
+    return await ask(address, f"lookup {id}", head, 0, 4.0, record)
+
+
 async def main(folder: Path, record: Record, trouble: bool) -> int:
-    if not (PACKAGES / "graphql").is_dir():
-        raise CannotRun("review/build.sh has not installed the project's extra `graphql`")
     with tempfile.TemporaryDirectory(prefix="fawnseam-review-") as name:
-        work, floor = Path(name), Floor(record)
-        servers = [Server(f"s-{n:02}", Record.silent(), 0.03) for n in range(9)]
+        work = Path(name)
+        servers = [Server(f"s-{n:02}", record) for n in range(10)]
         discovery, counter = Discovery(), Counter()
-        for each in servers:
-            each.behave = floor.behaviour(each)
         for each in (*servers, discovery, counter):
             await each.listener.start()
         discovery.hosts = {each.name: each.entry() for each in servers}
-        schema = ROOT / "cypresspulley/rehearsal/standins/floor.graphql"
-        operators = work / "operators.toml"
-        operators.write_text(
-            f'[graphql]\nschema = "{schema}"\nquery = "bag-lookup"\nmutation = "handover-post"\npoints_per_unit = 20\n'
-        )
         limiters = []
         for index in range(3):
             limiter = Limiter(work, f"n{index}", {
                 "name": f"n{index}", "listen": f"127.0.0.1:{free_port()}", "discovery": discovery.listener.address,
-                "counter": counter.listener.address, "seed": f"8c1f30d27a5be96{index}",
-                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": discovery.whole(),
+                "counter": counter.listener.address, "operator": f"127.0.0.1:{free_port()}", "seed": f"8c1f30d27a5be96{index}",
+                "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS}, "known": discovery.whole(),
                 "settings": settings(me=index),
-            }, f" --operators {operators}")
-            limiter.environment = {"PYTHONPATH": str(PACKAGES)}
+            })
             limiters.append(limiter)
         try:
             for limiter in limiters:
                 await limiter.start()
             for limiter in limiters:
                 await limiter.ready()
-            await asyncio.sleep(1.0)
-            answers = dict[str, str]()
-            for spell in ("before", "after"):
-                if spell == "after" and trouble:
-                    changed = copy.deepcopy(limiters[0].config["settings"]["classes"])
-                    changed[1] |= {"effect": "deduplicated", "group": "all", "window_s": 5.0}
-                    for limiter in limiters:
-                        limiter.config["settings"] = limiter.config["settings"] | {"classes": changed}
-                        limiter.write_config()
-                        limiter.signal(signal.SIGHUP)
-                    record.say("SIGHUP: the class handover-post becomes deduplicated, group all, window 5 s")
-                    await asyncio.sleep(KNOWN_AFTER_S)
-                for number in range(MUTATIONS):
-                    id, first = await mutate(limiters[number % 3].address, number, record)
-                    answers[id] = first
-                    await asyncio.sleep(0.1)
-            await asyncio.sleep(1.0)
-            twice = [id for id, runs in floor.runs.items() if len(runs) > 1]
-            lines: dict[str, int] = {}
-            for first in answers.values():
-                lines[first] = lines.get(first, 0) + 1
-            record.say(f"{len(answers)} mutations sent once each, answers {lines}; {len(floor.runs)} ran, {len(twice)} of them "
-                       f"more than once, none with an idempotency key: {all(k == '-' for r in floor.runs.values() for _, k in r)}")
+            address = limiters[0].address
+            record.say(f"limiter n0 is ready; limits.sockets {SOCKETS}, clients hold at most {MOST_CLIENTS} connections")
+            size = BODY_BYTES if trouble else 200
+            uploads = [asyncio.ensure_future(upload(address, n, size, record)) for n in range(UPLOADS)]
+            await asyncio.sleep(3.0)
+            asked = [asyncio.ensure_future(lookup(address, n, record)) for n in range(LOOKUPS)]
+            found = await asyncio.gather(*asked)
+            sent = await asyncio.gather(*uploads)
+            lost = found.count("none")
+            record.say(f"lookups: {LOOKUPS} sent, {LOOKUPS - lost} answered, {lost} without any answer in their time "
+                       f"and {ANSWER_SLACK_S} s more")
+            record.say(f"handovers: {UPLOADS} sent, {sent.count('none')} without an answer")
             if any(limiter.exit_code is not None for limiter in limiters):
                 record.say("a limiter ended")
-            if not floor.runs:
-                raise CannotRun("no mutation reached a server")
-            return 1 if twice else 0
+            return 1 if lost else 0
         finally:
             for limiter in limiters:
                 await limiter.kill()
-                if limiter.log.exists():
-                    record(f"log of {limiter.name}: {limiter.log.read_text()[-1500:]}")
+                record(f"log of {limiter.name}: {limiter.log.read_text()[-1500:]}")
             for each in (*servers, discovery, counter):
                 each.listener.close()
 
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Builds what the cases need beside the deploy file's build. The stand-ins are Python files for the standard library
-# (review/common/). Case 2 starts limiters that take GraphQL: they want graphql-core, as the project's own extra `graphql`
-# names it (pyproject.toml). It is installed beside the stand-ins and nowhere else. Cases 1 and 3 need nothing more.
+# (review/common/). Case 3 starts limiters that take GraphQL: they want graphql-core, as the project's own extra `graphql`
+# names it (pyproject.toml). It is installed beside the stand-ins and nowhere else. Cases 1 and 2 need nothing more.
 cd "$(dirname "$0")/.." || exit 2
 [ -x .venv/bin/python ] || { echo "run the deploy file's build first" >&2; exit 2; }
 wanted="$(.venv/bin/python -c '
@@ -15,7 +15,7 @@
     if .venv/bin/python -m pip install -q --disable-pip-version-check --target review/.packages $wanted; then
         echo "$wanted" > review/.packages/installed.txt
     else
-        echo "graphql-core could not be installed: case 2 ends with 2" >&2
+        echo "graphql-core could not be installed: case 3 ends with 2" >&2
         code=2
     fi
 fi
