Hand over the socket for limiters' messages on an upgrade, and never end for a taken one

Cause: both processes are given the same peer_listen. The old one holds it until it ends, and PeerLink.apply took a bind that fails at the start for a configuration that cannot be run (ConfigError). Evidence: the new process's last line, "cannot listen for messages of limiters: could not bind to local_addr"; with limits.peers false the same upgrade says yes. The takeover passed the listener and clients' connections on, and not this socket.

Change: the offer of a takeover carries the socket to a successor whose hello says that it accepts it. For a successor of an older version, which must bind the address itself, it lets go of it. An address that is taken ends no process any more, at a first start, on an upgrade or after SIGHUP: it serves, sends from another port and tries to bind every 0.5 s. An address that can never be bound is still exit code 2 at a first start. PeerLink moved from __main__.py to net/peer_link.py; Peers reads its socket itself instead of through a datagram transport, because reading has to stop while sending goes on (uvloop's transports cannot).

Tests changed: two that opened Peers by its old listen() now pass it a socket; they assert the same.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -26,6 +26,7 @@
 from cypresspulley.net.frontend import Frontend, PathHandler
 from cypresspulley.net.http import split_address
 from cypresspulley.net.node import DecisionModule, Node, UnixClock
+from cypresspulley.net.peer_link import PeerLink
 from cypresspulley.net.upstream import Upstream
 from cypresspulley.operators import Operators, OperatorsError, load_operators
 from cypresspulley.policy.gateway import Gateway
@@ -37,7 +38,6 @@
 if TYPE_CHECKING:
     from cypresspulley.accesslog import LogFile
     from cypresspulley.histories.writer import AnyHistory
-    from cypresspulley.net.peers import Peers
     from cypresspulley.plans.limiter import PlanBookClient
     from cypresspulley.together import FleetServices
 
@@ -174,8 +174,8 @@
     )
     if config.known is not None and offer is None:
         node.apply_listing(config.known)
-    peer_link = PeerLink(node)
-    await peer_link.apply(config)
+    service.peer_link = peer_link = PeerLink(node)
+    peer_link.start(config, None if offer is None else offer.peer_socket)
     graphql_handler = _build_graphql_handler(config.settings, operators, clock)
     frontend = Frontend(
         node, config.settings, max_clients, graphql_handler, time.monotonic if owns_process else clock
@@ -217,7 +217,7 @@
 
     def apply_addresses(new: Config) -> None:
         nonlocal counter
-        peer_link.apply_later(new)
+        peer_link.apply(new)
         if counter is None and (new_counter := _build_counter(new, operators)) is not None:
             counter = new_counter
             node.use_counter(counter)
@@ -238,6 +238,7 @@
     log.info("stopping")
     if fleet_services is not None:
         fleet_services.leave()
+    peer_link.leave()
     if not service.leave():
         # Clients have not been notified of the shutdown yet: connections that they still open are accepted and served.
         await asyncio.sleep(ACCEPT_AFTER_SIGTERM_SECONDS)
@@ -381,65 +382,6 @@
         raise ConfigError(str(error)) from None
 
 
-class PeerLink:
-    """Connects the node to the other limiters if the settings allow messages and addresses are configured."""
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-        self._peers: Peers | None = None
-        self._listen: tuple[str, int] | None = None
-        self._task: asyncio.Task[None] | None = None
-
-    async def apply(self, config: Config) -> None:
-        """Listen and send as a configuration says; raise ``ConfigError`` if its address cannot be bound."""
-        addresses = config.peers if config.settings.may_message_peers else None
-        if addresses is None or addresses.listen != self._listen:
-            self._stop_listening()
-        if addresses is None:
-            return
-        if self._peers is not None:
-            return self._peers.set_peers(list(addresses.peers), addresses.everyone)
-        from cypresspulley.net.peers import Peers
-
-        peers = Peers(
-            list(addresses.peers),
-            addresses.everyone,
-            lambda sender, text: self._node.feed(api.PeerMessage(sender, text)),
-        )
-        try:
-            await peers.listen(*addresses.listen)
-        except OSError as error:
-            raise ConfigError(f"cannot listen for messages of limiters: {error}") from None
-        self._peers, self._listen, self._node.broadcast = peers, addresses.listen, peers.broadcast
-
-    def apply_later(self, config: Config) -> None:
-        """Apply a reloaded configuration, after those before it.
-
-        If its address cannot be bound, the error is logged and messages are off.
-        """
-        previous, self._task = self._task, None
-
-        async def apply_in_order() -> None:
-            if previous is not None:
-                await asyncio.wait([previous])
-            try:
-                await self.apply(config)
-            except ConfigError as error:
-                log.error("%s", error)
-
-        self._task = asyncio.get_running_loop().create_task(apply_in_order())
-
-    def _stop_listening(self) -> None:
-        if self._peers is not None:
-            self._peers.close()
-        self._peers, self._listen, self._node.broadcast = None, None, None
-
-    def close(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-        self._stop_listening()
-
-
 def _build_node(
     settings: api.Settings, gateway: DecisionModule, clock: Callable[[], float], upstream: Upstream,
     counter: Counter | None, operators: Operators, fleet_services: FleetServices | None,
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -14,6 +14,7 @@
 from cypresspulley.net.admin import Reply
 from cypresspulley.net.frontend import Frontend
 from cypresspulley.net.node import Node, UnixClock
+from cypresspulley.net.peer_link import PeerLink
 from cypresspulley.net.upstream import Upstream
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.takeover.channel import Folder
@@ -46,6 +47,7 @@
         self._frontend: Frontend | None = None
         self._gateway: Gateway | None = None
         self._upstream: Upstream | None = None
+        self.peer_link: PeerLink | None = None
         self._clock: Callable[[], float] = float
         self._successor: Successor | None = None  # our side of the channel to our predecessor
         self._predecessor: Predecessor | None = None  # our side of the channel to our successor
@@ -234,15 +236,26 @@
         assert self._frontend is not None
         return self._frontend.duplicate_listener()
 
+    def duplicate_peer_socket(self) -> int | None:
+        return None if self.peer_link is None else self.peer_link.duplicate_socket()
+
+    def release_peer_address(self) -> None:
+        if self.peer_link is not None:
+            self.peer_link.release_address()
+
     def pause(self) -> None:
         assert self._frontend is not None
         self._frontend.pause()
+        if self.peer_link is not None:
+            self.peer_link.pause()
 
     def resume(self) -> None:
         self.lifecycle.apply(LifecycleEvent.TAKE_BACK)
         self._apply_drain()
         if self._frontend is not None and not self._frontend.is_shutting_down:
             self._frontend.resume()
+        if self.peer_link is not None:
+            self.peer_link.resume()
 
     def _run_in_background(self, work: Coroutine[Any, Any, Any]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/cypresspulley/takeover/handover.py
+++ b/cypresspulley/takeover/handover.py
@@ -28,6 +28,7 @@
 MAX_PARTS = 4096
 MAX_EARLY_MESSAGES = 256  # operators' calls that may arrive between an offer and the start of serving here
 CALL_TIMEOUT_SECONDS = 0.5  # time for the other process to confirm that a call has taken effect there
+ACCEPTS_PEER_SOCKET = "accepts_peer_socket"  # key of hello
 INFLIGHT_REPORT_SECONDS = 0.05  # time between two reports of the open attempts
 assert MAX_DESCRIPTORS == 1
 
@@ -43,7 +44,17 @@
         """Return a duplicate descriptor of the clients' listener, owned by the caller."""
         ...
 
-    def pause(self) -> None: ...
+    def duplicate_peer_socket(self) -> int | None:
+        """Return a duplicate descriptor of the socket for limiters' messages, owned by the caller; None without one."""
+        ...
+
+    def release_peer_address(self) -> None:
+        """Unbind the address for limiters' messages, so that the successor can bind it."""
+        ...
+
+    def pause(self) -> None:
+        """Accept no connections and read no messages of limiters; both wait in the kernel."""
+        ...
 
     def resume(self) -> None: ...
 
@@ -76,10 +87,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Offer:
-    """The listener and the state that a predecessor hands over."""
+    """The listener, the state and the socket for limiters' messages that a predecessor hands over."""
 
     listener: socket.socket
     state: dict[str, Any]
+    peer_socket: socket.socket | None = None  # None: the predecessor holds none, or is of an older version
 
 
 class Peer:
@@ -171,6 +183,7 @@
         self._folder = folder
         self._sock: socket.socket | None = None
         self._report_timer: asyncio.TimerHandle | None = None
+        self._passes_peer_socket = False  # whether the successor accepts it; an older version does not
         self._start_listening()
 
     def _start_listening(self) -> None:
@@ -206,6 +219,7 @@
         try:
             match message.get("is"):
                 case "hello":
+                    self._passes_peer_socket = message.get(ACCEPTS_PEER_SOCKET) is True
                     self._handle_event(TakeoverEvent.HELLO)
                 case "serving":
                     self._handle_event(TakeoverEvent.SERVING)
@@ -257,6 +271,10 @@
         self._channel.send(
             {"is": "offer", "parts": len(parts), "checksum": checksum}, host.duplicate_listener()
         )
+        if not self._passes_peer_socket:
+            host.release_peer_address()
+        elif (peer_socket := host.duplicate_peer_socket()) is not None:
+            self._channel.send({"is": "peer_socket"}, peer_socket)
         for part in parts:
             self._channel.send({"is": "part", "text": part})
 
@@ -302,6 +320,7 @@
         self._offer_settled = asyncio.Event()
         self._offer: Offer | None = None
         self._listener: socket.socket | None = None
+        self._peer_socket: socket.socket | None = None
         self._part_count = 0  # parts of the snapshot
         self._checksum = ""
         self._parts = list[str]()
@@ -309,7 +328,7 @@
         sock = folder.connect()
         if sock is not None and same_user(sock):
             self._channel = Channel(sock, self._receive, self._on_channel_close)
-            self._channel.send({"is": "hello"})
+            self._channel.send({"is": "hello", ACCEPTS_PEER_SOCKET: True})
             self._timer = self._loop.call_later(
                 STATE_TIMEOUT_SECONDS[TakeoverState.ASKING], self._handle_event, TakeoverEvent.TIMEOUT
             )
@@ -347,6 +366,8 @@
                     self._receive_offer(message, sock)
                 case "client" if self._host is not None and sock is not None:
                     self._host.adopt_connection(sock)
+                case "peer_socket" if sock is not None:
+                    self._receive_peer_socket(sock)
                 case _ if sock is not None:
                     raise ValueError(f"unexpected descriptor with message {message.get('is')!r:.40}")
                 case "part":
@@ -370,6 +391,11 @@
         self._listener = listener
         self._handle_event(TakeoverEvent.OFFER)
 
+    def _receive_peer_socket(self, sock: socket.socket) -> None:
+        if self.machine.state is not TakeoverState.RECEIVING or self._peer_socket is not None:
+            raise ValueError("a socket for limiters' messages outside an offer, or sent twice")
+        self._peer_socket = sock
+
     def _receive_part(self, message: Message) -> None:
         self._parts.append(str(message["text"]))
         if len(self._parts) < self._part_count or self._listener is None:
@@ -378,7 +404,7 @@
             state = decode_snapshot("".join(self._parts), self._checksum)
         except SnapshotError as error:
             raise ValueError(str(error)) from None
-        self._offer = Offer(self._listener, state)
+        self._offer = Offer(self._listener, state, self._peer_socket)
         self._handle_event(TakeoverEvent.OFFER_COMPLETE)
 
     def _receive_from_predecessor(self, host: Host, message: Message) -> None:
@@ -404,8 +430,9 @@
                 self._offer_settled.set()
             case TakeoverAction.START:
                 self._offer = None
-                if self._listener is not None:
-                    self._listener.close()
+                for sock in (self._listener, self._peer_socket):
+                    if sock is not None:
+                        sock.close()
                 self._offer_settled.set()
             case TakeoverAction.FORGET_PREDECESSOR:
                 if self._host is not None:
--- a/tests/takeover/test_handover.py
+++ b/tests/takeover/test_handover.py
@@ -11,11 +11,13 @@
 import pytest
 
 from cypresspulley import interface as api
+from cypresspulley.config import Config
 from cypresspulley.lifecycle import Lifecycle, LifecycleState
 from cypresspulley.net.discovery import Listing
 from cypresspulley.net.frontend import Frontend
 from cypresspulley.net.listener import SocketListener
 from cypresspulley.net.node import Node, UnixClock
+from cypresspulley.net.peer_link import PeerLink
 from cypresspulley.net.upstream import REUSE_DELAY_SECONDS, Upstream
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.service import Service
@@ -30,8 +32,9 @@
 class Process:
     """One process of a limiter, set up like ``__main__.serve`` does."""
 
-    def __init__(self, folder: Path, dial: str) -> None:
-        self.clock, self.dial = UnixClock(), dial
+    def __init__(self, folder: Path, dial: str, config: Config | None = None) -> None:
+        """``config`` gives the addresses for messages between limiters; None: there are none."""
+        self.clock, self.dial, self.config = UnixClock(), dial, config
         self.service = Service(Lifecycle(), Folder(str(folder), "test"))
         self.upstream = Upstream(self.clock, 0.25, 30.0, 64)
         self.gateway = Gateway(SETTINGS, 1, self.clock())
@@ -50,6 +53,9 @@
         self.inherited = offer is not None
         if offer is None:
             self.node.apply_listing(listing({"s1": self.dial, "s2": self.dial}))
+        if self.config is not None:
+            self.service.peer_link = PeerLink(self.node)
+            self.service.peer_link.start(self.config, None if offer is None else offer.peer_socket)
         listener = offer.listener if offer is not None else None
         self.address = await self.frontend.listen_shared("127.0.0.1", port, listener)
         self.service.serve(self.node, self.frontend, self.gateway, self.upstream, self.clock, self.inherited)
@@ -65,6 +71,8 @@
         await self.frontend.close(1.0)
         self.upstream.close()
         self.service.close()
+        if self.service.peer_link is not None:
+            self.service.peer_link.close()
 
     def die(self) -> None:
         """Close every descriptor without notice, as a SIGKILL does."""
@@ -73,6 +81,8 @@
         for client in list(self.frontend._clients):
             client.abort()
         self.upstream.close()
+        if self.service.peer_link is not None:
+            self.service.peer_link.close()
         self.service.close()
 
 
--- a/tests/test_large_lists.py
+++ b/tests/test_large_lists.py
@@ -14,7 +14,7 @@
 from cypresspulley.fleet.view import MAX_MEMBERS
 from cypresspulley.keeper.engine import EngineCounter, parse_engine_url
 from cypresspulley.net.discovery import MessageDecoder, parse_listing
-from cypresspulley.net.peers import Peers
+from cypresspulley.net.peers import Peers, open_datagram_socket
 from cypresspulley.operators import OperatorsError
 from cypresspulley.plans import serve
 from cypresspulley.plans.follow import FollowerState
@@ -66,7 +66,8 @@
             probe.close()
             names = [loopback(number) for number in range(LARGE_FLEET_SIZE - 1)]
             peers = Peers([*names, "{}:{}".format(*last.getsockname())], names[0], hear)
-            await peers.listen("127.0.0.1", port)
+            peers.use_socket(open_datagram_socket("127.0.0.1", port))
+            peers.start_reading()
             last.sendto(b"good", ("127.0.0.1", port))
             await came.wait()
             peers.close()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,7 +14,7 @@
 from cypresspulley import interface as api
 from cypresspulley.config import ConfigError, parse_config
 from cypresspulley.messages import DIGITS, UNITS_PER_STEP
-from cypresspulley.net.peers import MAX_MESSAGE, Peers
+from cypresspulley.net.peers import MAX_MESSAGE, Peers, open_datagram_socket
 from cypresspulley.policy.account import Account
 from cypresspulley.policy.usage import MAX_UNKNOWN_ACCOUNTS, UsageBroadcast
 from tests import world as w
@@ -208,7 +208,8 @@
                 port = probe.getsockname()[1]
             here, there = f"127.0.0.1:{port}", "{}:{}".format(*known_sender.getsockname())
             peers = Peers([here, there], there, on_message)
-            await peers.listen("127.0.0.1", port)
+            peers.use_socket(open_datagram_socket("127.0.0.1", port))
+            peers.start_reading()
             unknown_sender.sendto(b"AAAAAAgg", ("127.0.0.1", port))
             for data in (b"x" * 257, b"", b"\xff" * 8, b"good"):
                 known_sender.sendto(data, ("127.0.0.1", port))
