Give clients and servers a third of the descriptors each before the operators' door

Cause: connection_share gave clients and servers half each of what a fixed reserve left: 58 descriptors and 80 more with a door, so 59 each of 256. The frontend is full at 59 open requests, nobody may be evicted, and who comes waits in the accept queue for as long as a transfer lasts.

Change: descriptors.py is a budget. Clients and servers get a third each first; every other consumer is a row with its bound (58 in all as before, up to 6 for what operators switch on); the door takes what remains, 80 at most. So the door holds 19 connections at 256, 64 from 389 on. For that it no longer accepts beyond its limit and aborts the oldest: callers wait in the accept queue, and only a connection that was silent for 50 ms with nothing unread, or that has its answer, makes room.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -19,6 +19,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.config import Config, ConfigError, load_config_from_env
+from cypresspulley.descriptors import descriptor_limit, divide_descriptors
 from cypresspulley.lifecycle import Lifecycle
 from cypresspulley.net.admin import AdminServer
 from cypresspulley.net.counter import Counter, CounterClient
@@ -43,11 +44,6 @@
 
 log = logging.getLogger("cypresspulley")
 
-# Descriptors not available to clients and servers: 14 of an idle process with its listener, at most 32 of discovery (15
-# calls and an old watch at each of two addresses), those of the counter and of other limiters, and those being closed.
-RESERVED_DESCRIPTORS = 58
-ADMIN_DESCRIPTORS = 80  # reserved in addition if the operators' interface is configured
-MAX_RESERVED_SHARE = 0.75  # of all descriptors, so that a low limit leaves some for clients and servers
 ACCEPT_AFTER_SIGTERM_SECONDS = 0.5  # new connections are accepted for this long after SIGTERM
 # SIGKILL may follow SIGTERM after the longest deadline plus this time; requests open by then are lost.
 KILL_GRACE_SECONDS = 0.7
@@ -92,21 +88,6 @@
         return self._lines_in_second <= self._limit
 
 
-def descriptor_limit(configured: int, rlimit: int) -> int:
-    """Return the number of usable descriptors: the configured one, or the resource limit if that is lower."""
-    return configured if rlimit == resource.RLIM_INFINITY else min(configured, rlimit)
-
-
-def connection_share(limit: int, has_admin_server: bool) -> int:
-    """Return the number of connections that clients may hold; servers may hold as many again.
-
-    The rest of ``limit`` descriptors is reserved for discovery, the counter and the listener, so that these still work
-    when clients or servers use up their share.
-    """
-    reserve = RESERVED_DESCRIPTORS + ADMIN_DESCRIPTORS * has_admin_server
-    return max(1, (limit - min(reserve, int(MAX_RESERVED_SHARE * limit))) // 2)
-
-
 async def serve(
     config: Config,
     operators: Operators,
@@ -139,15 +120,14 @@
     )
     owns_process = clock is None  # False if several limiters run in one process
     clock = clock or UnixClock()
-    # Active clients need a third of all descriptors at most; idle connections beyond that are closed in their favour.
     limit = descriptor_limit(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
-    max_clients = max_servers = connection_share(limit, config.operator is not None)
+    budget = divide_descriptors(limit, config.operator is not None, operators)
     service = Service(Lifecycle(), _open_takeover_folder(config))
     if on_service_created is not None:
         on_service_created(service)
-    admin_server = await _start_admin_server(config, service)
+    admin_server = await _start_admin_server(config, service, budget.admin_connections)
     timing = config.timing
-    upstream = Upstream(clock, timing.dial_timeout, timing.idle_timeout, max_servers)
+    upstream = Upstream(clock, timing.dial_timeout, timing.idle_timeout, budget.servers)
     counter = _build_counter(config, operators)
     offer = await service.wait_for_offer(clock)
     gateway = _build_gateway(config, clock)
@@ -178,7 +158,7 @@
     peer_link.start(config, None if offer is None else offer.peer_socket)
     graphql_handler = _build_graphql_handler(config.settings, operators, clock)
     frontend = Frontend(
-        node, config.settings, max_clients, graphql_handler, time.monotonic if owns_process else clock
+        node, config.settings, budget.clients, graphql_handler, time.monotonic if owns_process else clock
     )
     frontend.on_sweep = partial(node.check_wall_clock, time.time) if owns_process else None
     frontend.relay = upstream.relay
@@ -328,14 +308,14 @@
         return None
 
 
-async def _start_admin_server(config: Config, service: Service) -> AdminServer | None:
+async def _start_admin_server(config: Config, service: Service, max_connections: int) -> AdminServer | None:
     """Start the operators' interface if one is configured.
 
     It starts before any slow step, so that it answers "not ready" meanwhile.
     """
     if config.operator is None:
         return None
-    admin_server = AdminServer(service.call)
+    admin_server = AdminServer(service.call, max_connections)
     try:
         await admin_server.listen(*config.operator)
     except OSError as error:
--- a/cypresspulley/net/admin.py
+++ b/cypresspulley/net/admin.py
@@ -24,9 +24,10 @@
 
 log = logging.getLogger(__name__)
 
-# Limit on open connections. Beyond it the oldest one without a complete request is aborted, so a caller loses its
-# request only if this many connections arrive before its bytes are read.
+# Default limit on open connections. At the limit the oldest one without a complete request is aborted, unless it has
+# unread bytes or is younger than ``MIN_CONNECTION_SECONDS``; without such a one, callers wait in the accept queue.
 MAX_CONNECTIONS = 64
+MIN_CONNECTION_SECONDS = 0.05  # for a caller's request to arrive
 LISTEN_BACKLOG = 128
 MAX_REQUEST_BYTES = 8192  # head and body; the longest request has a server's id in its path
 REQUEST_TIMEOUT_SECONDS = 1.5  # time for a request to arrive completely
@@ -94,6 +95,8 @@
     def __init__(self, server: AdminServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
+        self._loop = asyncio.get_running_loop()
+        self._accepted_at = self._loop.time()
         self._parser = httptools.HttpRequestParser(self)
         self._url = b""
         self._request_size = 0  # bytes received of the request
@@ -102,11 +105,10 @@
         self._discarded_size = 0  # bytes read and discarded after the request
         self._grace_used = False  # the timeout has been extended once for unread data
         # The request timeout, and after the response the end of the linger.
-        self._timer = asyncio.get_running_loop().call_later(REQUEST_TIMEOUT_SECONDS, self._on_request_timeout)
+        self._timer = self._loop.call_later(REQUEST_TIMEOUT_SECONDS, self._on_request_timeout)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)  # uvloop's transports are not subclasses of it
-        self._server.add_connection(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
@@ -152,7 +154,7 @@
             transport.write(render(reply))
             transport.write_eof()
             self._discarded_size = 0
-            self._timer = asyncio.get_running_loop().call_later(LINGER_SECONDS, transport.close)
+            self._timer = self._loop.call_later(LINGER_SECONDS, transport.close)
 
     def _on_request_timeout(self) -> None:
         """Fail the request, unless unread data is in the socket, which extends the timeout once.
@@ -161,12 +163,18 @@
         """
         if self._has_unread_data and not self._grace_used:
             self._grace_used = True
-            self._timer = asyncio.get_running_loop().call_later(
-                UNREAD_DATA_GRACE_SECONDS, self._on_request_timeout
-            )
+            self._timer = self._loop.call_later(UNREAD_DATA_GRACE_SECONDS, self._on_request_timeout)
         else:
             self.answer(Reply(408, {"error": f"no whole call within {REQUEST_TIMEOUT_SECONDS:g} s"}))
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether it had time to send a request and has none that is complete or unread."""
+        if self.complete or self._transport is None:
+            return False
+        had_time = self._loop.time() - self._accepted_at >= MIN_CONNECTION_SECONDS
+        return had_time and not self._has_unread_data
+
     @property
     def _has_unread_data(self) -> bool:
         transport = self._transport
@@ -186,27 +194,38 @@
     ``handler`` is called with the name of the call and the id in its path, and returns once the call has taken effect.
     """
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, max_connections: int | None = None) -> None:
         self._handler = handler
+        self._max_connections = MAX_CONNECTIONS if max_connections is None else max_connections
         self._listener: Listener | None = None
         self._connections = dict[_AdminConnection, None]()  # in order of arrival
         self._tasks = set[asyncio.Task[None]]()
 
     async def listen(self, host: str, port: int) -> tuple[str, int]:
         """Start listening and return the bound address. Raise OSError if the address cannot be bound."""
-        self._listener = await open_listener(host, port, LISTEN_BACKLOG, lambda: _AdminConnection(self))
+        self._listener = await open_listener(host, port, LISTEN_BACKLOG, self._create_connection, self)
         return self._listener.address
 
-    def add_connection(self, connection: _AdminConnection) -> None:
+    def _create_connection(self) -> _AdminConnection:
+        connection = _AdminConnection(self)
         self._connections[connection] = None
-        if len(self._connections) > MAX_CONNECTIONS:
-            # A complete request is answered within 1 s, so a connection without one is evicted first, then one that has
-            # its response.
-            incomplete = (each for each in self._connections if not each.complete and each is not connection)
-            answered = (each for each in self._connections if each.answered)
-            evicted = next(incomplete, None) or next(answered, connection)
-            self._connections.pop(evicted, None)
-            evicted.abort()
+        return connection
+
+    @property
+    def full(self) -> bool:
+        """Whether the limit on open connections is reached."""
+        return len(self._connections) >= self._max_connections
+
+    def make_room(self) -> bool:
+        """Abort a connection without a request, or else one that has its response; return whether there was one."""
+        silent = (each for each in self._connections if each.is_silent)
+        answered = (each for each in self._connections if each.answered)
+        evicted = next(silent, None) or next(answered, None)
+        if evicted is None:
+            return False
+        self.remove_connection(evicted)
+        evicted.abort()
+        return True
 
     def remove_connection(self, connection: _AdminConnection) -> None:
         self._connections.pop(connection, None)
