Report use that was unreported at an upgrade from the successor

What callers saw: with messages between limiters, use of an account since the last message of the upgraded limiter was told by neither process, so others could let the account in beyond its quota.

Evidence: the new test, before the mend: the next messages of old and new told [0, 0] where [0, 6] was used.

Change: an account restored with unreported use is on that list.

Result: tests/takeover passes.

--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -169,6 +169,8 @@
             continue  # the plan has been dropped in the meantime
         a = quotas.get_or_create_account(now, api.Request(0, "", plan, 1.0, name, gateways=int(share)))
         _write_attributes(a, values, ACCOUNT_FIELDS)
+        if quotas.usage_broadcast is not None and a.unreported:
+            quotas.usage_broadcast.unreported_accounts[a.counter_name] = a
         for store in SPLIT_STORES:
             setattr(
                 a,
--- a/tests/takeover/test_snapshot.py
+++ b/tests/takeover/test_snapshot.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from cypresspulley import interface as api
+from cypresspulley.messages import decode_message
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.takeover.snapshot import (
     RETAINED_SHARE,
@@ -26,6 +27,7 @@
     take_snapshot,
 )
 from tests import world as w
+from tests.test_peers import Fleet, shared_settings
 
 PLAN = api.Plan("capped", 1.0, 30.0, 90.0, ceiling_rate=4.0, ceiling_burst=12.0)
 CONFIG = w.settings(plans=(PLAN, api.Plan("free")), gateways=1, has_counter=False)
@@ -214,3 +216,30 @@
     except SnapshotError:
         return
     assert take_snapshot(gateway)
+
+
+def units_in_next_message(gateway: Gateway, now: float) -> float:
+    """Return the units that the next usage message reports of all accounts together."""
+    assert gateway.quotas.usage_broadcast is not None
+    message = decode_message(gateway.quotas.usage_broadcast.write_message(now))
+    assert message is not None
+    return sum(units for _, units in message[1])
+
+
+@pytest.mark.parametrize("is_taken_back", [False, True])
+def test_use_that_is_not_reported_yet_is_reported_once_by_the_two_processes(is_taken_back: bool) -> None:
+    """Guards against use that neither process reports: the successor reported only accounts that came again."""
+    fleet = Fleet()
+    for id in range(6):
+        assert fleet.ask(0, 100.0, id)
+    world, config = fleet.worlds[0], replace(shared_settings(), index=0)
+    used = sum(account.unreported for account in world.gateway.quotas.accounts.values())
+    assert used > 0
+    after = successor(world, config)
+    split = StateSplit(world.gateway)
+    if is_taken_back:
+        split.undo(True, world.now)
+        assert units_in_next_message(world.gateway, world.now + 1.0) == pytest.approx(used)
+    else:
+        reported = [units_in_next_message(each, world.now + 1.0) for each in (world.gateway, after)]
+        assert reported == pytest.approx([0.0, used])
