--- a/tests/takeover/test_peer_link.py
+++ b/tests/takeover/test_peer_link.py
@@ -17,7 +17,7 @@
 from cypresspulley.net.peer_link import PeerLink
 from cypresspulley.net.peers import open_datagram_socket
 from cypresspulley.takeover.channel import Channel, Folder
-from cypresspulley.takeover.states import TakeoverState
+from cypresspulley.takeover.states import STATE_TIMEOUT_SECONDS, TakeoverState
 from tests.loopback import Limiter, Origin, Script, ask, forward, listening, read_message, run
 from tests.takeover.test_handover import Process, until
 from tests.test_program import WIRE_SETTINGS, call_operators, config, free_port, started
@@ -175,21 +175,24 @@
     run(main())
 
 
-@pytest.mark.parametrize("serving", [False, True])
-def test_a_predecessor_reads_again_when_its_successor_dies(
-    serving: bool, tmp_path: Path, heard: list[tuple[PeerLink, str]], other_limiter: socket.socket
+@pytest.mark.parametrize("end", ["dies before its word", "dies serving", "gets SIGTERM first"])
+def test_a_predecessor_reads_again_when_its_successor_ends(
+    end: str, tmp_path: Path, heard: list[tuple[PeerLink, str]], other_limiter: socket.socket
 ) -> None:
     async def main() -> None:
         loaded = parse_config(raw_config(other_limiter))
         address, origin = listen_address(loaded), Origin()
         async with listening(origin.talk) as dial:
             old, new = await Process(tmp_path, dial, loaded).start(), Process(tmp_path, dial, loaded)
-            if serving:
+            if end == "dies before its word":
+                assert await new.service.wait_for_offer(new.clock) is not None
+            else:
                 await new.start()
                 await until(lambda: old.service.lifecycle.handed_over)
+            if end == "gets SIGTERM first":
+                await new.end()
             else:
-                assert await new.service.wait_for_offer(new.clock) is not None
-            new.die()
+                new.die()
             other_limiter.sendto(b"orphan", address)
             await until(lambda: heard)
             assert heard == [(old.service.peer_link, "orphan")]
@@ -198,6 +201,61 @@
     run(main())
 
 
+def test_a_third_process_gets_the_socket_from_the_second_while_the_first_is_there(
+    tmp_path: Path, heard: list[tuple[PeerLink, str]], other_limiter: socket.socket
+) -> None:
+    async def main() -> None:
+        loaded = parse_config(raw_config(other_limiter))
+        address, origin = listen_address(loaded), Origin()
+        async with listening(origin.talk) as dial:
+            processes = [await Process(tmp_path, dial, loaded).start() for _ in range(2)]
+            await until(lambda: processes[0].service.lifecycle.handed_over)
+            processes.append(await Process(tmp_path, dial, loaded).start())
+            await until(lambda: processes[1].service.lifecycle.handed_over)
+            for text in ("with all three", "with two", "alone"):
+                other_limiter.sendto(text.encode(), address)
+                await until(lambda: heard)
+                assert heard.pop() == (processes[-1].service.peer_link, text)
+                await processes.pop(0).end()
+        assert is_free(address)
+
+    run(main())
+
+
+def test_a_successor_that_was_stopped_for_longer_than_its_predecessor_waits_reads_in_the_end(
+    tmp_path: Path,
+    heard: list[tuple[PeerLink, str]],
+    other_limiter: socket.socket,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Both processes read the socket until the predecessor ends; no message is left unread."""
+    monkeypatch.setitem(STATE_TIMEOUT_SECONDS, TakeoverState.OFFERED, 0.05)
+
+    async def main() -> None:
+        loaded = parse_config(raw_config(other_limiter))
+        address, origin = listen_address(loaded), Origin()
+        async with listening(origin.talk) as dial, link() as late:
+            old, new = await Process(tmp_path, dial, loaded).start(), Process(tmp_path, dial, loaded)
+            offer = await new.service.wait_for_offer(new.clock)
+            assert offer is not None
+            await until(lambda: old.machine.state is TakeoverState.WATCHING)
+            other_limiter.sendto(b"0", address)
+            await until(lambda: heard)
+            assert heard == [(old.service.peer_link, "0")]
+            late.start(loaded, offer.peer_socket)
+            for number in range(1, 9):
+                other_limiter.sendto(b"%d" % number, address)
+            await until(lambda: len(heard) == 9)
+            await old.end()
+            other_limiter.sendto(b"9", address)
+            await until(lambda: len(heard) == 10)
+            assert heard[-1] == (late, "9")
+            offer.listener.close()
+            new.die()
+
+    run(main())
+
+
 def test_a_successor_of_an_older_version_finds_the_address_free(
     tmp_path: Path, heard: list[tuple[PeerLink, str]], other_limiter: socket.socket
 ) -> None:
