Send a GraphQL mutation without a key once, whatever its class became by SIGHUP

Cause: GraphQLHandler checked effects at the start only, and its event had no effect, so the decisions took the class's newest record. Behind it: a given effect that no record fits any more was known for 6 s, and then fell to a record made up on the spot.

Change: the event carries the stricter of what the request's form allows and what its class is now (GraphQLHandler.retune). The decisions bind a request that fits no record of its class to the newest one, sent once (ClassRegistry.find_restricted). Settings that do not fit [graphql] are logged and hold for all else.

Test changed: the mutant "takes mutations for queries" only mixed up class names; that alone breaks no rule any more (now asserted), so the mutant also takes the effect of a query, and is convicted as before.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -193,6 +193,8 @@
             counter.set_timeout(settings.counter_timeout)
         node.retune(settings)
         frontend.reader.retune(settings)
+        if graphql_handler is not None:
+            graphql_handler.retune(settings)
         service.on_settings_changed()
 
     def apply_addresses(new: Config) -> None:
--- a/cypresspulley/graphql/handler.py
+++ b/cypresspulley/graphql/handler.py
@@ -166,11 +166,20 @@
         self._clock = clock
         self._budget = AnalysisBudget(options.reading)
         self._classes_by_effect = _classes_by_effect(settings, options)
+        self._class_effects = _effects_by_class(settings)
         self._ids = 0
         self._loop = asyncio.get_running_loop()
         self.longest_turn_s = 0.0  # longest time for which a turn of analysis blocked the loop
         _warm_up(documents)
 
+    def retune(self, settings: api.Settings) -> None:
+        """Apply new settings: a request whose form its class no longer allows to be repeated is sent once."""
+        self._class_effects = _effects_by_class(settings)
+        try:
+            _classes_by_effect(settings, self._options)
+        except OptionsError as error:
+            log.error("%s; its requests are sent once, until the settings fit again", error)
+
     def handle_request(self, request: ClientRequest, parsed: ParsedRequest) -> None:
         """Respond to a request that was received in full, or submit it, possibly some turns of the event loop later."""
         request.dialect = dialect = GraphQLDialect(self._options)
@@ -245,14 +254,29 @@
         name = self._classes_by_effect[priced.effect]
         bound = max(priced.price.bound, self._options.minimum_points) / self._options.points_per_unit
         units = max(priced.price.expected, self._options.minimum_points) / self._options.points_per_unit
+        key = self._idempotency_key(priced, metadata)
         request.event = api.Request(
             parsed.reader.next_id(), name, metadata.plan, ttl, metadata.account, min(units, bound), metadata.spread,
-            metadata.repeat, bound,
+            metadata.repeat, bound, effect=self._binding_effect(name, priced.effect, key is not None),
         )  # fmt: skip
-        request.head = parsed.build_head(name, self._idempotency_key(priced, metadata))
+        request.head = parsed.build_head(name, key)
         parsed.submit(request)
         return None
 
+    def _binding_effect(self, name: str, effect: Effect, has_key: bool) -> api.Effect:
+        """Return the effect that decides the attempts of a request: the stricter one of its form and its class.
+
+        Servers drop repeats by the key, so a request without one is never repeated as a keyed one.
+        """
+        by_form = api.Effect.KEYED if has_key else api.Effect.UNSAFE
+        match self._class_effects.get(name):
+            case api.Effect.SAFE:
+                return api.Effect.SAFE if effect is Effect.QUERY else by_form
+            case api.Effect.KEYED:
+                return by_form
+            case _:
+                return api.Effect.UNSAFE
+
     def _idempotency_key(self, priced: PricedRequest, metadata: RequestMetadata) -> bytes | None:
         """Return the idempotency key of a keyed mutation, or None for other requests.
 
@@ -263,9 +287,13 @@
         return sha256(f"{metadata.account}/{priced.key}".encode()).hexdigest()[:32].encode()
 
 
+def _effects_by_class(settings: api.Settings) -> dict[str, api.Effect]:
+    return {each.name: each.effect for each in settings.classes}
+
+
 def _classes_by_effect(settings: api.Settings, options: Options) -> dict[Effect, str]:
     """Return the request class for each effect. Raise OptionsError for an unknown class or one of another effect."""
-    effects = {c.name: c.effect for c in settings.classes}
+    effects = _effects_by_class(settings)
     expected_effects = [
         ("query", options.query, api.Effect.SAFE),
         ("mutation", options.mutation, api.Effect.UNSAFE),
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -247,6 +247,10 @@
         """Respond to the request or submit it. Raise BadRequestError if it is invalid."""
         ...
 
+    def retune(self, settings: api.Settings) -> None:
+        """Apply new settings to the requests from now on."""
+        ...
+
 
 @contextlib.contextmanager
 def _borrow_socket(transport: asyncio.BaseTransport) -> Iterator[socket.socket]:
--- a/cypresspulley/policy/classes.py
+++ b/cypresspulley/policy/classes.py
@@ -1,6 +1,7 @@
 """The request classes and plans that are in force while settings change at run time."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Effect
@@ -90,6 +91,14 @@
         replaced = self._replaced_records(now, name)
         return next((old for old in replaced if effect is None or old.effect is effect), None)
 
+    def find_restricted(self, now: float, name: str) -> api.RequestClass | None:
+        """Return the newest record of a name as that of a request which may be sent once; None where there is none.
+
+        It binds a request whose form fits no record in force: nothing proves that a repeat of it would be dropped.
+        """
+        newest = self.find(now, name)
+        return None if newest is None else replace(newest, effect=Effect.UNSAFE)
+
     def max_attempts(self, now: float) -> int:
         """Return the attempts that a new request may have; during a change of settings the fewer of both."""
         return (
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -90,8 +90,11 @@
         self.quotas.tick(now)
 
     def _handle_request(self, now: float, event: api.Request) -> None:
-        unknown = api.RequestClass(event.request_class, max(event.ttl, 0.01), 1.0, Effect.UNSAFE)
-        cls = self._classes.find(now, event.request_class, event.effect) or unknown
+        cls = (
+            self._classes.find(now, event.request_class, event.effect)
+            or self._classes.find_restricted(now, event.request_class)
+            or api.RequestClass(event.request_class, max(event.ttl, 0.01), 1.0, Effect.UNSAFE)
+        )
         account = self.quotas.get_or_create_account(now, event)
         self.quotas.broadcast_usage(now)
         request = self._requests[event.id] = Request(
--- a/tests/rehearsal/test_graphql.py
+++ b/tests/rehearsal/test_graphql.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from cypresspulley import interface as api
 from cypresspulley.explore.schedule import scale_down
 from cypresspulley.graphql import handler
 from cypresspulley.graphql.document import Effect
@@ -55,6 +56,13 @@
         return real(*given) | {Effect.MUTATION: "bag-lookup"}
 
     monkeypatch.setattr(handler, "_classes_by_effect", blind)
+    assert broken(verdict()) == []  # a mutation of a safe class is sent once, since it has no key
+    binding_effect = handler.GraphQLHandler._binding_effect
+
+    def bind_as_query(self: Any, name: str, _effect: Effect, has_key: bool) -> api.Effect:
+        return binding_effect(self, name, Effect.QUERY, has_key)
+
+    monkeypatch.setattr(handler.GraphQLHandler, "_binding_effect", bind_as_query)
     assert broken(verdict()) == ["no effect twice"]
 
 
