Compact the plan book once a commit is part of the state, in frames cut by bytes

What callers saw: a change or use record whose commit triggered a compaction was acknowledged and gone after the next start (a book with a lost change did not open). From some 20,000 rows of use the first compaction failed: use that was stored was answered 409, the next tick ended the writer with code 2, and a repeated change left a book that did not open (number 2; expected 3).

Cause: PlanWriter._commit compacted from a state that did not hold the committed records yet, and let the compaction's error out as the operation's. Store.compact cut frames by count, a record has up to 1,000 rows, a frame 1 MiB. After a failed folder sync behind the rename the old generation went on beside a newer one.

Change: frames by bytes (256 KiB), parts of a ledger also by the length of names; the state is compacted after the records are applied; a failed compaction is logged, undone and tried again 1 MiB later, and where it cannot be undone the store takes nothing more; a repeated number is skipped at a start and named.

--- a/cypresspulley/plans/plan_writer.py
+++ b/cypresspulley/plans/plan_writer.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterator
 from dataclasses import replace
 
@@ -43,6 +44,8 @@
 from cypresspulley.plans.store import Record, Store, StoreError
 from cypresspulley.plans.usage import UsageLedger, UsageRecord, parse_usage_record
 
+log = logging.getLogger(__name__)
+
 FLEET_DRAW_KEY = "limiters"  # stands for the draws of all limiters on a reservation
 # Time in which limiters finish the requests admitted under a reservation's plan and export their usage, milliseconds.
 SETTLE_DELAY_MS = 15_000
@@ -81,6 +84,9 @@
             self.book = replace(self.book, installation=record["installation"])
         elif kind in ("version", "assignment", "withdrawal"):
             change = books.parse_change(record, where)
+            if change.stamp.seq <= len(self.changes):
+                log.warning("plans: %s: number %d is a repeat, ignored: %s", where, change.stamp.seq, change)
+                return
             if change.stamp.seq != len(self.changes) + 1:
                 raise StoreError(f"{where}: number {change.stamp.seq}; expected {len(self.changes) + 1}")
             self._apply_change(self.book.with_change(change), change)
@@ -124,8 +130,18 @@
         for record in records:
             self._store.add(record)
         self._store.commit()
-        if self._store.needs_compaction:
+
+    def _compact_if_needed(self) -> None:
+        """Compact the store once the last commit is part of the state.
+
+        A failure is logged and refuses nothing: what was committed is in the old generation, which stays in service.
+        """
+        if not self._store.needs_compaction:
+            return
+        try:
             self.compact()
+        except (OSError, StoreError) as error:
+            log.error("plans: the store was not compacted, and will be later: %s", error)
 
     # Changes.
 
@@ -173,6 +189,7 @@
         book = self._check_change(change, now)
         self._commit(books.as_json(change))
         self._apply_change(book, change)
+        self._compact_if_needed()
 
     def find_ceiling_overshoots(self, change: Change, now: int) -> dict[str, float]:
         """Return the accounts whose ceiling a change lowers, with the units by which it may be exceeded.
@@ -212,7 +229,9 @@
             return self.usage_ledger.accept(record)
         self._commit(record.as_json())
         self._record_corrections(record)
-        return self.usage_ledger.accept(record)
+        is_accepted = self.usage_ledger.accept(record)
+        self._compact_if_needed()
+        return is_accepted
 
     # Reservations.
 
@@ -323,6 +342,7 @@
         self._commit(_reservation_record(reservation), *map(books.as_json, changes))
         for change in changes:
             self._apply_change(self.book.with_change(change), change)
+        self._compact_if_needed()
 
     def release(self, key: str, now: int) -> Reservation:
         """End a reservation: it takes no new draws, and the undrawn rest is given back once all usage is reported."""
@@ -383,6 +403,7 @@
                     changed.append(reservation)
         changed_by_id = {id(reservation): reservation for reservation in changed}
         self._commit(*map(_reservation_record, changed_by_id.values()))
+        self._compact_if_needed()
         return list(changed_by_id.values())
 
     def _reported_usage(self, reservation: Reservation) -> int:
--- a/cypresspulley/plans/store.py
+++ b/cypresspulley/plans/store.py
@@ -16,19 +16,24 @@
 from __future__ import annotations
 
 import json
+import logging
 import struct
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any
 
 from cypresspulley.plans.files import File, Folder
 
+log = logging.getLogger(__name__)
+
 FILE_HEADER = b"fawnseam log 1\n"
 FRAME_HEADER = struct.Struct("<II")
 MAX_PAYLOAD_BYTES = 1 << 20  # a greater length field is treated as damage
-SNAPSHOT_FRAME_RECORDS = 256  # records per frame of a snapshot
+SNAPSHOT_FRAME_BYTES = 256 << 10  # of a snapshot's frame, unless one record is larger
 COMPACTION_THRESHOLD_BYTES = 8 << 20  # bytes after the snapshot beyond which the store needs compaction
+COMPACTION_RETRY_BYTES = 1 << 20  # bytes committed after a failed compaction before it is tried again
 Record = dict[str, Any]
 
 
@@ -36,14 +41,38 @@
     """A store cannot be used as it is. The text names the file and the byte."""
 
 
+def _encode_record(record: Record) -> bytes:
+    return json.dumps(record, separators=(",", ":"), sort_keys=True, allow_nan=False).encode()
+
+
 def encode_frame(records: list[Record]) -> bytes:
-    payload = json.dumps(records, separators=(",", ":"), sort_keys=True, allow_nan=False).encode()
+    """Return the frame of records that are committed together. Raise ``StoreError`` if it would be too large."""
+    return _frame(list(map(_encode_record, records)))
+
+
+def _frame(encoded_records: list[bytes]) -> bytes:
+    payload = b"[" + b",".join(encoded_records) + b"]"
     if len(payload) > MAX_PAYLOAD_BYTES:
         raise StoreError(f"a commit of {len(payload)} bytes; expected at most {MAX_PAYLOAD_BYTES}")
     length = struct.pack("<I", len(payload))
     return length + struct.pack("<I", zlib.crc32(length + payload)) + payload
 
 
+def _snapshot_frames(records: Iterable[Record]) -> Iterator[bytes]:
+    """Yield the frames of a snapshot: as many records in each as fit into ``SNAPSHOT_FRAME_BYTES``, one at least."""
+    part, size, count = list[bytes](), 0, 0
+    for record in records:
+        encoded = _encode_record(record)
+        if part and size + len(encoded) > SNAPSHOT_FRAME_BYTES:
+            yield _frame(part)
+            part, size = [], 0
+        part.append(encoded)
+        size, count = size + len(encoded), count + 1
+    if part:
+        yield _frame(part)
+    yield encode_frame([{"kind": "whole", "records": count}])
+
+
 def _decode_frame(data: bytes, offset: int) -> tuple[list[Record], int] | None:
     """Return the records of the frame that begins at ``offset`` and the offset of its end; None for no good frame."""
     if offset + FRAME_HEADER.size > len(data):
@@ -164,7 +193,7 @@
         self._uncommitted = list[Record]()
         self.records, self._generation = tuple[Record, ...](), 0
         self._file: File | None = None
-        self._end = self._snapshot_end = 0
+        self._end = self._snapshot_end = self._failed_compaction_end = 0
         self.failure = ""  # why nothing can be committed any more
         self._open()
 
@@ -232,36 +261,58 @@
 
     @property
     def needs_compaction(self) -> bool:
-        return self._end - self._snapshot_end > COMPACTION_THRESHOLD_BYTES
+        """Whether enough was committed since the snapshot, and since the last attempt if that failed."""
+        has_grown = self._end - self._snapshot_end > COMPACTION_THRESHOLD_BYTES
+        return has_grown and self._end >= self._failed_compaction_end
 
     def compact(self, state: Iterable[Record]) -> None:
-        """Write a new generation that begins with ``state``; remove the old ones once the new one is on the disk."""
+        """Write a new generation that begins with ``state``; remove the old ones once the new one is on the disk.
+
+        Raise ``OSError`` or ``StoreError`` where that fails. The old generation stays in service then.
+        """
         if self._uncommitted:
             raise StoreError("expected a commit before the store is compacted")
-        records = list(state)
-        parts = (
-            records[n : n + SNAPSHOT_FRAME_RECORDS] for n in range(0, len(records), SNAPSHOT_FRAME_RECORDS)
-        )
-        body = b"".join(map(encode_frame, parts)) + encode_frame([{"kind": "whole", "records": len(records)}])
+        try:
+            self._start_generation(FILE_HEADER + b"".join(_snapshot_frames(state)))
+        except (OSError, StoreError):
+            self._failed_compaction_end = self._end + COMPACTION_RETRY_BYTES
+            raise
+
+    def _start_generation(self, content: bytes) -> None:
         number, old = self._generation + 1, _generations(self._folder)
         name = f"log.{number:010}"
         if "new" in self._folder.names():
             self._folder.remove("new")
         file = self._folder.append("new")
         try:
-            file.write(FILE_HEADER + body)
+            file.write(content)
             file.sync()
             self._folder.rename("new", name)
             self._folder.sync()
         except OSError:
             file.close()
+            self._remove_generation(name)
             raise
         if self._file is not None:
             self._file.close()
-        self._file, self._generation, self._end = file, number, len(FILE_HEADER) + len(body)
-        self._snapshot_end = self._end
+        self._file, self._generation, self._end = file, number, len(content)
+        self._snapshot_end, self._failed_compaction_end = self._end, 0
         for _, stale in old:
-            self._folder.remove(stale)
+            with suppress(OSError):  # the next start reads the newest complete generation
+                self._folder.remove(stale)
+
+    def _remove_generation(self, name: str) -> None:
+        """Remove what a failed compaction left, since a start would read it in place of the one in service.
+
+        Where that fails as well, nothing more is committed: it could be lost behind the other generation.
+        """
+        try:
+            for left in {"new", name} & set(self._folder.names()):
+                self._folder.remove(left)
+            self._folder.sync()
+        except OSError as error:
+            self.failure = f"a failed compaction cannot be undone: {error}"
+            log.error("plans: %s", self.failure)
 
     def close(self) -> None:
         if self._file is not None:
--- a/cypresspulley/plans/usage.py
+++ b/cypresspulley/plans/usage.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any, TypeVar
@@ -90,12 +90,27 @@
 
 T = TypeVar("T")
 SNAPSHOT_PART_SIZE = 1_000  # entries per part of a snapshot
+SNAPSHOT_PART_CHARACTERS = 40_000  # names in a part; JSON writes up to six bytes for each
 
 
 def _split_parts(entries: list[T]) -> Iterator[list[T]]:
     return (entries[n : n + SNAPSHOT_PART_SIZE] for n in range(0, len(entries), SNAPSHOT_PART_SIZE))
 
 
+def _split_rows(rows: Iterable[tuple[UsageKey, int]]) -> Iterator[list[tuple[UsageKey, int]]]:
+    """Yield the rows in parts that are limited by number and by the length of their names."""
+    part, characters = list[tuple[UsageKey, int]](), 0
+    for row in rows:
+        size = len(row[0].account) + len(row[0].plan)
+        if part and (len(part) >= SNAPSHOT_PART_SIZE or characters + size > SNAPSHOT_PART_CHARACTERS):
+            yield part
+            part, characters = [], 0
+        part.append(row)
+        characters += size
+    if part:
+        yield part
+
+
 def _row_as_json(key: UsageKey, units: int) -> list[Any]:
     return [key.account, key.plan, key.version.epoch, key.version.seq, key.period, units]
 
@@ -201,7 +216,7 @@
         for (writer, epoch), seen in self._seen.items():
             for part in _split_parts(sorted(seen.items())):
                 yield {"kind": "taken", "writer": writer, "epoch": epoch, "seen": [list(one) for one in part]}
-        for rows in _split_parts(sorted(self.totals.items())):
+        for rows in _split_rows(sorted(self.totals.items())):
             yield {"kind": "totals", "rows": [_row_as_json(*row) for row in rows]}
 
     def restore(self, part: dict[str, Any]) -> None:
