Export use that waited for the plan writer, in records cut by bytes

Cause: the exporter cut all that waited into one record of up to 10,000 rows (some 510,000 bytes); the writer takes bodies of 65,536 bytes, answered 413, and the exporter stops at the first error, oldest record first. Evidence: the new test against a writer with that bound, before: ConnectionResetError (the 413 is eaten by the reset behind an unread body), nothing exported. Beside it: other refusals (400, 409) held up the rest; a conflicting record was sent, and quarantined, each second; the million-and-first record of an epoch was stored before it was refused, and such a store did not open (UsageError).

Change: a record has 48 KiB of rows, below every writer's bound; the writer takes 768 KiB, so that numbered records of older limiters get through as they are; a record refused for its content is kept, logged, tried again every 30 s and holds up nothing; a limiter begins its next epoch after a million records; the writer refuses one too many before it is stored; dropped use is logged.

--- a/cypresspulley/plans/export.py
+++ b/cypresspulley/plans/export.py
@@ -15,6 +15,12 @@
 EXPORT_INTERVAL_SECONDS = 1.0
 CALL_TIMEOUT_SECONDS = 3.0  # seconds
 MAX_ANSWER_BYTES = 65_536  # bytes
+REFUSED_RETRY_SECONDS = 30.0  # until a record is sent again that the writer refused for its content
+REFUSAL_STATUSES = frozenset((b"400", b"409", b"413"))
+
+
+class RecordRefusedError(Exception):
+    """The writer refused a record for its content. The text gives its answer."""
 
 
 class UsageExporter:
@@ -28,6 +34,8 @@
     ) -> None:
         self._address, self._usage_recorder, self._interval_s = address, usage_recorder, interval_s
         self._task: asyncio.Task[None] | None = None
+        self._logged_dropped_units = 0
+        self._retry_at = dict[tuple[int, int], float]()  # of refused records, on the loop's clock
         self.last_error = ""  # why the last call failed
 
     def start(self) -> None:
@@ -40,7 +48,8 @@
     async def _export_periodically(self) -> None:
         while True:
             await asyncio.sleep(self._interval_s)
-            self._usage_recorder.cut_record()
+            self._usage_recorder.cut_records()
+            self._log_dropped_units()
             try:
                 await self.flush()
             except (OSError, EOFError, ConnectionEndedError, asyncio.LimitOverrunError, ValueError) as error:
@@ -48,17 +57,37 @@
                     log.warning("plans: use was not exported: %s", error or repr(error))
                 self.last_error = str(error)
 
+    def _log_dropped_units(self) -> None:
+        dropped = self._usage_recorder.dropped_units
+        if dropped != self._logged_dropped_units:
+            log.error("plans: too much use waits for the writer; %d micro-units were dropped so far", dropped)
+        self._logged_dropped_units = dropped
+
     async def flush(self) -> None:
-        """Send all unacknowledged records.
+        """Send all unacknowledged records, but for those that were refused within ``REFUSED_RETRY_SECONDS``.
 
-        Raise ``OSError``, ``EOFError``, ``ConnectionEndedError`` or ``ValueError`` where the writer does not accept
-        one.
+        A record that the writer refuses is kept, and does not hold up those behind it. Raise ``OSError``, ``EOFError``,
+        ``ConnectionEndedError`` or ``ValueError`` where the writer cannot be reached or accepts nothing.
         """
-        for record in sorted(
-            self._usage_recorder.unacknowledged.values(), key=lambda one: (one.epoch, one.seq)
-        ):
-            if await self._send_record(record):
-                self._usage_recorder.acknowledge(record.epoch, record.seq)
+        now = asyncio.get_running_loop().time()
+        for key in sorted(self._usage_recorder.unacknowledged):
+            if now >= self._retry_at.get(key, now):
+                await self._export_record(key, self._usage_recorder.unacknowledged[key])
+
+    async def _export_record(self, key: tuple[int, int], record: UsageRecord) -> None:
+        try:
+            if not await self._send_record(record):
+                raise RecordRefusedError("another content was counted under its number")
+        except RecordRefusedError as refusal:
+            if key not in self._retry_at:
+                log.error(
+                    "plans: use record %s was refused; it is kept and sent again every %g s: %s",
+                    record.idempotency_key, REFUSED_RETRY_SECONDS, refusal,
+                )  # fmt: skip
+            self._retry_at[key] = asyncio.get_running_loop().time() + REFUSED_RETRY_SECONDS
+            return
+        self._usage_recorder.acknowledge(*key)
+        self._retry_at.pop(key, None)
 
     async def _send_record(self, record: UsageRecord) -> bool:
         body = json.dumps(
@@ -80,6 +109,9 @@
             finally:
                 writer.transport.abort()
         head, _, text = answer.partition(b"\r\n\r\n")
-        if b" 200 " not in head.split(b"\r\n", 1)[0]:
+        status = head.split(b"\r\n", 1)[0].split(b" ")[1:2]
+        if REFUSAL_STATUSES.intersection(status):
+            raise RecordRefusedError(f"answered {head[:40]!r} {text[:200]!r}")
+        if status != [b"200"]:
             raise ConnectionEndedError(f"{record.idempotency_key}: answered {head[:40]!r} {text[:200]!r}")
         return json.loads(text).get("acknowledged") is True
--- a/cypresspulley/plans/limiter.py
+++ b/cypresspulley/plans/limiter.py
@@ -265,7 +265,7 @@
         """Close the connections and export the remaining usage, so that a planned stop loses none if possible."""
         self._writer_channel.close()
         self._usage_exporter.close()
-        self.usage_recorder.cut_record()
+        self.usage_recorder.cut_records()
         try:
             await self._usage_exporter.flush()
         except (OSError, EOFError, ConnectionEndedError, ValueError) as error:
--- a/cypresspulley/plans/plan_writer.py
+++ b/cypresspulley/plans/plan_writer.py
@@ -93,7 +93,7 @@
         elif kind == "use":
             use = parse_usage_record(record, where)
             self._record_corrections(use)
-            self.usage_ledger.accept(use)
+            self.usage_ledger.accept(use, is_stored=True)
         elif kind in ("taken", "totals"):
             self.usage_ledger.restore(record)
         elif kind == "reservation":
@@ -224,12 +224,16 @@
     # Usage.
 
     def accept_usage(self, record: UsageRecord) -> bool:
-        """Store a limiter's usage record; return whether it may be acknowledged, because it is stored now or was."""
+        """Store a limiter's usage record; return whether it may be acknowledged, because it is stored now or was.
+
+        Raise ``UsageError`` or ``OSError``; the record is not stored then.
+        """
         if self.usage_ledger.contains(record):
             return self.usage_ledger.accept(record)
+        self.usage_ledger.check_room(record)
         self._commit(record.as_json())
         self._record_corrections(record)
-        is_accepted = self.usage_ledger.accept(record)
+        is_accepted = self.usage_ledger.accept(record, is_stored=True)
         self._compact_if_needed()
         return is_accepted
 
--- a/cypresspulley/plans/serve.py
+++ b/cypresspulley/plans/serve.py
@@ -38,7 +38,7 @@
 ACCEPT_BACKLOG = 1024  # connections waiting to be accepted: a fleet that restarts connects all at once
 WRITE_TIMEOUT_SECONDS = 5.0  # seconds in which a follower must read what is written to it
 PLANS_PATH = "/v1/plans"
-MAX_BODY_BYTES = 65_536  # bytes of an operation
+MAX_BODY_BYTES = 768 << 10  # of an operation: older limiters send usage records of some 500 KiB
 REASON_PHRASES = {
     200: "OK", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 405: "Method Not Allowed",
     409: "Conflict", 413: "Too Large", 503: "Unavailable",
--- a/cypresspulley/plans/usage.py
+++ b/cypresspulley/plans/usage.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -18,6 +19,9 @@
 
 RECORD_FORMAT = 1
 MAX_ROWS = 10_000  # rows in one record, or pending at a recorder
+# JSON of the rows of one record, unless a single row is longer. A call with it fits into 65,536 bytes, which every
+# version of the writer accepts.
+MAX_RECORD_BYTES = 48 << 10
 MAX_UNACKNOWLEDGED_RECORDS = 1_000
 MAX_RECORDS_PER_EPOCH = 1_000_000  # record numbers that a ledger remembers for one writer's epoch
 
@@ -124,6 +128,16 @@
     return UsageKey(raw[0], raw[1], Stamp(epoch, seq), period), _parse_int(raw[5], where, 1 - 2**53)
 
 
+def _count_rows_that_fit(rows: list[tuple[UsageKey, int]]) -> int:
+    """Return how many of the first rows fit into one record; at least one."""
+    size = 0
+    for count, row in enumerate(rows):
+        size += len(json.dumps(_row_as_json(*row), separators=(",", ":"))) + 1
+        if size > MAX_RECORD_BYTES:
+            return max(1, count)
+    return len(rows)
+
+
 class UsageRecorder:
     """Records the usage of a limiter during one epoch. A crash loses the usage since the last ``cut_record``."""
 
@@ -152,20 +166,29 @@
         return sum(self._rows.values())
 
     def cut_record(self) -> UsageRecord | None:
-        """Move the pending usage into a record, to be stored before it is sent.
+        """Move pending usage of at most ``MAX_RECORD_BYTES`` into a record, to be stored before it is sent.
 
-        Return None where there is none, or too many records are unacknowledged.
+        Return None where there is none, or too many records are unacknowledged. After ``MAX_RECORDS_PER_EPOCH`` records
+        the next epoch begins.
         """
-        rows = tuple(sorted((k, u) for k, u in self._rows.items() if u))
+        rows = sorted((k, u) for k, u in self._rows.items() if u)
         if not rows or len(self.unacknowledged) >= MAX_UNACKNOWLEDGED_RECORDS:
             return None
-        self._rows.clear()
+        count = _count_rows_that_fit(rows)
+        self._rows = dict(rows[count:])
+        if self._seq >= MAX_RECORDS_PER_EPOCH:
+            self.epoch, self._seq = self.epoch + 1, 0
         self._seq += 1
         record = self.unacknowledged[self.epoch, self._seq] = UsageRecord(
-            self.writer, self.epoch, self._seq, rows
+            self.writer, self.epoch, self._seq, tuple(rows[:count])
         )
         return record
 
+    def cut_records(self) -> None:
+        """Move all pending usage into records, as far as records may be unacknowledged."""
+        while self.cut_record() is not None:
+            pass
+
     def restore_record(self, record: UsageRecord) -> None:
         """Add an unacknowledged record of an earlier epoch. Raise ``UsageError`` for any other one."""
         if record.writer != self.writer or record.epoch >= self.epoch:
@@ -187,10 +210,18 @@
         self._seen = dict[tuple[str, int], dict[int, str]]()  # digests by number, by writer and epoch
         self.quarantined = list[UsageRecord]()  # records with the number of an accepted one and other content
 
-    def accept(self, record: UsageRecord) -> bool:
+    def check_room(self, record: UsageRecord) -> None:
+        """Raise ``UsageError`` if a new record is one too many of its epoch."""
+        if len(self._seen.get((record.writer, record.epoch), {})) >= MAX_RECORDS_PER_EPOCH:
+            raise UsageError(
+                f"{record.idempotency_key}: expected at most {MAX_RECORDS_PER_EPOCH} records of an epoch"
+            )
+
+    def accept(self, record: UsageRecord, is_stored: bool = False) -> bool:
         """Count a record unless it was counted before; return whether it may be acknowledged.
 
-        Return False for a record that conflicts with an accepted one. Raise ``UsageError`` for too many records.
+        Return False for a record that conflicts with an accepted one. Raise ``UsageError`` for too many records, unless
+        ``is_stored``: what a store holds is counted.
         """
         seen = self._seen.setdefault((record.writer, record.epoch), {})
         known = seen.get(record.seq)
@@ -198,10 +229,8 @@
             if known != record.digest:
                 self.quarantined.append(record)
             return known == record.digest
-        if len(seen) >= MAX_RECORDS_PER_EPOCH:
-            raise UsageError(
-                f"{record.idempotency_key}: expected at most {MAX_RECORDS_PER_EPOCH} records of an epoch"
-            )
+        if not is_stored:
+            self.check_room(record)
         seen[record.seq] = record.digest
         for key, units in record.rows:
             self.totals[key] = self.totals.get(key, 0) + units
