Record the operators' drain, not that of a process which is leaving

A ban on a process between SIGTERM and its end wrote drained into the record of bans; a later start in the same $TMPDIR without a hand-over was drained, /healthz 503. A start that took over from a leaving process was drained too.

Change: Lifecycle.drained_by_operators, which outlasts the process; a leaving process follows the other door's drain and activate in it.

--- a/cypresspulley/lifecycle.py
+++ b/cypresspulley/lifecycle.py
@@ -83,6 +83,7 @@
 
     def __init__(self) -> None:
         self.state = LifecycleState.STARTING
+        self.drained_by_operators = False  # outlasts the process, which is drained by itself once it leaves
 
     def __repr__(self) -> str:
         return f"<Lifecycle {self.state.value}>"
@@ -93,6 +94,8 @@
         if next_state is None:
             return False
         self.state = next_state
+        if next_state is not LifecycleState.LEAVING:
+            self.drained_by_operators = next_state in DRAINED_STATES
         return True
 
     @property
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -133,9 +133,11 @@
     def _write_record(self) -> bool:
         """Write the bans and the drain to the folder, to outlast this process; return False if that failed."""
         if self._folder is not None and self._gateway is not None:
-            text = json.dumps(
-                {"bans": sorted(self._gateway.load_balancer.bans), "drained": self.lifecycle.drained}
-            )
+            record = {
+                "bans": sorted(self._gateway.load_balancer.bans),
+                "drained": self.lifecycle.drained_by_operators,
+            }
+            text = json.dumps(record)
             try:
                 self._folder.write(RECORD_FILE, text)
             except OSError as error:
@@ -228,7 +230,7 @@
         offset = self._clock.offset if isinstance(self._clock, UnixClock) else None
         return {
             "decisions": take_snapshot(self._gateway),
-            "dials": self._upstream.server_addresses(), "drained": self.lifecycle.drained,
+            "dials": self._upstream.server_addresses(), "drained": self.lifecycle.drained_by_operators,
             CLOCK_OFFSET: offset,
         }  # fmt: skip
 
@@ -296,6 +298,8 @@
         self._run_in_background(self._frontend.adopt_connection(sock))
 
     def apply_call(self, name: str, id: str, source: Peer) -> None:
+        if name in ("drain", "activate"):
+            self.lifecycle.drained_by_operators = name == "drain"  # also where this process is leaving
         self._apply(name, id, sure=True)
         self._run_in_background(self._forward_call(name, id, source))  # a third process may be involved
 
--- a/tests/takeover/test_record.py
+++ b/tests/takeover/test_record.py
@@ -10,7 +10,7 @@
 
 from cypresspulley.takeover.channel import Folder
 from tests.loopback import Origin, listening, run
-from tests.takeover.test_handover import Process
+from tests.takeover.test_handover import Process, until
 
 
 @pytest.mark.parametrize("error", [errno.ENOSPC, errno.EIO], ids=errno.errorcode.get)
@@ -42,3 +42,59 @@
         raise OSError(error, os.strerror(error))
 
     return write
+
+
+@pytest.mark.parametrize("drained", [False, True])
+def test_a_ban_on_a_process_that_leaves_records_no_drain_of_its_own(drained: bool, tmp_path: Path) -> None:
+    """Guards against a later start that is drained because its predecessor got a ban while it was leaving."""
+
+    async def main() -> None:
+        async with listening(Origin().talk) as dial:
+            process = await Process(tmp_path, dial).start()
+            if drained:
+                assert (await process.service.call("drain", "")).status == 200
+            process.service.leave()
+            assert (await process.service.call("suspend", "s1")).status == 200
+            process.die()
+            later = await Process(tmp_path, dial).start()
+            assert later.gateway.load_balancer.bans == {"s1"}
+            assert later.service.lifecycle.drained is drained
+            await later.end()
+
+    run(main())
+
+
+def test_a_drain_that_ended_beside_a_leaving_process_stays_ended(tmp_path: Path) -> None:
+    """The leaving process gets calls of its successor, and writes the same record."""
+
+    async def main() -> None:
+        async with listening(Origin().talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            assert (await old.service.call("drain", "")).status == 200
+            new = await Process(tmp_path, dial).start()
+            await until(lambda: old.service.lifecycle.handed_over)
+            old.service.leave()
+            assert (await new.service.call("activate", "")).status == 200
+            assert (await old.service.call("suspend", "s1")).status == 200
+            old.die()
+            new.die()
+            later = await Process(tmp_path, dial).start()
+            assert later.gateway.load_balancer.bans == {"s1"} and not later.service.lifecycle.drained
+            await later.end()
+
+    run(main())
+
+
+def test_a_successor_of_a_process_that_leaves_already_is_not_drained(tmp_path: Path) -> None:
+    """The same cause in the snapshot: a start that meets a leaving process turned its clients away."""
+
+    async def main() -> None:
+        async with listening(Origin().talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            old.service.leave()
+            new = await Process(tmp_path, dial).start()
+            assert new.inherited and not new.service.lifecycle.drained
+            old.die()
+            await new.end()
+
+    run(main())
