--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -22,9 +22,10 @@
 from cypresspulley.descriptors import descriptor_limit, divide_descriptors
 from cypresspulley.lifecycle import Lifecycle
 from cypresspulley.net.admin import AdminServer
+from cypresspulley.net.client_request import PathHandler
 from cypresspulley.net.counter import Counter, CounterClient
 from cypresspulley.net.discovery import DiscoveryClient
-from cypresspulley.net.frontend import Frontend, PathHandler
+from cypresspulley.net.frontend import Frontend
 from cypresspulley.net.http import split_address
 from cypresspulley.net.node import DecisionModule, Node, UnixClock
 from cypresspulley.net.peer_link import PeerLink
--- a/cypresspulley/accesslog.py
+++ b/cypresspulley/accesslog.py
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 
 from cypresspulley import interface as api
+from cypresspulley.net.client_request import ClientRequest
 from cypresspulley.net.counter import Counter
-from cypresspulley.net.frontend import ClientRequest
 from cypresspulley.net.node import DecisionModule, Node
 from cypresspulley.net.upstream import Exchange, Upstream
 
--- a/cypresspulley/closing/node.py
+++ b/cypresspulley/closing/node.py
@@ -11,7 +11,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.closing.cache import CachedAnswer, CacheKey, SendStamp
-from cypresspulley.net.frontend import ClientRequest
+from cypresspulley.net.client_request import ClientRequest
 from cypresspulley.net.node import Node
 from cypresspulley.net.upstream import Exchange
 
--- a/cypresspulley/graphql/handler.py
+++ b/cypresspulley/graphql/handler.py
@@ -32,7 +32,7 @@
     parse_post,
 )
 from cypresspulley.graphql.responses import parse_response, valid_cost
-from cypresspulley.net.frontend import ClientRequest, ParsedRequest
+from cypresspulley.net.client_request import ClientRequest, ParsedRequest
 from cypresspulley.net.requests import RequestMetadata
 from cypresspulley.net.upstream import Exchange
 
@@ -153,7 +153,7 @@
 
 
 class GraphQLHandler:
-    """Serves the requests to the path of the options. See ``net.frontend.PathHandler``."""
+    """Serves the requests to the path of the options. See ``net.client_request.PathHandler``."""
 
     headers = frozenset((ACCEPT_HEADER, CONTENT_TYPE_HEADER))
 
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -16,9 +16,9 @@
 from typing import Any, Protocol
 
 from cypresspulley import interface as api
+from cypresspulley.net.client_request import ClientRequest
 from cypresspulley.net.counter import Counter
 from cypresspulley.net.discovery import Listing
-from cypresspulley.net.frontend import ClientRequest
 from cypresspulley.net.relay import Download
 from cypresspulley.net.upstream import Exchange, Upstream, parse_load_report
 
