Refuse a descriptor limit under which no limiter works, with the number wanted

The sum of what every process holds, one connection for each purpose and what operators switched on is the least limit: 27, 35 with an operators' interface.

--- a/cypresspulley/descriptors.py
+++ b/cypresspulley/descriptors.py
@@ -44,6 +44,7 @@
 MAX_ADMIN_DESCRIPTORS = 80
 MIN_ADMIN_CONNECTIONS = 8
 MAX_ADMIN_CONNECTIONS = 64
+WORKING_CONNECTIONS = 5  # to a client, a server, discovery, the counter, and a socket for limiters' messages
 MAX_RESERVED_SHARE = 0.75  # of a low limit, so that some are left for clients and servers
 
 
@@ -67,6 +68,13 @@
     return sum(each.most for each in (*ALWAYS_OPEN, *enabled))
 
 
+def find_least_limit(has_admin_server: bool, operators: Operators) -> int:
+    """Return the descriptors without which a limiter cannot work at all. Full shares take ``MIN_FULL_LIMIT``."""
+    always = ALWAYS_OPEN[0].most + ALWAYS_OPEN[-1].most + WORKING_CONNECTIONS
+    optional = count_reserved(operators) - count_reserved(Operators())
+    return always + optional + has_admin_server * (ADMIN_BASE_DESCRIPTORS + 1)
+
+
 def divide_descriptors(limit: int, has_admin_server: bool, operators: Operators) -> DescriptorBudget:
     """Divide ``limit`` descriptors; servers may hold as many connections as clients."""
     reserved = count_reserved(operators)
--- a/tests/test_descriptor_shares.py
+++ b/tests/test_descriptor_shares.py
@@ -12,9 +12,16 @@
 
 import pytest
 
-from cypresspulley.descriptors import ALWAYS_OPEN
+from cypresspulley.descriptors import (
+    ALWAYS_OPEN,
+    MIN_FULL_LIMIT,
+    OPTIONAL,
+    divide_descriptors,
+    find_least_limit,
+)
 from cypresspulley.net.discovery import MAX_CALLS_LOCAL
 from cypresspulley.net.http import split_address
+from cypresspulley.operators import Operators
 from tests.loopback import Origin, ask, listening, read_message, run
 from tests.test_endings_descriptors import IdleClients
 from tests.test_program import WIRE_SETTINGS, call_operators, config, free_port, started
@@ -128,3 +135,15 @@
             assert len(links) <= ALWAYS_OPEN[0].most + MAX_CALLS_LOCAL, links
 
     run(main())
+
+
+@pytest.mark.parametrize("door", [False, True])
+def test_the_least_limit_leaves_a_connection_for_each_purpose(door: bool) -> None:
+    """Guards against a start with a limit that leaves some part of the limiter nothing."""
+    operators = Operators(access_log="log", plans=("127.0.0.1:1", "vadodara"))
+    least = find_least_limit(door, operators)
+    budget = divide_descriptors(least, door, operators)
+    assert min(budget.clients, budget.servers) >= 1 and least < MIN_FULL_LIMIT
+    assert least - find_least_limit(door, Operators()) == sum(
+        OPTIONAL[key].most for key in ("access_log", "plans")
+    )
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -198,7 +198,7 @@
     [
         {"listen": "nowhere"}, {"listen": None}, {"discovery": 7}, {"seed": "xyz"}, {"settings": None},
         {"settings": {"classes": 3}}, {"settings": {"n_instances": 0}}, {"known": {"seq": "x"}},
-        {"limits": {"sockets": "many"}}, {"counter": "x"},
+        {"limits": {"sockets": "many"}}, {"limits": {"sockets": 20}}, {"counter": "x"},
         {"settings": {"limits": {"dial_timeout_s": -1}}},
     ],
 )  # fmt: skip
