Let the leaving process write the record last in its test, where the order shows

The ban now comes through the successor's door, so that the leaving process writes the record of bans behind it. With the mend's line for the other door taken out by hand the test is red; it was not before.

--- a/tests/takeover/test_record.py
+++ b/tests/takeover/test_record.py
@@ -75,7 +75,7 @@
             await until(lambda: old.service.lifecycle.handed_over)
             old.service.leave()
             assert (await new.service.call("activate", "")).status == 200
-            assert (await old.service.call("suspend", "s1")).status == 200
+            assert (await new.service.call("suspend", "s1")).status == 200  # written by the old one last
             old.die()
             new.die()
             later = await Process(tmp_path, dial).start()
