--- a/tests/test_endings_door.py
+++ b/tests/test_endings_door.py
@@ -153,6 +153,29 @@
     run(main())
 
 
+def test_only_a_caller_that_was_silent_for_a_while_makes_room() -> None:
+    """Guards against a request that is pushed out by other callers before it is read."""
+
+    async def main() -> None:
+        server = AdminServer(accept_call, max_connections=2)
+        address = await server.listen("127.0.0.1", 0)
+        asking, silent = Caller(address), Caller(address)
+        await until(lambda: server.full and all(each._transport for each in server._connections))
+        assert not server.make_room(), "both may still send their request"
+        for connection in server._connections:
+            connection._accepted_at -= net_admin.MIN_CONNECTION_SECONDS
+        asking.send(CALL)  # lies unread in the kernel
+        assert server.make_room() and not server.make_room()
+        assert b" 200 " in await asking.end()
+        assert await silent.end() == b""
+        for caller in (asking, silent):
+            caller.socket.close()
+        await until(lambda: not server._connections)
+        server.close()
+
+    run(main())
+
+
 # The end of a takeover's channel.
 
 
