Cut waiting use into records in one pass, and mend what a second reading found

- PeerLink.apply opened a socket only to bind another one; waiting for a taken address stands once.
- MIN_FULL_LIMIT was read by nobody: a limit below it is now a line of the log.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -19,7 +19,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.config import Config, ConfigError, load_config_from_env
-from cypresspulley.descriptors import descriptor_limit, divide_descriptors, find_least_limit
+from cypresspulley.descriptors import MIN_FULL_LIMIT, descriptor_limit, divide_descriptors, find_least_limit
 from cypresspulley.lifecycle import Lifecycle
 from cypresspulley.net.admin import AdminServer
 from cypresspulley.net.client_request import PathHandler
@@ -124,6 +124,8 @@
     limit = descriptor_limit(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
     if limit < (least := find_least_limit(config.operator is not None, operators)):
         raise ConfigError(f"limits.sockets, or the process's limit: expected at least {least}, got {limit}")
+    if limit < MIN_FULL_LIMIT:
+        log.warning("%d descriptors: below %d clients get less than a third of them", limit, MIN_FULL_LIMIT)
     budget = divide_descriptors(limit, config.operator is not None, operators)
     service = Service(Lifecycle(), _open_takeover_folder(config))
     if on_service_created is not None:
--- a/cypresspulley/net/peer_link.py
+++ b/cypresspulley/net/peer_link.py
@@ -59,8 +59,7 @@
         if error.errno not in PASSING_ERRORS:
             self.close()
             raise ConfigError(f"cannot listen for messages of limiters: {error}")
-        self._send_unbound()
-        self._retry_after(error)
+        self._wait_for_address(error)
 
     def apply(self, config: Config) -> None:
         """Apply a reloaded configuration. An address that cannot be bound is logged and tried again."""
@@ -72,9 +71,10 @@
         if self._peers is not None:
             return self._peers.set_peers(addresses.peers, addresses.everyone)
         self._open(addresses)
-        self._send_unbound()
-        if not self._is_paused:
-            self._bind_or_retry()
+        if self._is_paused:
+            self._send_unbound()
+        elif (error := self._bind()) is not None:
+            self._wait_for_address(error)
 
     def duplicate_socket(self) -> int | None:
         """Return a duplicate descriptor of the bound socket for a successor; None if this process has none."""
@@ -113,7 +113,9 @@
         self._cancel_retry()
         if self._peers is not None:
             self._peers.close()
-        self._peers = self._address = self._node.broadcast = None
+        self._peers = None
+        self._address = None
+        self._node.broadcast = None
         self._is_bound = False
         self._last_error = ""
 
@@ -159,6 +161,11 @@
         self._last_error = ""
         return None
 
+    def _wait_for_address(self, error: OSError) -> None:
+        """Send from another port until the address can be bound."""
+        self._send_unbound()
+        self._retry_after(error)
+
     def _bind_or_retry(self) -> None:
         self._cancel_retry()
         if (error := self._bind()) is not None:
--- a/cypresspulley/plans/usage.py
+++ b/cypresspulley/plans/usage.py
@@ -128,18 +128,18 @@
     return UsageKey(raw[0], raw[1], Stamp(epoch, seq), period), _parse_int(raw[5], where, 1 - 2**53)
 
 
-def _count_rows_that_fit(rows: list[tuple[UsageKey, int]]) -> int:
-    """Return how many of the first rows fit into one record; at least one."""
+def _end_of_record(rows: list[tuple[UsageKey, int]], begin: int) -> int:
+    """Return the index behind the last row that fits into a record with those from ``begin`` on; one always does."""
     size = 0
-    for count, row in enumerate(rows):
-        size += len(json.dumps(_row_as_json(*row), separators=(",", ":"))) + 1
+    for index in range(begin, len(rows)):
+        size += len(json.dumps(_row_as_json(*rows[index]), separators=(",", ":"))) + 1
         if size > MAX_RECORD_BYTES:
-            return max(1, count)
+            return max(begin + 1, index)
     return len(rows)
 
 
 class UsageRecorder:
-    """Records the usage of a limiter during one epoch. A crash loses the usage since the last ``cut_record``."""
+    """Records the usage of a limiter during one epoch. A crash loses the usage since the last ``cut_records``."""
 
     def __init__(self, writer: str, epoch: int) -> None:
         self.writer, self.epoch, self._seq = writer, epoch, 0
@@ -165,30 +165,29 @@
         """The micro-units that are not in a record yet and that a crash would lose."""
         return sum(self._rows.values())
 
-    def cut_record(self) -> UsageRecord | None:
-        """Move pending usage of at most ``MAX_RECORD_BYTES`` into a record, to be stored before it is sent.
+    def cut_records(self) -> list[UsageRecord]:
+        """Move the pending usage into records, to be stored before they are sent.
 
-        Return None where there is none, or too many records are unacknowledged. After ``MAX_RECORDS_PER_EPOCH`` records
-        the next epoch begins.
+        What would make more than ``MAX_UNACKNOWLEDGED_RECORDS`` stays pending.
         """
-        rows = sorted((k, u) for k, u in self._rows.items() if u)
-        if not rows or len(self.unacknowledged) >= MAX_UNACKNOWLEDGED_RECORDS:
-            return None
-        count = _count_rows_that_fit(rows)
-        self._rows = dict(rows[count:])
+        rows, records = sorted((k, u) for k, u in self._rows.items() if u), list[UsageRecord]()
+        begin = 0
+        while begin < len(rows) and len(self.unacknowledged) < MAX_UNACKNOWLEDGED_RECORDS:
+            end = _end_of_record(rows, begin)
+            records.append(self._add_record(tuple(rows[begin:end])))
+            begin = end
+        self._rows = dict(rows[begin:])
+        return records
+
+    def _add_record(self, rows: tuple[tuple[UsageKey, int], ...]) -> UsageRecord:
+        """Number a new record. After ``MAX_RECORDS_PER_EPOCH`` the next epoch begins."""
         if self._seq >= MAX_RECORDS_PER_EPOCH:
             self.epoch, self._seq = self.epoch + 1, 0
         self._seq += 1
-        record = self.unacknowledged[self.epoch, self._seq] = UsageRecord(
-            self.writer, self.epoch, self._seq, tuple(rows[:count])
-        )
+        record = UsageRecord(self.writer, self.epoch, self._seq, rows)
+        self.unacknowledged[self.epoch, self._seq] = record
         return record
 
-    def cut_records(self) -> None:
-        """Move all pending usage into records, as far as records may be unacknowledged."""
-        while self.cut_record() is not None:
-            pass
-
     def restore_record(self, record: UsageRecord) -> None:
         """Add an unacknowledged record of an earlier epoch. Raise ``UsageError`` for any other one."""
         if record.writer != self.writer or record.epoch >= self.epoch:
--- a/tests/plans/test_limiter.py
+++ b/tests/plans/test_limiter.py
@@ -158,8 +158,8 @@
     setup.world.feed(w.outcome(*first, server, api.Status.ERROR))  # it may have run: counted and retried
     setup.world.serve()
     old, new = UsageKey("hotel", "p", Stamp(1, 1), period), UsageKey("hotel", "p", Stamp(1, 3), period)
-    record = setup.usage_recorder.cut_record()
-    assert record is not None and dict(record.rows) == {old: 2 * MICRO_PER_UNIT, new: MICRO_PER_UNIT}
+    (record,) = setup.usage_recorder.cut_records()
+    assert dict(record.rows) == {old: 2 * MICRO_PER_UNIT, new: MICRO_PER_UNIT}
     # No state is left of a request that ran twice.
     assert not setup.decisions._uncounted and not setup.decisions._open_attempts
 
@@ -173,7 +173,7 @@
         setup.world.serve(api.Status.UNREACHABLE)
     setup.world.feed(w.request(2, "read", "small", "hotel", units=1000.0))
     assert (
-        setup.usage_recorder.cut_record() is None
+        not setup.usage_recorder.cut_records()
         and not setup.decisions._uncounted
         and not setup.decisions._open_attempts
     )
@@ -226,7 +226,7 @@
         usage_recorder = UsageRecorder("n1", 7)
         exporter = UsageExporter(WriterAddress(*address, "t"), usage_recorder)
         usage_recorder.add_usage(UsageKey("hotel", "p", Stamp(1, 1), 0), 5)
-        assert usage_recorder.cut_record() is not None
+        assert len(usage_recorder.cut_records()) == 1
         # Killed before it received the acknowledgement.
         monkeypatch.setattr(usage_recorder, "acknowledge", lambda epoch, seq: False)
         await exporter.flush()
@@ -238,8 +238,7 @@
         restarted = PlanWriter(Store(disk), "vadodara")
         assert restarted.usage_ledger.totals == plan_writer.usage_ledger.totals
         usage_recorder.add_usage(UsageKey("hotel", "p", Stamp(1, 1), 0), 6)
-        record = usage_recorder.cut_record()
-        assert record is not None
+        (record,) = usage_recorder.cut_records()
         assert (
             not restarted.accept_usage(replace(record, seq=1))
             and len(restarted.usage_ledger.quarantined) == 1
--- a/tests/plans/test_use.py
+++ b/tests/plans/test_use.py
@@ -29,8 +29,8 @@
     usage_recorder.add_usage(HOTEL, 5)
     usage_recorder.add_usage(AFTER, 2)
     usage_recorder.add_usage(HOTEL, -1)  # the actual cost was lower
-    record = usage_recorder.cut_record()
-    assert record is not None and usage_ledger.accept(record) and usage_recorder.cut_record() is None
+    (record,) = usage_recorder.cut_records()
+    assert usage_ledger.accept(record) and not usage_recorder.cut_records()
     assert usage_ledger.totals == {HOTEL: 4, AFTER: 2}
 
 
@@ -54,14 +54,14 @@
     for n in range(5):
         usage_recorder.add_usage(UsageKey(f"a{n}", "p", Stamp(1, 1), 0), 2)
     assert usage_recorder.dropped_units == 4 and usage_recorder.pending_units == 6
-    assert usage_recorder.cut_record() is not None
+    assert len(usage_recorder.cut_records()) == 1
     usage_recorder.add_usage(HOTEL, 1)
-    assert usage_recorder.cut_record() is not None
+    assert len(usage_recorder.cut_records()) == 1
     usage_recorder.add_usage(HOTEL, 1)
     # Kept until a record is acknowledged.
-    assert usage_recorder.cut_record() is None and usage_recorder.pending_units == 1
+    assert not usage_recorder.cut_records() and usage_recorder.pending_units == 1
     assert usage_recorder.acknowledge(1, 1) and not usage_recorder.acknowledge(1, 1)
-    assert usage_recorder.cut_record() is not None
+    assert len(usage_recorder.cut_records()) == 1
     usage_ledger = UsageLedger()
     assert usage_ledger.accept(UsageRecord("n1", 1, 1, ()))
     with pytest.raises(UsageError, match="at most 1"):
@@ -95,8 +95,8 @@
             units = rng.randint(1, 9)
             counted += units
             usage_recorder.add_usage(rng.choice((HOTEL, AFTER)), units)
-        elif step == 2 and (record := usage_recorder.cut_record()) is not None:
-            disk.stored[record.epoch, record.seq] = record.as_json()
+        elif step == 2:
+            disk.stored |= {(each.epoch, each.seq): each.as_json() for each in usage_recorder.cut_records()}
         elif step == 3 and usage_recorder.unacknowledged:  # sent; the acknowledgement may be lost
             record = rng.choice(list(usage_recorder.unacknowledged.values()))
             assert usage_ledger.accept(record)
@@ -106,8 +106,8 @@
             lost += usage_recorder.pending_units
             usage_recorder = disk.start("n1")
         # Step 5: killed between cutting and storing.
-        elif step == 5 and (cut := usage_recorder.cut_record()) is not None:
-            lost += sum(units for _, units in cut.rows) + usage_recorder.pending_units
+        elif step == 5 and (cut := usage_recorder.cut_records()):
+            lost += sum(units for each in cut for _, units in each.rows) + usage_recorder.pending_units
             usage_recorder = disk.start("n1")
     lost += usage_recorder.pending_units
     for record in list(usage_recorder.unacknowledged.values()):
