Log why client connections end, requests are rejected and answers are overdue

A request that the limiter answers for want of a decision is logged with its id, class, upload and the state of each attempt; a server that takes nothing is logged with the upload's size.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -33,6 +33,7 @@
 from cypresspulley.operators import Operators, OperatorsError, load_operators
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.reload import ConfigReloader, SighupHandler
+from cypresspulley.resident import resident_bytes
 from cypresspulley.service import Service
 from cypresspulley.settings import SocketSettings
 from cypresspulley.takeover.channel import Folder
@@ -163,7 +164,12 @@
     peer_link.start(config, None if offer is None else offer.peer_socket)
     graphql_handler = _build_graphql_handler(config.settings, operators, clock)
     frontend = Frontend(
-        node, config.settings, budget.clients, graphql_handler, time.monotonic if owns_process else clock
+        node,
+        config.settings,
+        budget.clients,
+        graphql_handler,
+        time.monotonic if owns_process else clock,
+        resident_bytes if owns_process else None,
     )
     frontend.on_sweep = partial(node.check_wall_clock, time.time) if owns_process else None
     frontend.relay = upstream.relay
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -30,6 +30,7 @@
     ParsedRequest,
     PathHandler,
 )
+from cypresspulley.net.connection_log import ConnectionLog, EndCause
 from cypresspulley.net.http import MAX_BODY_BYTES, MAX_HEAD_BYTES, UNFORWARDED_HEADERS
 from cypresspulley.net.listener import Listener, SocketListener, bind, open_listener
 from cypresspulley.net.relay import (
@@ -288,12 +289,12 @@
             if self._rejected:
                 pass  # the response has been set already
             elif isinstance(cause, BadRequestError):
-                self._reject(cause.status)
+                self._reject(cause.status, str(cause))
             elif isinstance(error, httptools.HttpParserCallbackError):
                 log.error("unexpected error while handling a request; responding with 500", exc_info=cause)
-                self._reject(500)
+                self._reject(500, "unexpected error")
             else:
-                self._reject(400)
+                self._reject(400, type(error).__name__)
             return
         finally:
             self._input = b""
@@ -302,7 +303,7 @@
         if self._receiving and not self._head_read:
             self._size += len(data)
             if self._size > MAX_HEAD_BYTES:
-                self._reject(400)
+                self._reject(400, "head too large")
 
     # Callbacks of the parser.
 
@@ -436,6 +437,7 @@
         except BadRequestError as error:
             # A client that sends an invalid request is likely to send more of them, so close the connection.
             self._rejected, request.keep_alive = True, False
+            self.frontend.connection_log.count_rejection(error.status, str(error))
             request.reject(error.status)
             raise  # stops the parser: nothing after this request is parsed
         self._apply_backpressure()
@@ -529,6 +531,7 @@
         transport = self._transport
         assert transport is not None
         if stream.broken:
+            self.frontend.connection_log.count_end(EndCause.RESPONSE_BROKEN)
             self._reset_connection()
             return False
         if stream.write is None:
@@ -644,9 +647,10 @@
         else:
             transport.resume_reading()
 
-    def _reject(self, status: int) -> None:
-        """Respond with an error and parse nothing more of this connection."""
+    def _reject(self, status: int, why: str) -> None:
+        """Respond with an error and parse nothing more of this connection. ``why`` is for the log."""
         self._rejected = True
+        self.frontend.connection_log.count_rejection(status, why)
         if self._upload is not None:
             return self._abort_upload(self._upload, status)
         last = ClientRequest(self, keep_alive=False)
@@ -691,6 +695,7 @@
     def _handle_linger_overflow(self) -> None:
         """Handle a client that sends more than is discarded for the sake of its response."""
         if self._half_closed:
+            self.frontend.connection_log.count_end(EndCause.LINGER_OVERFLOW)
             self.abort()
         else:
             self._apply_backpressure()  # write its responses first
@@ -714,7 +719,7 @@
         if action is ConnectionAction.HALF_CLOSE:
             self._close()
         elif action is ConnectionAction.REFUSE:
-            self._reject(503)
+            self._reject(503, "the limiter is shutting down")
 
     def check_timeouts(self, now: float, idle_timeout: float) -> None:
         """Close the connection if it is idle, and reject a request that arrives too slowly.
@@ -737,14 +742,15 @@
             self._check_reader(now)
         elif not self._receiving:
             if age > idle_timeout and not self.has_unread_data:
+                self.frontend.connection_log.count_end(EndCause.IDLE)
                 self._close()
         elif not self._head_read:
             if age > HEAD_TIMEOUT and not self.has_unread_data:
-                self._reject(408)
+                self._reject(408, EndCause.HEAD_TIMEOUT.value)
         elif now - self._progress_at > BODY_RATE_WINDOW and not self.has_unread_data:
             # Measured from the end of the head, so that a slow head does not shorten the time for the body.
             if self._size - self._progress < MIN_BODY_BYTES_PER_SECOND * BODY_RATE_WINDOW:
-                return self._reject(408)
+                return self._reject(408, EndCause.BODY_TIMEOUT.value)
             self._progress, self._progress_at = self._size, now
 
     def _check_linger(self, age: float, now: float) -> None:
@@ -765,10 +771,7 @@
         if unwritten != self._progress:
             self._progress, self._progress_at = unwritten, now
         elif now - self._progress_at > CLIENT_STALL_SECONDS:
-            log.warning(
-                "client has read nothing of its response for %g s; resetting the connection",
-                CLIENT_STALL_SECONDS,
-            )
+            self.frontend.connection_log.count_end(EndCause.READER_STALLED)
             self._reset_connection()
 
     def _check_transfer(self, now: float) -> None:
@@ -779,6 +782,7 @@
         ):  # while reading is paused the client cannot make progress
             if now - self._progress_at > UPLOAD_RATE_WINDOW_SECONDS and not self.has_unread_data:
                 if upload.size - self._progress < MIN_BODY_BYTES_PER_SECOND * UPLOAD_RATE_WINDOW_SECONDS:
+                    self.frontend.connection_log.count_end(EndCause.UPLOAD_STALLED)
                     return self._abort_upload(upload, 408)
                 self._progress, self._progress_at = upload.size, now
             return
@@ -809,13 +813,15 @@
 
     def __init__(
         self, handler: Handler, settings: api.Settings, max_connections: int, path_handler: PathHandler | None = None,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = time.monotonic, resident_bytes: Callable[[], int] | None = None,
     ) -> None:  # fmt: skip
         """Create a frontend for at most ``max_connections`` connections.
 
-        ``now`` must advance within one iteration of the event loop; the loop's own clock need not.
+        ``now`` must advance within one iteration of the event loop; the loop's own clock need not. ``resident_bytes``
+        returns the memory of this process; None if other limiters share the process.
         """
         self.clock = asyncio.get_running_loop().time
+        self.connection_log = ConnectionLog(self.clock(), resident_bytes)
         self.handler, self.reader, self.path_handler = (
             handler,
             RequestReader(settings, self.clock),
@@ -930,13 +936,14 @@
         if evicted is None:
             return False
         self._clients.pop(evicted)
+        self.connection_log.count_end(EndCause.EVICTED)
         evicted.abort()
         return True
 
     def add_connection(self, client: _ClientConnection) -> None:
         """Register a connection, or close it if it came from another process and the limit is reached."""
         if len(self._clients) >= self._max and not self.make_room():
-            log.warning("closing a client connection: the connection limit is reached")
+            self.connection_log.count_end(EndCause.EVICTED)
             client.abort()
         self._accepted.discard(client)
         self._clients[client] = None
@@ -962,6 +969,7 @@
             self._apply_leaving_table()
         for client in list(self._clients):
             client.check_timeouts(now, idle_timeout)
+        self.connection_log.report(now, len(self._clients), self.relay.buffered)
 
     def remove_connection(self, client: _ClientConnection) -> None:
         """Unregister a connection that has ended."""
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -70,6 +70,13 @@
         self.timer: asyncio.TimerHandle | None = None
         self.response_started = False  # a streamed response has begun to reach the client
 
+    def __repr__(self) -> str:
+        event, upload = self.request.event, self.request.upload
+        kind = event.request_class if event is not None else "unknown class"
+        body = "" if upload is None else f", {upload!r}"
+        attempts = ", ".join(f"{each.server} {each.phase}" for each in self.attempts) or "none"
+        return f"<request {self.request.id.decode('latin-1')} {kind}{body}, attempts: {attempts}>"
+
 
 class Node:
     """Connects a decision module to the clients' and the servers' side of this process."""
@@ -261,7 +268,7 @@
     def _respond_for_gateway(self, id: int, status: int) -> None:
         """Respond to a request for which the decision module failed or made no decision in time."""
         if (opened := self._remove_request(id)) is not None:
-            log.warning("responded %d to a request without a decision of the gateway", status)
+            log.warning("responded %d without a decision of the gateway: %r", status, opened)
             if opened.response_started:
                 opened.request.end_stream(False)
             else:
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -130,6 +130,17 @@
     connection: _Connection | None = None
     timer: asyncio.TimerHandle | None = None
 
+    @property
+    def phase(self) -> str:
+        """What the exchange waits for, for the log."""
+        if self.ended:
+            return self.status.name.lower()
+        if self.connection is None:
+            return "connecting"
+        if self.download is not None:
+            return "streaming the response"
+        return "waiting for the response" if self.written else "sending"
+
 
 @dataclass(slots=True, eq=False)
 class _Server:
@@ -273,7 +284,10 @@
             self._fail_response(TimeoutError("it began and stalled"))
         else:  # the last byte of the request was never sent
             log.warning(
-                "server %s accepted no data of an upload for %g s", exchange.server, SERVER_STALL_SECONDS
+                "server %s accepted no data for %g s: %r",
+                exchange.server,
+                SERVER_STALL_SECONDS,
+                exchange.upload,
             )
             self._upstream.abort_exchange(exchange, Status.DROPPED)
 
