--- /dev/null
+++ b/tests/pressure/__init__.py
@@ -0,0 +1,1 @@
+"""Real limiter processes under clients and servers that stall, hoard or flood."""
