Join the fragments of heads and bodies as they arrive

Cause: the frontend and the pool kept each field's line and each piece of a body as an object of its own and joined them at the end: a line of 4 bytes took 56, a chunk of 2 bytes as many. The bounds (32 KiB a head, 64 KiB a body) are counted in bytes on the wire, so one connection could hold 0.5 MB of a head or 1.8 MB of a body within them.

Change: heads, bodies and first bytes of uploads are byte arrays; what one read brings of an upload or of a streamed response is passed on in one piece, so that tiny chunks are not written one by one. The size of a head is checked at each field, with what a line adds, and an unfinished head is no longer counted twice.

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -76,6 +76,7 @@
 UPLOAD_LINGER_TIMEOUT = 2.0  # seconds: ``LINGER_TIMEOUT`` for a connection with an unfinished large upload
 UPLOAD_LINGER_MAX_BYTES = 8 * 1024 * 1024  # ``LINGER_MAX_BYTES`` for the same case
 MAX_TRAILERS = 32
+FIELD_LINE_OVERHEAD = len(b": \r\n")  # bytes of a field's line beside its name and value
 MAX_EVICTION_CANDIDATES = 4  # connections that are checked for unread data before one of them is evicted
 ABORTIVE_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on with a timeout of 0: closing sends a reset
 # Bytes that are read and discarded after our half-close. Without a bound a sender could make this process drain 60 MB.
@@ -117,8 +118,11 @@
         self._parser = httptools.HttpRequestParser(self)
         self._pending = deque[ClientRequest]()
         self._target, self._fields = b"", dict[bytes, bytes]()
-        self._head, self._body = list[bytes](), list[bytes]()
+        # Joined as they arrive: kept as objects of their own, short fragments would take many times their size.
+        self._head, self._body = bytearray(), bytearray()
         self._size = 0
+        self._unparsed_head_bytes = 0  # received of an unfinished head, parsed or not
+        self._body_in_read = bytearray()  # of an upload, in the current read
         self._trailers = 0
         self._head_read = False
         self._receiving = False
@@ -298,18 +302,18 @@
             return
         finally:
             self._input = b""
-        # An unfinished head grows inside the parser, where no callback sees it. The parts that callbacks did see
-        # are counted twice, which is acceptable because a bound on memory need not be exact.
+        self._feed_upload()
+        # A field that has not ended grows inside the parser, where no callback sees it.
         if self._receiving and not self._head_read:
-            self._size += len(data)
-            if self._size > MAX_HEAD_BYTES:
+            self._unparsed_head_bytes += len(data)
+            if self._unparsed_head_bytes > MAX_HEAD_BYTES:
                 self._reject(400, "head too large")
 
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
         self._target, self._fields = b"", {}
-        self._head, self._body, self._size = [], [], 0
+        self._head, self._body, self._size, self._unparsed_head_bytes = bytearray(), bytearray(), 0, 0
         self._head_read, self._receiving = False, True
         self._length, self._chunked, self._expects = None, False, False
         if not self._pending:
@@ -325,9 +329,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         key = name.lower()
-        self._size += len(name) + len(value)
+        self._size += len(name) + len(value) + FIELD_LINE_OVERHEAD
         if self._head_read:
             return self._drop_trailer()
+        if self._size > MAX_HEAD_BYTES:
+            raise BadRequestError(400, "head too large")
         # Trailing white space is not part of a value (RFC 9110, 5.5); the parser strips only leading white space.
         if value[-1:] in WHITESPACE:
             value = value.rstrip(b" \t")
@@ -336,7 +342,7 @@
                 raise BadRequestError(400, "a protocol header occurs more than once")
             self._fields[key] = value
         if key not in UNFORWARDED_HEADERS and key != TIMEOUT_HEADER:
-            self._head.append(b"%b: %b\r\n" % (name, value))
+            self._head += b"%b: %b\r\n" % (name, value)
         elif key == b"content-length":
             if self._length is not None or not WHOLE_NUMBER_PATTERN.fullmatch(value):
                 raise BadRequestError(400, "content-length is repeated or not a decimal number")
@@ -386,8 +392,9 @@
         if self._upload is not None:
             if self._size > MAX_STREAMED_BODY_BYTES:
                 raise BadRequestError(413, "body too large")
-            return self._upload.feed(body)
-        self._body.append(body)
+            self._body_in_read += body
+            return
+        self._body += body
         if self._size > MAX_BODY_BYTES:
             self._start_upload()
 
@@ -399,9 +406,9 @@
         upload = request.upload = self._upload = Upload(self._length, self._set_upload_held)
         self._progress, self._progress_at = 0, self.frontend.clock()
         self.frontend.relay.limit_socket_buffers(self._transport.get_extra_info("socket"))
-        pieces, self._body = self._body, []
-        for piece in pieces:
-            upload.feed(piece)
+        if self._body:
+            upload.feed(bytes(self._body))
+            self._body = bytearray()
         self._pending.append(request)
         try:
             self._dispatch(request)
@@ -414,8 +421,16 @@
         """Pause or resume reading, as the upload's ``held`` says."""
         self._apply_backpressure()
 
+    def _feed_upload(self) -> None:
+        """Pass on what the current read brought of a large body, in one piece."""
+        if self._body_in_read:
+            body, self._body_in_read = bytes(self._body_in_read), bytearray()
+            if self._upload is not None:
+                self._upload.feed(body)
+
     def _finish_upload(self, upload: Upload) -> None:
         """Complete a body that was passed on while it arrived."""
+        self._feed_upload()
         self._upload = None
         for request in self._pending:
             if request.upload is upload:
@@ -469,19 +484,20 @@
             raise BadRequestError(413, "body too large")
         if target.partition("?")[0] == "/healthz":
             return request.respond(503 if self.frontend.draining else 200)
-        request.body = b"".join(self._body)
+        request.body, self._body = bytes(self._body), bytearray()
         if method == b"POST":
-            self._head.append(upload.framing if upload else b"Content-Length: %d\r\n" % len(request.body))
+            self._head += upload.framing if upload else b"Content-Length: %d\r\n" % len(request.body)
         elif request.body or upload is not None:
             raise BadRequestError(400, "a GET request has a body")
         if path_handler is not None and target.partition("?")[0] == path_handler.path:
             query = target.partition("?")[2]
-            parsed = ParsedRequest(self.frontend, method, self._target, query, self._fields, self._head)
+            header_lines = bytes(self._head).splitlines(keepends=True)
+            parsed = ParsedRequest(self.frontend, method, self._target, query, self._fields, header_lines)
             return path_handler.handle_request(request, parsed)
         event = self.frontend.reader.read(method, target, self._fields)
         self.frontend.claim_request_id(request, self._fields[REQUEST_ID_HEADER].lower())
         request.event = event
-        request.head = b"%b %b HTTP/1.1\r\n%b" % (method, self._target, b"".join(self._head))
+        request.head = b"%b %b HTTP/1.1\r\n%b" % (method, self._target, bytes(self._head))
         self.frontend.handler.arrived(request)
 
     # Responses.
--- a/cypresspulley/net/relay.py
+++ b/cypresspulley/net/relay.py
@@ -114,7 +114,7 @@
         self.held = False  # reading from the client is paused
         self.on_progress: Callable[[bool, bool], None] = lambda _whole, _kept: None
         self._hold = hold
-        self._kept = list[bytes]()
+        self._kept = bytearray()
         self._sink: Sink | None = None
 
     def __repr__(self) -> str:
@@ -133,7 +133,7 @@
         """Process received bytes."""
         self.size += len(data)
         if not self.discarded:
-            self._kept.append(data)
+            self._kept += data
             if self.size > MAX_REPLAYABLE_BYTES and self._sink is not None:
                 self._discard()
         if self._sink is not None:
@@ -154,14 +154,14 @@
         sink.put_end()
 
     def _discard(self) -> None:
-        self.discarded, self._kept = True, []
+        self.discarded, self._kept = True, bytearray()
         self.on_progress(self.complete, False)
 
     def attach(self, sink: Sink) -> bool:
         """Send the body to an attempt's connection from its first byte; return False if that is no longer kept."""
         if self.discarded:
             return False
-        self._sink, kept = sink, b"".join(self._kept)
+        self._sink, kept = sink, bytes(self._kept)
         if self.size > MAX_REPLAYABLE_BYTES:
             self._discard()
         if kept:
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -184,8 +184,9 @@
         self._reset_response()
 
     def _reset_response(self) -> None:
-        self._headers = list[bytes]()
-        self._body = list[bytes]()
+        # Joined as they arrive: kept as objects of their own, short fragments would take many times their size.
+        self._headers = bytearray()
+        self._body = bytearray()
         self._header_bytes = 0
         self._body_bytes = 0
         self._received_bytes = 0
@@ -337,6 +338,7 @@
             if self._status_code is None:
                 return self._fail_response(error.__context__ or error)
             self._has_surplus_data = True
+        self._pass_on_body()
         # The connection may be reused only now, when all input has been parsed.
         if self._status_code is not None:
             self._complete_response(self._status_code)
@@ -384,11 +386,16 @@
         if exchange.timer is not None:
             exchange.timer.cancel()  # the rest of the response has no deadline
         exchange.elapsed = self._upstream.now() - exchange.started_at
-        body, self._body = b"".join(self._body), []
-        download = exchange.download = Download(self._content_length, b"".join(self._headers), self)
-        exchange.on_download(exchange, download)
-        if body and exchange.download is not None:
-            download.put(body)
+        exchange.download = Download(self._content_length, bytes(self._headers), self)
+        exchange.on_download(exchange, exchange.download)
+        self._pass_on_body()
+
+    def _pass_on_body(self) -> None:
+        """Pass what was received of a streamed response on to the client, in one piece."""
+        exchange = self.exchange
+        if self._body and exchange is not None and exchange.download is not None:
+            body, self._body = bytes(self._body), bytearray()
+            exchange.download.put(body)
 
     def _begin_transfer(self) -> None:
         """Register a streamed body, in either direction, with the relay and the sweep."""
@@ -462,7 +469,7 @@
         elif key == NOT_PROCESSED_HEADER:
             self._not_processed = value == b"1"
         elif key not in UNFORWARDED_HEADERS:
-            self._headers.append(b"%b: %b\r\n" % (name, value))
+            self._headers += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         code = self._parser.get_status_code()
@@ -493,10 +500,8 @@
         self._body_bytes += len(body)
         if self._body_bytes > MAX_STREAMED_BODY_BYTES:
             raise ValueError("body is too large")
-        if exchange.download is not None:
-            return exchange.download.put(body)
-        self._body.append(body)
-        if self._body_bytes > MAX_BODY_BYTES:
+        self._body += body
+        if exchange.download is None and self._body_bytes > MAX_BODY_BYTES:
             if exchange.on_download is None or not self._has_unknown_length:
                 raise ValueError("body is too large for a response that is not streamed")
             self._start_streaming()
@@ -527,7 +532,8 @@
         self.detach_exchange()
         self.exchange = exchange.connection = None
         if exchange.download is None:
-            exchange.response_headers, exchange.response_body = b"".join(self._headers), b"".join(self._body)
+            exchange.response_headers, exchange.response_body = bytes(self._headers), bytes(self._body)
+            self._headers, self._body = bytearray(), bytearray()
             self._read_metadata(exchange, code)
         else:
             exchange.download.complete = True
