Read connections in pieces, and give each peer a bounded turn of the event loop

Measured before: 340 clients with chunks of two bytes, 36 of 80 lookups never answered.

Cause: a read brought up to 256 kB, and all of it was parsed at once: 36,000 chunks, some 30 ms, for each connection that was ready, in one turn of the loop. What was read was held in memory besides.

Change: both sides read through net/metered_reader.py. A read takes 4 kB at first, more while reads are processed in under 0.2 ms; a peer whose data took over 1 ms in a row is read again after the others, one such peer in each iteration. What it sends waits in the kernel.

Suite otherwise green.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -172,7 +172,7 @@
         resident_bytes if owns_process else None,
     )
     frontend.on_sweep = partial(node.check_wall_clock, time.time) if owns_process else None
-    frontend.relay = upstream.relay
+    frontend.relay, frontend.read_scheduler = upstream.relay, upstream.read_scheduler
     try:
         if config.operator is None:
             await frontend.listen(*config.listen)
--- a/cypresspulley/net/arrival.py
+++ b/cypresspulley/net/arrival.py
@@ -14,6 +14,8 @@
 import struct
 from collections.abc import Callable
 
+from cypresspulley.net.metered_reader import READ_SIZES
+
 # Seconds without activity of the loop after which sockets are queried. The time reported to servers may be up to
 # 0.15 s too long.
 MAX_UNCHECKED_PAUSE = 0.1
@@ -67,7 +69,8 @@
         """Return for how many seconds ``data``, which was read just now, may have waited in the kernel.
 
         Delays within ``MAX_UNCHECKED_PAUSE`` may be returned as 0. If ``data`` contains several requests, the socket
-        reports the time of the last one only; the others are known to have arrived since the loop became blocked.
+        reports the time of the last one only; the others are known to have arrived since the loop became blocked. The
+        same holds if ``data`` filled the smallest buffer of a read, because more may follow it.
         """
         now = self._clock()
         if now - self._last_run_at > MAX_UNCHECKED_PAUSE:
@@ -77,7 +80,7 @@
             return 0.0
         age = seconds_since_last_data(transport)
         self._fresh_reads = self._fresh_reads + 1 if (age or 0.0) <= TIMER_TOLERANCE else 0
-        if age is None or data.count(REQUEST_LINE_END) > 1:
+        if age is None or len(data) >= READ_SIZES[0] or data.count(REQUEST_LINE_END) > 1:
             return max(age or 0.0, self._seconds_since_stall())
         return age
 
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -33,6 +33,7 @@
 from cypresspulley.net.connection_log import ConnectionLog, EndCause
 from cypresspulley.net.http import MAX_BODY_BYTES, MAX_HEAD_BYTES, UNFORWARDED_HEADERS
 from cypresspulley.net.listener import Listener, SocketListener, bind, open_listener
+from cypresspulley.net.metered_reader import MeteredReader, ReadScheduler, as_protocol
 from cypresspulley.net.relay import (
     CLIENT_STALL_SECONDS,
     LAST_CHUNK,
@@ -102,7 +103,7 @@
         sock.detach()
 
 
-class _ClientConnection(asyncio.Protocol):
+class _ClientConnection(MeteredReader):
     """One client connection: parses requests and writes their responses in order.
 
     The regular way to end it is ``_close``: it flushes the last response, half-closes our side and reads until the
@@ -111,6 +112,7 @@
     """
 
     def __init__(self, frontend: Frontend) -> None:
+        super().__init__(frontend.read_scheduler)
         self.frontend, self._parsed_headers = frontend, frontend.parsed_headers
         self._transport: asyncio.Transport | None = None
         self._lingering: asyncio.Transport | None = None  # the transport while the connection is being closed
@@ -134,7 +136,7 @@
         self._linger_timeout, self._linger_max_bytes = LINGER_TIMEOUT, LINGER_MAX_BYTES
         self._buffered = 0  # unwritten bytes as last added to ``relay.buffered``
         self._input = b""  # the data that is being parsed
-        self._rejected = self._writing_paused = self._reading_paused = False
+        self._rejected = self._writing_paused = False
         self._requests_in_read = 0  # requests that began in the data of the current read
         self.has_sent_data = False
         # Time of the last activity: connecting, the first byte of a request, a response, or our half-close.
@@ -627,7 +629,7 @@
         if pass_descriptor(fd):
             self._transport = None
             transport.abort()
-        elif not self._reading_paused:
+        elif not self.is_reading_paused:
             transport.resume_reading()
 
     def pause_writing(self) -> None:
@@ -654,14 +656,10 @@
         else:
             must_pause = self._writing_paused or len(self._pending) >= MAX_PIPELINED_REQUESTS
             must_pause = must_pause or (self._upload is not None and self._upload.held)
-        transport = self._transport or self._lingering
-        if transport is None or transport.is_closing() or must_pause is self._reading_paused:
-            return
-        self._reading_paused = must_pause
-        if must_pause:
-            transport.pause_reading()
-        else:
-            transport.resume_reading()
+        self.hold_reading(must_pause)
+
+    def reading_transport(self) -> asyncio.Transport | None:
+        return self._transport or self._lingering
 
     def _reject(self, status: int, why: str) -> None:
         """Respond with an error and parse nothing more of this connection. ``why`` is for the log."""
@@ -748,7 +746,7 @@
             self._update_buffered()
         if self._transport is None:
             return self._check_linger(age, now)
-        if self._reading_paused and self.peer_closed:
+        if self.is_reading_paused and self.peer_closed:
             return self._handle_client_gone()
         if self._pending:
             if self._upload is not None or self._pending[0].stream is not None:
@@ -794,7 +792,7 @@
         """End a transfer that the client stalls; one that the server holds up continues."""
         upload = self._upload
         if (
-            upload is not None and not self._reading_paused
+            upload is not None and not self.is_reading_paused
         ):  # while reading is paused the client cannot make progress
             if now - self._progress_at > UPLOAD_RATE_WINDOW_SECONDS and not self.has_unread_data:
                 if upload.size - self._progress < MIN_BODY_BYTES_PER_SECOND * UPLOAD_RATE_WINDOW_SECONDS:
@@ -861,6 +859,7 @@
         # Passes file descriptors of idle connections to another process; None if there is no such process.
         self.pass_descriptor: Callable[[int], bool] | None = None
         self.phase = ShutdownPhase.ACCEPTING
+        self.read_scheduler = ReadScheduler()  # replaced by that of the upstream if there is one
         self.relay = (
             Relay()
         )  # bound on the memory of large transfers; replaced by that of the upstream if there is one
@@ -896,7 +895,7 @@
         """Create the protocol of an accepted connection."""
         client = _ClientConnection(self)
         self._accepted.add(client)
-        return client
+        return as_protocol(client)
 
     def duplicate_listener(self) -> int:
         """Return a duplicate file descriptor of the shared listener, which the caller has to close."""
@@ -928,7 +927,9 @@
         """Serve a connection that another process has passed to this one."""
         sock.setblocking(False)
         try:
-            await asyncio.get_running_loop().connect_accepted_socket(lambda: _ClientConnection(self), sock)
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: as_protocol(_ClientConnection(self)), sock
+            )
         except OSError as error:
             log.warning("a connection received from another process had already ended: %s", error)
             sock.close()
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -29,6 +29,7 @@
     join_address,
     split_address,
 )
+from cypresspulley.net.metered_reader import MeteredReader, ReadScheduler, as_protocol
 from cypresspulley.net.relay import (
     MAX_STREAMED_BODY_BYTES,
     SERVER_STALL_SECONDS,
@@ -161,10 +162,11 @@
         return self.up and not self.banned
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(MeteredReader):
     """A connection to a server, which carries one exchange at a time."""
 
     def __init__(self, upstream: Upstream, server: _Server) -> None:
+        super().__init__(upstream.read_scheduler)
         self._upstream = upstream
         self.server = server
         self.generation = server.generation
@@ -179,7 +181,6 @@
         self._is_streaming = False
         self._got_eof = False
         self._progress_timer: asyncio.TimerHandle | None = None
-        self.is_reading_paused = False  # the client reads slower than the server sends
         self.last_progress_at = 0.0  # when a byte of the transfer last moved or reading was paused or resumed
         self._reset_response()
 
@@ -259,11 +260,11 @@
     def hold(self, held: bool) -> None:
         if self.transport is None or held is self.is_reading_paused:
             return
-        self.is_reading_paused, self.last_progress_at = held, self._upstream.now()
-        if held:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
+        self.last_progress_at = self._upstream.now()
+        self.hold_reading(held)
+
+    def reading_transport(self) -> asyncio.Transport | None:
+        return self.transport
 
     def drop(self) -> None:
         if self.exchange is not None:
@@ -300,9 +301,7 @@
             self._is_streaming = False
             self._upstream.streaming_connections.discard(self)
             self._upstream.relay.end()
-        if self.is_reading_paused and self.transport is not None and not self.transport.is_closing():
-            self.is_reading_paused = False
-            self.transport.resume_reading()
+        self.hold_reading(False)
 
     def eof_received(self) -> None:
         # A local close() or abort() also calls ``connection_lost`` with None, but does not end a response.
@@ -573,6 +572,7 @@
         self._idle_timeout = conn_idle * IDLE_TIMEOUT_SHARE
         self._servers = dict[str, _Server]()
         self.relay = Relay()
+        self.read_scheduler = ReadScheduler()
         self.streaming_connections = set[_Connection]()  # with a streamed body in progress
         self.now = clock
         self._banned = set[str]()  # servers banned by an operator, whether listed or not
@@ -744,7 +744,7 @@
             return self._count_closed(server)
         try:
             async with asyncio.timeout(self._dial_timeout):
-                await loop.create_connection(lambda: connection, *server.address)
+                await loop.create_connection(lambda: as_protocol(connection), *server.address)
         except (OSError, TimeoutError) as error:
             connection.abort()
             if connection.transport is None:  # connection_lost will not be called
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -487,7 +487,7 @@
     await script.until(api.Request)
     await until(lambda: only_client(limiter)._writing_paused)
     script.answer = no_actions
-    assert only_client(limiter)._reading_paused
+    assert only_client(limiter).is_reading_paused
     return peer
 
 
@@ -512,7 +512,7 @@
     request = ask(POST, b"x" * 100_000, ttl=60_000)
     peer.send(request[:70_000])
     await script.until(api.Request)
-    await until(lambda: only_client(limiter)._reading_paused)
+    await until(lambda: only_client(limiter).is_reading_paused)
     peer.send(request[70_000:])
     return peer
 
--- a/tests/test_endings_gone.py
+++ b/tests/test_endings_gone.py
@@ -177,7 +177,7 @@
             await script.until(api.Request, 2 * MAX_PIPELINED_REQUESTS + 1)
             used = await connection_with_request(server)
             await server.request(used)
-            await until(lambda: all(each._reading_paused for each in limiter.frontend._clients))
+            await until(lambda: all(each.is_reading_paused for each in limiter.frontend._clients))
             mark_reusable(limiter)
             peer.send(b"".join(ask() for _ in range(more)))
             leaves(peer)
--- a/tests/test_endings_leaving.py
+++ b/tests/test_endings_leaving.py
@@ -318,7 +318,7 @@
             peer.send(b"".join(ask(ttl=60_000) for _ in range(20)))
             requests = await script.until(api.Request, MAX_PIPELINED_REQUESTS)
             sent = 0
-            while not only_client(limiter)._reading_paused:
+            while not only_client(limiter).is_reading_paused:
                 with contextlib.suppress(BlockingIOError):
                     sent += peer.socket.send(b"x" * 65536)
                 await yield_to_loop(2)
