Read uploads ahead of their server, and answer them at their deadline

Reproduced: none of 70 to 226 kB was answered 5 s after a deadline of 0.6 s.

Cause: the time of an upload began with its last byte as this process read it, and this process read nothing while the server took nothing: the limiter's own backpressure stopped the client's clock. The end of a client that had left stayed behind the unread bytes in the same way, and its upload went on.

Change: an upload is read ahead of its server by up to the transfers' high-water mark (2 MB where memory is free), so that its last byte, its time and the client's end are seen when they arrive. Where memory allows no more, the time runs from when reading stopped, unless the client cannot have sent the rest yet: more is missing than kernels hold, or the limiter has read all there was for 0.05 s. At the deadline the answer is 504 and the attempt ends. A server that takes an upload slowly out of a large buffer is no longer taken for one that has stalled. Kept and unwritten bytes count towards the transfers' bound.

Two tests named the old bound of 64 kB before reading pauses; they set the new bound to the same size.

--- a/cypresspulley/net/client_request.py
+++ b/cypresspulley/net/client_request.py
@@ -101,6 +101,7 @@
         if self.response is not None or self.stream is not None:
             raise RuntimeError("the request has a response already")
         self.stream = stream
+        self.release_body()
         self._client.flush()
 
     def end_stream(self, whole: bool) -> None:
@@ -114,6 +115,16 @@
         self.stream.complete, self.stream.broken = whole, not whole
         self._client.flush()
 
+    @property
+    def awaits_response(self) -> bool:
+        """Whether there is neither a response nor the beginning of one."""
+        return self.response is None and self.stream is None
+
+    def release_body(self) -> None:
+        """Give up what is kept of the body for further attempts."""
+        if self.upload is not None:
+            self.upload.release()
+
     @property
     def client_gone(self) -> bool:
         """Whether the client has disconnected."""
@@ -150,6 +161,7 @@
         if self.response is not None or self.stream is not None:
             raise RuntimeError("the request has a response already")
         self._client.frontend.open_ids.discard(self.id)
+        self.release_body()
         retry = b"" if retry_after is None else b"Retry-After: %.3f\r\n" % retry_after
         length = b"Content-Length: %d\r\n\r\n" % len(body)
         self.response = b"".join((STATUS_LINES[status], headers, retry)), length + body
@@ -167,6 +179,10 @@
         """Drop a request whose client has gone."""
         ...
 
+    def overdue(self, request: ClientRequest) -> None:
+        """Respond to a request whose deadline has passed before its body was read to the end."""
+        ...
+
 
 class ParsedRequest(NamedTuple):
     """A complete request to the path of a ``PathHandler``, with the operations that the handler may apply to it."""
--- a/cypresspulley/net/connection_log.py
+++ b/cypresspulley/net/connection_log.py
@@ -23,6 +23,7 @@
     HEAD_TIMEOUT = "head too slow"
     BODY_TIMEOUT = "body too slow"
     UPLOAD_STALLED = "upload stalled"
+    UPLOAD_HELD_UP = "upload held up by its server beyond the deadline"
     READER_STALLED = "response not read"
     RESPONSE_BROKEN = "response broken off"
     LINGER_OVERFLOW = "sent on after its response"
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -67,6 +67,8 @@
 # Seconds without an open request. A keep-alive connection may be closed after 2 s, and a misbehaving client must
 # be disconnected within 3 s.
 IDLE_TIMEOUT = 2.05
+# Seconds without anything to read after which a client had not sent yet what comes next.
+CATCH_UP_SECONDS = 0.05
 DRAIN_NOTICE_TIME = 0.6  # seconds after a drain begins until clients have learned of it
 DRAIN_IDLE_TIMEOUT = 0.3  # idle timeout in seconds that applies after ``DRAIN_NOTICE_TIME``
 HEAD_TIMEOUT = 2.5  # seconds to receive a request head: clients take up to 2 s, and this process may be late
@@ -133,6 +135,9 @@
         self._upload: Upload | None = None  # the body that is passed on while it arrives
         self._progress = 0  # bytes of the transfer or of the write buffer when progress was last seen
         self._progress_at = 0.0  # time of that
+        # Since when the client may have sent all of an upload that this process does not read; None if it has not.
+        self._client_ahead_since: float | None = None
+        self._read_expected_since = 0.0  # when an upload was last read, or reading was resumed
         self._linger_timeout, self._linger_max_bytes = LINGER_TIMEOUT, LINGER_MAX_BYTES
         self._buffered = 0  # unwritten bytes as last added to ``relay.buffered``
         self._input = b""  # the data that is being parsed
@@ -270,6 +275,7 @@
         waiting, self._pending = self._pending, deque()
         for request in waiting:
             if request.response is None:
+                request.release_body()
                 self.frontend.open_ids.discard(request.id)
                 self.frontend.handler.departed(request)
 
@@ -279,6 +285,8 @@
             if self._discarded > self._linger_max_bytes:
                 self._handle_linger_overflow()
             return
+        if self._upload is not None:
+            self._note_read()
         if self._upload is not None and not self.check_client_present():
             return  # the last bytes of the upload would start an attempt for a client that has gone
         self.frontend.connections_with_data += not self.has_sent_data
@@ -405,7 +413,10 @@
         if self._transport is None:
             return  # an earlier response closes the connection
         request = ClientRequest(self, keep_alive=True)
-        upload = request.upload = self._upload = Upload(self._length, self._set_upload_held)
+        upload = request.upload = self._upload = Upload(
+            self._length, self._set_upload_held, self.frontend.relay
+        )
+        self._client_ahead_since = None
         self._progress, self._progress_at = 0, self.frontend.clock()
         self.frontend.relay.limit_socket_buffers(self._transport.get_extra_info("socket"))
         if self._body:
@@ -421,8 +432,27 @@
 
     def _set_upload_held(self, held: bool) -> None:
         """Pause or resume reading, as the upload's ``held`` says."""
+        now = self.frontend.clock()
+        if held:
+            self._note_client_ahead(now)
+        self._read_expected_since = now
         self._apply_backpressure()
 
+    def _note_client_ahead(self, now: float) -> None:
+        """Note that the rest of the body may wait in the kernels, because this process does not read it."""
+        upload = self._upload
+        if upload is None or not upload.may_be_sent_whole:
+            self._client_ahead_since = None
+        elif self._client_ahead_since is None:
+            self._client_ahead_since = now
+
+    def _note_read(self) -> None:
+        """Note a read of a body: after a time with nothing to read, the client had not sent the rest."""
+        now = self.frontend.clock()
+        if now - self._read_expected_since > CATCH_UP_SECONDS:
+            self._client_ahead_since = None
+        self._read_expected_since = now
+
     def _feed_upload(self) -> None:
         """Pass on what the current read brought of a large body, in one piece."""
         if self._body_in_read:
@@ -438,6 +468,7 @@
             if request.upload is upload:
                 request.keep_alive = self._parser.should_keep_alive()
                 request.receive_delay = self._receive_delay()
+        self._client_ahead_since = None
         upload.finish()
         self._apply_backpressure()
 
@@ -463,7 +494,10 @@
         """Upper bound in seconds of how long the last byte being parsed waited in the kernel before it was read."""
         if self._transport is None:
             return 0.0
-        return self.frontend.arrivals.data_age(self._transport, self._input)
+        age = self.frontend.arrivals.data_age(self._transport, self._input)
+        if self._client_ahead_since is None:
+            return age
+        return max(age, self.frontend.clock() - self._client_ahead_since)
 
     def _dispatch(self, request: ClientRequest) -> None:
         """Validate the request and pass it to its handler. Raise BadRequestError if it is invalid."""
@@ -789,8 +823,14 @@
             self._reset_connection()
 
     def _check_transfer(self, now: float) -> None:
-        """End a transfer that the client stalls; one that the server holds up continues."""
+        """End a transfer that the client stalls, or whose deadline passes while the server holds it up."""
         upload = self._upload
+        if upload is not None and upload.held:
+            self._note_client_ahead(now)
+        elif now - self._read_expected_since > CATCH_UP_SECONDS and not self.has_unread_data:
+            self._client_ahead_since = None
+        if upload is not None and self._is_overdue(upload, now):
+            return self._handle_overdue_upload(upload)
         if (
             upload is not None and not self.is_reading_paused
         ):  # while reading is paused the client cannot make progress
@@ -805,6 +845,22 @@
         elif self._writing_paused:
             self._check_reader(now)
 
+    def _is_overdue(self, upload: Upload, now: float) -> bool:
+        """Whether the client may have waited for its whole timeout since it sent the last byte."""
+        request = self._find_request(upload)
+        if request is None or request.event is None or self._client_ahead_since is None:
+            return False
+        return request.awaits_response and now - self._client_ahead_since > request.event.ttl
+
+    def _find_request(self, upload: Upload) -> ClientRequest | None:
+        return next((request for request in self._pending if request.upload is upload), None)
+
+    def _handle_overdue_upload(self, upload: Upload) -> None:
+        request = self._find_request(upload)
+        assert request is not None
+        self.frontend.connection_log.count_end(EndCause.UPLOAD_HELD_UP)
+        self.frontend.handler.overdue(request)
+
     def _abort_upload(self, upload: Upload, status: int) -> None:
         """Abort a request whose body has stalled or is invalid: its attempt ends and is not retried."""
         self._upload = None
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -205,6 +205,11 @@
         if request.event is not None and self._remove_request(request.event.id) is not None:
             self.feed(api.ClientDisconnected(request.event.id))
 
+    def overdue(self, request: ClientRequest) -> None:
+        """Respond to a request whose deadline has passed while a server held up its body."""
+        if request.event is not None:
+            self._respond_for_gateway(request.event.id, 504)
+
     def retune(self, settings: api.Settings) -> None:
         """Replace the settings.
 
--- a/cypresspulley/net/relay.py
+++ b/cypresspulley/net/relay.py
@@ -1,8 +1,8 @@
 """Streaming of large request and response bodies, with backpressure in both directions.
 
 This module makes no decisions. Small bodies are handed over complete; a body larger than ``MAX_REPLAYABLE_BYTES`` is
-streamed. Each transfer buffers at most ``high_water()`` bytes plus what one read returns, which is limited by kernel
-socket buffers of ``SOCKET_BUFFER_BYTES``.
+streamed. Each transfer buffers at most ``high_water()`` bytes plus what one read returns. An upload is read ahead of
+its server up to there: only then is the end of the client's request, or of its connection, seen in time.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 MAX_STREAMED_BODY_BYTES = (
     48 * 1024 * 1024
 )  # the platform has no larger bodies, so larger lengths are rejected
-# Limit on the buffers of all transfers together, in addition to ``MIN_HIGH_WATER_BYTES`` and one read for each.
+# Default limit on the buffers of all transfers together, beside ``MIN_HIGH_WATER_BYTES`` and one read for each.
 MAX_BUFFERED_BYTES = 24 * 1024 * 1024
 # Range of the high-water mark of one transfer. An attempt occupies its server until its last byte has been read here,
 # so buffering more of the response ends the attempt sooner.
@@ -29,6 +29,9 @@
 # smaller than a segment on loopback, and each segment waits 40 ms for its acknowledgement (an upload of 3 MB took more
 # than 20 s).
 SOCKET_BUFFER_BYTES = 32 * 1024
+# What the kernels hold of a request that its client has written and this process has not read: Linux lets a send buffer
+# grow to 4 MiB by itself (net.ipv4.tcp_wmem), and the receive buffer comes on top.
+MAX_CLIENT_SOCKET_BYTES = 4 * 1024 * 1024 + 2 * SOCKET_BUFFER_BYTES
 MIN_BODY_BYTES_PER_SECOND = 8192  # an upload slower than this counts as stalled
 UPLOAD_RATE_WINDOW_SECONDS = 4.0  # period over which the rate of an upload is measured
 # Time for which a server may send nothing of a response that is being read, or accept nothing of an upload.
@@ -62,7 +65,8 @@
 
     def __init__(self) -> None:
         self.active = 0
-        self.buffered = 0  # bytes waiting for clients, updated when each transfer makes progress
+        self.buffered = 0  # bytes waiting for clients or servers, updated when each transfer makes progress
+        self.limit_bytes = MAX_BUFFERED_BYTES
 
     def __repr__(self) -> str:
         return f"<Relay {self.active} transfers, {self.buffered} bytes buffered, {self.high_water()} for the next>"
@@ -71,7 +75,7 @@
         """Return the buffer size in bytes at which a transfer stops reading from its source."""
         return max(
             MIN_HIGH_WATER_BYTES,
-            min(MAX_HIGH_WATER_BYTES, (MAX_BUFFERED_BYTES - self.buffered) // HIGH_WATER_DIVISOR),
+            min(MAX_HIGH_WATER_BYTES, (self.limit_bytes - self.buffered) // HIGH_WATER_DIVISOR),
         )
 
     def begin(self, sock: socket.socket) -> None:
@@ -106,7 +110,8 @@
     two flags: whether the last byte has been received, and whether everything received is still kept for a retry.
     """
 
-    def __init__(self, length: int | None, hold: Callable[[bool], None]) -> None:
+    def __init__(self, length: int | None, hold: Callable[[bool], None], relay: Relay) -> None:
+        self._relay = relay
         self.length = length  # None if the body is chunked
         self.size = 0  # bytes received
         self.complete = False  # the last byte has been received
@@ -134,12 +139,28 @@
         self.size += len(data)
         if not self.discarded:
             self._kept += data
+            self._relay.buffered += len(data)
             if self.size > MAX_REPLAYABLE_BYTES and self._sink is not None:
                 self._discard()
         if self._sink is not None:
             self._sink.put(self._framed(data))
-        elif self.size > MAX_REPLAYABLE_BYTES:
-            self.hold(True)  # no attempt takes the body yet, and the limit of kept bytes is reached
+        else:
+            self.hold(self._is_full)  # no attempt takes the body yet
+
+    @property
+    def _is_full(self) -> bool:
+        """Whether nothing more may be kept for an attempt that takes the body."""
+        return self.discarded or len(self._kept) > self._relay.high_water()
+
+    @property
+    def may_be_sent_whole(self) -> bool:
+        """Whether the client may have written the last byte, of which its kernel can hold the rest."""
+        return self.length is None or self.length - self.size <= MAX_CLIENT_SOCKET_BYTES
+
+    def release(self) -> None:
+        """Give up the kept bytes: there will be no further attempt."""
+        self._relay.buffered -= len(self._kept)
+        self.discarded, self._kept = True, bytearray()
 
     def finish(self) -> None:
         """Process the end of the body."""
@@ -154,7 +175,7 @@
         sink.put_end()
 
     def _discard(self) -> None:
-        self.discarded, self._kept = True, bytearray()
+        self.release()
         self.on_progress(self.complete, False)
 
     def attach(self, sink: Sink) -> bool:
@@ -177,7 +198,7 @@
         if self._sink is sink:
             self._sink = None
             if not self.complete:
-                self.hold(self.size > MAX_REPLAYABLE_BYTES)
+                self.hold(self._is_full)
 
     def hold(self, held: bool) -> None:
         """Pause (``held``) or resume reading from the client, according to the space on the server's side."""
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -181,6 +181,7 @@
         self._is_streaming = False
         self._got_eof = False
         self._progress_timer: asyncio.TimerHandle | None = None
+        self._unwritten_bytes = 0  # of an upload, as last added to ``relay.buffered``
         self.last_progress_at = 0.0  # when a byte of the transfer last moved or reading was paused or resumed
         self._reset_response()
 
@@ -216,6 +217,7 @@
 
     def resume_writing(self) -> None:
         self.has_unwritten_data = False
+        self._count_unwritten()
         exchange = self.exchange
         if exchange is None:
             return
@@ -248,7 +250,15 @@
             return
         self.transport.write(data)
         if self.has_unwritten_data and exchange.upload is not None and not exchange.upload.complete:
-            exchange.upload.hold(True)
+            exchange.upload.hold(self._count_unwritten() > self._upstream.relay.high_water())
+
+    def _count_unwritten(self) -> int:
+        """Return the bytes of an upload that the server has not accepted, and count the change for all transfers."""
+        is_open = self._is_streaming and self.transport is not None
+        size = self.transport.get_write_buffer_size() if is_open and self.transport is not None else 0
+        self._upstream.relay.buffered += size - self._unwritten_bytes
+        self._unwritten_bytes = size
+        return size
 
     def put_end(self) -> None:
         if (exchange := self.exchange) is not None:
@@ -274,6 +284,9 @@
         """Return whether the server has sent nothing of a large response that is being read, or has accepted nothing
         of an upload, for ``STALL`` seconds."""
         exchange = self.exchange
+        unwritten = self._unwritten_bytes
+        if self._count_unwritten() != unwritten:
+            self.last_progress_at = now
         if exchange is None or now - self.last_progress_at <= SERVER_STALL_SECONDS:
             return False
         return not self.is_reading_paused if exchange.download is not None else self.has_unwritten_data
@@ -299,6 +312,7 @@
             self.exchange.upload.detach(self)
         if self._is_streaming:
             self._is_streaming = False
+            self._count_unwritten()
             self._upstream.streaming_connections.discard(self)
             self._upstream.relay.end()
         self.hold_reading(False)
@@ -309,6 +323,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
+        self._count_unwritten()
         if self.exchange is not None and self.idle_since is not None and self._received_bytes == 0:
             self._upstream.record_stale_connection(self)
         self._upstream.remove_connection(self)
--- a/tests/test_endings_clients.py
+++ b/tests/test_endings_clients.py
@@ -508,6 +508,7 @@
 async def uploading(limiter: Limiter, script: Script) -> Peer:
     """A large body that no server receives yet; the unread part fits into the socket buffer."""
     script.answer = no_actions
+    limiter.frontend.relay.limit_bytes = 200_000  # so that reading pauses before the end of the first part
     peer = Peer(limiter)
     request = ask(POST, b"x" * 100_000, ttl=60_000)
     peer.send(request[:70_000])
--- a/tests/test_endings_servers.py
+++ b/tests/test_endings_servers.py
@@ -26,7 +26,7 @@
 from cypresspulley.net.frontend import Frontend
 from cypresspulley.net.http import split_address
 from cypresspulley.net.node import Node, UnixClock
-from cypresspulley.net.relay import MAX_REPLAYABLE_BYTES, Download, Upload
+from cypresspulley.net.relay import MAX_REPLAYABLE_BYTES, Download, Relay, Upload
 from cypresspulley.net.upstream import Exchange, Upstream
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.rehearsal.virtual.loop import VirtualLoop, run_virtual
@@ -230,7 +230,7 @@
     async def main() -> None:
         peer = Peer()
         pool = Pool(peer)
-        body = Upload(64_000_000, lambda _held: None)
+        body = Upload(64_000_000, lambda _held: None, Relay())
         exchange, ended = pool.start(upload=body, response_timeout=15.0)
         sock, _ = await peer.request()
         sock.send(UNSIZED_RESPONSE_HEAD + b"hel")
@@ -519,7 +519,7 @@
         peer = Peer()
         pool = Pool(peer)
         pool.upstream.update_server("s1", peer.dial, True, 5.0)
-        body = Upload(200_000, lambda _held: None)
+        body = Upload(200_000, lambda _held: None, Relay())
         _, ended = pool.start(upload=body, response_timeout=15.0)
         sock, _ = await peer.request()
         body.feed(b"a" * 100_000)
@@ -855,7 +855,7 @@
     async def main() -> None:
         peer = Peer()
         pool = Pool(peer)
-        body = Upload(64_000_000, lambda _held: None)
+        body = Upload(64_000_000, lambda _held: None, Relay())
         exchange, ended = pool.start(upload=body, response_timeout=15.0)
         sock, _ = await peer.request()
         body.feed(b"x" * 32_000_000)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -17,6 +17,7 @@
 from cypresspulley.net import relay as net_relay
 from cypresspulley.net import upstream as net_upstream
 from cypresspulley.net.relay import (
+    HIGH_WATER_DIVISOR,
     MAX_BUFFERED_BYTES,
     MAX_HIGH_WATER_BYTES,
     MAX_REPLAYABLE_BYTES,
@@ -51,8 +52,10 @@
 
 
 def make_upload(length: int | None = None) -> tuple[Upload, list[bool], list[tuple[bool, bool]]]:
-    holds, told = list[bool](), list[tuple[bool, bool]]()
-    body = Upload(length, holds.append)
+    """Return an upload that may be read ahead by ``MAX_REPLAYABLE_BYTES``, its holds and its progress."""
+    holds, told, relay = list[bool](), list[tuple[bool, bool]](), Relay()
+    relay.limit_bytes = (1 + HIGH_WATER_DIVISOR) * MAX_REPLAYABLE_BYTES
+    body = Upload(length, holds.append, relay)
     body.on_progress = lambda whole, kept: told.append((whole, kept))
     return body, holds, told
 
