Divide limits.memory_mb among all that clients can fill, and end the largest beyond it

Cause: no module read limits.memory_mb. Each bound was a constant for one connection (32 KiB a head, 64 KiB a body, 24 MiB for transfers), none was summed, and accounts of customers that come once were not bounded in number at all.

Change: memory.py is the table of shares, like descriptors.py: what the process takes at rest and its connections come off the limit, the rest is divided among requests (heads, bodies, unread responses), transfers and accounts, with a reserve. What requests hold is summed over all clients; beyond the bound the largest, of equals the newest, is answered 503 (500 where it was sent to a server) or reset if it reads nothing. Beyond the bound of accounts one that stands as a new one would makes room, or a new customer is refused at once. A limit that leaves under 2 MB beside the process is exit code 2 with the number wanted.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -21,6 +21,8 @@
 from cypresspulley.config import Config, ConfigError, load_config_from_env
 from cypresspulley.descriptors import MIN_FULL_LIMIT, descriptor_limit, divide_descriptors, find_least_limit
 from cypresspulley.lifecycle import Lifecycle
+from cypresspulley.memory import BYTES_PER_MEGABYTE, MemoryBudget, divide_memory
+from cypresspulley.memory import find_least_limit as find_least_memory
 from cypresspulley.net.admin import AdminServer
 from cypresspulley.net.client_request import PathHandler
 from cypresspulley.net.counter import Counter, CounterClient
@@ -100,6 +102,7 @@
     wall_clock: Callable[[], float] = time.time,
     history: AnyHistory | None = None,
     sighup_handler: SighupHandler | None = None,
+    read_resident_bytes: Callable[[], int] | None = None,
 ) -> None:
     """Run one limiter until SIGTERM or SIGINT.
 
@@ -107,7 +110,8 @@
     configuration from ``read_config``. ``wrap_gateway`` may put an observer of every event and action between the
     decisions and the node. ``on_service_created`` receives the service that answers the operators' calls.
     ``wall_clock`` may step: only the fleet services read it, and they write ``history`` if one is given.
-    ``sighup_handler`` may have received SIGHUP already. Raise ``ConfigError`` if the configuration cannot be run.
+    ``sighup_handler`` may have received SIGHUP already. ``read_resident_bytes`` returns the memory of this process;
+    None if others share it, and then its limit is not applied. Raise ``ConfigError`` if the configuration cannot be run.
     """
     loop, stop, sighup_handler = (
         asyncio.get_running_loop(),
@@ -169,8 +173,13 @@
         budget.clients,
         graphql_handler,
         time.monotonic if owns_process else clock,
-        resident_bytes if owns_process else None,
+        read_resident_bytes,
     )
+    if read_resident_bytes is not None:
+        memory = _divide_memory(config.memory_mb, read_resident_bytes(), budget.clients)
+        frontend.memory.limit_bytes = memory.request_bytes
+        upstream.relay.limit_bytes = memory.transfer_bytes
+        gateway.quotas.max_accounts = memory.accounts
     frontend.on_sweep = partial(node.check_wall_clock, time.time) if owns_process else None
     frontend.relay, frontend.read_scheduler = upstream.relay, upstream.read_scheduler
     try:
@@ -255,6 +264,13 @@
         access_log.close()
 
 
+def _divide_memory(limit_mb: int, at_rest: int, connections: int) -> MemoryBudget:
+    """Divide the memory that the configuration allows. Raise ``ConfigError`` if no limiter works with it."""
+    if limit_mb < (least := find_least_memory(at_rest)):
+        raise ConfigError(f"limits.memory_mb: expected at least {least}, got {limit_mb}")
+    return divide_memory(limit_mb * BYTES_PER_MEGABYTE, at_rest, connections)
+
+
 def _connect_plan_book(
     config: Config,
     table: tuple[str, str],
@@ -418,7 +434,10 @@
     logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s: %(message)s")
     try:
         operators = _load_operators(sys.argv[1:] if arguments is None else arguments)
-        uvloop.run(serve(load_config_from_env(), operators, sighup_handler=sighup_handler))
+        config = load_config_from_env()
+        uvloop.run(
+            serve(config, operators, sighup_handler=sighup_handler, read_resident_bytes=resident_bytes)
+        )
     except ConfigError as error:
         print(f"cypresspulley: {error}", file=sys.stderr)
         return 2
--- a/cypresspulley/config.py
+++ b/cypresspulley/config.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from cypresspulley import interface as api
+from cypresspulley.memory import DEFAULT_LIMIT_MB
 from cypresspulley.net.discovery import Listing, parse_listing
 from cypresspulley.net.http import split_address
 from cypresspulley.settings import (
@@ -18,6 +19,8 @@
     parse_socket_settings,
 )
 
+DEFAULT_DESCRIPTORS = 1024
+
 
 @dataclass(frozen=True, slots=True)
 class PeerAddresses:
@@ -37,6 +40,7 @@
     counter: tuple[str, int] | None
     seed: int
     sockets: int  # descriptors that this process may hold
+    memory_mb: int  # megabytes that this process may occupy
     known: Listing | None  # last known list of servers, used until discovery answers
     peers: PeerAddresses | None
     operator: tuple[str, int] | None  # address of the operators' interface; None: off
@@ -60,7 +64,8 @@
             discovery=_parse_address(raw, "discovery"),
             counter=_parse_address(raw, "counter") if raw.get("counter") else None,
             seed=int(str(raw.get("seed") or "0"), 16),
-            sockets=_parse_descriptor_limit(raw),
+            sockets=_parse_limit(raw, "sockets", DEFAULT_DESCRIPTORS),
+            memory_mb=_parse_limit(raw, "memory_mb", DEFAULT_LIMIT_MB),
             known=parse_listing(raw["known"]) if raw.get("known") else None,
             peers=_parse_peers(raw),
             operator=_parse_address(raw, "operator") if raw.get("operator") else None,
@@ -72,20 +77,16 @@
         raise ConfigError(str(error)) from None
 
 
-def _parse_descriptor_limit(raw: dict[str, Any]) -> int:
-    """Return the number of descriptors that this process may hold; 1,024 by default."""
+def _parse_limit(raw: dict[str, Any], key: str, default: int) -> int:
+    """Return one of the limits of this process, or the default if it is not given."""
     limits = raw.get("limits") or {}
     if not isinstance(limits, dict):
         raise ConfigError(f"limits: expected an object, got {limits!r:.40}")
-    sockets = 1024 if limits.get("sockets") is None else limits["sockets"]
-    is_number = (
-        isinstance(sockets, int | float) and not isinstance(sockets, bool) and 0 < sockets <= MAX_NUMBER
-    )
-    if not is_number or sockets != int(sockets):
-        raise ConfigError(
-            f"limits.sockets: expected a whole number from 1 to {MAX_NUMBER}, got {sockets!r:.40}"
-        )
-    return int(sockets)
+    value = default if limits.get(key) is None else limits[key]
+    is_number = isinstance(value, int | float) and not isinstance(value, bool) and 0 < value <= MAX_NUMBER
+    if not is_number or value != int(value):
+        raise ConfigError(f"limits.{key}: expected a whole number from 1 to {MAX_NUMBER}, got {value!r:.40}")
+    return int(value)
 
 
 def _parse_address(raw: dict[str, Any], key: str) -> tuple[str, int]:
--- a/cypresspulley/net/client_request.py
+++ b/cypresspulley/net/client_request.py
@@ -120,6 +120,12 @@
         """Whether there is neither a response nor the beginning of one."""
         return self.response is None and self.stream is None
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that the request holds, with the copy of it that the connection to a server may hold."""
+        response = 0 if self.response is None else len(self.response[1])
+        return 2 * (len(self.head) + len(self.body)) + response
+
     def release_body(self) -> None:
         """Give up what is kept of the body for further attempts."""
         if self.upload is not None:
@@ -179,6 +185,10 @@
         """Drop a request whose client has gone."""
         ...
 
+    def give_up(self, request: ClientRequest) -> None:
+        """Respond with an error to a request that cannot be kept any longer."""
+        ...
+
     def overdue(self, request: ClientRequest) -> None:
         """Respond to a request whose deadline has passed before its body was read to the end."""
         ...
--- a/cypresspulley/net/connection_log.py
+++ b/cypresspulley/net/connection_log.py
@@ -19,6 +19,7 @@
     """Why the limiter ended a client connection."""
 
     IDLE = "idle"
+    MEMORY = "memory is short"
     EVICTED = "evicted at the connection limit"
     HEAD_TIMEOUT = "head too slow"
     BODY_TIMEOUT = "body too slow"
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -33,6 +33,7 @@
 from cypresspulley.net.connection_log import ConnectionLog, EndCause
 from cypresspulley.net.http import MAX_BODY_BYTES, MAX_HEAD_BYTES, UNFORWARDED_HEADERS
 from cypresspulley.net.listener import Listener, SocketListener, bind, open_listener
+from cypresspulley.net.memory_ledger import MemoryLedger
 from cypresspulley.net.metered_reader import MeteredReader, ReadScheduler, as_protocol
 from cypresspulley.net.relay import (
     CLIENT_STALL_SECONDS,
@@ -79,6 +80,8 @@
 UPLOAD_LINGER_TIMEOUT = 2.0  # seconds: ``LINGER_TIMEOUT`` for a connection with an unfinished large upload
 UPLOAD_LINGER_MAX_BYTES = 8 * 1024 * 1024  # ``LINGER_MAX_BYTES`` for the same case
 MAX_TRAILERS = 32
+# What a connection may hold without being counted: an ordinary request. Its share is that of a connection.
+UNCOUNTED_BYTES = 2048
 FIELD_LINE_OVERHEAD = len(b": \r\n")  # bytes of a field's line beside its name and value
 MAX_EVICTION_CANDIDATES = 4  # connections that are checked for unread data before one of them is evicted
 ABORTIVE_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on with a timeout of 0: closing sends a reset
@@ -147,6 +150,7 @@
         # Time of the last activity: connecting, the first byte of a request, a response, or our half-close.
         self.last_active_at = frontend.clock()
         self._discarded = 0  # bytes that were read and discarded
+        self.held_bytes = 0  # as last counted in the ledger
 
     @property
     def is_disconnected(self) -> bool:
@@ -251,6 +255,7 @@
         self._uncount_data_sent()
         self.frontend.remove_connection(self)
         self._abandon_requests()
+        self._free_input()
 
     def _uncount_data_sent(self) -> None:
         """Stop counting the connection among those that have sent data."""
@@ -318,6 +323,50 @@
             self._unparsed_head_bytes += len(data)
             if self._unparsed_head_bytes > MAX_HEAD_BYTES:
                 self._reject(400, "head too large")
+        if len(data) > UNCOUNTED_BYTES or self._size > UNCOUNTED_BYTES or self.held_bytes:
+            self.count_memory()
+
+    # What the connection holds in memory.
+
+    def count_memory(self) -> None:
+        """Count what the connection holds; the largest holders are ended if all together hold too much."""
+        self._recount()
+        if self.frontend.memory.is_exceeded:
+            self.frontend.shed_memory()
+
+    def _recount(self) -> None:
+        # The parser may hold a part of an unfinished head besides.
+        held = len(self._head) + len(self._body) + self._unparsed_head_bytes
+        held += sum(request.held_bytes for request in self._pending)
+        transport = self._transport or self._lingering
+        if transport is not None and not self._is_streaming_response:
+            held += transport.get_write_buffer_size()
+        self.frontend.memory.adjust(held - self.held_bytes)
+        self.held_bytes = held
+
+    @property
+    def _is_streaming_response(self) -> bool:
+        """Whether unwritten bytes belong to a streamed response, which has a bound of its own."""
+        return bool(self._pending) and self._pending[0].stream is not None
+
+    def shed(self) -> None:
+        """End what holds memory here: answer an error where that is possible, or reset the connection."""
+        self.frontend.connection_log.count_end(EndCause.MEMORY)
+        if self._receiving and self._upload is None and self._transport is not None and not self._rejected:
+            self._reject(503, EndCause.MEMORY.value)
+        for request in list(self._pending):
+            if request.awaits_response and request.upload is None:
+                self.frontend.handler.give_up(request)
+        transport = self._transport or self._lingering
+        if transport is not None and transport.get_write_buffer_size() and not self._is_streaming_response:
+            self._reset_connection()  # its client does not read its responses
+        self._recount()
+
+    def _free_input(self) -> None:
+        """Give up what was received of an unfinished request, of which nothing more is parsed."""
+        self._head, self._body, self._unparsed_head_bytes = bytearray(), bytearray(), 0
+        if self.held_bytes:
+            self._recount()
 
     # Callbacks of the parser.
 
@@ -534,6 +583,7 @@
         self.frontend.claim_request_id(request, self._fields[REQUEST_ID_HEADER].lower())
         request.event = event
         request.head = b"%b %b HTTP/1.1\r\n%b" % (method, self._target, bytes(self._head))
+        self._head = bytearray()
         self.frontend.handler.arrived(request)
 
     # Responses.
@@ -558,6 +608,8 @@
         if self._expects:
             self._send_continue()
         self._apply_backpressure()
+        if self.held_bytes or self._writing_paused:
+            self.count_memory()
         if self.frontend.pass_descriptor is not None and self.idle:
             asyncio.get_running_loop().call_soon(self.hand_off)
 
@@ -676,6 +728,8 @@
         self._writing_paused = False
         self._set_download_held(False)
         self._apply_backpressure()
+        if self.held_bytes:
+            self._recount()
         if self._lingering is not None:
             self._half_close()  # the last response has been written completely
 
@@ -698,6 +752,7 @@
     def _reject(self, status: int, why: str) -> None:
         """Respond with an error and parse nothing more of this connection. ``why`` is for the log."""
         self._rejected = True
+        self._free_input()
         self.frontend.connection_log.count_rejection(status, why)
         if self._upload is not None:
             return self._abort_upload(self._upload, status)
@@ -778,6 +833,8 @@
         age = now - self.last_active_at
         if self._buffered:
             self._update_buffered()
+        if self.held_bytes:
+            self._recount()
         if self._transport is None:
             return self._check_linger(age, now)
         if self.is_reading_paused and self.peer_closed:
@@ -874,6 +931,7 @@
         """Close at once and discard all unwritten and unread data."""
         transport = self._transport or self._lingering
         self._transport = self._lingering = None
+        self._free_input()
         if transport is not None:
             transport.abort()
 
@@ -915,6 +973,8 @@
         # Passes file descriptors of idle connections to another process; None if there is no such process.
         self.pass_descriptor: Callable[[int], bool] | None = None
         self.phase = ShutdownPhase.ACCEPTING
+        self.memory = MemoryLedger()
+        self._is_shedding = False
         self.read_scheduler = ReadScheduler()  # replaced by that of the upstream if there is one
         self.relay = (
             Relay()
@@ -1013,6 +1073,16 @@
         evicted.abort()
         return True
 
+    def shed_memory(self) -> None:
+        """End the connections that hold most, until all together are below the bound."""
+        if self._is_shedding:
+            return
+        self._is_shedding = True
+        try:
+            self.memory.shed(self._clients)
+        finally:
+            self._is_shedding = False
+
     def add_connection(self, client: _ClientConnection) -> None:
         """Register a connection, or close it if it came from another process and the limit is reached."""
         if len(self._clients) >= self._max and not self.make_room():
@@ -1042,7 +1112,7 @@
             self._apply_leaving_table()
         for client in list(self._clients):
             client.check_timeouts(now, idle_timeout)
-        self.connection_log.report(now, len(self._clients), self.relay.buffered)
+        self.connection_log.report(now, len(self._clients), self.relay.buffered + self.memory.held_bytes)
 
     def remove_connection(self, client: _ClientConnection) -> None:
         """Unregister a connection that has ended."""
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -205,6 +205,13 @@
         if request.event is not None and self._remove_request(request.event.id) is not None:
             self.feed(api.ClientDisconnected(request.event.id))
 
+    def give_up(self, request: ClientRequest) -> None:
+        """Respond to a request that cannot be kept any longer: 503 if it was never sent to a server, else 500."""
+        event = request.event
+        opened = None if event is None else self._open_requests.get(event.id)
+        if event is not None and opened is not None:
+            self._respond_for_gateway(event.id, 500 if opened.attempts else 503)
+
     def overdue(self, request: ClientRequest) -> None:
         """Respond to a request whose deadline has passed while a server held up its body."""
         if request.event is not None:
--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -189,6 +189,13 @@
         whole = self.ceiling_level * self.gateways + self.local_ceiling_part * plan.ceiling_rate * elapsed
         self.ceiling_level = min(self.local_ceiling_part * plan.ceiling_burst, whole) / self.gateways
 
+    def has_full_ceiling(self, now: float) -> bool:
+        """Whether this gateway's part of the ceiling will be full again at ``now``."""
+        units = self.ceiling_level * self.gateways + self.local_ceiling_part * self.plan.ceiling_rate * (
+            now - self.refilled_at
+        )
+        return units >= self.local_ceiling_part * self.plan.ceiling_burst
+
     def fill_ceiling(self) -> None:
         """Fill the even share of the ceiling, less what was drawn since. No earlier incarnation of this gateway drew
         on it, so it was full when this one started."""
--- a/cypresspulley/policy/gateway.py
+++ b/cypresspulley/policy/gateway.py
@@ -107,7 +107,9 @@
         request.value_rank = (
             bisect_left(self._sorted_values, value) / len(self._sorted_values) if self._sorted_values else 1.0
         )
-        if request.bound and self.quotas.exceeds_capacity(request):
+        if not self.quotas.is_tracked(event):
+            self._refuse_or_fail(now, request, "accounts")
+        elif request.bound and self.quotas.exceeds_capacity(request):
             self._refuse_or_fail(now, request, "too dear")
         elif not (self.quotas.ceiling_share_holds(request) or self.quotas.window_may_grant(now, request)):
             self._refuse_or_fail(now, request, "ceiling")
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from functools import partial
+from itertools import islice
 from random import Random
 
 from cypresspulley import interface as api
@@ -21,6 +22,8 @@
 UNVERIFIED_COST_SHARE = 0.08
 ESTIMATE_WEIGHT = 0.1  # weight of a new sample in an exponential moving average
 ACCOUNT_IDLE_SECONDS = 60.0  # an account that is idle for longer is dropped
+DEFAULT_MAX_ACCOUNTS = 100_000
+MAX_DROP_CANDIDATES = 8  # accounts that are considered for dropping when a new one needs room
 COUNT_LIFETIME_SECONDS = 60.0  # lifetime of an account's usage count at the counter
 MAX_MESSAGE_GAP_SECONDS = 3.0  # without a message from another gateway for longer, only the even share counts
 
@@ -54,6 +57,7 @@
         self._apply_settings(settings)
         self.dropped_plans = PlanRegistry(settings)
         self.accounts = dict[tuple[str, str], Account]()
+        self.max_accounts = DEFAULT_MAX_ACCOUNTS
         self.usage_broadcast: UsageBroadcast | None = None
         self._accounts_by_key = dict[int, Account]()  # by the part of the counter name that messages carry
         self._configure_usage_broadcast(now, settings)
@@ -103,7 +107,10 @@
         self._configure_usage_broadcast(now, settings)
 
     def get_or_create_account(self, now: float, event: api.Request) -> Account:
-        """Return the account of a request, refilled up to ``now``."""
+        """Return the account of a request, refilled up to ``now``.
+
+        If ``max_accounts`` others are in use, a new account is not kept, and ``is_tracked`` tells so.
+        """
         key = event.plan, event.account
         if (account := self.accounts.get(key)) is None:
             plan = (
@@ -111,9 +118,12 @@
                 or self.dropped_plans.find(now, event.plan)
                 or api.Plan(event.plan)
             )
-            account = self.accounts[key] = Account(now, event, plan, self._started_at, self._settings)
+            account = Account(now, event, plan, self._started_at, self._settings)
             if self.incarnation.is_first:
                 account.fill_ceiling()
+            if not self._has_room(now):
+                return account
+            self.accounts[key] = account
             if self.usage_broadcast is not None:
                 self._accounts_by_key[account.counter_name % KEY_COUNT] = account
                 self.usage_broadcast.apply_unknown_use(now, account)
@@ -122,6 +132,29 @@
         self._call_for_incarnation(now)
         return account
 
+    def is_tracked(self, event: api.Request) -> bool:
+        """Whether the request's account is kept, so that its use is counted."""
+        return (event.plan, event.account) in self.accounts
+
+    def _has_room(self, now: float) -> bool:
+        """Whether one more account may be kept; drop one that stands as a new one would, to make room."""
+        if len(self.accounts) < self.max_accounts:
+            return True
+        for key in list(islice(self.accounts, MAX_DROP_CANDIDATES)):
+            account = self.accounts.pop(key)
+            if self._is_as_new(now, account):
+                self._accounts_by_key.pop(account.counter_name % KEY_COUNT, None)
+                return True
+            self.accounts[key] = account  # it is considered again after all others
+        return False
+
+    @staticmethod
+    def _is_as_new(now: float, account: Account) -> bool:
+        """Whether dropping the account now gives it nothing: its bucket and its ceiling are full, nothing is open."""
+        level = account.level + account.plan.rate * (now - account.refilled_at)
+        has_full_bucket = account.plan.rate <= 0 or level >= account.plan.burst
+        return has_full_bucket and not account.open_attempts and account.has_full_ceiling(now)
+
     def _call_for_incarnation(self, now: float) -> None:
         """Make the call that asks the counter for an earlier incarnation, or marks this one, if one is due."""
         if (call := self.incarnation.next_call(now)) is not None:
@@ -137,12 +170,8 @@
         for key, account in list(self.accounts.items()):
             # An account is dropped only when its ceiling is full again, because a new account may start with more
             # than was left in it.
-            ceiling_units = (
-                account.ceiling_level * account.gateways
-                + account.local_ceiling_part * account.plan.ceiling_rate * (now - account.refilled_at)
-            )
-            is_full = ceiling_units >= account.local_ceiling_part * account.plan.ceiling_burst
-            if now - account.refilled_at > ACCOUNT_IDLE_SECONDS and not account.open_attempts and is_full:
+            is_idle = now - account.refilled_at > ACCOUNT_IDLE_SECONDS and not account.open_attempts
+            if is_idle and account.has_full_ceiling(now):
                 del self.accounts[key]
                 self._accounts_by_key.pop(account.counter_name % KEY_COUNT, None)
                 continue
