Take offers of an upgrade one after another, and cut log records at 4,000 characters

Cause: data_received called itself for the rest of a read behind each offer: a RecursionError with a traceback of a thousand frames, and each call forgot how many requests the read had held, so that its bound did not hold.

Change: a loop over the offers of a read, and one count. A log record, traceback included, is cut at 4,000 characters: with 20 lines a second the log is bounded in bytes too.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -72,6 +72,20 @@
 
 
 MAX_LOG_LINES_PER_SECOND = 20
+MAX_LOG_RECORD_CHARACTERS = 4000
+LOG_FORMAT = "%(asctime)s %(name)s: %(message)s"
+
+
+class BoundedFormatter(logging.Formatter):
+    """Cuts a record, with its traceback, at a number of characters."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        text = super().format(record)
+        if len(text) <= MAX_LOG_RECORD_CHARACTERS:
+            return text
+        return (
+            f"{text[:MAX_LOG_RECORD_CHARACTERS]}... ({len(text) - MAX_LOG_RECORD_CHARACTERS} more characters)"
+        )
 
 
 class LogRateLimiter(logging.Filter):
@@ -111,7 +125,8 @@
     decisions and the node. ``on_service_created`` receives the service that answers the operators' calls.
     ``wall_clock`` may step: only the fleet services read it, and they write ``history`` if one is given.
     ``sighup_handler`` may have received SIGHUP already. ``read_resident_bytes`` returns the memory of this process;
-    None if others share it, and then its limit is not applied. Raise ``ConfigError`` if the configuration cannot be run.
+    None if others share it, and then its limit is not applied. Raise ``ConfigError`` if the configuration cannot be
+    run.
     """
     loop, stop, sighup_handler = (
         asyncio.get_running_loop(),
@@ -431,7 +446,8 @@
     signal.signal(
         signal.SIGHUP, lambda *_: sighup_handler()
     )  # until the loop handles SIGHUP, whose default action would end the process
-    logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s: %(message)s")
+    handler.setFormatter(BoundedFormatter(LOG_FORMAT))
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
     try:
         operators = _load_operators(sys.argv[1:] if arguments is None else arguments)
         config = load_config_from_env()
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -298,11 +298,7 @@
         self.has_sent_data, self._requests_in_read = True, 0
         self._input = data
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade as offer:
-            # The upgrade is ignored (RFC 9110, 7.8): the request has been handled, and what follows is HTTP/1.1.
-            self._parser = httptools.HttpRequestParser(self)
-            return self.data_received(data[offer.args[0] :])
+            self._parse(data)
         except httptools.HttpParserError as error:
             cause = error.__context__
             if self._rejected:
@@ -326,6 +322,16 @@
         if len(data) > UNCOUNTED_BYTES or self._size > UNCOUNTED_BYTES or self.held_bytes:
             self.count_memory()
 
+    def _parse(self, data: bytes) -> None:
+        """Feed the parser with what a read returned."""
+        while data:
+            try:
+                return self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as offer:
+                # The upgrade is ignored (RFC 9110, 7.8): the request has been handled, and what follows is HTTP/1.1.
+                self._parser = httptools.HttpRequestParser(self)
+                data = data[offer.args[0] :]
+
     # What the connection holds in memory.
 
     def count_memory(self) -> None:
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -469,3 +469,20 @@
         return await reader.read() == b""
     except ConnectionResetError:
         return True
+
+
+def test_offers_of_an_upgrade_are_bounded_like_other_requests_of_a_read() -> None:
+    """Guards against a recursion for each offer, which forgot how many requests the read had held."""
+
+    async def main() -> None:
+        async with Limiter(Script(forward), {}) as limiter:
+            reader, writer = await limiter.connect()
+            offer = b"GET /healthz HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"
+            writer.write(offer * 40)
+            statuses = [
+                line.split(b" ")[1] for line in (await reader.read()).splitlines() if line[:5] == b"HTTP/"
+            ]
+            assert statuses == [b"200"] * frontend.MAX_PIPELINED_REQUESTS + [b"400"]
+            writer.close()
+
+    run(main())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -17,7 +17,7 @@
 
 import pytest
 
-from cypresspulley.__main__ import LogRateLimiter
+from cypresspulley.__main__ import MAX_LOG_RECORD_CHARACTERS, BoundedFormatter, LogRateLimiter
 from cypresspulley.config import parse_config
 from cypresspulley.rehearsal.standins.counter_server import CounterServer
 from cypresspulley.rehearsal.standins.discovery import Agent, Host
@@ -244,6 +244,12 @@
     assert read.timing.dial_timeout == 1.0 and read.settings.max_attempts == 2
 
 
+def test_a_long_record_is_cut() -> None:
+    record = logging.LogRecord("x", logging.ERROR, "", 0, "%s", ("y" * 1_000_000,), None)
+    text = BoundedFormatter("%(message)s").format(record)
+    assert len(text) < MAX_LOG_RECORD_CHARACTERS + 50 and text.endswith("(996000 more characters)")
+
+
 def test_a_flood_of_log_lines_is_cut() -> None:
     limit = LogRateLimiter(3)
     record = logging.LogRecord("x", 20, "", 0, "text", (), None)
