Let a response that has begun go on until its client's deadline

Cause: two bounds that know nothing of the client. A buffered response failed after 0.5 s without a byte, and an attempt ended at its own timeout (at most its class's aim, 1.2 s here) whatever the server was writing.

Change: once a good head has come, an attempt may go on to its client's deadline, beyond its own timeout and through any pause. There it ends as ERROR if nothing had come for 0.5 s, else as TIMEOUT, so that a length that lies is still told from a silent server. Heads that do not end, and other statuses, keep the bound of 0.5 s.

Cost: an answer whose length lies now holds its request until the deadline, where it was tried again after 0.5 s.

--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -175,6 +175,8 @@
         """Set the deadline of a request, which counts from the arrival of its last byte at this machine."""
         left = max(MIN_TIME_LEFT_SECONDS, event.ttl - opened.request.receive_delay)
         opened.deadline = self._clock() + left - margin
+        for attempt in opened.attempts:
+            attempt.deadline = opened.deadline
         respond_after = left - GATEWAY_WAIT_SHARE * margin
         opened.timer = self._loop.call_later(respond_after, self._respond_for_gateway, event.id, 504)
 
@@ -301,6 +303,7 @@
         handler = self._handle_attempt_end if request.dialect is None else self._handle_dialect_attempt_end
         on_done = partial(handler, action.id, number)
         attempt = Exchange(action.server, request.head, request.body, expires, on_done, action.latest_start)
+        attempt.deadline = 0.0 if upload_incomplete else opened.deadline
         attempt.check_client_present = request.check_client_present
         if (upload := request.upload) is not None:
             assert request.event is not None
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -50,8 +50,8 @@
 # copy, garbage) then arrive while no request is pending and close the connection. On a connection that is reused at
 # once they would be taken for the response to the next request.
 REUSE_DELAY_SECONDS = 0.03
-# Longest time without a new byte of a response that has begun. A response shorter than its Content-Length would
-# otherwise end much later as a timeout, which indicates an unresponsive server.
+# Longest time without a new byte of a response that has begun, until its head shows that it is a good one: a server may
+# take as long as the client waits for the rest of that.
 RESPONSE_PROGRESS_TIMEOUT_SECONDS = 0.5
 # Time for which a response of unknown length is buffered. A small one is usually complete by then and is
 # passed on whole.
@@ -111,6 +111,8 @@
     expires: float  # deadline for the response, by the clock of ``Upstream``; infinite while an upload is incomplete
     on_done: Callable[[Exchange], None]
     latest_start: float = math.inf  # if its first byte has not been written by then, it is not sent
+    # Until when a response that has begun may go on, beyond ``expires``; the client's deadline.
+    deadline: float = 0.0
     started_at: float = 0.0
     written: bool = False  # its last byte has been passed to the kernel
     ended: bool = False
@@ -192,6 +194,7 @@
         self._header_bytes = 0
         self._body_bytes = 0
         self._received_bytes = 0
+        self.is_response_stalled = False  # nothing more of it came for ``RESPONSE_PROGRESS_TIMEOUT_SECONDS``
         self._load_value: bytes | None = None
         self._quota_used_value = b""
         self._units_charged_value = b""
@@ -375,20 +378,26 @@
         if self.exchange is not exchange or exchange.download is not None:
             return
         self._progress_timer = None
+        self.is_response_stalled = self._received_bytes == received
         if self._has_unknown_length and exchange.on_download is not None:
             self._start_streaming()
-        elif self._received_bytes > received:  # slow, but still arriving
+        elif self._received_bytes > received or self.has_good_response_begun:  # slow, or still to come
             self._progress_timer = asyncio.get_running_loop().call_later(
                 RESPONSE_PROGRESS_TIMEOUT_SECONDS, self._check_progress, exchange, self._received_bytes
             )
         else:
             self._fail_response(TimeoutError("the response is incomplete and no more of it arrives"))
 
+    @property
+    def has_good_response_begun(self) -> bool:
+        """Whether the head of a response with status 200 has been received, and the response is not complete."""
+        is_ok = self._is_head_complete and self._parser.get_status_code() == 200
+        return is_ok and self._status_code is None
+
     @property
     def _has_unknown_length(self) -> bool:
         """Whether a response with status 200 and without a Content-Length is being received."""
-        is_ok = self._is_head_complete and self._parser.get_status_code() == 200
-        return is_ok and (self._is_chunked or self._ends_with_connection)
+        return self.has_good_response_begun and (self._is_chunked or self._ends_with_connection)
 
     def _start_streaming(self) -> None:
         """Pass a response that is or may be large on to the client as it arrives."""
@@ -810,8 +819,19 @@
             exchange.timer = asyncio.get_running_loop().call_later(wait, self._expired, exchange)
 
     def _expired(self, exchange: Exchange) -> None:
-        # Without a connection it was not sent: it did not run, and this says nothing about the server.
-        self.abort_exchange(exchange, Status.NOT_SENT if exchange.connection is None else Status.TIMEOUT)
+        connection = exchange.connection
+        if connection is None:  # it was not sent, did not run, and says nothing about the server
+            return self.abort_exchange(exchange, Status.NOT_SENT)
+        if not connection.has_good_response_begun:
+            return self.abort_exchange(exchange, Status.TIMEOUT)
+        left = exchange.deadline - self._clock()
+        if left > 0:
+            self._set_timeout(
+                exchange, left
+            )  # the server is writing the response: its client decides how long
+        else:
+            # A response that stands still is a fault of the response, and no silence of the server.
+            self.abort_exchange(exchange, Status.ERROR if connection.is_response_stalled else Status.TIMEOUT)
 
     def abort_exchange(self, exchange: Exchange, status: Status) -> None:
         """End an exchange that is still in progress and close its connection."""
--- a/tests/pressure/servers.py
+++ b/tests/pressure/servers.py
@@ -10,6 +10,8 @@
 LONG_ANSWER_BYTES = 900_000
 SLOW_READ_BYTES_PER_SECOND = 40_000
 STOP_READING_BYTES = 9_000
+PIECES = 4
+PIECE_SECONDS = 0.6
 LAST_CHUNK = b"\r\n0\r\n\r\n"
 
 
@@ -48,4 +50,16 @@
     await asyncio.Event().wait()
 
 
+async def answer_in_pieces(
+    request: ServerRequest, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Answer with a body of known length whose pieces come slowly."""
+    await read_body(reader, request.fields)
+    size = int(request.fields.get("x-size", "36000"))
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+    for _ in range(PIECES):
+        writer.write(b"x" * (size // PIECES))
+        await asyncio.sleep(PIECE_SECONDS)
+
+
 BEHAVIOURS: dict[str, Behaviour] = {"lookup": answer_at_length, "post": read_slowly}
--- a/tests/pressure/test_deadlines.py
+++ b/tests/pressure/test_deadlines.py
@@ -17,7 +17,7 @@
     read_fields,
     request_head,
 )
-from tests.pressure.servers import read_slowly, stop_reading
+from tests.pressure.servers import answer_in_pieces, read_slowly, stop_reading
 from tests.test_relay import chunked
 
 SMALL_BUFFER = 8192  # bytes of the servers' kernel buffers
@@ -63,3 +63,21 @@
             assert max(seconds) <= TTL_MS / 1000 + ANSWER_SLACK_SECONDS
 
     run(main())
+
+
+@pytest.mark.parametrize("size", [4_000, 36_000, 54_000, 120_000])
+@pytest.mark.parametrize(("kind", "method"), [("lookup", "GET"), ("post", "POST")])
+def test_an_answer_that_is_whole_before_the_deadline_is_not_cut_off(
+    kind: str, method: str, size: int, tmp_path: Path
+) -> None:
+    """Guards against a bound on the time between two pieces, and on that of one attempt."""
+
+    async def main() -> None:
+        behaviours: dict[str, Behaviour] = {kind: answer_in_pieces}
+        async with deployed(tmp_path, behaviours) as deployment:
+            framing = "" if method == "GET" else "Content-Length: 0\r\n"
+            request = request_head(kind, method, 5000, framing, extra=f"X-Size: {size}\r\n")
+            status, body, _ = await deployment.fetch(request, PATIENCE_SECONDS)
+            assert (status, len(body), len(deployment.runs)) == (200, size, 1)
+
+    run(main())
