Remember ids of requests that may have run, in both processes of an upgrade

Cause: an id was reserved only while its request was open, and a client that leaves ends that although the attempt may run; the other process of an upgrade knew no ids at all.

Change: net/request_ids.py owns them. Both processes of an upgrade tell each other such ids: all with the offer and again at the handover, each further one before its first attempt. An older version is neither told nor asked (keys of hello and of the offer).

--- a/cypresspulley/net/client_request.py
+++ b/cypresspulley/net/client_request.py
@@ -7,6 +7,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.net.relay import Download, Upload
+from cypresspulley.net.request_ids import RequestIds
 from cypresspulley.net.requests import (
     CLASS_HEADER,
     IDEMPOTENCY_KEY_HEADER,
@@ -34,7 +35,7 @@
     clock: Callable[[], float]
     reader: RequestReader
     handler: Handler
-    open_ids: set[bytes]
+    request_ids: RequestIds
 
     def claim_request_id(self, request: ClientRequest, id: bytes) -> None: ...
 
@@ -76,7 +77,7 @@
 
     __slots__ = (
         "_client", "accepts_chunked", "body", "closes_connection", "dialect", "event", "head", "id", "keep_alive",
-        "receive_delay", "response", "stream", "upload",
+        "may_have_run", "receive_delay", "response", "stream", "upload",
     )  # fmt: skip
 
     @property
@@ -94,6 +95,7 @@
         self.stream: Download | None = None  # set if the response is streamed
         self.closes_connection = False  # the connection closes after the streamed response
         self.accepts_chunked = True  # False for HTTP/1.0 clients
+        self.may_have_run = False  # an attempt of a request that may not be repeated may have run
         self.receive_delay = 0.0  # upper bound in seconds of how long its last byte waited in the kernel
 
     def begin_stream(self, stream: Download) -> None:
@@ -111,7 +113,7 @@
             # Nothing of it was written. A reset might destroy responses that were written just before, so send 502.
             self.stream = None
             return self.respond(502)
-        self._client.frontend.open_ids.discard(self.id)
+        self.release_id()
         self.stream.complete, self.stream.broken = whole, not whole
         self._client.flush()
 
@@ -126,6 +128,14 @@
         response = 0 if self.response is None else len(self.response[1])
         return 2 * (len(self.head) + len(self.body)) + response
 
+    def announce_attempt(self) -> None:
+        """Note that an attempt of this request, which may not be repeated, is about to begin."""
+        self._client.frontend.request_ids.announce(self.id)
+
+    def release_id(self) -> None:
+        """Let the id be used again, unless a repeat could run twice."""
+        self._client.frontend.request_ids.release(self.id, self.may_have_run)
+
     def release_body(self) -> None:
         """Give up what is kept of the body for further attempts."""
         if self.upload is not None:
@@ -166,7 +176,7 @@
         """Set the final response without translation by the dialect. Raise RuntimeError if there is one already."""
         if self.response is not None or self.stream is not None:
             raise RuntimeError("the request has a response already")
-        self._client.frontend.open_ids.discard(self.id)
+        self.release_id()
         self.release_body()
         retry = b"" if retry_after is None else b"Retry-After: %.3f\r\n" % retry_after
         length = b"Content-Length: %d\r\n\r\n" % len(body)
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -47,6 +47,7 @@
     Upload,
     framing,
 )
+from cypresspulley.net.request_ids import RequestIds
 from cypresspulley.net.requests import (
     PARSED_HEADERS,
     REQUEST_ID_HEADER,
@@ -281,8 +282,8 @@
         for request in waiting:
             if request.response is None:
                 request.release_body()
-                self.frontend.open_ids.discard(request.id)
                 self.frontend.handler.departed(request)
+                request.release_id()
 
     def data_received(self, data: bytes) -> None:
         if self._rejected:  # discarded without parsing, because closing over unread bytes would send a reset
@@ -967,7 +968,7 @@
         self._settings = settings
         self.draining = False
         self._drained_at = 0.0
-        self.open_ids = set[bytes]()
+        self.request_ids = RequestIds(self.clock)
         self._max = max_connections
         self.connections_with_data = 0  # open connections that have sent data
         self._sweep_at: asyncio.TimerHandle | None = None
@@ -1100,13 +1101,18 @@
     def claim_request_id(self, request: ClientRequest, id: bytes) -> None:
         """Reserve a request id, so that responses and outcomes cannot be assigned to the wrong request.
 
-        Raise BadRequestError (409) if an open request has the id.
+        Raise BadRequestError (409) if an open request has the id, or one that may have run a short time ago.
         """
-        if id in self.open_ids:
-            raise BadRequestError(409, "the request id belongs to an open request")
-        self.open_ids.add(id)
+        if self.request_ids.is_taken(id):
+            raise BadRequestError(409, "the request id is in use, or its request may have run")
+        self.request_ids.claim(id)
         request.id = id
 
+    @property
+    def open_ids(self) -> set[bytes]:
+        """The ids of the open requests."""
+        return self.request_ids.open
+
     def _sweep(self) -> None:
         self._sweep_at = asyncio.get_running_loop().call_later(SWEEP_INTERVAL, self._sweep)
         self.arrivals.record_heartbeat()
--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -70,6 +70,11 @@
         self.timer: asyncio.TimerHandle | None = None
         self.response_started = False  # a streamed response has begun to reach the client
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the request may run any number of times."""
+        return self.request.event is not None and self.request.event.effect is api.Effect.SAFE
+
     def __repr__(self) -> str:
         event, upload = self.request.event, self.request.upload
         kind = event.request_class if event is not None else "unknown class"
@@ -277,6 +282,8 @@
                 opened.timer.cancel()
             for attempt in opened.attempts:
                 self._upstream.cancel(attempt)
+            if not opened.is_repeatable:
+                opened.request.may_have_run = any(attempt.may_have_run for attempt in opened.attempts)
         return opened
 
     def _respond_for_gateway(self, id: int, status: int) -> None:
@@ -314,6 +321,8 @@
         if request.dialect is None:
             attempt.on_download = partial(self._handle_response_start, action.id, number)
         opened.attempts.append(attempt)
+        if not opened.is_repeatable:
+            request.announce_attempt()
         if number < self._max_attempts:
             self._upstream.start(attempt)
         else:
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -133,6 +133,11 @@
     connection: _Connection | None = None
     timer: asyncio.TimerHandle | None = None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server has the whole request, as far as is known, and did not say that it never ran."""
+        return self.written and self.status is not Status.FULL
+
     @property
     def phase(self) -> str:
         """What the exchange waits for, for the log."""
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -303,6 +303,21 @@
         self._apply(name, id, sure=True)
         self._run_in_background(self._forward_call(name, id, source))  # a third process may be involved
 
+    def known_request_ids(self) -> list[str]:
+        if self._frontend is None:
+            return []
+        return [id.decode("latin-1") for id in self._frontend.request_ids.known()]
+
+    def remember_request_ids(self, ids: list[str]) -> None:
+        if self._frontend is not None:
+            self._frontend.request_ids.remember(id.encode("latin-1") for id in ids)
+
+    def on_request_announced(self, tell: Callable[[str], None] | None) -> None:
+        if self._frontend is not None:
+            self._frontend.request_ids.on_announced = (
+                None if tell is None else lambda id: tell(id.decode("latin-1"))
+            )
+
     def predecessor_ended(self) -> None:
         self.lifecycle.apply(LifecycleEvent.PREDECESSOR_ENDED)
         self._apply_drain()
--- a/cypresspulley/takeover/handover.py
+++ b/cypresspulley/takeover/handover.py
@@ -9,6 +9,7 @@
 import logging
 import os
 import socket
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -29,6 +30,8 @@
 MAX_EARLY_MESSAGES = 256  # operators' calls that may arrive between an offer and the start of serving here
 CALL_TIMEOUT_SECONDS = 0.5  # time for the other process to confirm that a call has taken effect there
 ACCEPTS_PEER_SOCKET = "accepts_peer_socket"  # key of hello
+SHARES_REQUEST_IDS = "shares_request_ids"  # key of hello and of an offer
+MAX_IDS_IN_MESSAGE = 500
 INFLIGHT_REPORT_SECONDS = 0.05  # time between two reports of the open attempts
 assert MAX_DESCRIPTORS == 1
 
@@ -80,6 +83,18 @@
         """Apply an operators' call that the other process received."""
         ...
 
+    def known_request_ids(self) -> list[str]:
+        """Return the ids of requests that may have run here, or may be about to."""
+        ...
+
+    def remember_request_ids(self, ids: list[str]) -> None:
+        """Reject these ids from now on: their requests may have run at the other process."""
+        ...
+
+    def on_request_announced(self, tell: Callable[[str], None] | None) -> None:
+        """Call ``tell`` with each further id before an attempt that may not be repeated; None ends that."""
+        ...
+
     def predecessor_ended(self) -> None:
         """Serve alone after the predecessor has ended."""
         ...
@@ -105,6 +120,7 @@
         self._calls = dict[int, asyncio.Future[None]]()
         self._last_call_number = 0
         self._timer: asyncio.TimerHandle | None = None
+        self._shares_request_ids = False  # whether the other process takes them; an older version does not
 
     def __repr__(self) -> str:
         return f"<{type(self).__name__} {self.machine.state.value}>"
@@ -141,6 +157,16 @@
         self._host.apply_call(name, id, self)
         self._channel.send({"is": "done", "n": number})
 
+    def _send_request_ids(self, ids: list[str]) -> None:
+        if self._channel is None or not self._shares_request_ids:
+            return
+        for at in range(0, len(ids), MAX_IDS_IN_MESSAGE):
+            self._channel.send({"is": "request_ids", "ids": ids[at : at + MAX_IDS_IN_MESSAGE]})
+
+    def _receive_request_ids(self, message: Message) -> None:
+        if self._host is not None:
+            self._host.remember_request_ids([str(each) for each in message["ids"]])
+
     def _receive_done(self, message: Message) -> None:
         if (done := self._calls.pop(message.get("n", 0), None)) is not None and not done.done():
             done.set_result(None)
@@ -220,6 +246,7 @@
             match message.get("is"):
                 case "hello":
                     self._passes_peer_socket = message.get(ACCEPTS_PEER_SOCKET) is True
+                    self._shares_request_ids = message.get(SHARES_REQUEST_IDS) is True
                     self._handle_event(TakeoverEvent.HELLO)
                 case "serving":
                     self._handle_event(TakeoverEvent.SERVING)
@@ -227,9 +254,11 @@
                     self._receive_call(message)
                 case "done":
                     self._receive_done(message)
+                case "request_ids":
+                    self._receive_request_ids(message)
                 case _:
                     self._handle_event(TakeoverEvent.INVALID)
-        except ValueError as error:
+        except (ValueError, TypeError, KeyError) as error:
             log.error("takeover: %s", error)
             self._handle_event(TakeoverEvent.INVALID)
 
@@ -249,6 +278,8 @@
             case TakeoverAction.HAND_OVER:
                 self._stop_listening()  # a further process must find the successor
                 host.set_successor(self)
+                self._send_request_ids(host.known_request_ids())
+                host.on_request_announced(lambda id: self._send_request_ids([id]))
                 self._report_open_attempts()
             case TakeoverAction.TAKE_BACK:
                 host.undo_split(whole=True)
@@ -256,6 +287,7 @@
                 # Does nothing after TAKE_BACK; otherwise the successor may have used the state that it was given.
                 host.undo_split(whole=False)
                 host.set_successor(None)
+                host.on_request_announced(None)
                 host.resume()
                 self._start_listening()
             case TakeoverAction.CLOSE_CHANNEL:
@@ -269,8 +301,10 @@
         parts = [text[at : at + MAX_PART_CHARACTERS] for at in range(0, len(text), MAX_PART_CHARACTERS)]
         host.split_state()
         self._channel.send(
-            {"is": "offer", "parts": len(parts), "checksum": checksum}, host.duplicate_listener()
+            {"is": "offer", "parts": len(parts), "checksum": checksum, SHARES_REQUEST_IDS: True},
+            host.duplicate_listener(),
         )
+        self._send_request_ids(host.known_request_ids())
         if not self._passes_peer_socket:
             host.release_peer_address()
         elif (peer_socket := host.duplicate_peer_socket()) is not None:
@@ -328,7 +362,7 @@
         sock = folder.connect()
         if sock is not None and same_user(sock):
             self._channel = Channel(sock, self._receive, self._on_channel_close)
-            self._channel.send({"is": "hello", ACCEPTS_PEER_SOCKET: True})
+            self._channel.send({"is": "hello", ACCEPTS_PEER_SOCKET: True, SHARES_REQUEST_IDS: True})
             self._timer = self._loop.call_later(
                 STATE_TIMEOUT_SECONDS[TakeoverState.ASKING], self._handle_event, TakeoverEvent.TIMEOUT
             )
@@ -351,6 +385,7 @@
         """Start serving: tell the predecessor, and process the messages that arrived early."""
         self._host = host
         if self.machine.state is TakeoverState.SERVING and self._channel is not None:
+            host.on_request_announced(lambda id: self._send_request_ids([id]))
             self._channel.send({"is": "serving"})
         early, self._early_messages = self._early_messages, []
         for message in early:
@@ -386,6 +421,7 @@
 
     def _receive_offer(self, message: Message, listener: socket.socket | None) -> None:
         self._part_count, self._checksum = int(message["parts"]), str(message["checksum"])
+        self._shares_request_ids = message.get(SHARES_REQUEST_IDS) is True
         if listener is None or not 0 < self._part_count <= MAX_PARTS or self._listener is not None:
             raise ValueError("offer without a listener, with an invalid number of parts, or sent twice")
         self._listener = listener
@@ -417,6 +453,8 @@
                 self._receive_call(message)
             case "done":
                 self._receive_done(message)
+            case "request_ids":
+                self._receive_request_ids(message)
             case kind:
                 raise ValueError(f"unknown message: {kind!r:.40}")
 
@@ -437,6 +475,7 @@
             case TakeoverAction.FORGET_PREDECESSOR:
                 if self._host is not None:
                     self._host.set_predecessor_attempts([])
+                    self._host.on_request_announced(None)
                     self._host.predecessor_ended()
             case TakeoverAction.CLOSE_CHANNEL:
                 self._close_channel()
