Give each address one owner: the server that was started there last, and cold

Cause: servers are known by name, and nothing compared their addresses. Requests for the old name reached the new process, outside its slow start.

Change: net/address_owners.py decides by the order of discovery's news, within one listing by birth, who owns an address; the other is gone for the pool and for the decisions, until it is told with another address or a new start. A new owner whose birth is unknown counts as started now.

Two mutants changed with the code. A drain heeded late names the line as it is now.

--- a/cypresspulley/net/node.py
+++ b/cypresspulley/net/node.py
@@ -16,6 +16,7 @@
 from typing import Any, Protocol
 
 from cypresspulley import interface as api
+from cypresspulley.net.address_owners import AddressOwners
 from cypresspulley.net.client_request import ClientRequest
 from cypresspulley.net.counter import Counter
 from cypresspulley.net.discovery import Listing
@@ -101,6 +102,7 @@
         self._upstream = upstream
         self._counter = counter
         self._max_attempts = settings.max_attempts
+        self._address_owners = AddressOwners()
         self._loop = asyncio.get_running_loop()
         self._open_requests = dict[int, _OpenRequest]()
         self._events = deque[api.Event]()
@@ -141,15 +143,18 @@
         list before the outcomes of the attempts that it ended. Otherwise it would retry those on the next server that
         is draining.
         """
-        self._events.append(replace(listing.servers, previous=self._discovery_contact_at))
+        entries = self._address_owners.resolve(listing.servers, listing.addresses, self._clock())
+        previous = self._discovery_contact_at
+        self._events.append(replace(listing.servers, entries=entries, previous=previous))
         self.record_discovery_contact()
         was_handling, self._is_handling_events = self._is_handling_events, True
         try:
             if listing.servers.complete:
                 self._upstream.retain_servers(set(listing.addresses))
-            for entry in listing.servers.entries:
+            for entry in entries:
                 up = entry.health is api.Health.UP
-                self._upstream.update_server(entry.name, listing.addresses[entry.name], up, entry.born)
+                address = listing.addresses.get(entry.name, "")
+                self._upstream.update_server(entry.name, address, up, entry.born)
         finally:
             self._is_handling_events = was_handling
         self._handle_pending_events()
--- a/tests/explore/mutants.py
+++ b/tests/explore/mutants.py
@@ -16,7 +16,6 @@
 from typing import Any
 
 from cypresspulley.explore.schedule import to_raw
-from cypresspulley.net import discovery
 from cypresspulley.net.node import Node
 from cypresspulley.net.requests import RequestReader
 from cypresspulley.net.upstream import Upstream
@@ -60,7 +59,7 @@
         "a drain heeded late",
         Node,
         "apply_listing",
-        "self._events.append(replace(listing.servers, previous=self._discovery_contact_at))",
+        "self._events.append(replace(listing.servers, entries=entries, previous=previous))",
         "if any(entry.health is api.Health.DRAINING for entry in listing.servers.entries):\n"
         "        return  # until the next news\n"
         "    self._events.append(listing.servers)",
@@ -115,8 +114,8 @@
         shown_by=1,
     ),
     Mutant(
-        "every server taken for a long-running one", discovery, "parse_listing",
-        'float(row.get("born_ms") or 0) / 1000', "0.0",
+        "every server taken for a long-running one", LoadBalancer, "_start_age",
+        "if entry.born == 0.0:", "if entry.born >= 0.0:",
         "cold", ("no cold server pushed over",),
         inside=100.0,
         shown_by=2,
