--- a/tests/soak/draw.py
+++ b/tests/soak/draw.py
@@ -12,6 +12,7 @@
 # The longer cold phase outlasts a play, so a restarted server that is taken for warm is overloaded within it.
 COLD_SECONDS = (4.0, 20.0)
 REQUESTS_PER_SERVER = 22.0  # per second; somewhat over half the capacity of a server with one core
+MEMORY_LIMITS_MB = (64, 96, 128, 192)  # from the least that lets a limiter work beside the soak's own code
 DEADLINES_MS = (250, 600, 1000, 3000)
 # (fault kind, ranges of its own keys). Start times are drawn for all; a kind listed more often is drawn more often.
 FAULT_RANGES: tuple[tuple[str, dict[str, Any]], ...] = (
@@ -29,11 +30,8 @@
 
 def draw_scenario(seed: int) -> Scenario:
     """Draws the scenario of a seed, which is the same each time."""
-    # The cold phase has a generator of its own, so that the rest of a seed's scenario stays the same without it.
-    rng, cold_rng = (
-        Random(seed),
-        Random(f"{seed} cold"),
-    )
+    # What was added later has a generator of its own, so that the rest of a seed's scenario stays the same.
+    rng, cold_rng, memory_rng = Random(seed), Random(f"{seed} cold"), Random(f"{seed} memory")
     limiters, servers = rng.randint(3, 6), rng.randint(4, 7)
     deadline = rng.choice(DEADLINES_MS)
     halls = ["east-hall", "west-hall"]
@@ -45,7 +43,9 @@
             "cold_seconds": cold_rng.choice(COLD_SECONDS), "fall_multiple": 1.5, "fall_seconds": 1.0,
             "idle_seconds": rng.choice((2.0, 15.0)),
         },
-        "limiters": {"count": limiters, "sockets": rng.choice((256, 512))},
+        "limiters": {
+            "count": limiters, "sockets": rng.choice((256, 512)), "memory_mb": memory_rng.choice(MEMORY_LIMITS_MB),
+        },
         "discovery": {"notice": rng.choice(((0.0, 0.2), (1.0, 3.0)))},
         "clients": {
             "retries": rng.randint(0, 2), "backoff": rng.choice(("none", "fixed")), "impatient": rng.choice((0.0, 0.1)),
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from cypresspulley.memory import BYTES_PER_MEGABYTE
 from cypresspulley.rehearsal import records as log
 from cypresspulley.rehearsal.judge import judge_timeline
 from cypresspulley.rehearsal.timeline import Timeline
@@ -19,6 +20,7 @@
 
 DEADLINE_SLACK_SECONDS = 0.15  # by which the time sent to a server may exceed what its client has left
 DISCONNECT_SLACK_SECONDS = 0.1  # after a client has disconnected, within which an attempt may still begin
+MEGABYTE = 1_000_000  # bytes, the unit of recorded usage
 SOCKET_SLACK_SECONDS = 0.05  # added to each limit on sockets
 MAX_CPU_WAIT_SECONDS = 0.15  # for which a limiter may be delayed between reading its clock and writing
 CPU_WAIT_WINDOW_SECONDS = 1.0  # before a failure, in which its limiter's CPU waits are summed
@@ -48,8 +50,8 @@
     is_timing: bool = False
 
 
-def judge_day(seed: int, records: list[log.Record], folder: Path) -> Result:
-    """Judges a play whose limiters wrote their CPU waits into ``folder``."""
+def judge_day(seed: int, records: list[log.Record], folder: Path, memory_limit_mb: int) -> Result:
+    """Judges a play whose limiters wrote their CPU waits into ``folder`` and may occupy ``memory_limit_mb``."""
     line = Timeline(records)
     verdict = judge_timeline(line)
     failures = [
@@ -61,6 +63,7 @@
     failures += _deadline_violations(line)
     failures += _attempts_after_disconnect(line)
     failures += _connections_closed_unanswered(line)
+    failures += _memory_violations(records, memory_limit_mb)
     waits = CpuWaits(folder, _day_start(records))
     cpu_waits = [
         waits.total_between(failure.limiter, failure.t - CPU_WAIT_WINDOW_SECONDS, failure.t)
@@ -77,6 +80,14 @@
     return Result(seed, len(line.tries), len(line.attempts), descriptions, verdict.void)
 
 
+def _memory_violations(records: list[log.Record], limit_mb: int) -> Iterator[Failure]:
+    """Yields limiters whose process occupied more than its limit at any time."""
+    for record in records:
+        if isinstance(record, log.Usage) and record.memory_mb * MEGABYTE > limit_mb * BYTES_PER_MEGABYTE:
+            text = f"memory: {record.limiter} occupied {record.memory_mb:.1f} MB of {limit_mb}"
+            yield Failure(text, record.limiter, record.t)
+
+
 def _day_start(records: list[log.Record]) -> float:
     """Returns the Unix time of second 0 of the play."""
     return next((record.unix_start for record in records if isinstance(record, log.End)), 0.0)
--- a/tests/soak/limiter.py
+++ b/tests/soak/limiter.py
@@ -79,7 +79,7 @@
     if seed % 2:
         threading.Thread(target=run_out_of_descriptors, args=(rng,), daemon=True).start()
     if os.environ.get("SOAK_CROWD"):
-        subprocess.Popen([sys.executable, "-m", "tests.soak.crowd", listening_address()])
+        subprocess.Popen([sys.executable, "-m", "tests.soak.crowd", listening_address(), str(seed)])
     with ExitStack() as stack:
         if mutant := os.environ.get("SOAK_MUTANT"):
             stack.enter_context(MUTANTS[mutant]())
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,6 +34,7 @@
     with TemporaryDirectory() as folder:
         os.environ[FOLDER_VARIABLE] = folder
         try:
-            return judge_day(seed, await play(day, seed, command=LIMITER), Path(folder))
+            records = await play(day, seed, command=LIMITER)
+            return judge_day(seed, records, Path(folder), day.limiters.memory_mb)
         except HarnessError as error:
             return Result(seed, 0, 0, (), str(error))
--- a/tests/soak/test_waits.py
+++ b/tests/soak/test_waits.py
@@ -13,6 +13,7 @@
 from tests.soak import judge as soak
 from tests.soak.processor import CpuWaits, cpu_wait_seconds
 
+MEMORY_LIMIT_MB = 64
 FAILURE_AT = 2.0  # seconds into the play
 
 
@@ -32,7 +33,7 @@
         monkeypatch.setattr(soak, term, lambda _: [])
     monkeypatch.setattr(soak, "_deadline_violations", lambda _: [failure])
     (folder / "limiter-1-77").write_text(waits)
-    return soak.judge_day(1, records, folder)
+    return soak.judge_day(1, records, folder, MEMORY_LIMIT_MB)
 
 
 @pytest.mark.parametrize(
@@ -68,3 +69,11 @@
 
 def test_the_kernel_tells_how_long_a_process_waited() -> None:
     assert 0.0 <= cpu_wait_seconds() < 1e6
+
+
+def test_a_limiter_over_its_memory_limit_is_found_at_any_time() -> None:
+    records: list[log.Record] = [
+        log.Usage(9.0, "limiter-1", 1.0, 67.0, 0), log.Usage(9.0, "limiter-2", 1.0, 67.2, 0),
+    ]  # fmt: skip
+    found = list(soak._memory_violations(records, MEMORY_LIMIT_MB))
+    assert [failure.limiter for failure in found] == ["limiter-2"]
