Share the memory limit between the two processes of an upgrade until one has ended

While two serve, each has half of what the limit leaves beside two processes at rest; the one that stays gets all of it back. Below 2 x 27 MB and some room nothing can be shared: such an upgrade is over at rest.

tests/test_memory.py: shares at 96 to 192 MB, and both sides' changes of share.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -191,10 +191,17 @@
         read_resident_bytes,
     )
     if read_resident_bytes is not None:
-        memory = _divide_memory(config.memory_mb, read_resident_bytes(), budget.clients)
-        frontend.memory.limit_bytes = memory.request_bytes
-        upstream.relay.limit_bytes = memory.transfer_bytes
+        at_rest = read_resident_bytes()
+        memory = _divide_memory(config.memory_mb, at_rest, budget.clients)
         gateway.quotas.max_accounts = memory.accounts
+
+        def share_memory(processes: int) -> None:
+            shared = divide_memory(config.memory_mb * BYTES_PER_MEGABYTE, at_rest, budget.clients, processes)
+            frontend.memory.limit_bytes = shared.request_bytes
+            upstream.relay.limit_bytes = shared.transfer_bytes
+
+        service.share_memory = share_memory
+        share_memory(1 if offer is None else 2)
     frontend.on_sweep = partial(node.check_wall_clock, time.time) if owns_process else None
     frontend.relay, frontend.read_scheduler = upstream.relay, upstream.read_scheduler
     try:
--- a/cypresspulley/memory.py
+++ b/cypresspulley/memory.py
@@ -50,10 +50,15 @@
     return -(-(resident_bytes + MIN_ROOM_BYTES) // BYTES_PER_MEGABYTE)
 
 
-def divide_memory(limit_bytes: int, resident_bytes: int, connections: int) -> MemoryBudget:
-    """Divide what ``limit_bytes`` leaves beside a process at rest and ``connections`` of clients."""
-    room = max(MIN_ROOM_BYTES, limit_bytes - resident_bytes)
-    room = max(room // 2, room - connections * CONNECTION_BYTES)
+def divide_memory(
+    limit_bytes: int, resident_bytes: int, connections: int, processes: int = 1
+) -> MemoryBudget:
+    """Divide what ``limit_bytes`` leaves beside a process at rest and ``connections`` of clients.
+
+    The two ``processes`` of an upgrade share the limit; the budget is that of one of them.
+    """
+    room = max(MIN_ROOM_BYTES, limit_bytes // processes - resident_bytes)
+    room = max(room // 2, room - connections * CONNECTION_BYTES // processes)
     accounts = int(ACCOUNTS.share * room) // ACCOUNT_BYTES
     return MemoryBudget(
         request_bytes=int(REQUESTS.share * room),
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -55,6 +55,8 @@
         self._predecessor_attempts: PredecessorAttempts | None = None
         self._drained = False  # inherited value, used until the process serves
         self._tasks = set[asyncio.Task[None]]()
+        # Divides the memory by the number of processes that share its limit: two while an upgrade goes on.
+        self.share_memory: Callable[[int], None] = lambda _processes: None
         # Purges an account's cached answers on all limiters; returns the limiters that may still have some. None if
         # nothing is cached.
         self.purge: Callable[[str], Awaitable[tuple[str, ...]]] | None = None
@@ -280,6 +282,7 @@
 
     def set_successor(self, to: Peer | None) -> None:
         assert self._frontend is not None
+        self.share_memory(2 if isinstance(to, Predecessor) else 1)
         if isinstance(to, Predecessor):
             self.lifecycle.apply(LifecycleEvent.HAND_OVER)
             self._frontend.set_handoff(to.pass_client)
@@ -319,5 +322,6 @@
             )
 
     def predecessor_ended(self) -> None:
+        self.share_memory(1)
         self.lifecycle.apply(LifecycleEvent.PREDECESSOR_ENDED)
         self._apply_drain()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -12,6 +12,7 @@
 
 from cypresspulley import interface as api
 from cypresspulley.config import ConfigError, parse_config
+from cypresspulley.lifecycle import Lifecycle
 from cypresspulley.memory import (
     ACCOUNT_BYTES,
     BYTES_PER_MEGABYTE,
@@ -22,6 +23,8 @@
 )
 from cypresspulley.net.memory_ledger import MemoryLedger
 from cypresspulley.policy.gateway import Gateway
+from cypresspulley.service import Service
+from cypresspulley.takeover.channel import Folder
 from tests.loopback import SETTINGS, Limiter, Script, ask, forward, run
 from tests.test_program import config
 
@@ -39,6 +42,32 @@
     assert sum(each.share for each in CONSUMERS) < 1.0
 
 
+@pytest.mark.parametrize("limit", [96, 128, 192])
+def test_the_two_processes_of_an_upgrade_fit_into_one_limit(limit: int) -> None:
+    budget = divide_memory(limit * BYTES_PER_MEGABYTE, AT_REST, CONNECTIONS, processes=2)
+    held = AT_REST + CONNECTIONS * CONNECTION_BYTES // 2 + budget.request_bytes + budget.transfer_bytes
+    assert 2 * held < limit * BYTES_PER_MEGABYTE
+
+
+def test_both_sides_of_an_upgrade_share_the_memory_until_one_has_ended(tmp_path: Path) -> None:
+    async def main() -> None:
+        told = list[int]()
+        async with Limiter(Script(forward), {}) as limiter:
+            service = Service(Lifecycle(), Folder(str(tmp_path), "limiter"))
+            service.share_memory = told.append
+            service.serve(limiter.node, limiter.frontend)
+            predecessor = service._predecessor
+            assert predecessor is not None
+            service.set_successor(predecessor)
+            service.set_successor(None)
+            service.set_successor(predecessor)
+            service.predecessor_ended()
+            assert told == [2, 1, 2, 1]
+            service.close()
+
+    run(main())
+
+
 class Holding:
     def __init__(self, ledger: MemoryLedger, size: int) -> None:
         self.ledger, self.held_bytes = ledger, size
