--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -95,6 +95,7 @@
 # descriptors. It can do harm where that many clients send requests all the time and connecting is expensive (TLS, long
 # round trips): each request beyond the share then pays for a new connection.
 KEEP_ALIVE_SHARE = 0.5
+POLLED_EVENTS = select.POLLIN | select.POLLRDHUP
 WHITESPACE = frozenset((b" ", b"\t"))
 TARGET_PATTERN = re.compile(rb"[!-~]+")
 
@@ -152,6 +153,7 @@
         self.last_active_at = frontend.clock()
         self._discarded = 0  # bytes that were read and discarded
         self.held_bytes = 0  # as last counted in the ledger
+        self._poll: select.poll | None = None  # of the socket, made once because it is asked for each attempt
 
     @property
     def is_disconnected(self) -> bool:
@@ -180,13 +182,16 @@
         transport = self._transport
         if transport is None or transport.is_closing():
             return False
-        with contextlib.suppress(OSError):  # poll may be unavailable
-            poll = select.poll()
-            poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-            if not (events := poll.poll(0)):
+        try:
+            if self._poll is None:
+                self._poll = select.poll()
+                self._poll.register(transport.get_extra_info("socket").fileno(), POLLED_EVENTS)
+            if not (events := self._poll.poll(0)):
                 return False
             if events[0][1] & select.POLLRDHUP:
                 return True
+        except OSError:  # poll is unavailable
+            self._poll = None
         try:
             with _borrow_socket(transport) as sock:
                 return sock.recv(1, socket.MSG_PEEK) == b""
