Reject heads of over 256 fields and bodies in very many tiny pieces

Cause: the loop was busy all the time: 15 kB of short fields take some 8 ms to parse, 60 kB in chunks of two bytes 30 ms, and each client that was pushed out for room came again. Four candidates were looked at for room, all of them new and unread; then nobody was accepted for 20 ms.

Change: a head has 256 fields at most (400 beyond, as for its size); a body may come in 1,024 pieces of any size, and in more if they have 16 bytes in the mean. 64 candidates are looked at for room.

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -80,11 +80,15 @@
 LINGER_TIMEOUT = 0.5
 UPLOAD_LINGER_TIMEOUT = 2.0  # seconds: ``LINGER_TIMEOUT`` for a connection with an unfinished large upload
 UPLOAD_LINGER_MAX_BYTES = 8 * 1024 * 1024  # ``LINGER_MAX_BYTES`` for the same case
+MAX_HEAD_FIELDS = 256  # each takes time to parse, however short it is
+# A body may come in this many pieces of any size, and in more if the mean is larger: each takes time to parse.
+MAX_SMALL_PIECES = 1024
+MIN_MEAN_PIECE_BYTES = 16
 MAX_TRAILERS = 32
 # What a connection may hold without being counted: an ordinary request. Its share is that of a connection.
 UNCOUNTED_BYTES = 2048
 FIELD_LINE_OVERHEAD = len(b": \r\n")  # bytes of a field's line beside its name and value
-MAX_EVICTION_CANDIDATES = 4  # connections that are checked for unread data before one of them is evicted
+MAX_EVICTION_CANDIDATES = 64  # connections that are checked for unread data before one of them is evicted
 ABORTIVE_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on with a timeout of 0: closing sends a reset
 # Bytes that are read and discarded after our half-close. Without a bound a sender could make this process drain 60 MB.
 LINGER_MAX_BYTES = 128 * 1024
@@ -132,7 +136,8 @@
         self._size = 0
         self._unparsed_head_bytes = 0  # received of an unfinished head, parsed or not
         self._body_in_read = bytearray()  # of an upload, in the current read
-        self._trailers = 0
+        self._field_count = self._trailers = 0
+        self._piece_count = 0  # of the body, cut by chunks and by reads
         self._head_read = False
         self._receiving = False
         self._length: int | None = None
@@ -385,6 +390,7 @@
     def on_message_begin(self) -> None:
         self._target, self._fields = b"", {}
         self._head, self._body, self._size, self._unparsed_head_bytes = bytearray(), bytearray(), 0, 0
+        self._field_count = self._piece_count = 0
         self._head_read, self._receiving = False, True
         self._length, self._chunked, self._expects = None, False, False
         if not self._pending:
@@ -403,7 +409,8 @@
         self._size += len(name) + len(value) + FIELD_LINE_OVERHEAD
         if self._head_read:
             return self._drop_trailer()
-        if self._size > MAX_HEAD_BYTES:
+        self._field_count += 1
+        if self._size > MAX_HEAD_BYTES or self._field_count > MAX_HEAD_FIELDS:
             raise BadRequestError(400, "head too large")
         # Trailing white space is not part of a value (RFC 9110, 5.5); the parser strips only leading white space.
         if value[-1:] in WHITESPACE:
@@ -460,6 +467,9 @@
         if self._rejected:
             return
         self._size += len(body)
+        self._piece_count += 1
+        if self._piece_count > MAX_SMALL_PIECES + self._size // MIN_MEAN_PIECE_BYTES:
+            raise BadRequestError(400, "chunks too small")
         if self._upload is not None:
             if self._size > MAX_STREAMED_BODY_BYTES:
                 raise BadRequestError(413, "body too large")
--- a/tests/pressure/clients.py
+++ b/tests/pressure/clients.py
@@ -35,6 +35,13 @@
     await discard(reader)
 
 
+async def long_fields(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Begin a head of some long fields and never end it."""
+    writer.write(b"GET /lookup?account=0000000000000001 HTTP/1.1\r\n")
+    writer.write((b"a: " + b"x" * 95 + b"\r\n") * (HEAD_BYTES // 100))
+    await discard(reader)
+
+
 async def head_in_pieces(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Send one field of a head in small pieces for as long as it is taken."""
     writer.write(b"GET /lookup?account=0000000000000001 HTTP/1.1\r\na:")
@@ -51,6 +58,13 @@
     await discard(reader)
 
 
+async def small_chunks(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Send a small body in chunks that are just large enough to be taken, and never end it."""
+    writer.write(request_head("post", "POST", framing="Transfer-Encoding: chunked\r\n"))
+    writer.write((b"10\r\n" + b"x" * 16 + b"\r\n") * (CHUNKED_BODY_BYTES // 16))
+    await discard(reader)
+
+
 async def long_extensions(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
     """Send a small body in chunks of one byte with long extensions and never end it."""
     writer.write(request_head("post", "POST", framing="Transfer-Encoding: chunked\r\n"))
@@ -86,7 +100,8 @@
 PRESSURES: dict[str, Hold] = {
     each.__name__: each
     for each in (
-        short_fields, head_in_pieces, tiny_chunks, long_extensions, half_uploads, small_bodies, unread_answers,
+        short_fields, long_fields, head_in_pieces, tiny_chunks, small_chunks, long_extensions, half_uploads,
+        small_bodies, unread_answers,
     )
 }  # fmt: skip
 
--- a/tests/test_frontend.py
+++ b/tests/test_frontend.py
@@ -486,3 +486,42 @@
             writer.close()
 
     run(main())
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"GET /lookup HTTP/1.1\r\n" + b"a:\r\n" * (frontend.MAX_HEAD_FIELDS + 1) + b"\r\n",
+        b"POST /post HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 2000,
+    ],
+    ids=["fields", "chunks"],
+)
+def test_a_request_of_very_many_short_parts_is_rejected_before_its_end(request_bytes: bytes) -> None:
+    """Guards against a crowd whose parts keep the loop busy while others wait."""
+
+    async def main() -> None:
+        async with Limiter(Script(forward), {}) as limiter:
+            reader, writer = await limiter.connect()
+            writer.write(request_bytes)
+            assert (await reader.readline()).startswith(b"HTTP/1.1 400 ")
+            writer.close()
+
+    run(main())
+
+
+@pytest.mark.parametrize(("size", "count"), [(1, 900), (16, 3900)])
+def test_a_small_body_in_small_chunks_is_taken(size: int, count: int) -> None:
+    async def main() -> None:
+        served = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+
+        async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            assert len((await read_message(reader))[2]) == size * count
+            writer.write(served)
+
+        async with listening(talk) as dial, Limiter(Script(forward), {"s1": dial}) as limiter:
+            request = ask("/post?account=00000000b4d65521", b"x").removesuffix(b"x")
+            request = request.replace(b"Content-Length: 1\r\n", b"Transfer-Encoding: chunked\r\n")
+            chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
+            assert " 200 " in (await limiter.fetch(request + chunk * count + b"0\r\n\r\n"))[0]
+
+    run(main())
