--- a/cypresspulley/net/metered_reader.py
+++ b/cypresspulley/net/metered_reader.py
@@ -10,6 +10,7 @@
 import asyncio
 import time
 from collections import deque
+from collections.abc import Callable
 from typing import cast
 
 # Sizes of one read in bytes. All connections share one buffer, because its contents are copied at once.
@@ -22,8 +23,10 @@
 class ReadScheduler:
     """Shares the event loop among the connections whose data takes long to process."""
 
-    def __init__(self) -> None:
+    def __init__(self, available_bytes: Callable[[], int] = lambda: READ_SIZES[-1]) -> None:
+        """``available_bytes`` returns how much one read may add to what is held in memory."""
         self._loop = asyncio.get_running_loop()
+        self._available_bytes = available_bytes
         self._deferred = deque[MeteredReader]()
         buffer = memoryview(bytearray(READ_SIZES[-1]))
         self.views = tuple(buffer[:size] for size in READ_SIZES)
@@ -31,6 +34,11 @@
     def __repr__(self) -> str:
         return f"<ReadScheduler {len(self._deferred)} deferred>"
 
+    def largest_index(self) -> int:
+        """Return the index of the largest size in ``READ_SIZES`` that memory allows, or of the smallest."""
+        available = self._available_bytes()
+        return max(index for index, size in enumerate(READ_SIZES) if index == 0 or size <= available)
+
     def defer(self, reader: MeteredReader) -> None:
         """Read a connection again after those that were deferred before it, one in each iteration of the loop."""
         if not self._deferred:
@@ -90,8 +98,9 @@
             self._defer()
         elif not is_full:  # the loop reads others before this connection
             self._turn_seconds = 0.0
-        elif seconds < FAST_READ_SECONDS and self._size_index < len(READ_SIZES) - 1:
-            self._set_read_size(self._size_index + 1)
+        else:
+            growth = 1 if seconds < FAST_READ_SECONDS else 0
+            self._set_read_size(min(self._size_index + growth, self._scheduler.largest_index()))
 
     def _set_read_size(self, index: int) -> None:
         self._size_index, self._view = index, self._scheduler.views[index]
--- a/cypresspulley/net/upstream.py
+++ b/cypresspulley/net/upstream.py
@@ -601,7 +601,7 @@
         self._idle_timeout = conn_idle * IDLE_TIMEOUT_SHARE
         self._servers = dict[str, _Server]()
         self.relay = Relay()
-        self.read_scheduler = ReadScheduler()
+        self.read_scheduler = ReadScheduler(self.relay.high_water)
         self.streaming_connections = set[_Connection]()  # with a streamed body in progress
         self.now = clock
         self._banned = set[str]()  # servers banned by an operator, whether listed or not
--- a/tests/test_metered_reader.py
+++ b/tests/test_metered_reader.py
@@ -110,3 +110,23 @@
         far.close()
 
     run(main())
+
+
+def test_reads_stay_small_while_memory_is_short(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def main() -> None:
+        monkeypatch.setattr(metered_reader, "FAST_READ_SECONDS", 10.0)
+        monkeypatch.setattr(metered_reader, "MAX_TURN_SECONDS", 10.0)
+        available = [READ_SIZES[1]]
+        reads = list[tuple[str, int]]()
+        reader = Reader(ReadScheduler(lambda: available[0]), "a", 0.0, reads)
+        far = await connected(reader, DATA)
+        await reader.until(READ_SIZES[0] + 2 * READ_SIZES[1])
+        assert max(size for _, size in reads) == READ_SIZES[1]
+        available[0] = 0
+        reads.clear()
+        far.send(DATA)
+        await reader.until(reader.received + 5 * READ_SIZES[1])
+        assert {size for _, size in reads[1:]} == {READ_SIZES[0]}
+        far.close()
+
+    run(main())
