--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -16,7 +16,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from heapq import nsmallest
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 import httptools
 
@@ -57,9 +57,7 @@
     RequestReader,
     ShutdownRequestReader,
 )
-
-if TYPE_CHECKING:
-    pass
+from cypresspulley.net.upload_clock import UploadClock
 
 log = logging.getLogger(__name__)
 
@@ -69,8 +67,6 @@
 # Seconds without an open request. A keep-alive connection may be closed after 2 s, and a misbehaving client must
 # be disconnected within 3 s.
 IDLE_TIMEOUT = 2.05
-# Seconds without anything to read after which a client had not sent yet what comes next.
-CATCH_UP_SECONDS = 0.05
 DRAIN_NOTICE_TIME = 0.6  # seconds after a drain begins until clients have learned of it
 DRAIN_IDLE_TIMEOUT = 0.3  # idle timeout in seconds that applies after ``DRAIN_NOTICE_TIME``
 HEAD_TIMEOUT = 2.5  # seconds to receive a request head: clients take up to 2 s, and this process may be late
@@ -145,9 +141,7 @@
         self._upload: Upload | None = None  # the body that is passed on while it arrives
         self._progress = 0  # bytes of the transfer or of the write buffer when progress was last seen
         self._progress_at = 0.0  # time of that
-        # Since when the client may have sent all of an upload that this process does not read; None if it has not.
-        self._client_ahead_since: float | None = None
-        self._read_expected_since = 0.0  # when an upload was last read, or reading was resumed
+        self._upload_clock = UploadClock(0.0)
         self._linger_timeout, self._linger_max_bytes = LINGER_TIMEOUT, LINGER_MAX_BYTES
         self._buffered = 0  # unwritten bytes as last added to ``relay.buffered``
         self._input = b""  # the data that is being parsed
@@ -302,7 +296,7 @@
                 self._handle_linger_overflow()
             return
         if self._upload is not None:
-            self._note_read()
+            self._upload_clock.record_read(self.frontend.clock())
         if self._upload is not None and not self.check_client_present():
             return  # the last bytes of the upload would start an attempt for a client that has gone
         self.frontend.connections_with_data += not self.has_sent_data
@@ -487,7 +481,7 @@
         upload = request.upload = self._upload = Upload(
             self._length, self._set_upload_held, self.frontend.relay
         )
-        self._client_ahead_since = None
+        self._upload_clock = UploadClock(self.frontend.clock())
         self._progress, self._progress_at = 0, self.frontend.clock()
         self.frontend.relay.limit_socket_buffers(self._transport.get_extra_info("socket"))
         if self._body:
@@ -503,27 +497,13 @@
 
     def _set_upload_held(self, held: bool) -> None:
         """Pause or resume reading, as the upload's ``held`` says."""
-        now = self.frontend.clock()
-        if held:
-            self._note_client_ahead(now)
-        self._read_expected_since = now
+        now, upload = self.frontend.clock(), self._upload
+        if upload is not None and held:
+            self._upload_clock.hold(now, upload)
+        else:
+            self._upload_clock.resume(now)
         self._apply_backpressure()
 
-    def _note_client_ahead(self, now: float) -> None:
-        """Note that the rest of the body may wait in the kernels, because this process does not read it."""
-        upload = self._upload
-        if upload is None or not upload.may_be_sent_whole:
-            self._client_ahead_since = None
-        elif self._client_ahead_since is None:
-            self._client_ahead_since = now
-
-    def _note_read(self) -> None:
-        """Note a read of a body: after a time with nothing to read, the client had not sent the rest."""
-        now = self.frontend.clock()
-        if now - self._read_expected_since > CATCH_UP_SECONDS:
-            self._client_ahead_since = None
-        self._read_expected_since = now
-
     def _feed_upload(self) -> None:
         """Pass on what the current read brought of a large body, in one piece."""
         if self._body_in_read:
@@ -534,12 +514,11 @@
     def _finish_upload(self, upload: Upload) -> None:
         """Complete a body that was passed on while it arrived."""
         self._feed_upload()
-        self._upload = None
         for request in self._pending:
             if request.upload is upload:
                 request.keep_alive = self._parser.should_keep_alive()
                 request.receive_delay = self._receive_delay()
-        self._client_ahead_since = None
+        self._upload = None
         upload.finish()
         self._apply_backpressure()
 
@@ -566,9 +545,9 @@
         if self._transport is None:
             return 0.0
         age = self.frontend.arrivals.data_age(self._transport, self._input)
-        if self._client_ahead_since is None:
+        if self._upload is None:
             return age
-        return max(age, self.frontend.clock() - self._client_ahead_since)
+        return max(age, self._upload_clock.seconds_waited(self.frontend.clock()))
 
     def _dispatch(self, request: ClientRequest) -> None:
         """Validate the request and pass it to its handler. Raise BadRequestError if it is invalid."""
@@ -905,9 +884,9 @@
         """End a transfer that the client stalls, or whose deadline passes while the server holds it up."""
         upload = self._upload
         if upload is not None and upload.held:
-            self._note_client_ahead(now)
-        elif now - self._read_expected_since > CATCH_UP_SECONDS and not self.has_unread_data:
-            self._client_ahead_since = None
+            self._upload_clock.hold(now, upload)
+        elif upload is not None and not self.has_unread_data:
+            self._upload_clock.record_silence(now)
         if upload is not None and self._is_overdue(upload, now):
             return self._handle_overdue_upload(upload)
         if (
@@ -927,9 +906,9 @@
     def _is_overdue(self, upload: Upload, now: float) -> bool:
         """Whether the client may have waited for its whole timeout since it sent the last byte."""
         request = self._find_request(upload)
-        if request is None or request.event is None or self._client_ahead_since is None:
+        if request is None or request.event is None or not request.awaits_response:
             return False
-        return request.awaits_response and now - self._client_ahead_since > request.event.ttl
+        return self._upload_clock.seconds_waited(now) > request.event.ttl
 
     def _find_request(self, upload: Upload) -> ClientRequest | None:
         return next((request for request in self._pending if request.upload is upload), None)
--- a/tests/test_upload_deadlines.py
+++ b/tests/test_upload_deadlines.py
@@ -10,7 +10,8 @@
 import pytest
 
 from cypresspulley.net import frontend
-from cypresspulley.net.relay import MAX_CLIENT_SOCKET_BYTES
+from cypresspulley.net.relay import MAX_CLIENT_SOCKET_BYTES, Relay, Upload
+from cypresspulley.net.upload_clock import CATCH_UP_SECONDS, UploadClock
 from tests.loopback import OK, Limiter, Script, ask, forward, read_message, run
 from tests.pressure.deployment import listening
 
@@ -120,3 +121,18 @@
                 await asyncio.sleep(0)
 
     run(main())
+
+
+def test_the_clock_of_an_upload_runs_only_while_the_client_may_have_sent_all() -> None:
+    upload, clock = Upload(1000, lambda _held: None, Relay()), UploadClock(0.0)
+    assert clock.seconds_waited(1.0) == 0.0
+    clock.hold(1.0, upload)
+    clock.hold(2.0, upload)
+    assert clock.seconds_waited(3.0) == 2.0, "it runs from the first pause"
+    clock.resume(3.0)
+    clock.record_read(3.0 + CATCH_UP_SECONDS / 2)
+    assert clock.seconds_waited(4.0) == 3.0, "the client was ahead all the time"
+    clock.record_read(4.0)
+    assert clock.seconds_waited(5.0) == 0.0, "there was nothing to read: it had not sent this"
+    clock.hold(5.0, Upload(MAX_CLIENT_SOCKET_BYTES + 1, lambda _held: None, Relay()))
+    assert clock.seconds_waited(6.0) == 0.0, "more is missing than kernels hold"
