Make room by connections that were only just opened last of all

What callers saw: a new connection was reset with no answer to its request, where a crowd fills the connections.

Cause: who had never sent data made room before those with a partial request. With a crowd that sends halves, the only ones who had not sent yet were those whose request was on its way: it had not arrived when FIONREAD was asked, and the reset came behind it.

--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -84,6 +84,9 @@
 # What a connection may hold without being counted: an ordinary request. Its share is that of a connection.
 UNCOUNTED_BYTES = 2048
 FIELD_LINE_OVERHEAD = len(b": \r\n")  # bytes of a field's line beside its name and value
+NEW_CONNECTION_SECONDS = (
+    0.3  # after it was opened, within which the first request of a connection may be on its way
+)
 MAX_EVICTION_CANDIDATES = 64  # connections that are checked for unread data before one of them is evicted
 ABORTIVE_LINGER = struct.pack("ii", 1, 0)  # SO_LINGER on with a timeout of 0: closing sends a reset
 # Bytes that are read and discarded after our half-close. Without a bound a sender could make this process drain 60 MB.
@@ -237,8 +240,9 @@
     def eviction_rank(self) -> tuple[int, float] | None:
         """Rank for eviction at the connection limit, lowest first; None if the connection must stay.
 
-        The order is: lingering connections, those that never sent data, those with a partial request, the ones idle
-        for longest, and last those that still receive a response.
+        The order is: lingering connections, those that have been open for a while and never sent data, those with a
+        partial request, the ones idle for longest, those that still receive a response, and last those that were only
+        just opened, whose first request may be on its way.
         """
         transport = self._transport or self._lingering
         if transport is None or self._pending:
@@ -247,7 +251,10 @@
             return 4, self.last_active_at
         if self._transport is None:
             return None if transport.is_closing() else (0, self.last_active_at)
-        return (1 if not self.has_sent_data else 2 if self._receiving else 3), self.last_active_at
+        if self.has_sent_data:
+            return (2 if self._receiving else 3), self.last_active_at
+        is_new = self.frontend.clock() - self.last_active_at < NEW_CONNECTION_SECONDS
+        return (5 if is_new else 1), self.last_active_at
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's transports are not subclasses of it
