--- a/cypresspulley/rehearsal/play.py
+++ b/cypresspulley/rehearsal/play.py
@@ -202,6 +202,8 @@
         self._failure: BaseException | None = None
         self._next_server = scenario.fleet.servers
         self._watched_processes = dict[str, object]()  # by limiter, the process whose exit is awaited
+        self._starting = set[str]()  # limiters that are not ready yet
+        self._reload_when_ready = set[str]()
         self.returning = set[str]()  # limiters that are down and will be started again
         self.failed = asyncio.Event()
         self.books: PlanBookServer | None = None
@@ -343,11 +345,18 @@
             for row in listed["hosts"]
         }
         self.context.record(log.Listed(now, name, True, True, hosts))
+        self._starting.add(name)
         await limiter.start()
         self._watched_processes[name] = limiter.process
         self._spawn(self._watch_end(limiter))
-        await limiter.wait_until_ready()
+        try:
+            await limiter.wait_until_ready()
+        finally:
+            self._starting.discard(name)
         self.context.record(log.LimiterState(self.context.now(), name, "ready"))
+        if name in self._reload_when_ready:
+            self._reload_when_ready.discard(name)
+            self._signal_reload(limiter)
         self.front.mark_up(name)
 
     def _dead_host(self, limiter: str, number: int) -> Host:
@@ -491,9 +500,14 @@
             self._keeper_links[name], self.net.host(251, index)
         ).address
         limiter.configure(self._config(name, agent.delivered_list()))
-        if limiter.running:
-            self.context.record(log.LimiterState(self.context.now(), name, "reloaded"))
-            limiter.signal(signal.SIGHUP)
+        if name in self._starting:
+            self._reload_when_ready.add(name)  # before it is ready, SIGHUP may end the process
+        elif limiter.running:
+            self._signal_reload(limiter)
+
+    def _signal_reload(self, limiter: LimiterProcess) -> None:
+        self.context.record(log.LimiterState(self.context.now(), limiter.name, "reloaded"))
+        limiter.signal(signal.SIGHUP)
 
     # Servers.
 
