Reserve the address of a discovery agent that is down in its test

Traced: the test picked a free port, left it to nobody while discovery was down, and bound it later; meanwhile an outgoing connection of another test took it (tests/pressure makes thousands of them). The port is now bound from the beginning by a socket that does not listen yet: connections are refused as before, and nobody else can take it. The checks are the same.

--- a/tests/test_endings_descriptors.py
+++ b/tests/test_endings_descriptors.py
@@ -33,7 +33,7 @@
 from tests.test_dial_errors import outcome_of
 from tests.test_discovery import HEAD, chunk
 from tests.test_endings_clients import Peer, refuse, until
-from tests.test_program import Program, config, free_port
+from tests.test_program import Program, config
 
 DESCRIPTOR_LIMIT = 128  # descriptor limit of the process
 LIST_TIMEOUT_SECONDS = 6.0  # seconds within which a list must be learned once discovery is back
@@ -86,8 +86,8 @@
             sock.close()
 
 
-def start_discovery_agent(port: int, answers: list[bytes], asked: list[float]) -> Any:
-    """A discovery agent that sends nothing while ``answers`` is empty."""
+def start_discovery_agent(sock: socket.socket, answers: list[bytes], asked: list[float]) -> Any:
+    """A discovery agent at a bound socket, which sends nothing while ``answers`` is empty."""
 
     async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -101,7 +101,14 @@
         finally:
             writer.transport.abort()
 
-    return asyncio.start_server(talk, "127.0.0.1", port)
+    return asyncio.start_server(talk, sock=sock)
+
+
+def reserve_address() -> socket.socket:
+    """Return a bound socket: its port refuses connections, and is taken by nobody else, until the socket listens."""
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    return sock
 
 
 @pytest.mark.parametrize("down", ["refuses", "silent"])
@@ -117,17 +124,17 @@
 
     async def main() -> None:
         origin, answers, asked = Origin(), list[bytes](), list[float]()
-        port = free_port()
+        address = reserve_address()
         async with listening(origin.talk) as dial:
-            raw = config(dial, f"127.0.0.1:{port}") | {"limits": {"sockets": told}}
+            raw = config(dial, f"127.0.0.1:{address.getsockname()[1]}") | {"limits": {"sockets": told}}
             host = raw["known"]["hosts"].pop()
-            agent = await start_discovery_agent(port, answers, asked) if down == "silent" else None
+            agent = await start_discovery_agent(address, answers, asked) if down == "silent" else None
             async with started(raw, tmp_path) as program:
                 idle_clients = IdleClients(raw["listen"])
                 await idle_clients.until(2 * DESCRIPTOR_LIMIT)
                 answers.append(json.dumps({"seq": 43, "whole": True, "hosts": [host]}).encode() + b"\n")
                 back = time.monotonic()
-                agent = agent or await start_discovery_agent(port, answers, asked)
+                agent = agent or await start_discovery_agent(address, answers, asked)
                 seen = Counter[str]()
                 while not origin.seen and time.monotonic() < back + LIST_TIMEOUT_SECONDS:
                     reader, writer = await program.connect()
