Take the age of a request from its socket where its connection was not read

Cause: the age of data is asked of the socket only while the loop may have been late; after 32 fresh reads it counts as 0. A connection that is paused waits however fresh the others are: a request with 2 s left that had lain unread for 0.5 s was given 1.98 s, and its answer may come later than its client waits by as long as the pause was.

Change: a connection remembers since when it was not read, for the sake of backpressure or of the others' turn, until a read finds the socket empty. Until then the socket is asked; of several requests in one read all count as old as the pause.

Evidence: test_a_request_that_waited_because_its_connection_was_not_read_is_as_old_as_it_is was red (1.98 s), now 1.48.

--- a/cypresspulley/net/arrival.py
+++ b/cypresspulley/net/arrival.py
@@ -65,9 +65,10 @@
         """Return whether the heartbeat is late at ``now``."""
         return now - self._last_heartbeat_at > self._heartbeat_interval + TIMER_TOLERANCE
 
-    def data_age(self, transport: asyncio.BaseTransport, data: bytes) -> float:
+    def data_age(self, transport: asyncio.BaseTransport, data: bytes, unread_seconds: float = 0.0) -> float:
         """Return for how many seconds ``data``, which was read just now, may have waited in the kernel.
 
+        ``unread_seconds`` is for how long this process had paused reading the connection, if it had.
         Delays within ``MAX_UNCHECKED_PAUSE`` may be returned as 0. If ``data`` contains several requests, the socket
         reports the time of the last one only; the others are known to have arrived since the loop became blocked. The
         same holds if ``data`` filled the smallest buffer of a read, because more may follow it.
@@ -76,12 +77,13 @@
         if now - self._last_run_at > MAX_UNCHECKED_PAUSE:
             self._fresh_reads = 0
         self._last_run_at = now
-        if self._fresh_reads >= FRESH_READS_UNTIL_SKIP:
+        if self._fresh_reads >= FRESH_READS_UNTIL_SKIP and not unread_seconds:
             return 0.0
         age = seconds_since_last_data(transport)
-        self._fresh_reads = self._fresh_reads + 1 if (age or 0.0) <= TIMER_TOLERANCE else 0
+        if not unread_seconds:  # the age of data that was left unread says nothing about the loop
+            self._fresh_reads = self._fresh_reads + 1 if (age or 0.0) <= TIMER_TOLERANCE else 0
         if age is None or len(data) >= READ_SIZES[0] or data.count(REQUEST_LINE_END) > 1:
-            return max(age or 0.0, self._seconds_since_stall())
+            return max(age or 0.0, self._seconds_since_stall(), unread_seconds)
         return age
 
     def _seconds_since_stall(self) -> float:
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -334,6 +334,8 @@
             self._unparsed_head_bytes += len(data)
             if self._unparsed_head_bytes > MAX_HEAD_BYTES:
                 self._reject(400, "head too large")
+        if self.unread_seconds:
+            self.end_read(len(data))
         is_large = len(data) > UNCOUNTED_BYTES or self._size > UNCOUNTED_BYTES
         if is_large or self.held_bytes or len(self._pending) > 1:
             self.count_memory()
@@ -556,7 +558,9 @@
         """Upper bound in seconds of how long the last byte being parsed waited in the kernel before it was read."""
         if self._transport is None:
             return 0.0
-        age = self.frontend.arrivals.data_age(self._transport, self._input)
+        # The clock of an upload knows better how long its client may have waited.
+        unread_seconds = self.unread_seconds if self._upload is None else 0.0
+        age = self.frontend.arrivals.data_age(self._transport, self._input, unread_seconds)
         if self._upload is None:
             return age
         return max(age, self._upload_clock.seconds_waited(self.frontend.clock()))
--- a/cypresspulley/net/metered_reader.py
+++ b/cypresspulley/net/metered_reader.py
@@ -26,6 +26,7 @@
     def __init__(self, available_bytes: Callable[[], int] = lambda: READ_SIZES[-1]) -> None:
         """``available_bytes`` returns how much one read may add to what is held in memory."""
         self._loop = asyncio.get_running_loop()
+        self.clock = self._loop.time
         self._available_bytes = available_bytes
         self._deferred = deque[MeteredReader]()
         buffer = memoryview(bytearray(READ_SIZES[-1]))
@@ -65,6 +66,7 @@
         self._is_deferred = False
         self._is_held = False
         self._is_paused = False  # as the transport was last told
+        self._unread_since: float | None = None  # since when data may lie unread, because reading was paused
 
     def data_received(self, data: bytes) -> None:
         """Process received bytes."""
@@ -105,6 +107,16 @@
     def _set_read_size(self, index: int) -> None:
         self._size_index, self._view = index, self._scheduler.views[index]
 
+    @property
+    def unread_seconds(self) -> float:
+        """For how long what is read now may have waited, because reading was paused; 0 if it was not."""
+        return 0.0 if self._unread_since is None else self._scheduler.clock() - self._unread_since
+
+    def end_read(self, count: int) -> None:
+        """Note that a read of ``count`` bytes has been processed; one that is not full leaves nothing unread."""
+        if count < READ_SIZES[0] and not self._is_paused:
+            self._unread_since = None
+
     def hold_reading(self, held: bool) -> None:
         """Pause reading for the sake of backpressure, or end that."""
         self._is_held = held
@@ -128,6 +140,8 @@
         if transport is None or transport.is_closing() or must_pause is self._is_paused:
             return
         self._is_paused = must_pause
+        if must_pause and self._unread_since is None:
+            self._unread_since = self._scheduler.clock()
         if must_pause:
             transport.pause_reading()
         else:
--- a/tests/test_arrival.py
+++ b/tests/test_arrival.py
@@ -13,13 +13,17 @@
 
 import pytest
 
+from cypresspulley import interface as api
 from cypresspulley.net.arrival import FRESH_READS_UNTIL_SKIP, ArrivalClock
-from tests.loopback import ask, listening, run
+from cypresspulley.net.frontend import MAX_PIPELINED_REQUESTS
+from tests.loopback import Limiter, Script, ask, listening, read_message, run
 from tests.test_program import config, started
 
 TTL = 3.0  # seconds
 MAX_EXCESS = 0.15  # seconds by which the timeout sent to a server may exceed the client's remaining time
 TIMEOUT_HEADER = re.compile(rb"X-Timeout-Ms: ([0-9]+)", re.IGNORECASE)
+UNREAD_SECONDS = 0.5  # for which a request waits while its connection is not read
+OTHERS_TTL = 8.0  # seconds; requests with a longer timeout are refused at once
 BODY = b"x" * 70_000  # large enough to be forwarded while it arrives
 
 
@@ -172,3 +176,42 @@
             assert sent_at - started_at < 0.5
 
     run(main())
+
+
+def test_a_request_that_waited_because_its_connection_was_not_read_is_as_old_as_it_is() -> None:
+    """Guards against a full timeout for a request that lay unread behind eight others, though the loop was in time."""
+
+    async def main() -> None:
+        refuse_others = Script(
+            lambda event: (
+                [api.Refuse(event.id, 0.1)]
+                if isinstance(event, api.Request) and event.ttl > OTHERS_TTL
+                else []
+            )
+        )
+        async with Limiter(refuse_others, {}) as limiter:
+            others, others_writer = await limiter.connect()
+
+            async def ask_for_others(count: int) -> None:
+                for _ in range(count):
+                    others_writer.write(ask(ttl=9000))
+                    await read_message(others)
+                    await asyncio.sleep(UNREAD_SECONDS / count)
+
+            await ask_for_others(FRESH_READS_UNTIL_SKIP + 2)
+            _, writer = await limiter.connect()
+            writer.write(b"".join(ask() for _ in range(MAX_PIPELINED_REQUESTS)))
+            count = FRESH_READS_UNTIL_SKIP + 2 + MAX_PIPELINED_REQUESTS
+            waiting = (await refuse_others.until(api.Request, count))[-MAX_PIPELINED_REQUESTS]
+            writer.write(ask(ttl=2000))
+            await ask_for_others(FRESH_READS_UNTIL_SKIP + 2)
+            refuse_others.answer = lambda event: (
+                [api.Refuse(waiting.id, 0.1)] if isinstance(event, api.TimerFired) else []
+            )
+            limiter.node.feed(api.TimerFired(1))
+            last = (await refuse_others.until(api.Request, count + FRESH_READS_UNTIL_SKIP + 3))[-1]
+            assert last.ttl <= 2.0 - UNREAD_SECONDS
+            writer.close()
+            others_writer.close()
+
+    run(main())
