--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from contextlib import asynccontextmanager
 from itertools import count
@@ -17,6 +18,7 @@
 from cypresspulley.net.node import Node, UnixClock
 from cypresspulley.net.upstream import Upstream
 
+DEFAULT_READ_AHEAD = 1 << 16  # bytes that a stand-in takes beyond what it reads
 TEST_TIMEOUT = 20.0  # seconds; only a test that hangs takes this long
 ConnectionHandler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 REQUEST_IDS = count(0x9B1F03AA5C7E2D41)  # each request takes the next one
@@ -70,8 +72,11 @@
 
 
 @asynccontextmanager
-async def listening(talk: ConnectionHandler) -> AsyncIterator[str]:
-    """Serve connections with ``talk``; yield the address of the listener."""
+async def listening(talk: ConnectionHandler, receive_buffer: int | None = None) -> AsyncIterator[str]:
+    """Serve connections with ``talk``; yield the address of the listener.
+
+    ``receive_buffer`` limits what the kernel takes of a connection that ``talk`` does not read, in bytes.
+    """
     tasks = set[asyncio.Task[None]]()
 
     async def guarded(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -86,8 +91,14 @@
             tasks.discard(task)
             writer.transport.abort()
 
-    server = await asyncio.start_server(guarded, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if receive_buffer is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    sock.bind(("127.0.0.1", 0))
+    limit = DEFAULT_READ_AHEAD if receive_buffer is None else receive_buffer // 2
+    server = await asyncio.start_server(guarded, sock=sock, limit=limit)
+    host, port = sock.getsockname()
     try:
         yield f"{host}:{port}"
     finally:
--- a/tests/pressure/deployment.py
+++ b/tests/pressure/deployment.py
@@ -16,7 +16,7 @@
 from random import Random
 from typing import Any
 
-from tests.loopback import OK
+from tests.loopback import OK, listening
 from tests.test_program import Program, free_port
 
 SERVERS = 6
@@ -25,7 +25,6 @@
 ANSWER_SLACK_SECONDS = 0.5  # after its deadline an answer counts as lost
 ACCOUNTS = 40
 START_SECONDS = 10.0
-SMALL_READ_BYTES = 4096  # what a server's process takes before its kernel's buffer fills
 
 CLASSES: list[dict[str, Any]] = [
     {"name": "lookup", "aim_s": 1.2, "effect": "idempotent", "worth": 2.0, "group": "all", "hard_limit_s": 4.0},
@@ -92,44 +91,6 @@
     writer.write(OK)
 
 
-@asynccontextmanager
-async def listening(
-    talk: Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]],
-    receive_buffer: int | None = None,
-    address: tuple[str, int] = ("127.0.0.1", 0),
-) -> AsyncIterator[str]:
-    """Serve connections with ``talk``; yield the address. ``receive_buffer`` limits the kernel's buffers, in bytes."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    if receive_buffer is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-    sock.bind(address)
-    tasks = set[asyncio.Task[None]]()
-
-    async def guarded(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        task = asyncio.current_task()
-        assert task is not None
-        tasks.add(task)
-        try:
-            await talk(reader, writer)
-        except (asyncio.IncompleteReadError, OSError):
-            pass
-        finally:
-            tasks.discard(task)
-            writer.transport.abort()
-
-    limit = SMALL_READ_BYTES if receive_buffer is not None else 1 << 16
-    server = await asyncio.start_server(guarded, sock=sock, limit=limit)
-    host, port = sock.getsockname()
-    try:
-        yield f"{host}:{port}"
-    finally:
-        server.close()
-        for task in list(tasks):
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-
 class StandIn:
     """A server that behaves as told for some classes and soundly for the others; it records what ran."""
 
--- a/tests/soak/mutants.py
+++ b/tests/soak/mutants.py
@@ -8,6 +8,7 @@
 from unittest.mock import patch
 
 from cypresspulley import interface as api
+from cypresspulley.net import frontend
 from cypresspulley.net.arrival import ArrivalClock
 from cypresspulley.net.listener import AcceptResult, SocketListener
 from cypresspulley.net.upstream import Exchange, Upstream
@@ -73,7 +74,15 @@
         yield
 
 
+@contextmanager
+def new_connection_makes_room() -> Iterator[None]:
+    """Evicts a connection that was only just opened before those with a partial request."""
+    with patch.object(frontend, "NEW_CONNECTION_SECONDS", 0.0):
+        yield
+
+
 MUTANTS: dict[str, Callable[[], AbstractContextManager[None]]] = {
     "accept queue dropped": accept_queue_dropped, "deadline not bounded": deadline_not_bounded,
     "birth believed": birth_believed, "drained server used": drained_server_used,
+    "new connection makes room": new_connection_makes_room,
 }  # fmt: skip
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,4 +1,4 @@
-"""A short soak test: fixed seeds, the unchanged limiter, and three mutants of it that must be found."""
+"""A short soak test: fixed seeds, the unchanged limiter, and four mutants of it that must be found."""
 
 from __future__ import annotations
 
@@ -7,8 +7,10 @@
 from tests.soak.judge import Result
 from tests.soak.run import play_seed
 
-UNCHANGED_SEEDS = (2, 5)
-MUTANT_SEED = 2  # finds each of the mutants below
+UNCHANGED_SEEDS = (2, 5, 15)  # the last one has a crowd
+MUTANT_SEEDS = {  # the seed that finds each mutant
+    "accept queue dropped": 2, "deadline not bounded": 2, "drained server used": 2, "new connection makes room": 18,
+}  # fmt: skip
 MAX_PLAYS = 3  # of a seed whose plays are void because the kit itself is late
 
 
@@ -28,6 +30,6 @@
 
 
 @pytest.mark.timed
-@pytest.mark.parametrize("mutant", ["accept queue dropped", "deadline not bounded", "drained server used"])
-def test_a_fault_of_the_limiter_is_found(mutant: str) -> None:
-    assert played(MUTANT_SEED, mutant).failures
+@pytest.mark.parametrize(("mutant", "seed"), MUTANT_SEEDS.items(), ids=MUTANT_SEEDS)
+def test_a_fault_of_the_limiter_is_found(mutant: str, seed: int) -> None:
+    assert played(seed, mutant).failures
--- a/tests/test_upload_deadlines.py
+++ b/tests/test_upload_deadlines.py
@@ -12,8 +12,7 @@
 from cypresspulley.net import frontend
 from cypresspulley.net.relay import MAX_CLIENT_SOCKET_BYTES, Relay, Upload
 from cypresspulley.net.upload_clock import CATCH_UP_SECONDS, UploadClock
-from tests.loopback import OK, Limiter, Script, ask, forward, read_message, run
-from tests.pressure.deployment import listening
+from tests.loopback import OK, Limiter, Script, ask, forward, listening, read_message, run
 
 TTL_MS = 400
 SLACK_SECONDS = 0.5
