--- a/review/8/play.py
+++ b/review/8/play.py
@@ -60,12 +60,14 @@
             await asyncio.sleep(0.2)
 
     await ask(2.0)
-    if RESERVES:
-        await plans.call("reserve", f"wedding {ACCOUNT} 60 --start +2 --end +60 --fleet-rate 60")
     began = record.now()
     new = await start("new", doors[1])
     record.put(f"the new process says yes after {record.now() - began:.2f} s")
-    await ask(began + 3.0 - record.now())
+    if RESERVES:
+        await plans.call("reserve", f"wedding {ACCOUNT} 60 --start +1 --end +60 --fleet-rate 60")
+    await ask(2.0)  # the reservation begins meanwhile
+    if record.now() - began > 6.0:
+        raise rig.CannotRunError("the upgrade takes longer than the 6 s that the new process has")
     if trouble:
         new.send_signal(signal.SIGKILL)
         record.put(f"the new process is killed {record.now() - began:.2f} s after its start")
