Let terms of plans belong to the settings alone while a limiter is split in two

What callers saw: a reservation began while there were two processes of one limiter, and the new one was killed. Where the change was one of known terms, it served on by those of before.

Cause: StateSplit wrote its part of each plan over the plan in force and put remembered plans back at its end. Only SIGHUP told it of a change (Service.on_settings_changed); the plan book's SettingsChanged comes from a layer below. The counter's marks came back as well after a SIGHUP that removed the counter.

Change: Quotas.plans are the terms in force, always. policy/store_share.py says which part of them a process may use; Account.plan is that part of Account.terms, wherever terms are applied. A split moves amounts and changes the share. Calls for marks are paused in a flag of their own, and a failed upgrade after which accounts may have drawn elsewhere also settles an answer that is on its way.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -243,7 +243,6 @@
         frontend.reader.retune(settings)
         if graphql_handler is not None:
             graphql_handler.retune(settings)
-        service.on_settings_changed()
 
     def apply_addresses(new: Config) -> None:
         nonlocal counter
--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -8,6 +8,7 @@
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Status
 from cypresspulley.policy.slots import Slots
+from cypresspulley.policy.store_share import StoreShare
 from cypresspulley.policy.windows import CeilingWindow, local_ceiling_part
 
 OTHERS_DECAY_SECONDS = 1.0  # time constant with which use reported by other gateways is extrapolated
@@ -93,7 +94,9 @@
 class Account:
     """An account's quota as this gateway knows it.
 
-    Many accounts send only one request, so an instance is kept small. Levels are in units of the plan.
+    Many accounts send only one request, so an instance is kept small. Levels are in units of the plan. ``terms`` are
+    the plan's terms in force, ``plan`` the part of them that this process may use: the same, except while it hands over
+    to another one.
     """
 
     __slots__ = (
@@ -118,25 +121,29 @@
         "share_level",
         "slots",
         "synced_at",
+        "terms",
         "unreported",
         "window",
     )
 
     def __init__(
-        self, now: float, event: api.Request, plan: api.Plan, started_at: float, settings: api.Settings
-    ) -> None:
+        self, now: float, event: api.Request, terms: api.Plan, started_at: float, settings: api.Settings,
+        share: StoreShare = StoreShare.WHOLE,
+    ) -> None:  # fmt: skip
         self.refilled_at = now
         self.last_call_at = now  # time of the last report to the counter
         self.synced_at = started_at  # time of the last total that the counter answered
         self.gateways = gateways = max(1, event.gateways)  # number of gateways that serve this account
         label = f"{event.plan} {event.account}"
         self.slots: Slots | None = None
-        self.apply_plan(plan, label, settings)
+        self.apply_terms(terms, label, settings, share)
+        plan = self.plan
         self.counter_name = int.from_bytes(blake2b(label.encode(), digest_size=8).digest(), "big") >> 1
         # Level of the whole token bucket, which may exceed its burst until the first total is known, because the
         # total is deducted from it. Where no other gateway draws on the bucket, it starts full.
         self.level = plan.burst + plan.rate * (now - started_at) * (gateways > 1)
-        self.share_level = self.share_burst  # level of this gateway's even share of the bucket
+        # Level of this gateway's even share of the bucket.
+        self.share_level = self.share_burst * share.part
         # Level of this gateway's even share of the ceiling. It fills from this process's start, because the process
         # before a restart may have used up the bucket.
         self.ceiling_level = (
@@ -157,9 +164,10 @@
         self.last_contact_at = 0.0  # time of the last message; 0 where messages are not used
         self.debt = 0.0  # units charged when the bucket was empty; deducted from the next refills
 
-    def apply_plan(self, plan: api.Plan, label: str, settings: api.Settings) -> None:
-        """Set what depends on the plan and the settings, initially and after each change. Levels are kept."""
-        self.plan = plan
+    def apply_terms(self, terms: api.Plan, label: str, settings: api.Settings, share: StoreShare) -> None:
+        """Set what depends on the plan's terms and the settings, initially and after each change. Levels are kept."""
+        self.terms = plan = terms
+        self.apply_share(share)
         self.low_traffic = (
             plan.burst < 2 * self.gateways
         )  # an even share of the bucket holds less than 2 units
@@ -173,6 +181,10 @@
         limits_open_globally = plan.open_limit > 0 and self.gateways > 1 and settings.has_counter
         self.slots = (self.slots or Slots(label)) if limits_open_globally else None
 
+    def apply_share(self, share: StoreShare) -> None:
+        """Limit the terms in force to the part of the stores that this process may use. Levels are kept."""
+        self.plan = share.limit(self.terms)
+
     def refill(self, now: float) -> None:
         """Refill all levels up to ``now``."""
         plan, elapsed, self.refilled_at = self.plan, max(0.0, now - self.refilled_at), now
--- a/cypresspulley/policy/classes.py
+++ b/cypresspulley/policy/classes.py
@@ -1,6 +1,5 @@
 """The request classes and plans that are in force while settings change at run time."""
 
-from collections.abc import Callable
 from dataclasses import replace
 
 from cypresspulley import interface as api
@@ -24,10 +23,6 @@
         kept |= {name: (plan, now + REPLACED_RECORD_SECONDS) for name, plan in self.current.items()}
         self.current, self._dropped = new, {name: old for name, old in kept.items() if name not in new}
 
-    def transform_dropped(self, transform: Callable[[api.Plan], api.Plan]) -> None:
-        """Replace each dropped plan by what ``transform`` returns for it."""
-        self._dropped = {name: (transform(plan), until) for name, (plan, until) in self._dropped.items()}
-
     def find(self, now: float, name: str) -> api.Plan | None:
         """Return the plan of a name, in force or dropped a short time ago; None where there is none."""
         if (plan := self.current.get(name)) is not None:
--- a/cypresspulley/policy/incarnation.py
+++ b/cypresspulley/policy/incarnation.py
@@ -54,6 +54,7 @@
         fill_times = [p.ceiling_burst / p.ceiling_rate for p in settings.plans if p.ceiling_rate > 0]
         longest_fill = max(fill_times, default=0.0)
         self.is_enabled = settings.has_counter and 0 < longest_fill <= MARK_INTERVAL_SECONDS
+        self.is_paused = False  # while another process of this incarnation makes the calls
         self.is_first = False
         self.marks = tuple(Mark(count_name("incarnation", settings.index, number)) for number in range(2))
         self.is_undecided = True  # whether this is the first one is not known yet
@@ -80,9 +81,20 @@
         for number, mark in enumerate(self.marks):
             mark.due_at = now + self._retry_seconds * (number + 1) / 2
 
+    def forget_first(self, now: float) -> None:
+        """Count as not the first one from now on, whatever a call in flight is answered."""
+        if self.is_undecided:
+            self.resume(now, False)
+        self.is_first = False
+
     def next_call(self, now: float) -> api.Count | None:
         """Return the call that is due, or None."""
-        if not self.is_enabled or self._pending_call is not None or now < self._next_call_at:
+        if (
+            not self.is_enabled
+            or self.is_paused
+            or self._pending_call is not None
+            or now < self._next_call_at
+        ):
             return None
         if not self.is_undecided:
             due_marks = [mark for mark in self.marks if mark.due_at <= now]
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -14,6 +14,7 @@
 from cypresspulley.policy.incarnation import Incarnation
 from cypresspulley.policy.request import Request
 from cypresspulley.policy.slots import PERIOD_SECONDS, Slots
+from cypresspulley.policy.store_share import StoreShare
 from cypresspulley.policy.usage import UsageBroadcast
 from cypresspulley.policy.walltime import WallTime
 from cypresspulley.policy.windows import CeilingWindow
@@ -55,7 +56,8 @@
         self._started_at = now
         self._emit = emit
         self._apply_settings(settings)
-        self.dropped_plans = PlanRegistry(settings)
+        self.plans = PlanRegistry(settings)  # the terms in force
+        self.share = StoreShare.WHOLE
         self.accounts = dict[tuple[str, str], Account]()
         self.max_accounts = DEFAULT_MAX_ACCOUNTS
         self.usage_broadcast: UsageBroadcast | None = None
@@ -70,7 +72,6 @@
 
     def _apply_settings(self, settings: api.Settings) -> None:
         self._settings = settings
-        self._plans = {plan.name: plan for plan in settings.plans}
         self._mean_price = sum(plan.price for plan in settings.plans) / max(1, len(settings.plans)) or 1.0
 
     def _configure_usage_broadcast(self, now: float, settings: api.Settings) -> None:
@@ -94,18 +95,32 @@
         """Apply new settings. Accounts keep their levels, bounded by the new plans; the accounts of a dropped plan
         keep that plan."""
         self._apply_settings(settings)
-        self.dropped_plans.apply_settings(now, settings)
-        for (_, name), account in self.accounts.items():
+        self.plans.apply_settings(now, settings)
+        for (plan, name), account in self.accounts.items():
             account.refill(now)
-            account.apply_plan(
-                self._plans.get(account.plan.name, account.plan), f"{account.plan.name} {name}", settings
-            )
+            terms = self.plans.current.get(plan, account.terms)
+            account.apply_terms(terms, f"{plan} {name}", settings, self.share)
         for request in self._open_requests.values():
             request.holds_slot = request.holds_slot and request.account.slots is not None
         self.counter_calls.set_gateways(settings.gateways)
         self.incarnation.update_settings(settings)
         self._configure_usage_broadcast(now, settings)
 
+    def set_share(self, share: StoreShare) -> None:
+        """Use another part of each store from now on, by the terms in force. Levels are kept.
+
+        Only a process that holds whole stores marks its incarnation for a successor.
+        """
+        self.share = share
+        self.incarnation.is_paused = share is not StoreShare.WHOLE
+        for account in self.accounts.values():
+            account.apply_share(share)
+
+    def forget_first_incarnation(self, now: float) -> None:
+        """Count the ceiling of each account that is new here as drawn: another process may have used it."""
+        self._started_at = now
+        self.incarnation.forget_first(now)
+
     def get_or_create_account(self, now: float, event: api.Request) -> Account:
         """Return the account of a request, refilled up to ``now``.
 
@@ -113,13 +128,9 @@
         """
         key = event.plan, event.account
         if (account := self.accounts.get(key)) is None:
-            plan = (
-                self._plans.get(event.plan)
-                or self.dropped_plans.find(now, event.plan)
-                or api.Plan(event.plan)
-            )
-            account = Account(now, event, plan, self._started_at, self._settings)
-            if self.incarnation.is_first:
+            terms = self.plans.find(now, event.plan) or api.Plan(event.plan)
+            account = Account(now, event, terms, self._started_at, self._settings, self.share)
+            if self.incarnation.is_first and self.share is StoreShare.WHOLE:
                 account.fill_ceiling()
             if not self._has_room(now):
                 return account
@@ -161,7 +172,8 @@
             self.counter_calls.call(now, call.name, call.lifetime, call.amount, self._on_incarnation_answer)
 
     def _on_incarnation_answer(self, now: float, event: api.Counted) -> None:
-        for account in self.accounts.values() if self.incarnation.on_answer(now, event) else ():
+        is_first = self.incarnation.on_answer(now, event)
+        for account in self.accounts.values() if is_first and self.share is StoreShare.WHOLE else ():
             account.fill_ceiling()
 
     def tick(self, now: float) -> None:
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -270,11 +270,6 @@
         assert self._gateway is not None
         self._split = StateSplit(self._gateway)
 
-    def on_settings_changed(self) -> None:
-        """Adapt to new settings; a process that hands over keeps only its share of the plans."""
-        if self._split is not None:
-            self._split.scale_plans()
-
     def undo_split(self, whole: bool) -> None:
         if self._split is not None:
             self._split.undo(whole, self._clock())
--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -1,8 +1,8 @@
 """Snapshots of a limiter's state, as text from which another process continues. No I/O and no clock.
 
 Under every rule, the two processes of one limiter count as one: the contents of each store are split between them, and
-the total is conserved. The process that leaves keeps ``RETAINED_SHARE`` of each store for its remaining work, and
-refills nothing.
+the total is conserved. The process that leaves keeps ``RETAINED_PART`` of each store for its remaining work, and
+refills nothing. The terms of plans are no part of that: they belong to the settings and the plan book.
 """
 
 from __future__ import annotations
@@ -10,18 +10,15 @@
 import hashlib
 import json
 from collections.abc import Mapping
-from dataclasses import asdict, replace
+from dataclasses import asdict
 from typing import Any
 
 from cypresspulley import interface as api
 from cypresspulley.policy.account import Account
 from cypresspulley.policy.gateway import Gateway
+from cypresspulley.policy.store_share import RETAINED_PART, StoreShare
 
 VERSION = 1
-RETAINED_SHARE = 0.1  # share of each store that the leaving process keeps
-NEGLIGIBLE_FACTOR = (
-    1e-9  # scales a refill rate to almost nothing; a rate of 0 would mean that there is no limit
-)
 MAX_ACCOUNTS = 20_000  # in one snapshot; those idle longest are left out, and start as after a restart
 # Each mapping below goes from the name of a field in the snapshot to the name of the attribute that holds it. The
 # reader may be a process of another build: an attribute may be renamed, the name in the snapshot must stay.
@@ -150,7 +147,7 @@
         server = load_balancer.servers[entry.name]
         _write_attributes(server, row, SERVER_FIELDS)
         server.up = bool(row["up"])
-        server.cold_budget *= 1 - RETAINED_SHARE if server.cold_budget > 0 else 1
+        server.cold_budget *= 1 - RETAINED_PART if server.cold_budget > 0 else 1
     load_balancer._rebuild(now)
     quotas._started_at = float(state["born"])
     _write_attributes(quotas.counter_calls, state["calls"], CALL_FIELDS)
@@ -165,7 +162,7 @@
             {int(key): (float(u), float(at)) for key, (u, at) in state["tells"][2]}
         )
     for plan, name, share, _open, values, window in state["accounts"]:
-        if plan not in quotas._plans:
+        if plan not in quotas.plans.current:
             continue  # the plan has been dropped in the meantime
         a = quotas.get_or_create_account(now, api.Request(0, "", plan, 1.0, name, gateways=int(share)))
         _write_attributes(a, values, ACCOUNT_FIELDS)
@@ -175,7 +172,7 @@
             setattr(
                 a,
                 store,
-                (1 - RETAINED_SHARE) * getattr(a, store) if getattr(a, store) > 0 else getattr(a, store),
+                (1 - RETAINED_PART) * getattr(a, store) if getattr(a, store) > 0 else getattr(a, store),
             )
         # An older version writes windows with other field names. They are skipped: the counter knows their contents.
         if a.window is not None and window is not None and set(WINDOW_FIELDS) <= set(window):
@@ -185,73 +182,48 @@
 class StateSplit:
     """The leaving process's split of the state.
 
-    It keeps ``RETAINED_SHARE`` of each store, refills nothing, and can restore the whole state.
+    It keeps ``RETAINED_PART`` of each store, refills nothing, and can take back what it gave. It holds amounts only:
+    plans that change while there are two processes are those of the settings, here and afterwards.
     """
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway, quotas = gateway, gateway.quotas
-        self._plans, self._first = dict[str, api.Plan](), quotas.incarnation.is_first
         self._given = list[tuple[Account, dict[str, float]]]()
         for a in quotas.accounts.values():
-            given = {store: (1 - RETAINED_SHARE) * max(0.0, getattr(a, store)) for store in SPLIT_STORES}
+            given = {store: (1 - RETAINED_PART) * max(0.0, getattr(a, store)) for store in SPLIT_STORES}
             given["unreported"] = a.unreported
             self._given.append((a, given))
             for store, amount in given.items():
                 setattr(a, store, getattr(a, store) - amount)
         self._budgets = [
-            (s, (1 - RETAINED_SHARE) * max(0.0, s.cold_budget))
-            for s in gateway.load_balancer.servers.values()
+            (s, (1 - RETAINED_PART) * max(0.0, s.cold_budget)) for s in gateway.load_balancer.servers.values()
         ]
         for server, budget in self._budgets:
             server.cold_budget -= budget
-        quotas.incarnation.is_first = False
-        self._wanted, quotas.incarnation.is_enabled = quotas.incarnation.is_enabled, False
-        self.scale_plans()
-
-    def scale_plans(self) -> None:
-        """Scale the plans down, also after each change of settings; full plans would refill in both processes."""
-        quotas = self._gateway.quotas
-        self._plans = dict(quotas._plans)
-        scaled = {name: self._scale_plan(plan) for name, plan in self._plans.items()}
-        for a in quotas.accounts.values():
-            self._plans.setdefault(a.plan.name, a.plan)  # of a dropped plan
-            a.plan = scaled.get(a.plan.name) or self._scale_plan(a.plan)
-        quotas._plans = {name: self._scale_new_ceiling(plan) for name, plan in scaled.items()}
-        quotas.dropped_plans.transform_dropped(lambda plan: self._scale_new_ceiling(self._scale_plan(plan)))
-
-    @staticmethod
-    def _scale_new_ceiling(plan: api.Plan) -> api.Plan:
-        """Return the plan for an account that is new to this process: the successor holds its ceiling's store."""
-        return replace(plan, ceiling_burst=plan.ceiling_burst * NEGLIGIBLE_FACTOR)
-
-    @staticmethod
-    def _scale_plan(plan: api.Plan) -> api.Plan:
-        return replace(
-            plan, rate=plan.rate * NEGLIGIBLE_FACTOR, burst=plan.burst * RETAINED_SHARE,
-            ceiling_rate=plan.ceiling_rate * NEGLIGIBLE_FACTOR,
-            ceiling_burst=plan.ceiling_burst * RETAINED_SHARE,
-        )  # fmt: skip
+        quotas.set_share(StoreShare.RETAINED)
 
     def undo(self, whole: bool, now: float) -> None:
-        """Restore the plans and serve alone again.
+        """Serve alone again, by the terms in force.
 
         With ``whole`` the successor has drawn nothing, and its share is taken back; otherwise the share counts as
         used.
         """
         quotas = self._gateway.quotas
-        plans = {name: self._plans[name] for name in quotas._plans}
-        quotas._plans, quotas.incarnation.is_enabled = plans, self._wanted
         if whole:
-            quotas.incarnation.is_first = self._first
-            for server, budget in self._budgets:
-                server.cold_budget += budget
-        else:
-            quotas._started_at = now  # accounts that are new here may have drawn units at the successor
+            quotas.set_share(StoreShare.WHOLE)
+            self._take_back()
+            return
         for a in quotas.accounts.values():
-            if not whole:
-                a.refill(now)
-            a.plan = self._plans.get(a.plan.name, a.plan)
-        for a, given in self._given if whole else ():
+            a.refill(now)
+        quotas.set_share(StoreShare.WHOLE)
+        quotas.forget_first_incarnation(
+            now
+        )  # accounts that are new here may have drawn units at the successor
+
+    def _take_back(self) -> None:
+        for server, budget in self._budgets:
+            server.cold_budget += budget
+        for a, given in self._given:
             for store, amount in given.items():
                 setattr(a, store, getattr(a, store) + amount)
 
--- a/tests/takeover/test_snapshot.py
+++ b/tests/takeover/test_snapshot.py
@@ -14,8 +14,8 @@
 from cypresspulley import interface as api
 from cypresspulley.messages import decode_message
 from cypresspulley.policy.gateway import Gateway
+from cypresspulley.policy.store_share import RETAINED_PART
 from cypresspulley.takeover.snapshot import (
-    RETAINED_SHARE,
     SPLIT_STORES,
     PredecessorAttempts,
     SnapshotError,
@@ -71,7 +71,7 @@
         old, new = world.gateway.quotas.accounts[key], after.quotas.accounts[key]
         for store, amount in stores.items():
             assert getattr(old, store) + getattr(new, store) == pytest.approx(amount)
-            assert getattr(old, store) == pytest.approx(RETAINED_SHARE * amount) or amount <= 0
+            assert getattr(old, store) == pytest.approx(RETAINED_PART * amount) or amount <= 0
 
 
 def test_servers_bans_loads_and_rates_go_over() -> None:
@@ -104,14 +104,14 @@
         (key, s): getattr(a, s) for key, a in world.gateway.quotas.accounts.items() for s in SPLIT_STORES
     }
     plans, budgets = (
-        dict(world.gateway.quotas._plans),
+        dict(world.gateway.quotas.plans.current),
         [s.cold_budget for s in world.gateway.load_balancer.servers.values()],
     )
     StateSplit(world.gateway).undo(whole=True, now=world.now)
     after = {
         (key, s): getattr(a, s) for key, a in world.gateway.quotas.accounts.items() for s in SPLIT_STORES
     }
-    assert after == pytest.approx(before) and world.gateway.quotas._plans == plans
+    assert after == pytest.approx(before) and world.gateway.quotas.plans.current == plans
     assert [s.cold_budget for s in world.gateway.load_balancer.servers.values()] == pytest.approx(budgets)
     assert all(a.plan is PLAN for a in world.gateway.quotas.accounts.values())
 
--- a/tests/test_classes.py
+++ b/tests/test_classes.py
@@ -10,8 +10,9 @@
 from cypresspulley.explore.examine import open_counts
 from cypresspulley.net.requests import BadRequestError, RequestReader
 from cypresspulley.policy.classes import CLIENT_UPDATE_SECONDS, REPLACED_RECORD_SECONDS, ClassRegistry
+from cypresspulley.policy.store_share import RETAINED_PART
 from cypresspulley.settings import SettingsError, check_no_missing_keys, check_positive_figures
-from cypresspulley.takeover.snapshot import RETAINED_SHARE, StateSplit
+from cypresspulley.takeover.snapshot import StateSplit
 from tests import world as w
 
 SAFE, KEYED, UNSAFE = api.Effect.SAFE, api.Effect.KEYED, api.Effect.UNSAFE
@@ -111,12 +112,11 @@
     split = StateSplit(world.gateway)
     changed = replace(plan, ceiling_rate=6.0)
     world.feed(api.SettingsChanged(replace(OTHER, plans=(changed,))))
-    split.scale_plans()
     account = world.gateway.quotas.accounts["capped", "x"]
     account.refill(world.now + 100.0)
-    assert account.ceiling_level <= RETAINED_SHARE * 12.0
+    assert account.ceiling_level <= RETAINED_PART * 12.0
     split.undo(whole=True, now=world.now + 100.0)
-    assert account.plan == changed and world.gateway.quotas._plans == {"capped": changed}
+    assert account.plan == changed and world.gateway.quotas.plans.current == {"capped": changed}
 
 
 def test_the_reader_goes_by_the_same_records() -> None:
