Let accounts that were handed over wait for plans that only the book knows

A reservation's plan comes with the first book, after the restore, and accounts of unknown plans were left out as dropped. The process also takes over that it is the first in its position, so an account that is new to it starts full.

Change: policy/inherited.py keeps such accounts until their plan is in force, 20,000 and 60 s at most, then they go on with what they had. Meanwhile an account of that name has empty stores under any other plan; what it draws counts for the one that waits. Where one is not waited for (any longer), accounts that are new to the process start as after a restart. Waiting accounts are split and handed on.

--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -216,6 +216,11 @@
             self.local_ceiling_part * self.plan.ceiling_burst / self.gateways - self.ceiling_drawn,
         )
 
+    def empty(self) -> None:
+        """Count all stores as drawn, because their contents are not known."""
+        self.level = self.share_level = self.ceiling_level = 0.0
+        self.ceiling_drawn = self.local_ceiling_part * self.plan.ceiling_burst / self.gateways
+
     def return_ceiling_units(self, units: float) -> None:
         """Return units that were taken from the even share of the ceiling and not used."""
         self.ceiling_level = min(
--- /dev/null
+++ b/cypresspulley/policy/inherited.py
@@ -0,0 +1,83 @@
+"""Accounts that a predecessor handed over under plans that are not known here yet.
+
+A plan may be known to the plan book alone, and the first book arrives after a new process has taken its predecessor's
+state over. Until then such an account counts as drawn under any other plan: its own store would start full a second
+time. No I/O and no clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container, ItemsView
+
+from cypresspulley.policy.account import Account
+
+MAX_WAIT_SECONDS = 60.0  # after that the plans are not waited for any longer
+MAX_INHERITED_ACCOUNTS = 20_000
+AccountKey = tuple[str, str]  # plan and account
+
+
+class InheritedAccounts:
+    """The accounts that wait for their plans, and those that were created in their place meanwhile."""
+
+    def __init__(self) -> None:
+        self._waiting = dict[AccountKey, Account]()
+        # Accounts of the same names under other plans, with what their ceilings had counted as drawn at first.
+        self._substitutes = dict[str, dict[AccountKey, tuple[Account, float]]]()
+        self._names = set[str]()
+        self._until = 0.0
+
+    def __repr__(self) -> str:
+        return f"<InheritedAccounts {len(self._waiting)} waiting>"
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def items(self) -> ItemsView[AccountKey, Account]:
+        """Return the accounts that wait; their plans' terms are not known, so that they must not be refilled."""
+        return self._waiting.items()
+
+    def add(self, now: float, key: AccountKey, account: Account) -> bool:
+        """Keep an account until its plan is known; return False if there are too many."""
+        if len(self._waiting) >= MAX_INHERITED_ACCOUNTS:
+            return False
+        self._waiting[key] = account
+        self._names.add(key[1])
+        self._until = now + MAX_WAIT_SECONDS
+        return True
+
+    def holds(self, name: str) -> bool:
+        """Return whether an account of this name waits for its plan."""
+        return name in self._names
+
+    def add_substitute(self, key: AccountKey, account: Account) -> None:
+        """Note an account that was created, with empty stores, while one of its name waits for its plan."""
+        self._substitutes.setdefault(key[1], {})[key] = account, account.ceiling_drawn
+
+    def take(self, plans: Container[str]) -> list[tuple[AccountKey, Account, list[AccountKey]]]:
+        """Remove and return the accounts whose plans are known now, each with the keys of its substitutes.
+
+        What the substitutes have drawn from their ceilings is drawn from the account's.
+        """
+        found = [(key, account) for key, account in self._waiting.items() if key[0] in plans]
+        taken = list[tuple[AccountKey, Account, list[AccountKey]]]()
+        for key, account in found:
+            del self._waiting[key]
+            substitutes = self._substitutes.pop(key[1], {})
+            for substitute, drawn_at_first in substitutes.values():
+                drawn = max(0.0, substitute.ceiling_drawn - drawn_at_first)
+                account.ceiling_level -= drawn
+                account.ceiling_drawn += drawn
+                account.level = max(0.0, account.level - drawn)
+                account.share_level -= drawn
+            taken.append((key, account, list(substitutes)))
+        self._names = {name for _, name in self._waiting}
+        return taken
+
+    def expire(self, now: float) -> bool:
+        """Drop all accounts once they have waited too long; return whether any was dropped."""
+        if not self._waiting or now < self._until:
+            return False
+        self._waiting.clear()
+        self._substitutes.clear()
+        self._names.clear()
+        return True
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -12,6 +12,7 @@
 from cypresspulley.policy.account import Account, CountCallback, CounterCalls
 from cypresspulley.policy.classes import PlanRegistry
 from cypresspulley.policy.incarnation import Incarnation
+from cypresspulley.policy.inherited import AccountKey, InheritedAccounts
 from cypresspulley.policy.request import Request
 from cypresspulley.policy.slots import PERIOD_SECONDS, Slots
 from cypresspulley.policy.store_share import StoreShare
@@ -58,7 +59,8 @@
         self._apply_settings(settings)
         self.plans = PlanRegistry(settings)  # the terms in force
         self.share = StoreShare.WHOLE
-        self.accounts = dict[tuple[str, str], Account]()
+        self.accounts = dict[AccountKey, Account]()
+        self.inherited = InheritedAccounts()
         self.max_accounts = DEFAULT_MAX_ACCOUNTS
         self.usage_broadcast: UsageBroadcast | None = None
         self._accounts_by_key = dict[int, Account]()  # by the part of the counter name that messages carry
@@ -100,12 +102,38 @@
             account.refill(now)
             terms = self.plans.current.get(plan, account.terms)
             account.apply_terms(terms, f"{plan} {name}", settings, self.share)
+        self._adopt_inherited()
         for request in self._open_requests.values():
             request.holds_slot = request.holds_slot and request.account.slots is not None
         self.counter_calls.set_gateways(settings.gateways)
         self.incarnation.update_settings(settings)
         self._configure_usage_broadcast(now, settings)
 
+    def keep_inherited_account(self, now: float, event: api.Request) -> Account:
+        """Return an account of a predecessor that waits for its plan; its levels are the caller's to set.
+
+        If too many wait, all accounts that are new here count as drawn instead.
+        """
+        account = Account(now, event, api.Plan(event.plan), now, self._settings, self.share)
+        if not self.inherited.add(now, (event.plan, event.account), account):
+            self.forget_first_incarnation(now)
+        return account
+
+    def _adopt_inherited(self) -> None:
+        """Continue the accounts of a predecessor whose plans are known now, in place of what stood in for them."""
+        for key, account, substitutes in self.inherited.take(self.plans.current):
+            for substitute in substitutes:
+                self._remove_account(substitute)
+            terms = self.plans.current[key[0]]
+            account.apply_terms(terms, f"{key[0]} {key[1]}", self._settings, self.share)
+            self.accounts[key] = account
+            self._accounts_by_key[account.counter_name % KEY_COUNT] = account
+
+    def _remove_account(self, key: AccountKey) -> None:
+        account = self.accounts.pop(key, None)
+        if account is not None:
+            self._accounts_by_key.pop(account.counter_name % KEY_COUNT, None)
+
     def set_share(self, share: StoreShare) -> None:
         """Use another part of each store from now on, by the terms in force. Levels are kept.
 
@@ -132,6 +160,9 @@
             account = Account(now, event, terms, self._started_at, self._settings, self.share)
             if self.incarnation.is_first and self.share is StoreShare.WHOLE:
                 account.fill_ceiling()
+            if self.inherited.holds(event.account):
+                account.empty()
+                self.inherited.add_substitute(key, account)
             if not self._has_room(now):
                 return account
             self.accounts[key] = account
@@ -179,13 +210,14 @@
     def tick(self, now: float) -> None:
         """Once per interval, drop idle accounts and report to the counter what is still unreported."""
         self._call_for_incarnation(now)
+        if self.inherited.expire(now):
+            self.forget_first_incarnation(now)
         for key, account in list(self.accounts.items()):
             # An account is dropped only when its ceiling is full again, because a new account may start with more
             # than was left in it.
             is_idle = now - account.refilled_at > ACCOUNT_IDLE_SECONDS and not account.open_attempts
             if is_idle and account.has_full_ceiling(now):
-                del self.accounts[key]
-                self._accounts_by_key.pop(account.counter_name % KEY_COUNT, None)
+                self._remove_account(key)
                 continue
             if (
                 account.slots is not None
--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -16,6 +16,7 @@
 from cypresspulley import interface as api
 from cypresspulley.policy.account import Account
 from cypresspulley.policy.gateway import Gateway
+from cypresspulley.policy.quota import Quotas
 from cypresspulley.policy.store_share import RETAINED_PART, StoreShare
 
 VERSION = 1
@@ -83,7 +84,8 @@
     """Return the state of the gateway, without changing it."""
     load_balancer, quotas = gateway.load_balancer, gateway.quotas
     incarnation, usage = quotas.incarnation, quotas.usage_broadcast
-    accounts = sorted(quotas.accounts.items(), key=lambda each: -each[1].refilled_at)[:MAX_ACCOUNTS]
+    accounts = sorted(quotas.accounts.items(), key=lambda each: -each[1].refilled_at)
+    accounts = [*quotas.inherited.items(), *accounts][:MAX_ACCOUNTS]
     return {
         "retries": gateway._retry_tokens,
         "seen": list(gateway._recent_values),
@@ -161,22 +163,31 @@
         quotas.usage_broadcast.unknown_use.update(
             {int(key): (float(u), float(at)) for key, (u, at) in state["tells"][2]}
         )
-    for plan, name, share, _open, values, window in state["accounts"]:
-        if plan not in quotas.plans.current:
-            continue  # the plan has been dropped in the meantime
-        a = quotas.get_or_create_account(now, api.Request(0, "", plan, 1.0, name, gateways=int(share)))
-        _write_attributes(a, values, ACCOUNT_FIELDS)
-        if quotas.usage_broadcast is not None and a.unreported:
-            quotas.usage_broadcast.unreported_accounts[a.counter_name] = a
-        for store in SPLIT_STORES:
-            setattr(
-                a,
-                store,
-                (1 - RETAINED_PART) * getattr(a, store) if getattr(a, store) > 0 else getattr(a, store),
-            )
+    # Accounts that wait for their plans come first: others of their names then count as substitutes.
+    for plan, name, gateways, _open, values, window in sorted(
+        state["accounts"], key=lambda row: row[0] in quotas.plans.current
+    ):
+        request = api.Request(0, "", str(plan), 1.0, str(name), gateways=int(gateways))
+        _restore_account(quotas, now, request, values, window)
+
+
+def _restore_account(
+    quotas: Quotas, now: float, request: api.Request, values: dict[str, Any], window: dict[str, Any] | None
+) -> None:
+    """Restore an account; one whose plan is not known here waits until it is."""
+    if request.plan in quotas.plans.current:
+        account = quotas.get_or_create_account(now, request)
         # An older version writes windows with other field names. They are skipped: the counter knows their contents.
-        if a.window is not None and window is not None and set(WINDOW_FIELDS) <= set(window):
-            _write_attributes(a.window, window, WINDOW_FIELDS)
+        if account.window is not None and window is not None and set(WINDOW_FIELDS) <= set(window):
+            _write_attributes(account.window, window, WINDOW_FIELDS)
+    else:
+        account = quotas.keep_inherited_account(now, request)
+    _write_attributes(account, values, ACCOUNT_FIELDS)
+    if quotas.usage_broadcast is not None and account.unreported:
+        quotas.usage_broadcast.unreported_accounts[account.counter_name] = account
+    for store in SPLIT_STORES:
+        amount = getattr(account, store)
+        setattr(account, store, (1 - RETAINED_PART) * amount if amount > 0 else amount)
 
 
 class StateSplit:
@@ -189,7 +200,7 @@
     def __init__(self, gateway: Gateway) -> None:
         self._gateway, quotas = gateway, gateway.quotas
         self._given = list[tuple[Account, dict[str, float]]]()
-        for a in quotas.accounts.values():
+        for a in [*quotas.accounts.values(), *(waiting for _, waiting in quotas.inherited.items())]:
             given = {store: (1 - RETAINED_PART) * max(0.0, getattr(a, store)) for store in SPLIT_STORES}
             given["unreported"] = a.unreported
             self._given.append((a, given))
