--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -169,6 +169,8 @@
     ):
         request = api.Request(0, "", str(plan), 1.0, str(name), gateways=int(gateways))
         _restore_account(quotas, now, request, values, window)
+    if len(state["accounts"]) >= MAX_ACCOUNTS:
+        quotas.forget_first_incarnation(now)  # the accounts that were left out may have been drawn on
 
 
 def _restore_account(
--- a/tests/takeover/test_inherited.py
+++ b/tests/takeover/test_inherited.py
@@ -121,3 +121,16 @@
     new = successor(world)
     learn_book(new, world.now)
     assert account_of(new, world.now).ceiling_level == 0.0
+
+
+def test_accounts_that_a_snapshot_has_no_room_for_count_as_drawn(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a full ceiling for an account that was left out of the snapshot."""
+    world = drawn_world(plan="capped")
+    world.feed(make_request(60, "read", "capped", "late"))
+    monkeypatch.setattr(snapshot, "MAX_ACCOUNTS", 1)
+    new = successor(world)
+    levels = [
+        new.quotas.get_or_create_account(world.now, make_request(0, "read", "capped", name)).ceiling_level
+        for name in ("late", "hotel")
+    ]
+    assert min(levels) == 0.0
