Let a process that leaves offer nothing, and leave the takeover socket to others

What callers saw: nothing broke by it.

Cause: the table knew no process that leaves. One whose successor ended before it went back to WATCHING and took the takeover socket, also from the process that served by then; the next new process asked it, and its listener was closed.

Waiting for the next successor is an action of its own (LISTEN), which no leaving state has.

--- a/cypresspulley/__main__.py
+++ b/cypresspulley/__main__.py
@@ -271,6 +271,7 @@
     if not service.leave():
         # Clients have not been notified of the shutdown yet: connections that they still open are accepted and served.
         await asyncio.sleep(ACCEPT_AFTER_SIGTERM_SECONDS)
+    service.stop_offering()
     await frontend.close(answer_timeout(timing.longest_deadline))
     node.fail_open_requests()
     await frontend.close(FLUSH_TIMEOUT_SECONDS)
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -210,8 +210,15 @@
         is_handed_over = self.lifecycle.handed_over
         self.lifecycle.apply(LifecycleEvent.TERMINATE)
         self._apply_drain()
+        if is_handed_over:
+            self.stop_offering()
         return is_handed_over
 
+    def stop_offering(self) -> None:
+        """Leave the next successor to whoever serves, because this process closes its listener."""
+        if self._predecessor is not None:
+            self._predecessor.leave()
+
     def _apply_drain(self) -> None:
         if self._frontend is None:
             return
--- a/cypresspulley/takeover/handover.py
+++ b/cypresspulley/takeover/handover.py
@@ -322,8 +322,11 @@
                     lambda: host.set_successor(None),
                     lambda: host.on_request_announced(None),
                     host.resume,
-                    self._start_listening,
                 )
+            case TakeoverAction.LISTEN:
+                return (self._start_listening,)
+            case TakeoverAction.STOP_LISTENING:
+                return (self._stop_listening,)
             case TakeoverAction.CLOSE_CHANNEL:
                 return (self._close_channel,)
             case _:
@@ -367,13 +370,17 @@
     def _report_open_attempts(self) -> None:
         self._report_timer = None
         if (
-            self.machine.state is TakeoverState.HANDED_OVER
+            self.machine.state in (TakeoverState.HANDED_OVER, TakeoverState.LEAVING_WITH_SUCCESSOR)
             and self._host is not None
             and self._channel is not None
         ):
             self._report_timer = self._loop.call_later(INFLIGHT_REPORT_SECONDS, self._report_open_attempts)
             self._channel.send({"is": "held", "rows": self._host.count_open_attempts()[:500]})
 
+    def leave(self) -> None:
+        """Offer nothing from now on, because this process closes its listener."""
+        self._handle_event(TakeoverEvent.LEAVE)
+
     def close(self) -> None:
         for timer in (self._report_timer, self._timer):
             if timer is not None:
--- a/cypresspulley/takeover/states.py
+++ b/cypresspulley/takeover/states.py
@@ -4,7 +4,8 @@
 successor reports that it is serving. It gives up nothing until then. If the successor dies first, it has served nobody,
 so the predecessor takes all of its state back. If the successor is only late, it may still start to serve, so the state
 stays split. A successor that does not receive a complete offer in time starts alone, with the little that is known
-after a restart. This module does no I/O and reads no clock.
+after a restart. A process that leaves and has closed its listener offers nothing any more: however its own successor
+ends, the next one is left to whoever serves. This module does no I/O and reads no clock.
 """
 
 from __future__ import annotations
@@ -18,6 +19,10 @@
     WATCHING = "watching"  # predecessor: no successor has connected
     OFFERED = "offered"  # predecessor: new connections wait in the kernel, the state has been sent
     HANDED_OVER = "handed"  # predecessor: the successor is serving
+    LEAVING = "leaving"  # predecessor: it has closed its listener, and no successor is connected
+    LEAVING_WITH_SUCCESSOR = (
+        "leaving, handed"  # the same, while a successor has been offered the state, or serves
+    )
     ASKING = "asking"  # successor: has sent hello
     RECEIVING = "receiving"  # successor: is receiving the parts of the offer
     SERVING = "serving"  # successor: serves while its predecessor finishes
@@ -33,6 +38,7 @@
     INVALID = "bad"  # a message or a snapshot that cannot be used
     SERVING = "serving"
     ENDED = "ended"  # the connection closed, or was never established
+    LEAVE = "leave"  # this process closes its listener, before it ends
     TIMEOUT = "late"  # no message arrived within the state's timeout
 
 
@@ -43,7 +49,9 @@
     OFFER = "offer"
     HAND_OVER = "hand"  # pass connections to the successor as they become idle
     TAKE_BACK = "take back"  # restore all of the state that was split
-    RESUME = "resume"  # accept connections again
+    RESUME = "resume"  # accept connections again, unless this process leaves
+    LISTEN = "listen"  # wait for the next successor
+    STOP_LISTENING = "stop listening"
     CLOSE_CHANNEL = "drop"  # close the connection between the processes
     ADOPT = "adopt"
     START = "start"  # start alone, as after a restart
@@ -67,21 +75,46 @@
     (TakeoverState.OFFERED, TakeoverEvent.SERVING): (TakeoverState.HANDED_OVER, (TakeoverAction.HAND_OVER,)),
     (TakeoverState.OFFERED, TakeoverEvent.ENDED): (
         TakeoverState.WATCHING,
-        (TakeoverAction.TAKE_BACK, TakeoverAction.RESUME),
+        (TakeoverAction.TAKE_BACK, TakeoverAction.RESUME, TakeoverAction.LISTEN),
     ),
     (TakeoverState.OFFERED, TakeoverEvent.INVALID): (
         TakeoverState.WATCHING,
-        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME),
+        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME, TakeoverAction.LISTEN),
     ),
     (TakeoverState.OFFERED, TakeoverEvent.TIMEOUT): (
         TakeoverState.WATCHING,
-        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME),
+        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME, TakeoverAction.LISTEN),
+    ),
+    (TakeoverState.HANDED_OVER, TakeoverEvent.ENDED): (
+        TakeoverState.WATCHING,
+        (TakeoverAction.RESUME, TakeoverAction.LISTEN),
     ),
-    (TakeoverState.HANDED_OVER, TakeoverEvent.ENDED): (TakeoverState.WATCHING, (TakeoverAction.RESUME,)),
     (TakeoverState.HANDED_OVER, TakeoverEvent.INVALID): (
         TakeoverState.WATCHING,
+        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME, TakeoverAction.LISTEN),
+    ),
+    (TakeoverState.WATCHING, TakeoverEvent.LEAVE): (
+        TakeoverState.LEAVING,
+        (TakeoverAction.STOP_LISTENING,),
+    ),
+    (TakeoverState.OFFERED, TakeoverEvent.LEAVE): (TakeoverState.LEAVING_WITH_SUCCESSOR, ()),
+    (TakeoverState.HANDED_OVER, TakeoverEvent.LEAVE): (TakeoverState.LEAVING_WITH_SUCCESSOR, ()),
+    (TakeoverState.LEAVING_WITH_SUCCESSOR, TakeoverEvent.SERVING): (
+        TakeoverState.LEAVING_WITH_SUCCESSOR,
+        (TakeoverAction.HAND_OVER,),
+    ),
+    (TakeoverState.LEAVING_WITH_SUCCESSOR, TakeoverEvent.ENDED): (
+        TakeoverState.LEAVING,
+        (TakeoverAction.RESUME,),
+    ),
+    (TakeoverState.LEAVING_WITH_SUCCESSOR, TakeoverEvent.INVALID): (
+        TakeoverState.LEAVING,
         (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME),
     ),
+    (TakeoverState.LEAVING, TakeoverEvent.ENDED): (TakeoverState.LEAVING, ()),
+    (TakeoverState.LEAVING, TakeoverEvent.LEAVE): (TakeoverState.LEAVING, ()),
+    (TakeoverState.LEAVING, TakeoverEvent.INVALID): (TakeoverState.LEAVING, (TakeoverAction.CLOSE_CHANNEL,)),
+    (TakeoverState.LEAVING_WITH_SUCCESSOR, TakeoverEvent.LEAVE): (TakeoverState.LEAVING_WITH_SUCCESSOR, ()),
     (TakeoverState.ASKING, TakeoverEvent.OFFER): (TakeoverState.RECEIVING, ()),
     (TakeoverState.ASKING, TakeoverEvent.ENDED): (TakeoverState.ALONE, (TakeoverAction.START,)),
     (TakeoverState.ASKING, TakeoverEvent.INVALID): (
--- a/tests/takeover/test_handover.py
+++ b/tests/takeover/test_handover.py
@@ -460,3 +460,44 @@
     from cypresspulley.takeover.channel import MAX_MESSAGE_BYTES
 
     assert 2 * handover.MAX_PART_CHARACTERS + 100 < MAX_MESSAGE_BYTES and api.Health.UP.value == "up"
+
+
+def test_the_successor_of_a_successor_is_found_while_the_first_process_still_leaves(tmp_path: Path) -> None:
+    """Guards against a leaving process that takes the takeover socket from the one that serves, and has no listener."""
+
+    async def main() -> None:
+        async with listening(Origin().talk) as dial:
+            first, second = [await Process(tmp_path, dial).start() for _ in range(2)]
+            await until(lambda: first.service.lifecycle.handed_over)
+            first.service.leave()
+            third = await Process(tmp_path, dial).start()
+            await until(lambda: second.service.lifecycle.handed_over)
+            await second.end()  # before the first one
+            await until(lambda: first.machine.state is TakeoverState.LEAVING)
+            fourth = await Process(tmp_path, dial).start()
+            assert third.inherited and fourth.inherited
+            await until(lambda: third.service.lifecycle.handed_over)
+            for process in (first, third, fourth):
+                await process.end()
+
+    run(main())
+
+
+def test_a_process_that_leaves_alone_is_not_asked_for_its_listener(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against EBADF at a listener that is closed: the new process starts alone instead, at once."""
+
+    async def main() -> None:
+        async with listening(Origin().talk) as dial:
+            old = await Process(tmp_path, dial).start()
+            old.service.leave()
+            old.service.stop_offering()
+            await old.frontend.close(0.0)
+            new = await Process(tmp_path, dial).start(old.address[1])
+            assert not new.inherited
+            await old.end()
+            await new.end()
+
+    run(main())
+    assert "failed" not in caplog.text
--- a/tests/takeover/test_states.py
+++ b/tests/takeover/test_states.py
@@ -8,7 +8,13 @@
 
 from cypresspulley.takeover.states import TakeoverAction, TakeoverEvent, TakeoverMachine, TakeoverState
 
-PREDECESSOR_STATES = {TakeoverState.WATCHING, TakeoverState.OFFERED, TakeoverState.HANDED_OVER}
+PREDECESSOR_STATES = {
+    TakeoverState.WATCHING,
+    TakeoverState.OFFERED,
+    TakeoverState.HANDED_OVER,
+    TakeoverState.LEAVING,
+    TakeoverState.LEAVING_WITH_SUCCESSOR,
+}
 
 
 def run_events(state: TakeoverState, *heard: TakeoverEvent) -> tuple[TakeoverState, list[TakeoverAction]]:
@@ -30,17 +36,20 @@
 
 def test_a_successor_that_dies_before_it_serves_leaves_the_predecessor_whole() -> None:
     state, done = run_events(TakeoverState.WATCHING, TakeoverEvent.HELLO, TakeoverEvent.ENDED)
-    assert state is TakeoverState.WATCHING and done[-2:] == [TakeoverAction.TAKE_BACK, TakeoverAction.RESUME]
+    assert state is TakeoverState.WATCHING
+    assert done[-3:] == [TakeoverAction.TAKE_BACK, TakeoverAction.RESUME, TakeoverAction.LISTEN]
 
 
 @pytest.mark.parametrize("heard", [TakeoverEvent.TIMEOUT, TakeoverEvent.INVALID])
 def test_one_that_may_serve_yet_keeps_what_it_was_given(heard: TakeoverEvent) -> None:
     _, done = run_events(TakeoverState.WATCHING, TakeoverEvent.HELLO, heard)
-    assert TakeoverAction.TAKE_BACK not in done and done[-1] is TakeoverAction.RESUME
+    assert TakeoverAction.TAKE_BACK not in done
+    assert done[-2:] == [TakeoverAction.RESUME, TakeoverAction.LISTEN]
     _, done = run_events(
         TakeoverState.WATCHING, TakeoverEvent.HELLO, TakeoverEvent.SERVING, TakeoverEvent.ENDED
     )
-    assert TakeoverAction.TAKE_BACK not in done and done[-1] is TakeoverAction.RESUME
+    assert TakeoverAction.TAKE_BACK not in done
+    assert done[-2:] == [TakeoverAction.RESUME, TakeoverAction.LISTEN]
 
 
 @pytest.mark.parametrize("before", [(), (TakeoverEvent.OFFER,)])
@@ -64,3 +73,18 @@
             state is TakeoverState.ALONE
             and done.count(TakeoverAction.START) + done.count(TakeoverAction.ADOPT) == 1
         )
+
+
+@pytest.mark.parametrize("before", [(), (TakeoverEvent.HELLO,), (TakeoverEvent.HELLO, TakeoverEvent.SERVING)])
+def test_a_process_that_leaves_offers_nothing_and_waits_for_no_further_successor(
+    before: tuple[TakeoverEvent, ...],
+) -> None:
+    """Guards against a leaving process that takes the takeover socket back and offers a listener that is closed."""
+    for events in product(TakeoverEvent, repeat=3):
+        state, done = run_events(
+            TakeoverState.WATCHING, *before, TakeoverEvent.LEAVE, *events, TakeoverEvent.ENDED
+        )
+        after = done[len(run_events(TakeoverState.WATCHING, *before)[1]) :]
+        assert state is TakeoverState.LEAVING
+        assert TakeoverAction.LISTEN not in after and TakeoverAction.OFFER not in after
+        assert done.count(TakeoverAction.PAUSE) == done.count(TakeoverAction.RESUME)
