Move accounts at the instant of their assignment, not with their next request

What callers could get: more than the ceiling of the plan they had moved to. In the tests 10.0 units where 2.0 are due, and 1.0 where 0.67 are.

Cause: a move was carried out with the account's next request, from its last refill on. A change of any terms refills all accounts: one between the move and the request, or at the very instant of the move, hid it, and the account was refilled by the plan that it had left.

Change: an assignment of an account that is known here is an instant at which terms change; accounts are moved there, behind the new terms. An instant that equals the last refill counts.

Tests: two in tests/plans/test_limiter.py, which fail on the commit before. The mutant Old in test_churn.py ("the first plan for ever") overrides the new method as well, since accounts now move in two places; its bound stays.

--- a/cypresspulley/plans/limiter.py
+++ b/cypresspulley/plans/limiter.py
@@ -32,6 +32,7 @@
 
 USAGE_PERIOD_SECONDS = 3600  # seconds; length of the periods that usage is summed by
 DEFAULT_OVER_COST = 0.5  # for a plan that is in the book but not in the settings
+NEVER_MS = 2**62  # later than any instant
 UNVERSIONED = Stamp(0, 0)  # stands for the version of a plan that is not in the book
 
 
@@ -99,6 +100,7 @@
             self._now = max(self._now, min(now, at / 1000))
             if self._refresh_terms(at) or isinstance(event, api.SettingsChanged):
                 actions += self._decisions.handle(self._now, api.SettingsChanged(self._settings()))
+            self._carry_moved_accounts(at)
         self._now = max(self._now, now)
         if isinstance(event, api.SettingsChanged):
             return actions
@@ -126,15 +128,26 @@
         state = (self.follower.book, self.follower.state is FollowerState.LAPSED)
         if self._seen_state == state and now < self._next_effective_ms:
             return []
-        due = {v.effective for v in self._versions() if self._next_effective_ms <= v.effective < now}
+        instants = list(self._change_instants())
+        due = {at for at in instants if self._next_effective_ms <= at < now}
         self._seen_state = state
-        self._next_effective_ms = min(
-            (v.effective for v in self._versions() if v.effective > now), default=2**62
-        )
+        self._next_effective_ms = min((at for at in instants if at > now), default=NEVER_MS)
         return [*sorted(due), now]
 
-    def _versions(self) -> Iterator[Version]:
-        return (version for history in self.follower.book.plans.values() for version in history)
+    def _change_instants(self) -> Iterator[int]:
+        """Yield the instants at which a version takes effect, or an account that is known here moves."""
+        book = self.follower.book
+        yield from (version.effective for history in book.plans.values() for version in history)
+        for _, name in self._gateway.quotas.accounts:
+            yield from (assignment.effective for assignment in book.accounts.get(name, ()))
+
+    def _carry_moved_accounts(self, at: int) -> None:
+        """Move accounts at the instant of their assignment: a later change of terms refills them by the new plan."""
+        for (plan, name), account in list(self._gateway.quotas.accounts.items()):
+            assigned = self.follower.book.assignment_at(name, at)
+            if assigned is not None and assigned.plan != plan and assigned.plan in self._in_force:
+                request = api.Request(0, "", assigned.plan, 1.0, name, gateways=account.gateways)
+                self._carry_level(self._now, request)
 
     def _refresh_terms(self, at: int) -> bool:
         """Compute the terms in force at an instant; return whether they differ from the previous ones."""
@@ -166,6 +179,11 @@
             round(ev.units * MICRO_PER_UNIT),
         )
         self._carry_level(now, bound)
+        moves = self.follower.book.accounts.get(ev.account, ())
+        next_move = min(
+            (move.effective for move in moves if move.effective > int(now * 1000)), default=NEVER_MS
+        )
+        self._next_effective_ms = min(self._next_effective_ms, next_move)
         return bound
 
     def _carry_level(self, now: float, ev: api.Request) -> None:
@@ -177,7 +195,8 @@
         key = next((k for k in self._account_keys(ev) if k in quotas.accounts), None)
         old = quotas.accounts[key] if key is not None else None
         since = old.refilled_at if old is not None else 0.0
-        instants = self.follower.book.change_instants(ev.account, int(since * 1000), int(now * 1000))
+        # Including ``since`` itself: a change of terms at that instant has refilled the account, and not moved it.
+        instants = self.follower.book.change_instants(ev.account, int(since * 1000) - 1, int(now * 1000))
         if not instants and (key is None or key[0] == ev.plan):
             return
         ceiling = BucketLevel(math.inf, since, math.inf, math.inf)
--- a/tests/plans/test_churn.py
+++ b/tests/plans/test_churn.py
@@ -77,6 +77,9 @@
         finally:
             self.follower.book = book
 
+    def _carry_moved_accounts(self, at: int) -> None:
+        """Move no account."""
+
 
 @pytest.mark.parametrize("mutant", [Forgiving, Forgetful, Old])
 def test_a_limiter_that_does_not_go_by_the_change_is_convicted(mutant: type[PlanBookDecisions]) -> None:
--- a/tests/plans/test_limiter.py
+++ b/tests/plans/test_limiter.py
@@ -125,6 +125,39 @@
     assert setup.ceiling_level("s") <= used + 0.4 * 2.0 / 3 + 0.4 * 10.0 / 3 + 1e-6
 
 
+def test_an_account_that_moves_as_its_plan_begins_refills_by_the_new_terms() -> None:
+    """Guards against a refill by the old plan's rate that goes on until the account's next request."""
+    begins, large, small = T0 + 30_000, Terms(100.0, 100.0, 10.0, 60.0), Terms(100.0, 100.0, 2.0, 12.0)
+    setup = LimiterSetup(
+        version("l", 1, large), assigned("l", 2), version("s", 3, small, begins), assigned("s", 4, begins)
+    )
+    setup.world.advance(129.9)
+    setup.send_burst(0, 60)
+    left = setup.ceiling_level("l")
+    assert left < 1
+    setup.world.advance(130.5)
+    setup.send_burst(100, 1)
+    before, after = 0.1 * large.ceiling_rate / 3, 0.5 * small.ceiling_rate / 3
+    assert setup.ceiling_level("s") <= left + before + after + 1e-6
+
+
+def test_a_change_of_terms_after_a_move_does_not_hide_the_move() -> None:
+    """Guards against a refill by the plan that an account has left: other terms changed before its next request."""
+    large, small = Terms(100.0, 100.0, 30.0, 60.0), Terms(100.0, 100.0, 3.0, 60.0)
+    setup = LimiterSetup(
+        version("l", 1, large), version("s", 2, small), assigned("l", 3), assigned("s", 4, T0 + 30_000)
+    )
+    setup.world.advance(129.9)
+    setup.send_burst(0, 60)
+    left = setup.ceiling_level("l")
+    setup.world.advance(130.6)
+    setup.follower.receive_change(1, version("other", 5, small, T0 + 30_600))
+    setup.world.feed(w.servers("s0"))
+    setup.world.advance(131.0)
+    setup.send_burst(100, 1)
+    assert setup.ceiling_level("s") <= left + 0.1 * 10.0 + 1.0 * 1.0 + 1e-6
+
+
 def test_when_the_lease_is_over_the_lowest_ceiling_holds() -> None:
     setup = LimiterSetup(version("l", 1, LARGE), version("s", 2, SMALL), assigned("l", 3), lease=5200)
     setup.send_burst(0, 1)
