Split what accounts hold with the accounts, and cap both processes' stores

What callers could get over an upgrade: up to a tenth of a ceiling too much. The new process refilled each store to the whole burst while the old one still held its tenth, and a lower burst capped each of the two by itself. A change that moved an account while there were two processes lost what the old one had given of it: a new process that served nobody and died left the account with next to nothing.

Cause: the split was a list of amounts beside the accounts. What the book does to an account meanwhile (another plan, another burst) did not reach it, and nothing told the new process that a part was elsewhere.

Change: who holds which part of a store stands with the store. Account.lent is what a successor holds, and follows the account to another plan; a share of a plan is RETAINED (a tenth, no refills), RECEIVED (the rest, all refills, until the predecessor has ended) or WHOLE. Stores are refilled up to the offer. An account whose plan comes late goes on from then: refill of the time before makes up for what was drawn in its place and gives nothing beyond.

--- a/cypresspulley/plans/limiter.py
+++ b/cypresspulley/plans/limiter.py
@@ -27,6 +27,7 @@
 from cypresspulley.plans.usage import UsageKey, UsageRecorder
 from cypresspulley.policy.account import Account
 from cypresspulley.policy.gateway import NEVER_RAN, Gateway
+from cypresspulley.policy.store_share import StoreLevels, StoreShare
 
 log = logging.getLogger(__name__)
 
@@ -200,8 +201,12 @@
         if not instants and (key is None or key[0] == ev.plan):
             return
         ceiling = BucketLevel(math.inf, since, math.inf, math.inf)
+        kept: StoreLevels | None = None  # of the account's stores, what this process may use
         if key is not None and old is not None:
             del quotas.accounts[key]
+            kept = old.stores()
+            old.take_back()
+            old.apply_share(StoreShare.WHOLE)
             ceiling = _ceiling_share(old)
         for at in instants:
             if (version := self.follower.book.binding_version(ev.account, at, ev.plan)) is not None:
@@ -210,6 +215,9 @@
                     at / 1000, *_limits_per_share(terms.ceiling_rate, terms.ceiling_burst, ev.gateways)
                 )
         new = quotas.get_or_create_account(now, ev)
+        is_lent, kept = new.lent is not None, kept or new.stores()
+        new.take_back()
+        new.apply_share(StoreShare.WHOLE)
         if old is not None:
             old.refill(now)
             new.level, new.share_level = min(new.level, old.level), min(new.share_level, old.share_level)
@@ -222,6 +230,9 @@
                 new.ceiling_drawn,
                 new.local_ceiling_part * new.plan.ceiling_burst / new.gateways - new.ceiling_level,
             )
+        new.apply_share(quotas.share)
+        if is_lent:  # a successor holds the rest, and carries it over by itself
+            new.lend(new.within_plan(kept))
 
     def _account_keys(self, ev: api.Request) -> Iterator[tuple[str, str]]:
         """Yield the keys under which the account may be stored: its current plan first, then every known plan."""
--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -3,12 +3,13 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from hashlib import blake2b
 
 from cypresspulley import interface as api
 from cypresspulley.interface import Action, Status
 from cypresspulley.policy.slots import Slots
-from cypresspulley.policy.store_share import StoreShare
+from cypresspulley.policy.store_share import RETAINED_PART, StoreLevels, StoreShare
 from cypresspulley.policy.windows import CeilingWindow, local_ceiling_part
 
 OTHERS_DECAY_SECONDS = 1.0  # time constant with which use reported by other gateways is extrapolated
@@ -96,7 +97,7 @@
 
     Many accounts send only one request, so an instance is kept small. Levels are in units of the plan. ``terms`` are
     the plan's terms in force, ``plan`` the part of them that this process may use: the same, except while it hands over
-    to another one.
+    to another one. ``lent`` is what that one holds of the stores meanwhile.
     """
 
     __slots__ = (
@@ -109,6 +110,7 @@
         "last_call_at",
         "last_contact_at",
         "last_total",
+        "lent",
         "level",
         "local_ceiling_part",
         "low_traffic",
@@ -127,23 +129,22 @@
     )
 
     def __init__(
-        self, now: float, event: api.Request, terms: api.Plan, started_at: float, settings: api.Settings,
-        share: StoreShare = StoreShare.WHOLE,
-    ) -> None:  # fmt: skip
+        self, now: float, event: api.Request, terms: api.Plan, started_at: float, settings: api.Settings
+    ) -> None:
         self.refilled_at = now
         self.last_call_at = now  # time of the last report to the counter
         self.synced_at = started_at  # time of the last total that the counter answered
         self.gateways = gateways = max(1, event.gateways)  # number of gateways that serve this account
         label = f"{event.plan} {event.account}"
         self.slots: Slots | None = None
-        self.apply_terms(terms, label, settings, share)
-        plan = self.plan
+        self.lent: StoreLevels | None = None
+        self.apply_terms(terms, label, settings, StoreShare.WHOLE)
+        plan = terms
         self.counter_name = int.from_bytes(blake2b(label.encode(), digest_size=8).digest(), "big") >> 1
         # Level of the whole token bucket, which may exceed its burst until the first total is known, because the
         # total is deducted from it. Where no other gateway draws on the bucket, it starts full.
         self.level = plan.burst + plan.rate * (now - started_at) * (gateways > 1)
-        # Level of this gateway's even share of the bucket.
-        self.share_level = self.share_burst * share.part
+        self.share_level = self.share_burst  # level of this gateway's even share of the bucket
         # Level of this gateway's even share of the ceiling. It fills from this process's start, because the process
         # before a restart may have used up the bucket.
         self.ceiling_level = (
@@ -180,11 +181,63 @@
         self.window = CeilingWindow(label, plan) if self.local_ceiling_part < 1 else None
         limits_open_globally = plan.open_limit > 0 and self.gateways > 1 and settings.has_counter
         self.slots = (self.slots or Slots(label)) if limits_open_globally else None
+        if self.lent is not None:
+            self._cap_stores(self.lent)
 
     def apply_share(self, share: StoreShare) -> None:
         """Limit the terms in force to the part of the stores that this process may use. Levels are kept."""
         self.plan = share.limit(self.terms)
 
+    def stores(self) -> StoreLevels:
+        """Return what is in the stores here."""
+        return StoreLevels(self.level, self.share_level, self.ceiling_level, self.unreported)
+
+    def lend(self, kept: StoreLevels | None = None) -> None:
+        """Keep at most ``kept`` of each store; the rest, and what is unreported, is held by a successor.
+
+        By default ``RETAINED_PART`` is kept.
+        """
+        whole = self.stores()
+        kept = kept or whole.scaled(RETAINED_PART)
+        self.level = min(whole.level, kept.level)
+        self.share_level = min(whole.share_level, kept.share_level)
+        self.ceiling_level = min(whole.ceiling_level, kept.ceiling_level)
+        self.unreported = 0.0
+        self.lent = StoreLevels(
+            whole.level - self.level,
+            whole.share_level - self.share_level,
+            whole.ceiling_level - self.ceiling_level,
+            whole.unreported,
+        )
+
+    def within_plan(self, stores: StoreLevels) -> StoreLevels:
+        """Return as much of ``stores`` as this process may hold."""
+        ceiling = self.local_ceiling_part * self.plan.ceiling_burst / self.gateways
+        return replace(
+            stores, level=min(stores.level, self.plan.burst), ceiling_level=min(stores.ceiling_level, ceiling)
+        )
+
+    def _cap_stores(self, lent: StoreLevels) -> None:
+        """Drop what the stores, with what is lent of them, cannot hold by the terms in force."""
+        kept = self.within_plan(self.stores())
+        self.level, self.ceiling_level = kept.level, kept.ceiling_level
+        ceiling = self.local_ceiling_part * self.terms.ceiling_burst / self.gateways
+        self.lent = replace(
+            lent,
+            level=max(0.0, min(lent.level, self.terms.burst - self.level)),
+            share_level=max(0.0, min(lent.share_level, self.share_burst - self.share_level)),
+            ceiling_level=max(0.0, min(lent.ceiling_level, ceiling - self.ceiling_level)),
+        )
+
+    def take_back(self) -> None:
+        """Hold the whole stores again: a successor has drawn nothing of what it held."""
+        lent, self.lent = self.lent, None
+        if lent is not None:
+            self.level += lent.level
+            self.share_level += lent.share_level
+            self.ceiling_level += lent.ceiling_level
+            self.unreported += lent.unreported
+
     def refill(self, now: float) -> None:
         """Refill all levels up to ``now``."""
         plan, elapsed, self.refilled_at = self.plan, max(0.0, now - self.refilled_at), now
@@ -221,6 +274,18 @@
         self.level = self.share_level = self.ceiling_level = 0.0
         self.ceiling_drawn = self.local_ceiling_part * self.plan.ceiling_burst / self.gateways
 
+    def resume_after_wait(self, now: float, drawn: float) -> None:
+        """Go on at ``now`` after units were drawn elsewhere while the terms were not known.
+
+        The terms of that time stay unknown: its refill makes up for what was drawn, and gives nothing beyond that.
+        """
+        elapsed, self.refilled_at = max(0.0, now - self.refilled_at), now
+        part = self.local_ceiling_part / self.gateways
+        self.level = max(0.0, self.level - max(0.0, drawn - self.plan.rate * elapsed))
+        self.share_level -= max(0.0, drawn - self.plan.rate / self.gateways * elapsed)
+        self.ceiling_level -= max(0.0, drawn - part * self.plan.ceiling_rate * elapsed)
+        self.ceiling_drawn += drawn
+
     def return_ceiling_units(self, units: float) -> None:
         """Return units that were taken from the even share of the ceiling and not used."""
         self.ceiling_level = min(
--- a/cypresspulley/policy/inherited.py
+++ b/cypresspulley/policy/inherited.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Container, ItemsView
+from dataclasses import dataclass
 
 from cypresspulley.policy.account import Account
 
@@ -16,6 +17,16 @@
 AccountKey = tuple[str, str]  # plan and account
 
 
+@dataclass(frozen=True, slots=True)
+class AdoptedAccount:
+    """An account whose plan is known now, the accounts that it replaces, and the units that these have drawn."""
+
+    key: AccountKey
+    account: Account
+    substitutes: tuple[AccountKey, ...]
+    drawn: float
+
+
 class InheritedAccounts:
     """The accounts that wait for their plans, and those that were created in their place meanwhile."""
 
@@ -53,23 +64,15 @@
         """Note an account that was created, with empty stores, while one of its name waits for its plan."""
         self._substitutes.setdefault(key[1], {})[key] = account, account.ceiling_drawn
 
-    def take(self, plans: Container[str]) -> list[tuple[AccountKey, Account, list[AccountKey]]]:
-        """Remove and return the accounts whose plans are known now, each with the keys of its substitutes.
-
-        What the substitutes have drawn from their ceilings is drawn from the account's.
-        """
+    def take(self, plans: Container[str]) -> list[AdoptedAccount]:
+        """Remove and return the accounts whose plans are known now."""
         found = [(key, account) for key, account in self._waiting.items() if key[0] in plans]
-        taken = list[tuple[AccountKey, Account, list[AccountKey]]]()
+        taken = list[AdoptedAccount]()
         for key, account in found:
             del self._waiting[key]
             substitutes = self._substitutes.pop(key[1], {})
-            for substitute, drawn_at_first in substitutes.values():
-                drawn = max(0.0, substitute.ceiling_drawn - drawn_at_first)
-                account.ceiling_level -= drawn
-                account.ceiling_drawn += drawn
-                account.level = max(0.0, account.level - drawn)
-                account.share_level -= drawn
-            taken.append((key, account, list(substitutes)))
+            drawn = sum(max(0.0, each.ceiling_drawn - at_first) for each, at_first in substitutes.values())
+            taken.append(AdoptedAccount(key, account, tuple(substitutes), drawn))
         self._names = {name for _, name in self._waiting}
         return taken
 
--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -1,6 +1,6 @@
 """Quota checks: accounts, calls to the shared counter, and usage messages between gateways."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
 from functools import partial
 from itertools import islice
@@ -15,7 +15,7 @@
 from cypresspulley.policy.inherited import AccountKey, InheritedAccounts
 from cypresspulley.policy.request import Request
 from cypresspulley.policy.slots import PERIOD_SECONDS, Slots
-from cypresspulley.policy.store_share import StoreShare
+from cypresspulley.policy.store_share import RETAINED_PART, StoreShare
 from cypresspulley.policy.usage import UsageBroadcast
 from cypresspulley.policy.walltime import WallTime
 from cypresspulley.policy.windows import CeilingWindow
@@ -58,7 +58,7 @@
         self._emit = emit
         self._apply_settings(settings)
         self.plans = PlanRegistry(settings)  # the terms in force
-        self.share = StoreShare.WHOLE
+        self._is_handing_over = self._has_predecessor = False
         self.accounts = dict[AccountKey, Account]()
         self.inherited = InheritedAccounts()
         self.max_accounts = DEFAULT_MAX_ACCOUNTS
@@ -102,7 +102,7 @@
             account.refill(now)
             terms = self.plans.current.get(plan, account.terms)
             account.apply_terms(terms, f"{plan} {name}", settings, self.share)
-        self._adopt_inherited()
+        self._adopt_inherited(now)
         for request in self._open_requests.values():
             request.holds_slot = request.holds_slot and request.account.slots is not None
         self.counter_calls.set_gateways(settings.gateways)
@@ -114,19 +114,20 @@
 
         If too many wait, all accounts that are new here count as drawn instead.
         """
-        account = Account(now, event, api.Plan(event.plan), now, self._settings, self.share)
+        account = Account(now, event, api.Plan(event.plan), now, self._settings)
         if not self.inherited.add(now, (event.plan, event.account), account):
             self.forget_first_incarnation(now)
         return account
 
-    def _adopt_inherited(self) -> None:
+    def _adopt_inherited(self, now: float) -> None:
         """Continue the accounts of a predecessor whose plans are known now, in place of what stood in for them."""
-        for key, account, substitutes in self.inherited.take(self.plans.current):
-            for substitute in substitutes:
+        for adopted in self.inherited.take(self.plans.current):
+            for substitute in adopted.substitutes:
                 self._remove_account(substitute)
-            terms = self.plans.current[key[0]]
-            account.apply_terms(terms, f"{key[0]} {key[1]}", self._settings, self.share)
-            self.accounts[key] = account
+            account, (plan, name) = adopted.account, adopted.key
+            account.apply_terms(self.plans.current[plan], f"{plan} {name}", self._settings, self.share)
+            account.resume_after_wait(now, adopted.drawn)
+            self.accounts[adopted.key] = account
             self._accounts_by_key[account.counter_name % KEY_COUNT] = account
 
     def _remove_account(self, key: AccountKey) -> None:
@@ -134,15 +135,61 @@
         if account is not None:
             self._accounts_by_key.pop(account.counter_name % KEY_COUNT, None)
 
-    def set_share(self, share: StoreShare) -> None:
-        """Use another part of each store from now on, by the terms in force. Levels are kept.
+    def _all_accounts(self) -> Iterator[Account]:
+        yield from self.accounts.values()
+        yield from (waiting for _, waiting in self.inherited.items())
+
+    @property
+    def share(self) -> StoreShare:
+        """The part of each store that this process may use now."""
+        if self._is_handing_over:
+            return StoreShare.RETAINED
+        return StoreShare.RECEIVED if self._has_predecessor else StoreShare.WHOLE
+
+    def set_predecessor(self, has_predecessor: bool) -> None:
+        """Note whether a predecessor is still running, which keeps a part of each store until it ends."""
+        self._has_predecessor = has_predecessor
+        self._apply_share()
+
+    def hand_over(self) -> None:
+        """Leave all but a part of each store, and all refills, to a successor."""
+        for account in self._all_accounts():
+            account.lend()
+        self._is_handing_over = True
+        self._apply_share()
+
+    def refill_accounts(self, now: float) -> None:
+        """Refill the stores of all accounts up to ``now``."""
+        for account in self.accounts.values():
+            account.refill(now)
+
+    def lend_new(self, account: Account) -> None:
+        """Leave the ceiling of an account that is new here to the successor, where it is new as well."""
+        account.lend(replace(account.stores().scaled(RETAINED_PART), ceiling_level=0.0))
 
-        Only a process that holds whole stores marks its incarnation for a successor.
+    def take_back(self) -> None:
+        """Use the whole stores again: the successor has drawn nothing of what it held."""
+        self._is_handing_over = False
+        self._apply_share()
+        for account in self._all_accounts():
+            account.take_back()
+
+    def count_lent_as_used(self, now: float) -> None:
+        """Use the stores as they are here from now on: the successor may have drawn what it held.
+
+        It may have drawn on accounts that are new here as well.
         """
-        self.share = share
-        self.incarnation.is_paused = share is not StoreShare.WHOLE
+        for account in self._all_accounts():
+            account.lent = None
+        self._is_handing_over = False
+        self._apply_share()
+        self.forget_first_incarnation(now)
+
+    def _apply_share(self) -> None:
+        """Limit the terms in force to this process's share. One that hands over leaves the marks to its successor."""
+        self.incarnation.is_paused = self._is_handing_over
         for account in self.accounts.values():
-            account.apply_share(share)
+            account.apply_share(self.share)
 
     def forget_first_incarnation(self, now: float) -> None:
         """Count the ceiling of each account that is new here as drawn: another process may have used it."""
@@ -157,12 +204,15 @@
         key = event.plan, event.account
         if (account := self.accounts.get(key)) is None:
             terms = self.plans.find(now, event.plan) or api.Plan(event.plan)
-            account = Account(now, event, terms, self._started_at, self._settings, self.share)
-            if self.incarnation.is_first and self.share is StoreShare.WHOLE:
+            account = Account(now, event, terms, self._started_at, self._settings)
+            if self.incarnation.is_first:
                 account.fill_ceiling()
             if self.inherited.holds(event.account):
                 account.empty()
                 self.inherited.add_substitute(key, account)
+            if self._is_handing_over:
+                self.lend_new(account)
+            account.apply_share(self.share)
             if not self._has_room(now):
                 return account
             self.accounts[key] = account
@@ -204,7 +254,7 @@
 
     def _on_incarnation_answer(self, now: float, event: api.Counted) -> None:
         is_first = self.incarnation.on_answer(now, event)
-        for account in self.accounts.values() if is_first and self.share is StoreShare.WHOLE else ():
+        for account in self.accounts.values() if is_first and not self._is_handing_over else ():
             account.fill_ceiling()
 
     def tick(self, now: float) -> None:
@@ -236,13 +286,13 @@
     def exceeds_capacity(request: Request) -> bool:
         """Return whether the request needs more than the plan's buckets can ever hold here, so that a retry would
         never succeed."""
-        account, plan = request.account, request.account.plan
+        account, terms = request.account, request.account.terms
         ceiling_capacity = max(
-            account.local_ceiling_part * plan.ceiling_burst / account.gateways,
+            account.local_ceiling_part * terms.ceiling_burst / account.gateways,
             account.window.capacity if account.window else 0.0,
         )
-        over_ceiling = plan.ceiling_rate > 0 and request.max_units > ceiling_capacity + 1e-9
-        return over_ceiling or (plan.rate > 0 and request.units > plan.burst + 1e-9)
+        over_ceiling = terms.ceiling_rate > 0 and request.max_units > ceiling_capacity + 1e-9
+        return over_ceiling or (terms.rate > 0 and request.units > terms.burst + 1e-9)
 
     @staticmethod
     def ceiling_share_holds(request: Request) -> bool:
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -236,6 +236,7 @@
 
     def take_snapshot(self) -> dict[str, Any]:
         assert self._gateway is not None and self._upstream is not None
+        self._gateway.quotas.refill_accounts(self._clock())
         offset = self._clock.offset if isinstance(self._clock, UnixClock) else None
         return {
             "decisions": take_snapshot(self._gateway),
@@ -329,6 +330,8 @@
             )
 
     def predecessor_ended(self) -> None:
+        if self._gateway is not None:
+            self._gateway.quotas.set_predecessor(False)
         self.share_memory(1)
         self.lifecycle.apply(LifecycleEvent.PREDECESSOR_ENDED)
         self._apply_drain()
--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -17,7 +17,7 @@
 from cypresspulley.policy.account import Account
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.policy.quota import Quotas
-from cypresspulley.policy.store_share import RETAINED_PART, StoreShare
+from cypresspulley.policy.store_share import RETAINED_PART
 
 VERSION = 1
 MAX_ACCOUNTS = 20_000  # in one snapshot; those idle longest are left out, and start as after a restart
@@ -169,6 +169,7 @@
     ):
         request = api.Request(0, "", str(plan), 1.0, str(name), gateways=int(gateways))
         _restore_account(quotas, now, request, values, window)
+    quotas.set_predecessor(True)
     if len(state["accounts"]) >= MAX_ACCOUNTS:
         quotas.forget_first_incarnation(now)  # the accounts that were left out may have been drawn on
 
@@ -200,20 +201,13 @@
     """
 
     def __init__(self, gateway: Gateway) -> None:
-        self._gateway, quotas = gateway, gateway.quotas
-        self._given = list[tuple[Account, dict[str, float]]]()
-        for a in [*quotas.accounts.values(), *(waiting for _, waiting in quotas.inherited.items())]:
-            given = {store: (1 - RETAINED_PART) * max(0.0, getattr(a, store)) for store in SPLIT_STORES}
-            given["unreported"] = a.unreported
-            self._given.append((a, given))
-            for store, amount in given.items():
-                setattr(a, store, getattr(a, store) - amount)
+        self._gateway = gateway
         self._budgets = [
             (s, (1 - RETAINED_PART) * max(0.0, s.cold_budget)) for s in gateway.load_balancer.servers.values()
         ]
         for server, budget in self._budgets:
             server.cold_budget -= budget
-        quotas.set_share(StoreShare.RETAINED)
+        gateway.quotas.hand_over()
 
     def undo(self, whole: bool, now: float) -> None:
         """Serve alone again, by the terms in force.
@@ -223,25 +217,16 @@
         """
         quotas = self._gateway.quotas
         if whole:
-            quotas.set_share(StoreShare.WHOLE)
-            self._take_back()
+            quotas.take_back()
+            for server, budget in self._budgets:
+                server.cold_budget += budget
             return
-        for a in quotas.accounts.values():
-            a.refill(now)
+        quotas.refill_accounts(now)
         self.abandon(now)
 
     def abandon(self, now: float) -> None:
         """Serve alone again; all that was given counts as used, also by accounts that are new here."""
-        quotas = self._gateway.quotas
-        quotas.set_share(StoreShare.WHOLE)
-        quotas.forget_first_incarnation(now)
-
-    def _take_back(self) -> None:
-        for server, budget in self._budgets:
-            server.cold_budget += budget
-        for a, given in self._given:
-            for store, amount in given.items():
-                setattr(a, store, getattr(a, store) + amount)
+        self._gateway.quotas.count_lent_as_used(now)
 
 
 class PredecessorAttempts:
