Stay split from a successor that is late, and refill only on one side

What callers could get: the ceiling's rate twice, beside a new process that says yes more than 2 s after the offer, until the old one has left.

Cause: the old process took a timeout for the end of the upgrade. It closed the channel, counted what it had given as used and refilled from then on, while the new process served and refilled as well.

Change: state LATE. The old process accepts again and has the refills, the stores stay split. It hands over when the successor serves after all, takes all back when it dies (it has served nobody), and counts it as used after 6 s more, or where a further process asks. A successor that serves more than 1 s after its offer starts to refill then. To count as used is an action of its own, no part of RESUME.

--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -58,7 +58,7 @@
         self._emit = emit
         self._apply_settings(settings)
         self.plans = PlanRegistry(settings)  # the terms in force
-        self._is_handing_over = self._has_predecessor = False
+        self._is_handing_over = self._has_late_successor = self._has_predecessor = False
         self.accounts = dict[AccountKey, Account]()
         self.inherited = InheritedAccounts()
         self.max_accounts = DEFAULT_MAX_ACCOUNTS
@@ -143,7 +143,7 @@
     def share(self) -> StoreShare:
         """The part of each store that this process may use now."""
         if self._is_handing_over:
-            return StoreShare.RETAINED
+            return StoreShare.REFILLED if self._has_late_successor else StoreShare.RETAINED
         return StoreShare.RECEIVED if self._has_predecessor else StoreShare.WHOLE
 
     def set_predecessor(self, has_predecessor: bool) -> None:
@@ -158,18 +158,29 @@
         self._is_handing_over = True
         self._apply_share()
 
+    def set_late_successor(self, now: float, is_late: bool) -> None:
+        """Take the refills, though not the stores, back from a successor that is late, until it serves."""
+        self.refill_accounts(now)
+        self._has_late_successor = is_late
+        self._apply_share()
+
     def refill_accounts(self, now: float) -> None:
         """Refill the stores of all accounts up to ``now``."""
         for account in self.accounts.values():
             account.refill(now)
 
+    def skip_refills(self, now: float) -> None:
+        """Start to refill now: until now the predecessor had the refills, because this process was late."""
+        for account in self._all_accounts():
+            account.refilled_at = now
+
     def lend_new(self, account: Account) -> None:
         """Leave the ceiling of an account that is new here to the successor, where it is new as well."""
         account.lend(replace(account.stores().scaled(RETAINED_PART), ceiling_level=0.0))
 
     def take_back(self) -> None:
         """Use the whole stores again: the successor has drawn nothing of what it held."""
-        self._is_handing_over = False
+        self._is_handing_over = self._has_late_successor = False
         self._apply_share()
         for account in self._all_accounts():
             account.take_back()
@@ -181,7 +192,7 @@
         """
         for account in self._all_accounts():
             account.lent = None
-        self._is_handing_over = False
+        self._is_handing_over = self._has_late_successor = False
         self._apply_share()
         self.forget_first_incarnation(now)
 
--- a/cypresspulley/policy/store_share.py
+++ b/cypresspulley/policy/store_share.py
@@ -41,6 +41,7 @@
 
     WHOLE = "whole"
     RETAINED = "retained"  # a process that hands over: RETAINED_PART, and no refills
+    REFILLED = "refilled"  # the same with all refills, while the successor is late and serves nobody yet
     RECEIVED = "received"  # a successor until its predecessor has ended: the rest, and all refills
 
     def limit(self, terms: api.Plan) -> api.Plan:
--- a/cypresspulley/service.py
+++ b/cypresspulley/service.py
@@ -288,6 +288,14 @@
             split.abandon(self._clock())  # what could not be taken back counts as used
             raise
 
+    def set_late_successor(self, is_late: bool) -> None:
+        if self._gateway is not None:
+            self._gateway.quotas.set_late_successor(self._clock(), is_late)
+
+    def skip_refills(self) -> None:
+        if self._gateway is not None:
+            self._gateway.quotas.skip_refills(self._clock())
+
     def set_successor(self, to: Peer | None) -> None:
         assert self._frontend is not None
         self.share_memory(2 if isinstance(to, Predecessor) else 1)
--- a/cypresspulley/takeover/handover.py
+++ b/cypresspulley/takeover/handover.py
@@ -34,6 +34,9 @@
 ACCEPTS_PEER_SOCKET = "accepts_peer_socket"  # key of hello
 SHARES_REQUEST_IDS = "shares_request_ids"  # key of hello and of an offer
 MAX_IDS_IN_MESSAGE = 500
+# A successor that serves later than this counts itself as late: shorter than the predecessor's timeout, which begins
+# before the offer has arrived.
+LATE_AFTER_SECONDS = 0.5 * STATE_TIMEOUT_SECONDS[TakeoverState.OFFERED]
 INFLIGHT_REPORT_SECONDS = 0.05  # time between two reports of the open attempts
 assert MAX_DESCRIPTORS == 1
 Step = Callable[[], object]  # a part of an action; its result is not used
@@ -70,6 +73,14 @@
 
     def undo_split(self, whole: bool) -> None: ...
 
+    def set_late_successor(self, is_late: bool) -> None:
+        """Refill stores here while the successor is late, and no longer once it serves."""
+        ...
+
+    def skip_refills(self) -> None:
+        """Refill no store for the time before now: the predecessor did."""
+        ...
+
     def set_successor(self, to: Peer | None) -> None:
         """Hand idle connections to the successor from now on; None: there is no successor any more."""
         ...
@@ -263,6 +274,8 @@
             sock, _ = self._sock.accept()
         except OSError:
             return
+        if self.machine.state is TakeoverState.LATE:
+            self._handle_event(TakeoverEvent.TIMEOUT)  # a further process replaces the late one
         if self.connected or not same_user(sock):
             return sock.close()  # one successor at a time
         self._channel = Channel(sock, self._receive, self._on_channel_close)
@@ -315,10 +328,14 @@
                 )
             case TakeoverAction.TAKE_BACK:
                 return (lambda: host.undo_split(whole=True),)
+            case TakeoverAction.COUNT_AS_USED:
+                return (lambda: host.undo_split(whole=False),)
+            case TakeoverAction.REFILL:
+                return (lambda: host.set_late_successor(True),)
+            case TakeoverAction.STOP_REFILLS:
+                return (lambda: host.set_late_successor(False),)
             case TakeoverAction.RESUME:
                 return (
-                    # Does nothing after TAKE_BACK; otherwise the successor may have used the state that it was given.
-                    lambda: host.undo_split(whole=False),
                     lambda: host.set_successor(None),
                     lambda: host.on_request_announced(None),
                     host.resume,
@@ -402,6 +419,7 @@
         self._checksum = ""
         self._parts = list[str]()
         self._early_messages = list[Message]()  # received before this process serves
+        self._offered_at = 0.0  # by the loop's clock
         sock = folder.connect()
         if sock is not None and same_user(sock):
             self._channel = Channel(sock, self._receive, self._on_channel_close)
@@ -427,6 +445,8 @@
     def serve(self, host: Host) -> None:
         """Start serving: tell the predecessor, and process the messages that arrived early."""
         self._host = host
+        if self._offer is not None and self._loop.time() - self._offered_at > LATE_AFTER_SECONDS:
+            host.skip_refills()
         if self.machine.state is TakeoverState.SERVING and self._channel is not None:
             host.on_request_announced(lambda id: self._send_request_ids([id]))
             self._channel.send({"is": "serving"})
@@ -483,6 +503,7 @@
         except SnapshotError as error:
             raise ValueError(str(error)) from None
         self._offer = Offer(self._listener, state, self._peer_socket)
+        self._offered_at = self._loop.time()
         self._handle_event(TakeoverEvent.OFFER_COMPLETE)
 
     def _receive_from_predecessor(self, host: Host, message: Message) -> None:
--- a/cypresspulley/takeover/states.py
+++ b/cypresspulley/takeover/states.py
@@ -2,10 +2,11 @@
 
 The predecessor stops accepting connections, offers its listener and its state, and hands its connections over once the
 successor reports that it is serving. It gives up nothing until then. If the successor dies first, it has served nobody,
-so the predecessor takes all of its state back. If the successor is only late, it may still start to serve, so the state
-stays split. A successor that does not receive a complete offer in time starts alone, with the little that is known
-after a restart. A process that leaves and has closed its listener offers nothing any more: however its own successor
-ends, the next one is left to whoever serves. This module does no I/O and reads no clock.
+so the predecessor takes all of its state back. If the successor is only late, it may still start to serve: the state
+stays split, and the predecessor accepts connections again and has the refills meanwhile. A successor that does not
+receive a complete offer in time starts alone, with the little that is known after a restart. A process that leaves and
+has closed its listener offers nothing any more: however its own successor ends, the next one is left to whoever serves.
+This module does no I/O and reads no clock.
 """
 
 from __future__ import annotations
@@ -18,6 +19,7 @@
 
     WATCHING = "watching"  # predecessor: no successor has connected
     OFFERED = "offered"  # predecessor: new connections wait in the kernel, the state has been sent
+    LATE = "late"  # predecessor: the same, but the successor takes too long; this process accepts connections again
     HANDED_OVER = "handed"  # predecessor: the successor is serving
     LEAVING = "leaving"  # predecessor: it has closed its listener, and no successor is connected
     LEAVING_WITH_SUCCESSOR = (
@@ -49,6 +51,9 @@
     OFFER = "offer"
     HAND_OVER = "hand"  # pass connections to the successor as they become idle
     TAKE_BACK = "take back"  # restore all of the state that was split
+    COUNT_AS_USED = "count as used"  # whatever was split and is not taken back
+    REFILL = "refill"  # refill stores here, while a late successor serves nobody
+    STOP_REFILLS = "stop refills"
     RESUME = "resume"  # accept connections again, unless this process leaves
     LISTEN = "listen"  # wait for the next successor
     STOP_LISTENING = "stop listening"
@@ -79,19 +84,46 @@
     ),
     (TakeoverState.OFFERED, TakeoverEvent.INVALID): (
         TakeoverState.WATCHING,
-        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME, TakeoverAction.LISTEN),
+        (
+            TakeoverAction.CLOSE_CHANNEL,
+            TakeoverAction.COUNT_AS_USED,
+            TakeoverAction.RESUME,
+            TakeoverAction.LISTEN,
+        ),
     ),
     (TakeoverState.OFFERED, TakeoverEvent.TIMEOUT): (
+        TakeoverState.LATE,
+        (TakeoverAction.REFILL, TakeoverAction.RESUME),
+    ),
+    (TakeoverState.LATE, TakeoverEvent.SERVING): (
+        TakeoverState.HANDED_OVER,
+        (TakeoverAction.PAUSE, TakeoverAction.STOP_REFILLS, TakeoverAction.HAND_OVER),
+    ),
+    (TakeoverState.LATE, TakeoverEvent.ENDED): (
+        TakeoverState.WATCHING,
+        (TakeoverAction.TAKE_BACK, TakeoverAction.LISTEN),
+    ),
+    (TakeoverState.LATE, TakeoverEvent.INVALID): (
         TakeoverState.WATCHING,
-        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME, TakeoverAction.LISTEN),
+        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.COUNT_AS_USED, TakeoverAction.LISTEN),
     ),
+    (TakeoverState.LATE, TakeoverEvent.TIMEOUT): (
+        TakeoverState.WATCHING,
+        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.COUNT_AS_USED, TakeoverAction.LISTEN),
+    ),
+    (TakeoverState.LATE, TakeoverEvent.LEAVE): (TakeoverState.LEAVING_WITH_SUCCESSOR, ()),
     (TakeoverState.HANDED_OVER, TakeoverEvent.ENDED): (
         TakeoverState.WATCHING,
-        (TakeoverAction.RESUME, TakeoverAction.LISTEN),
+        (TakeoverAction.COUNT_AS_USED, TakeoverAction.RESUME, TakeoverAction.LISTEN),
     ),
     (TakeoverState.HANDED_OVER, TakeoverEvent.INVALID): (
         TakeoverState.WATCHING,
-        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME, TakeoverAction.LISTEN),
+        (
+            TakeoverAction.CLOSE_CHANNEL,
+            TakeoverAction.COUNT_AS_USED,
+            TakeoverAction.RESUME,
+            TakeoverAction.LISTEN,
+        ),
     ),
     (TakeoverState.WATCHING, TakeoverEvent.LEAVE): (
         TakeoverState.LEAVING,
@@ -105,11 +137,11 @@
     ),
     (TakeoverState.LEAVING_WITH_SUCCESSOR, TakeoverEvent.ENDED): (
         TakeoverState.LEAVING,
-        (TakeoverAction.RESUME,),
+        (TakeoverAction.COUNT_AS_USED, TakeoverAction.RESUME),
     ),
     (TakeoverState.LEAVING_WITH_SUCCESSOR, TakeoverEvent.INVALID): (
         TakeoverState.LEAVING,
-        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.RESUME),
+        (TakeoverAction.CLOSE_CHANNEL, TakeoverAction.COUNT_AS_USED, TakeoverAction.RESUME),
     ),
     (TakeoverState.LEAVING, TakeoverEvent.ENDED): (TakeoverState.LEAVING, ()),
     (TakeoverState.LEAVING, TakeoverEvent.LEAVE): (TakeoverState.LEAVING, ()),
@@ -143,7 +175,12 @@
 }
 # Longest time in each state. New connections wait in the kernel while an offer is out; the platform allows 6 s for the
 # whole takeover.
-STATE_TIMEOUT_SECONDS = {TakeoverState.OFFERED: 2.0, TakeoverState.ASKING: 1.5, TakeoverState.RECEIVING: 1.5}
+STATE_TIMEOUT_SECONDS = {
+    TakeoverState.OFFERED: 2.0,
+    TakeoverState.LATE: 6.0,
+    TakeoverState.ASKING: 1.5,
+    TakeoverState.RECEIVING: 1.5,
+}
 
 
 class TakeoverMachine:
--- a/tests/takeover/two_processes.py
+++ b/tests/takeover/two_processes.py
@@ -19,6 +19,7 @@
 from cypresspulley.plans.usage import UsageRecorder
 from cypresspulley.policy.gateway import Gateway
 from cypresspulley.policy.store_share import StoreShare
+from cypresspulley.takeover.handover import LATE_AFTER_SECONDS
 from cypresspulley.takeover.snapshot import (
     StateSplit,
     decode_snapshot,
@@ -208,6 +209,8 @@
         if self.old.has_book and not self.upgrade.new.has_book:
             self.tell_book(self.upgrade.new)
         self.upgrade.is_serving = True
+        if self.now - self._offered_at > LATE_AFTER_SECONDS:
+            self.upgrade.new.gateway.quotas.skip_refills(self.now)
         self._drive(TakeoverEvent.SERVING)
 
     def end_new(self, event: TakeoverEvent = TakeoverEvent.ENDED) -> None:
@@ -226,6 +229,7 @@
         self.old.gateway.quotas.set_predecessor(False)
 
     _offered: tuple[str, str] | None = None
+    _offered_at = 0.0
 
     def _drive(self, event: TakeoverEvent) -> None:
         for action in self.old.machine.handle(event):
@@ -235,11 +239,15 @@
                 case TakeoverAction.OFFER:
                     self.old.gateway.quotas.refill_accounts(self.now)
                     self._offered = encode_snapshot(take_snapshot(self.old.gateway))
+                    self._offered_at = self.now
                     self.old.split = StateSplit(self.old.gateway)
                 case TakeoverAction.TAKE_BACK:
                     self._undo(whole=True)
-                case TakeoverAction.RESUME:
+                case TakeoverAction.COUNT_AS_USED:
                     self._undo(whole=False)
+                case TakeoverAction.REFILL | TakeoverAction.STOP_REFILLS:
+                    self.old.gateway.quotas.set_late_successor(self.now, action is TakeoverAction.REFILL)
+                case TakeoverAction.RESUME:
                     self.old.is_accepting = True
 
     def hear(self, event: TakeoverEvent) -> None:
