Apply no change of terms of before a process's first event, and never refill back in time

What callers could get: a whole ceiling from the new process of an upgrade, where the plan book came before the process's first event: for an account on any plan of the book, known to the settings or not.

Cause: the first look at a book applied each change in it at its own instant, also those of before the process; Account.refill took such an instant for the time of its last refill and filled the store from there a second time. Evidence, from log lines put in by hand: adopted at 1796667682.574 with a last refill at 1796667694.215; without sockets 10.8 units where 0 were left.

Change: the instants before the first event are none of this process's. A refill never sets the time of the last one back.

--- a/cypresspulley/plans/limiter.py
+++ b/cypresspulley/plans/limiter.py
@@ -83,7 +83,8 @@
         )
         self.usage_recorder = usage_recorder
         self._seen_state: object = None  # the book and lease state that the terms in force were computed from
-        self._next_effective_ms = 0  # Unix milliseconds at which the next version takes effect
+        # Unix milliseconds at which the next change takes effect. Those before the first event changed nothing here.
+        self._next_effective_ms = NEVER_MS
         self._now = -math.inf  # time of the last event
         self._in_force = dict[str, Version]()
         self._uncounted = dict[int, tuple[UsageKey, int]]()  # usage of requests that was not counted yet
--- a/cypresspulley/policy/account.py
+++ b/cypresspulley/policy/account.py
@@ -240,7 +240,8 @@
 
     def refill(self, now: float) -> None:
         """Refill all levels up to ``now``."""
-        plan, elapsed, self.refilled_at = self.plan, max(0.0, now - self.refilled_at), now
+        plan, elapsed = self.plan, max(0.0, now - self.refilled_at)
+        self.refilled_at = max(now, self.refilled_at)
         if self.last_contact_at:
             self._extrapolate_others(elapsed)
         else:
@@ -279,7 +280,8 @@
 
         The terms of that time stay unknown: its refill makes up for what was drawn, and gives nothing beyond that.
         """
-        elapsed, self.refilled_at = max(0.0, now - self.refilled_at), now
+        elapsed = max(0.0, now - self.refilled_at)
+        self.refilled_at = max(now, self.refilled_at)
         part = self.local_ceiling_part / self.gateways
         self.level = max(0.0, self.level - max(0.0, drawn - self.plan.rate * elapsed))
         self.share_level -= max(0.0, drawn - self.plan.rate / self.gateways * elapsed)
--- a/tests/takeover/test_inherited.py
+++ b/tests/takeover/test_inherited.py
@@ -16,6 +16,8 @@
 from cypresspulley.takeover.snapshot import StateSplit
 from tests import world as w
 from tests.takeover.test_snapshot import CONFIG, PLAN, make_request, successor
+from tests.takeover.test_terms_table import GOLD
+from tests.takeover.two_processes import ACCOUNT, BASE_PLAN, MIDDLE, Limiter
 
 RESERVED = replace(PLAN, name="capped+wedding")
 BOOK = replace(CONFIG, plans=(*CONFIG.plans, RESERVED))  # what the settings and the book give together
@@ -100,6 +102,24 @@
         assert account_of(gateway, between.now).ceiling_level == pytest.approx(part * level)
 
 
+@pytest.mark.parametrize("plan", [GOLD, BASE_PLAN], ids=["a plan of the book", "a plan of the settings"])
+def test_a_book_that_comes_before_the_first_event_refills_nothing(plan: str) -> None:
+    """Guards against a full ceiling after an upgrade: changes of before its time were applied at their instants."""
+    limiter = Limiter()
+    limiter.advance(20.0)
+    limiter.version(plan, MIDDLE)
+    limiter.assign(plan)
+    limiter.tell_book(limiter.old)
+    for _ in range(10):
+        limiter.advance(1.0)
+        limiter.ask(limiter.old, 20)
+    left = limiter.units_here()
+    new = limiter.offer(has_book=True)
+    account = new.gateway.quotas.accounts[plan, ACCOUNT]
+    account.refill(limiter.now)
+    assert account.ceiling_level == pytest.approx((1 - RETAINED_PART) * left, abs=1e-3)
+
+
 def test_a_plan_that_does_not_come_is_not_waited_for_for_ever() -> None:
     world = drawn_world()
     new = w.World(CONFIG, 9, world.now)
--- a/tests/takeover/two_processes.py
+++ b/tests/takeover/two_processes.py
@@ -196,9 +196,9 @@
         assert self._offered is not None
         self.upgrade = Upgrade(self._offered, new)
         restore_snapshot(new.gateway, self.now, decode_snapshot(*self._offered))
-        new.refresh(self.now)
         if has_book and self.old.has_book:
-            self.tell_book(new)
+            self.tell_book(new)  # before its first event
+        new.refresh(self.now)
         return new
 
     def serve(self) -> None:
