Answer the very request that met an unexpected error, and refuse half characters

Cause: hashing such a text raises UnicodeEncodeError. Whatever but BadRequestError a path handler raises left the parser's callback, and data_received set its 500 for a second request behind the first. The first had no answer, so nothing was written, and a connection with a pending request has no time limit. Evidence: the same with a ZeroDivisionError planted in the handler. Errors planted in each step showed a second place of the kind: _submit ran inside an except clause, and what it raised went into the loop unanswered.

Change: ClientRequest.fail answers the request that met the error with 500, ends its attempts, and the connection closes behind it; both places use it. Half a surrogate pair anywhere in the JSON of a GraphQL request is 400.

--- a/cypresspulley/graphql/handler.py
+++ b/cypresspulley/graphql/handler.py
@@ -229,19 +229,28 @@
             return analysis.steps.close()
         started_at = self._loop.time()
         try:
-            while self._loop.time() - started_at < MAX_TURN_SECONDS:
-                next(analysis.steps)
-        except StopIteration as done:
-            self._submit(analysis, done.value)
+            priced = self._run_steps(analysis, started_at + MAX_TURN_SECONDS)
+            if priced is None:
+                self._loop.call_soon(self._continue_analysis, analysis)
+            else:
+                self._submit(analysis, priced)
         except GraphQLRefusedError as error:
             request.send_response(*analysis.dialect.format_refusal(error))
         except Exception:
-            log.exception("Failed to analyze a GraphQL request")
-            request.respond(500)
-        else:
-            self._loop.call_soon(self._continue_analysis, analysis)
+            log.exception("Failed to analyze or submit a GraphQL request")
+            request.fail(analysis.parsed.frontend.handler)
         self.longest_turn_s = max(self.longest_turn_s, self._loop.time() - started_at)
 
+    def _run_steps(self, analysis: _PendingAnalysis, until: float) -> PricedRequest | None:
+        """Return the priced request, or None if there are steps left at ``until``, by the loop's clock."""
+        try:
+            while self._loop.time() < until:
+                next(analysis.steps)
+        except StopIteration as done:
+            priced: PricedRequest = done.value
+            return priced
+        return None
+
     def _submit(self, analysis: _PendingAnalysis, priced: PricedRequest) -> None:
         """Submit a priced request, or respond if it is a mutation by GET or its deadline has passed."""
         request, metadata, parsed = analysis.request, analysis.metadata, analysis.parsed
--- a/cypresspulley/graphql/request.py
+++ b/cypresspulley/graphql/request.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -18,6 +19,7 @@
 
 RESPONSE_MEDIA_TYPE = "application/graphql-response+json"
 JSON_MEDIA_TYPE = "application/json"
+SURROGATE_ESCAPE = re.compile(rb"\\u[dD][89a-fA-F]")  # a JSON escape that may be half of a character
 HASH_DIGITS = 64  # hexadecimal digits of a SHA-256
 REQUEST_KEYS = ("query", "operationName", "variables", "extensions")
 
@@ -93,15 +95,26 @@
 
 def _parse_json(text: bytes, source: str) -> Any:
     try:  # decode explicitly, because the library detects UTF-16 and a server may read the bytes differently
-        return json.loads(
+        parsed = json.loads(
             text.decode("utf-8"), object_pairs_hook=_reject_duplicate_keys, parse_constant=_reject_constant
         )
+        if SURROGATE_ESCAPE.search(text):
+            _check_encodable(parsed, source)
+        return parsed
     except GraphQLRefusedError:
         raise
     except (ValueError, RecursionError) as error:
         raise _bad_request(f"{source} is not JSON: {error}") from None
 
 
+def _check_encodable(parsed: Any, source: str) -> None:
+    """Reject half of a surrogate pair: it is no character, and no server could read the text that holds it."""
+    try:
+        json.dumps(parsed, ensure_ascii=False).encode()
+    except UnicodeEncodeError:
+        raise _bad_request(f"{source}: expected characters, got half of a surrogate pair") from None
+
+
 def _reject_duplicate_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     """Reject duplicate keys: the limiter could price one of the values while the server executes the other."""
     found = dict(pairs)
--- a/cypresspulley/net/client_request.py
+++ b/cypresspulley/net/client_request.py
@@ -172,6 +172,12 @@
         """
         self.respond(status, retry_after=SHUTDOWN_RETRY_AFTER if status == 503 else None)
 
+    def fail(self, handler: Handler) -> None:
+        """Respond with 500 after an unexpected error, unless there is a response already; nobody else responds."""
+        if self.response is None and self.stream is None:
+            handler.departed(self)
+            self.respond(500)
+
     def send_response(self, status: int, headers: bytes, body: bytes, retry_after: float | None) -> None:
         """Set the final response without translation by the dialect. Raise RuntimeError if there is one already."""
         if self.response is not None or self.stream is not None:
--- a/cypresspulley/net/frontend.py
+++ b/cypresspulley/net/frontend.py
@@ -552,6 +552,12 @@
             self.frontend.connection_log.count_rejection(error.status, str(error))
             request.reject(error.status)
             raise  # stops the parser: nothing after this request is parsed
+        except Exception:
+            log.exception("unexpected error while handling a request; responding with 500")
+            self._rejected, request.keep_alive = True, False
+            self.frontend.connection_log.count_rejection(500, "unexpected error")
+            request.fail(self.frontend.handler)
+            raise
         self._apply_backpressure()
 
     def _receive_delay(self) -> float:
--- a/tests/graphql/test_front.py
+++ b/tests/graphql/test_front.py
@@ -96,6 +96,31 @@
     run_limiter(work)
 
 
+@pytest.mark.parametrize("keep", [True, False], ids=["kept", "closing"])
+def test_an_unexpected_error_while_a_query_is_read_ends_in_one_answer(
+    keep: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that nobody answers: the 500 was set for another one behind it."""
+
+    async def work(limiter: GraphQLLimiter, _origin: Origin, _script: Script) -> None:
+        def fail(*_arguments: object) -> None:
+            raise ZeroDivisionError
+
+        monkeypatch.setattr(limiter.graphql, "_spend_budget", fail)
+        request = post({"query": LOOKUP_QUERY}, **({} if keep else {"Connection": "close"}))
+        reader, writer = await limiter.connect()
+        writer.write(request)
+        first, headers, body = await read_message(reader)
+        assert " 500 " in first and headers["connection"] == "close"
+        assert json.loads(body)["errors"][0]["extensions"]["code"] == "INTERNAL_ERROR"
+        assert await reader.read() == b"" and not limiter.frontend.open_ids
+        writer.close()
+        monkeypatch.undo()
+        assert " 200 " in (await limiter.fetch(post({"query": LOOKUP_QUERY})))[0]
+
+    run_limiter(work)
+
+
 @pytest.mark.parametrize(
     "body, name",
     [
