Give test processes ports that no connection takes, and send lookups at once

free_port asked the system for a port and gave it back: the same range serves outgoing connections, so that one may have it before the process binds. Seen: test_it_is_ready_at_once..., "cannot listen: [Errno 98] Address already in use". tests/ports.py takes ports below that range, each worker its own.

test_lookups_behind_slow_uploads... opened 19 connections before it wrote to the first of them. A connection that is silent for 0.3 s makes room in a crowd, as the protocol lets it; on a busy machine that happened before the lookup was written ("0 bytes read"). Each lookup is sent as soon as its connection is open; what is asserted stays.

--- a/tests/fleet/test_limiter.py
+++ b/tests/fleet/test_limiter.py
@@ -21,17 +21,12 @@
 from cypresspulley.histories.writer import AnyHistory, History, MemoryHistory, NoHistory
 from cypresspulley.operators import OperatorsError
 from tests.loopback import run
+from tests.ports import free_port
 
 PERIOD = 0.05  # seconds
 KEY = b"0123456789abcdef"
 
 
-def free_port() -> int:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 def new_member(
     name: str, at: int, *seeds: int, history: AnyHistory | None = None, back: float = 0.0,
     advertise: int | None = None,
@@ -55,7 +50,7 @@
 
 def test_three_limiters_settle_share_rows_and_documents_and_one_leaves(tmp_path: Path) -> None:
     async def main() -> None:
-        ports = [free_port() for _ in range(3)]
+        ports = [free_port(socket.SOCK_DGRAM) for _ in range(3)]
         history = History(str(tmp_path / "l0-{life}.jsonl"), time.monotonic, time.time)
         all_of = [
             new_member(f"l{n}", ports[n], *ports[:2], history=history if n == 0 else None) for n in range(3)
@@ -102,7 +97,7 @@
 
 def test_one_that_returns_with_its_clock_set_back_has_a_new_life_and_a_new_history(tmp_path: Path) -> None:
     async def main() -> None:
-        first, second = free_port(), free_port()
+        first, second = free_port(socket.SOCK_DGRAM), free_port(socket.SOCK_DGRAM)
         a, b = new_member("a", first, first), new_member("b", second, first)
         await a.start()
         await b.start()
@@ -139,7 +134,7 @@
 
     async def main() -> None:
         history = MemoryHistory(time.monotonic, time.time)
-        one = new_member("me", free_port(), history=history)
+        one = new_member("me", free_port(socket.SOCK_DGRAM), history=history)
         await one.start()
         codec, life = Codec("test", KEY), one.view.life
 
@@ -191,7 +186,11 @@
                 heard.append(data)
                 out.sendto(data, ("127.0.0.1", second))
 
-        first, second, front = free_port(), free_port(), free_port()
+        first, second, front = (
+            free_port(socket.SOCK_DGRAM),
+            free_port(socket.SOCK_DGRAM),
+            free_port(socket.SOCK_DGRAM),
+        )
         out, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0))
         relay, _ = await loop.create_datagram_endpoint(Relay, local_addr=("127.0.0.1", front))
         a, b = new_member("a", first, first), new_member("b", second, first, advertise=front)
@@ -215,7 +214,7 @@
 
 def test_members_may_be_told_by_the_names_of_their_hosts() -> None:
     async def main() -> None:
-        first, second = free_port(), free_port()
+        first, second = free_port(socket.SOCK_DGRAM), free_port(socket.SOCK_DGRAM)
         a = new_member("a", first, first)
         options = FleetOptions(
             "test", ("127.0.0.1", second), f"localhost:{second}", (f"localhost:{first}",), PERIOD, KEY
--- a/tests/pressure/deployment.py
+++ b/tests/pressure/deployment.py
@@ -17,7 +17,8 @@
 from typing import Any
 
 from tests.loopback import OK, listening
-from tests.test_program import Program, free_port
+from tests.ports import free_port
+from tests.test_program import Program
 
 SERVERS = 6
 LOOKUPS_PER_SECOND = 20
--- a/tests/takeover/test_peer_link.py
+++ b/tests/takeover/test_peer_link.py
@@ -19,8 +19,9 @@
 from cypresspulley.takeover.channel import Channel, Folder
 from cypresspulley.takeover.states import STATE_TIMEOUT_SECONDS, TakeoverState
 from tests.loopback import Limiter, Origin, Script, ask, forward, listening, read_message, run
+from tests.ports import free_port
 from tests.takeover.test_handover import Process, until
-from tests.test_program import WIRE_SETTINGS, call_operators, config, free_port, started
+from tests.test_program import WIRE_SETTINGS, call_operators, config, started
 
 RETRY_SECONDS = 0.01
 
--- a/tests/test_descriptor_shares.py
+++ b/tests/test_descriptor_shares.py
@@ -23,8 +23,9 @@
 from cypresspulley.net.http import split_address
 from cypresspulley.operators import Operators
 from tests.loopback import Origin, ask, listening, read_message, run
+from tests.ports import free_port
 from tests.test_endings_descriptors import IdleClients
-from tests.test_program import WIRE_SETTINGS, call_operators, config, free_port, started
+from tests.test_program import WIRE_SETTINGS, Program, call_operators, config, started
 
 LOOKUPS = 19
 SERVERS = 4
@@ -56,6 +57,13 @@
     return caller
 
 
+async def send_lookup(program: Program) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Send a lookup on a new connection at once: one that stays silent may be closed to make room."""
+    reader, writer = await program.connect()
+    writer.write(ask())
+    return reader, writer
+
+
 @pytest.mark.parametrize("limit", [256, 320, 384, 410, 512, 1024])
 def test_lookups_behind_slow_uploads_are_read_and_operators_answered(
     limit: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
@@ -79,9 +87,7 @@
             callers = [open_half_call(raw["operator"]) for _ in range(ADMIN_CALLERS)]
             async with asyncio.timeout(ADMIN_ANSWER_SECONDS):
                 assert await call_operators(raw["operator"], "GET", "/v1/readyz") == 200
-            lookups = [await program.connect() for _ in range(LOOKUPS)]
-            for _, writer in lookups:
-                writer.write(ask())
+            lookups = [await send_lookup(program) for _ in range(LOOKUPS)]
             async with asyncio.timeout(ANSWER_SECONDS):
                 for reader, writer in lookups:
                     await read_message(reader)
--- a/tests/test_large_program.py
+++ b/tests/test_large_program.py
@@ -16,8 +16,9 @@
 
 from cypresspulley.rehearsal.standins.discovery import Agent, Host
 from tests.loopback import Origin, ask, read_message, run
+from tests.ports import free_port
 from tests.test_large_lists import KEY, LARGE_FLEET_SIZE, fleet_table, loopback
-from tests.test_program import Program, config, free_port, stand_in_stage
+from tests.test_program import Program, config, stand_in_stage
 
 LISTENERS = 16  # shared by all servers
 READY_SECONDS = 10.0  # a restarted limiter has to be ready within this time
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -24,6 +24,7 @@
 from cypresspulley.rehearsal.standins.network import Link
 from cypresspulley.rehearsal.standins.run_context import RunContext
 from tests.loopback import Origin, ask, listening, read_message, run
+from tests.ports import free_port
 
 WIRE_SETTINGS: dict[str, Any] = {
     "classes": [{"name": "lookup", "aim_s": 5.0, "effect": "idempotent", "worth": 1.0, "group": "all"}],
@@ -39,13 +40,6 @@
     return RunContext(lambda _record: None, lambda _id, _cls: 0.0)
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 def config(dial: str, discovery: str = "127.0.0.1:1") -> dict[str, Any]:
     host = {"host": "s1", "dial": dial, "site": "a", "block": 0, "health": "ready", "born_ms": 0}
     return {
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -26,8 +26,9 @@
 from cypresspulley.operators import Operators
 from cypresspulley.reload import ConfigReloader
 from tests.loopback import OK, Origin, ask, listening, read_message, run
+from tests.ports import free_port
 from tests.test_discovery import HEAD, chunk
-from tests.test_program import WIRE_SETTINGS, Program, config, free_port, started
+from tests.test_program import WIRE_SETTINGS, Program, config, started
 
 KILL_SECONDS = 3.7  # after SIGTERM, SIGKILL may follow from then on
 READY_SECONDS = 10.0  # a restarted limiter has to be ready within this time
--- a/tests/test_reload_shared.py
+++ b/tests/test_reload_shared.py
@@ -14,7 +14,8 @@
 from cypresspulley import interface as api
 from tests import world as w
 from tests.loopback import Origin, ask, listening, run
-from tests.test_program import WIRE_SETTINGS, config, free_port, started
+from tests.ports import free_port
+from tests.test_program import WIRE_SETTINGS, config, started
 
 PLAN = api.Plan("small", rate=2.0, burst=8.0, open_limit=4)
 
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -14,7 +14,8 @@
 from cypresspulley.net import request_ids
 from cypresspulley.net.request_ids import RequestIds
 from tests.loopback import OK, Limiter, Origin, Script, ask, forward, listening, read_message, run
-from tests.test_program import WIRE_SETTINGS, Program, call_operators, config, free_port, started
+from tests.ports import free_port
+from tests.test_program import WIRE_SETTINGS, Program, call_operators, config, started
 
 POST = "/post?account=00000000b4d65521"
 CLASSES: list[dict[str, Any]] = [
