Take the predecessor's open attempts off the accounts that had counted them

An account that was replaced between two reports (moved to another plan and back, or idle and new) got the difference of two numbers, one of which it never had: -1 open attempts in the test where 2 are right, and so more attempts than a plan allows. Reports are held with the account in which they were counted.

--- a/cypresspulley/takeover/snapshot.py
+++ b/cypresspulley/takeover/snapshot.py
@@ -234,15 +234,19 @@
 
     def __init__(self, gateway: Gateway) -> None:
         self._gateway = gateway
-        self._held = dict[tuple[str, str], int]()
+        self._held = dict[tuple[str, str], tuple[Account, int]]()  # where each number was counted
 
     def update(self, attempts: dict[tuple[str, str], int]) -> None:
-        """Set the predecessor's open attempts by plan and account; empty after its end."""
+        """Set the predecessor's open attempts by plan and account; empty after its end.
+
+        An account may have been replaced since the last report, under another plan or the same one.
+        """
+        for account, number in self._held.values():
+            account.open_attempts -= number
         accounts = self._gateway.quotas.accounts
-        for key in {*attempts, *self._held}:
-            if (a := accounts.get(key)) is not None:
-                a.open_attempts += attempts.get(key, 0) - self._held.get(key, 0)
-        self._held = {key: n for key, n in attempts.items() if key in accounts}
+        self._held = {key: (accounts[key], number) for key, number in attempts.items() if key in accounts}
+        for account, number in self._held.values():
+            account.open_attempts += number
 
 
 def count_open_attempts(gateway: Gateway) -> list[tuple[str, str, int]]:
--- a/tests/takeover/test_snapshot.py
+++ b/tests/takeover/test_snapshot.py
@@ -179,6 +179,20 @@
         assert account.open_attempts == wanted
 
 
+def test_attempts_of_the_predecessor_leave_with_the_account_that_counted_them() -> None:
+    """Guards against a number below 0, which lets too many attempts out: the account was replaced between reports."""
+    world = make_world()
+    after = successor(world)
+    attempts, key = PredecessorAttempts(after), ("capped", "a0")
+    attempts.update({key: 3})
+    del after.quotas.accounts[key]  # as for a move to another plan and back
+    replaced = after.quotas.get_or_create_account(world.now, make_request(1, "read", *key))
+    attempts.update({key: 2})
+    assert replaced.open_attempts == 2
+    attempts.update({})
+    assert replaced.open_attempts == 0
+
+
 def test_a_dropped_plan_is_left_out_and_the_rest_goes_over() -> None:
     after = successor(make_world(), replace(CONFIG, plans=(api.Plan("free"),)))
     assert after.quotas.accounts == {} and after.load_balancer.bans == {"s1"}
