--- a/cypresspulley/policy/quota.py
+++ b/cypresspulley/policy/quota.py
@@ -174,9 +174,11 @@
         for account in self._all_accounts():
             account.refilled_at = now
 
-    def lend_new(self, account: Account) -> None:
-        """Leave the ceiling of an account that is new here to the successor, where it is new as well."""
-        account.lend(replace(account.stores().scaled(RETAINED_PART), ceiling_level=0.0))
+    def _share_new_account(self, account: Account) -> None:
+        """Limit an account that is new here; its ceiling is left to a successor, where it is new as well."""
+        if self._is_handing_over:
+            account.lend(replace(account.stores().scaled(RETAINED_PART), ceiling_level=0.0))
+        account.apply_share(self.share)
 
     def take_back(self) -> None:
         """Use the whole stores again: the successor has drawn nothing of what it held."""
@@ -221,9 +223,8 @@
             if self.inherited.holds(event.account):
                 account.empty()
                 self.inherited.add_substitute(key, account)
-            if self._is_handing_over:
-                self.lend_new(account)
-            account.apply_share(self.share)
+            if self.share is not StoreShare.WHOLE:
+                self._share_new_account(account)
             if not self._has_room(now):
                 return account
             self.accounts[key] = account
